--- /dev/null
+++ b/Makefile
@@ -0,0 +1,87 @@
+# Builds the library, the programs and the tests into build/.
+CC ?= cc
+BUILD ?= build
+PACKAGES = glib-2.0 jansson yaml-0.1 libsodium libxxhash
+EDGE_PACKAGES = libmicrohttpd libcurl libtirpc ck
+CPPFLAGS += -Iinclude -Imodules -D_GNU_SOURCE
+CFLAGS += -std=c11 -O2 -g -Wall -Wextra -Wshadow -Wno-missing-field-initializers
+CFLAGS += $(SANITIZE)
+LDFLAGS += $(SANITIZE)
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) $(EDGE_PACKAGES) check)
+LIB_LIBS := $(shell pkg-config --libs $(PACKAGES))
+EDGE_LIBS := $(shell pkg-config --libs $(EDGE_PACKAGES)) -pthread -lm
+CHECK_LIBS := $(shell pkg-config --libs check)
+
+LIB_SOURCES := $(wildcard objects/*.c core/*.c)
+EDGE_SOURCES := $(wildcard modules/*.c)
+GENERATED := modules/peer_xdr.c
+PROGRAMS := $(patsubst programs/%.c,$(BUILD)/%,$(wildcard programs/*.c))
+TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
+HISTORY := $(BUILD)/tests/history
+EXAMPLES := $(patsubst examples/%.c,$(BUILD)/%,$(wildcard examples/*.c))
+BENCHES := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
+
+LIB_OBJECTS := $(LIB_SOURCES:%.c=$(BUILD)/%.o)
+STANDIN_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/standin/*.c))
+LOAD_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/load/*.c))
+EDGE_OBJECTS := $(EDGE_SOURCES:%.c=$(BUILD)/%.o)
+LIBRARY := $(BUILD)/libpomelolatch.a
+
+all: $(PROGRAMS) $(EXAMPLES)
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) $(PKG_CFLAGS) -MMD -c -o $@ $<
+
+$(BUILD)/modules/peer_xdr.o: CFLAGS += -Wno-unused-variable
+
+$(LIBRARY): $(LIB_OBJECTS)
+	rm -f $@
+	ar rcs $@ $^
+
+$(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o $(EDGE_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(EDGE_LIBS) $(LIB_LIBS)
+
+$(BUILD)/pomelolatch-standin: $(STANDIN_OBJECTS)
+$(BUILD)/pomelolatch-load: $(LOAD_OBJECTS)
+
+# The library links without HTTP, RPC or threads of its own.
+$(EXAMPLES): $(BUILD)/%: $(BUILD)/examples/%.o $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(LIB_LIBS)
+
+$(BENCHES): $(BUILD)/%: $(BUILD)/tools/%.o $(EDGE_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(EDGE_LIBS) $(LIB_LIBS)
+
+$(BUILD)/tests/%: $(BUILD)/tests/%.o $(EDGE_OBJECTS) $(LIBRARY)
+	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(EDGE_LIBS) $(LIB_LIBS)
+
+tests: $(TESTS)
+
+bench: $(BENCHES) all
+	tools/bench
+
+check: all tests
+	tools/run-tests
+
+format:
+	clang-format -i $(FORMATTED)
+
+FORMATTED = $(filter-out modules/peer_xdr.c modules/peer_xdr.h,$(shell git ls-files '*.c' '*.h'))
+
+lint:
+	clang-format --dry-run -Werror $(FORMATTED)
+
+tidy:
+	clang-tidy --quiet $(filter %.c,$(FORMATTED)) -- $(CPPFLAGS) -std=c11 $(PKG_CFLAGS)
+
+# The peer protocol's codec, committed so that a build needs no generator.
+generate:
+	rpcgen -C -N -M -h modules/peer.x > modules/peer_xdr.h
+	rpcgen -C -N -M -c modules/peer.x | sed 's|#include ".*peer.h"|#include "peer_xdr.h"|' > modules/peer_xdr.c
+
+clean:
+	rm -rf $(BUILD)
+
+.PHONY: all tests bench check format lint tidy generate clean
+.SECONDARY:
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/core/budget.c
@@ -0,0 +1,361 @@
+/* Token buckets split over hosts, with loans between them.
+ *
+ * Each host owns a fixed part of the fleet's rate and burst and mints only
+ * that.  A host that runs short borrows tokens that others hold unused.  The
+ * invariant is on the sum over all hosts:
+ *
+ *   own tokens + borrowed tokens that may still be spent <= fleet burst
+ *   tokens minted in an interval                         <= fleet rate * interval
+ *
+ * so the fleet as a whole is never looser than one bucket of that rate and
+ * burst.  Three rules keep it without any agreement between hosts:
+ *
+ *  - A lender takes a loan out of its tokens before it sends the grant.  A lost
+ *    grant is lost on the safe side.
+ *  - While a loan is open, the lender's own bucket is lowered by the loan, so
+ *    what it mints afresh and what the borrower holds fit the burst together.  A
+ *    loan is closed by the borrower's word that it is spent, or by time.  The
+ *    borrower's term runs from its ask, the lender's from the later grant and
+ *    is longer, so the borrower always stops first.
+ *  - Grants are numbered, with the lender's incarnation in the upper half, and
+ *    the borrower keeps the highest number that it applied, so that a doubled
+ *    or late grant adds nothing, and a word of "spent" meant for an earlier
+ *    incarnation closes nothing of a later one.
+ *
+ * A part's mint is never lent away in advance, and at least an eighth of the
+ * bucket is not lendable at all: this is the floor that a host cut off from
+ * all others keeps.
+ */
+#include "pomelolatch/budget.h"
+#include "pomelolatch/error.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define US_PER_S INT64_C (1000000)
+#define FLOOR_DIVISOR 8
+#define INCARNATION_SHIFT 32
+#define DEMAND_WINDOW_US INT64_C (100000)
+/* A lender keeps back what its own callers will want for this long. */
+#define RESERVE_US INT64_C (200000)
+
+static int64_t
+min64 (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+/* RATE * SPAN without overflow: a link's micro-byte rate needs more than 64 bits. */
+static int64_t
+amount_over (int64_t rate, int64_t span_us)
+{
+  return (int64_t) ((__int128) rate * span_us / US_PER_S);
+}
+
+static void
+drop_ended (struct pl_loan *loans, int *count, int64_t now_us)
+{
+  int kept = 0;
+
+  for (int i = 0; i < *count; i++)
+    if (loans[i].ends_us > now_us && loans[i].amount > 0)
+      loans[kept++] = loans[i];
+  *count = kept;
+}
+
+static int64_t
+sum_of (const struct pl_loan *loans, int count)
+{
+  int64_t sum = 0;
+
+  for (int i = 0; i < count; i++)
+    sum += loans[i].amount;
+  return sum;
+}
+
+/* Mints what is due, ends what is over, and keeps the bucket under its brim. */
+static void
+settle (struct pl_budget *budget, int64_t now_us)
+{
+  int64_t brim;
+
+  drop_ended (budget->borrowed, &budget->borrowed_count, now_us);
+  drop_ended (budget->lent, &budget->lent_count, now_us);
+  if (now_us > budget->minted_at_us)
+    {
+      /* After a long gap the bucket is full anyhow. */
+      int64_t span = min64 (now_us - budget->minted_at_us, 3600 * US_PER_S);
+      int64_t minted = amount_over (budget->rate, span);
+
+      if (minted > 0 || budget->rate == 0)
+        {
+          budget->own += minted;
+          budget->minted_at_us = now_us;
+        }
+    }
+  brim = budget->burst - sum_of (budget->lent, budget->lent_count);
+  if (budget->own > brim)
+    budget->own = brim;
+}
+
+void
+pl_budget_init (struct pl_budget *budget, uint64_t incarnation, int64_t mint_from_us)
+{
+  assert (incarnation <= UINT32_MAX);
+  memset (budget, 0, sizeof *budget);
+  budget->next_number = incarnation << INCARNATION_SHIFT;
+  budget->minted_at_us = mint_from_us;
+  budget->demand_at_us = mint_from_us;
+}
+
+void
+pl_budget_set_part (struct pl_budget *budget, int64_t rate, int64_t burst, int64_t now_us)
+{
+  assert (rate >= 0 && burst >= 0);
+  settle (budget, now_us);
+  budget->rate = rate;
+  budget->burst = burst;
+  settle (budget, now_us);
+}
+
+int64_t
+pl_budget_balance (struct pl_budget *budget, int64_t now_us)
+{
+  settle (budget, now_us);
+  return budget->own + sum_of (budget->borrowed, budget->borrowed_count);
+}
+
+/* Spends from the loan that ends first; returns what it could not cover. */
+static int64_t
+spend_borrowed (struct pl_budget *budget, int64_t amount, int64_t *valid_until_us)
+{
+  while (amount > 0 && budget->borrowed_count > 0)
+    {
+      struct pl_loan *first = &budget->borrowed[0];
+      int64_t part;
+
+      for (int i = 1; i < budget->borrowed_count; i++)
+        if (budget->borrowed[i].ends_us < first->ends_us)
+          first = &budget->borrowed[i];
+      part = min64 (amount, first->amount);
+      first->amount -= part;
+      amount -= part;
+      *valid_until_us = min64 (*valid_until_us, first->ends_us);
+      if (first->amount == 0)
+        *first = budget->borrowed[--budget->borrowed_count];
+    }
+  return amount;
+}
+
+int
+pl_budget_take (struct pl_budget *budget, int64_t amount, int64_t now_us, int64_t *valid_until_us)
+{
+  *valid_until_us = INT64_MAX;
+  if (pl_budget_balance (budget, now_us) < amount)
+    return PL_ERR_LACKING;
+  budget->own -= spend_borrowed (budget, amount, valid_until_us);
+  return PL_OK;
+}
+
+void
+pl_budget_give_back (struct pl_budget *budget, int64_t amount, int64_t now_us)
+{
+  budget->own += amount;
+  settle (budget, now_us);
+}
+
+void
+pl_budget_charge (struct pl_budget *budget, int64_t amount, int64_t now_us)
+{
+  int64_t unused;
+
+  settle (budget, now_us);
+  budget->own -= spend_borrowed (budget, amount, &unused);
+}
+
+void
+pl_budget_note_demand (struct pl_budget *budget, int64_t amount)
+{
+  budget->demand_seen += amount;
+}
+
+/* A new peak counts at once, a lull is believed slowly: a quarter each window. */
+static void
+update_demand (struct pl_budget *budget, int64_t now_us)
+{
+  int64_t span = now_us - budget->demand_at_us;
+  int64_t seen;
+
+  if (span < DEMAND_WINDOW_US)
+    return;
+  seen = (int64_t) ((__int128) budget->demand_seen * US_PER_S / span);
+  if (seen > budget->demand)
+    budget->demand = seen;
+  else
+    budget->demand -= (budget->demand - seen) / 4;
+  budget->demand_seen = 0;
+  budget->demand_at_us = now_us;
+}
+
+int64_t
+pl_budget_want (struct pl_budget *budget, int64_t horizon_us, int64_t now_us)
+{
+  int64_t need;
+  int64_t missing;
+
+  update_demand (budget, now_us);
+  need = amount_over (budget->demand, horizon_us) + budget->backlog;
+  missing = need - pl_budget_balance (budget, now_us);
+  return missing > 0 ? missing : 0;
+}
+
+static void
+close_loans (struct pl_budget *budget, uint64_t peer, uint64_t acked)
+{
+  for (int i = 0; i < budget->lent_count; i++)
+    if (budget->lent[i].peer == peer && budget->lent[i].number <= acked)
+      budget->lent[i].amount = 0;
+}
+
+/* What could be lent at once: not the reserve for own callers, not the floor. */
+static int64_t
+surplus_now (struct pl_budget *budget, int64_t now_us)
+{
+  int64_t lent = sum_of (budget->lent, budget->lent_count);
+  int64_t lendable = budget->burst - budget->burst / FLOOR_DIVISOR - lent;
+  int64_t reserve;
+  int64_t spare;
+
+  update_demand (budget, now_us);
+  reserve = amount_over (budget->demand, RESERVE_US) + budget->backlog;
+  spare = budget->own - reserve;
+  spare = min64 (spare, lendable);
+  return spare > 0 ? spare : 0;
+}
+
+/* Enters a loan.  A full table joins it to an open loan of the same peer, which then stays open
+ * until the later number is spent or the later time is reached.  Returns false without room. */
+static bool
+enter_lent (struct pl_budget *budget, const struct pl_loan *loan)
+{
+  if (budget->lent_count < PL_LOANS_MAX)
+    {
+      budget->lent[budget->lent_count++] = *loan;
+      return true;
+    }
+  for (int i = budget->lent_count - 1; i >= 0; i--)
+    if (budget->lent[i].peer == loan->peer)
+      {
+        budget->lent[i].amount += loan->amount;
+        budget->lent[i].number = loan->number;
+        budget->lent[i].ends_us = loan->ends_us;
+        return true;
+      }
+  return false;
+}
+
+/* As enter_lent(), but a joined loan keeps the earlier number and end. */
+static bool
+enter_borrowed (struct pl_budget *budget, const struct pl_loan *loan)
+{
+  if (budget->borrowed_count < PL_LOANS_MAX)
+    {
+      budget->borrowed[budget->borrowed_count++] = *loan;
+      return true;
+    }
+  for (int i = budget->borrowed_count - 1; i >= 0; i--)
+    if (budget->borrowed[i].peer == loan->peer)
+      {
+        budget->borrowed[i].amount += loan->amount;
+        return true;
+      }
+  return false;
+}
+
+struct pl_grant
+pl_budget_lend (struct pl_budget *budget, uint64_t peer, int64_t amount, uint64_t acked,
+                int64_t now_us)
+{
+  struct pl_grant grant = { 0, 0, 0 };
+  int64_t surplus;
+
+  close_loans (budget, peer, acked);
+  settle (budget, now_us);
+  surplus = surplus_now (budget, now_us);
+  if (amount > 0 && surplus > 0)
+    {
+      struct pl_loan loan = { peer, budget->next_number + 1, min64 (amount, surplus),
+                              now_us + PL_LOAN_OPEN_US };
+
+      if (enter_lent (budget, &loan))
+        {
+          budget->next_number++;
+          budget->own -= loan.amount;
+          grant.number = loan.number;
+          grant.amount = loan.amount;
+        }
+    }
+  grant.surplus = surplus - grant.amount;
+  return grant;
+}
+
+/* Returns the record of PEER, made when there is none; NULL when the table is full. */
+static struct pl_lender *
+find_lender (struct pl_budget *budget, uint64_t peer)
+{
+  struct pl_lender *lender;
+
+  for (int i = 0; i < budget->lender_count; i++)
+    if (budget->lenders[i].peer == peer)
+      return &budget->lenders[i];
+  if (budget->lender_count == PL_LENDERS_MAX)
+    return NULL;
+  lender = &budget->lenders[budget->lender_count++];
+  *lender = (struct pl_lender){ peer, 0, 0 };
+  return lender;
+}
+
+int
+pl_budget_receive (struct pl_budget *budget, uint64_t peer, const struct pl_grant *grant,
+                   int64_t asked_us, int64_t now_us)
+{
+  struct pl_lender *lender = find_lender (budget, peer);
+  struct pl_loan loan;
+
+  if (lender == NULL)
+    return PL_ERR_FULL;
+  lender->surplus = grant->surplus;
+  if (grant->amount <= 0)
+    return PL_OK;
+  if (grant->number <= lender->last_number)
+    return PL_ERR_STALE;
+  lender->last_number = grant->number;
+  settle (budget, now_us);
+  if (asked_us + PL_LOAN_TERM_US <= now_us)
+    return PL_ERR_EXPIRED;
+  loan = (struct pl_loan){ peer, grant->number, grant->amount, asked_us + PL_LOAN_TERM_US };
+  return enter_borrowed (budget, &loan) ? PL_OK : PL_ERR_FULL;
+}
+
+uint64_t
+pl_budget_acked (const struct pl_budget *budget, uint64_t peer)
+{
+  uint64_t acked = 0;
+
+  for (int i = 0; i < budget->lender_count; i++)
+    if (budget->lenders[i].peer == peer)
+      acked = budget->lenders[i].last_number;
+  for (int i = 0; i < budget->borrowed_count; i++)
+    if (budget->borrowed[i].peer == peer && budget->borrowed[i].number <= acked)
+      acked = budget->borrowed[i].number - 1;
+  return acked;
+}
+
+int64_t
+pl_budget_surplus_of (const struct pl_budget *budget, uint64_t peer)
+{
+  for (int i = 0; i < budget->lender_count; i++)
+    if (budget->lenders[i].peer == peer)
+      return budget->lenders[i].surplus;
+  return -1;
+}
--- /dev/null
+++ b/core/core_budgets.c
@@ -0,0 +1,359 @@
+/* The budgets of this host: each account's rate and each link's bytes.
+ *
+ * A part is a share of the configuration's figure, fixed by the list of entry
+ * hosts.  Parts shrink at once when that list changes, and grow only when every
+ * named host is known to have the new list in force; in between, the sum of
+ * all parts is less than the whole, never more.  A host that does not hold its
+ * name in the store has no part and serves on what it borrows.
+ */
+#include "internal/core_state.h"
+
+#include <string.h>
+
+#define ASK_PERIOD_US (50 * PL_US_PER_MS)
+#define ASK_HORIZON_US (150 * PL_US_PER_MS)
+#define ASK_FANOUT 8
+
+static bool
+holds_parts (const struct pl_core *core)
+{
+  return core->slot_held && !core->slot_was_paused && core->self != PL_NONE;
+}
+
+static bool
+may_grow (const struct pl_core *core)
+{
+  return (core->switches & PL_SWITCH_GROW_AT_ONCE) != 0
+         || core->confirmed_version >= core->hosts_version;
+}
+
+/* One of PARTS equal parts of TOTAL units, in micro-units, rounded down. */
+static int64_t
+part_of (int64_t total, int64_t parts)
+{
+  return parts > 0 ? (int64_t) ((__int128) total * PL_MICRO / parts) : 0;
+}
+
+void
+budgets_set_parts (struct pl_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+  int64_t wanted = 0;
+
+  if (core->config == NULL)
+    return;
+  if (holds_parts (core))
+    wanted = pl_config_fleet_parts (core->config, core->self);
+  /* More parts make each smaller, which may be at once; fewer wait. */
+  if (wanted == 0 || wanted > core->fleet_parts || may_grow (core))
+    {
+      if (wanted == 0 || core->fleet_parts > 0 || may_grow (core))
+        core->fleet_parts = wanted;
+    }
+  g_hash_table_iter_init (&iter, core->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct account_state *account = value;
+      int64_t rate = 0;
+      int64_t burst = 0;
+
+      if (account->index != PL_NONE)
+        {
+          rate = part_of (PL_ACCOUNT (core->config, account->index)->rate, core->fleet_parts);
+          burst = part_of (PL_ACCOUNT (core->config, account->index)->burst, core->fleet_parts);
+        }
+      pl_budget_set_part (&account->budget, rate, burst, core->now_us);
+    }
+  g_hash_table_iter_init (&iter, core->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct link_state *link = value;
+      int64_t rate = 0;
+
+      if (link->index != PL_NONE && holds_parts (core) && may_grow (core))
+        rate = part_of (PL_LINK (core->config, link->index)->bytes_per_second,
+                        pl_config_link_parts (core->config, link->index, core->self));
+      pl_budget_set_part (&link->budget, rate, rate, core->now_us);
+    }
+}
+
+static void
+init_budget (struct pl_core *core, struct pl_budget *budget)
+{
+  int64_t from_us = (core->switches & PL_SWITCH_NO_FENCE) != 0 ? core->now_us
+                                                               : core->mint_from_us;
+
+  pl_budget_init (budget, core->incarnation & UINT32_MAX, from_us);
+}
+
+/* A new incarnation: all buckets empty, grants numbered above those of the last. */
+void
+budgets_restart (struct pl_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    init_budget (core, &((struct account_state *) value)->budget);
+  g_hash_table_iter_init (&iter, core->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    init_budget (core, &((struct link_state *) value)->budget);
+  budgets_set_parts (core);
+}
+
+static void
+adopt_account (struct pl_core *core, int index)
+{
+  uint64_t id = PL_ACCOUNT (core->config, index)->id;
+  struct account_state *account = g_hash_table_lookup (core->accounts, &id);
+
+  if (account == NULL)
+    {
+      account = g_new0 (struct account_state, 1);
+      account->id = id;
+      g_strlcpy (account->name, PL_ACCOUNT (core->config, index)->name, sizeof account->name);
+      g_queue_init (&account->waiting);
+      init_budget (core, &account->budget);
+      if (core->now_us > account->budget.minted_at_us)
+        account->budget.minted_at_us = core->now_us;
+      g_hash_table_insert (core->accounts, &account->id, account);
+      g_ptr_array_add (core->account_order, account);
+    }
+  account->index = index;
+}
+
+static void
+adopt_link (struct pl_core *core, int index)
+{
+  uint64_t id = PL_LINK (core->config, index)->id;
+  struct link_state *link = g_hash_table_lookup (core->links, &id);
+
+  if (link == NULL)
+    {
+      link = g_new0 (struct link_state, 1);
+      link->id = id;
+      init_budget (core, &link->budget);
+      if (core->now_us > link->budget.minted_at_us)
+        link->budget.minted_at_us = core->now_us;
+      g_hash_table_insert (core->links, &link->id, link);
+    }
+  link->index = index;
+}
+
+void
+budgets_adopt (struct pl_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct account_state *) value)->index = PL_NONE;
+  g_hash_table_iter_init (&iter, core->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct link_state *) value)->index = PL_NONE;
+  for (guint i = 0; i < core->config->accounts->len; i++)
+    adopt_account (core, (int) i);
+  for (guint i = 0; i < core->config->links->len; i++)
+    adopt_link (core, (int) i);
+  budgets_set_parts (core);
+}
+
+static struct pl_budget *
+find_budget (struct pl_core *core, uint64_t id)
+{
+  struct account_state *account = g_hash_table_lookup (core->accounts, &id);
+  struct link_state *link;
+
+  if (account != NULL && account != core->open_account)
+    return &account->budget;
+  link = g_hash_table_lookup (core->links, &id);
+  return link != NULL ? &link->budget : NULL;
+}
+
+void
+budgets_on_ask (struct pl_core *core, const struct pl_message *message)
+{
+  const struct pl_loan_message *ask = &message->u.loans;
+  struct pl_message reply = { .type = PL_MESSAGE_GRANT };
+
+  reply.u.loans.asked_us = ask->asked_us;
+  reply.u.loans.nonce = ask->nonce;
+  for (int i = 0; i < ask->count; i++)
+    {
+      const struct pl_loan_item *item = &ask->items[i];
+      struct pl_budget *budget = find_budget (core, item->budget);
+      struct pl_loan_item *answer = &reply.u.loans.items[reply.u.loans.count];
+      struct pl_grant grant;
+
+      if (budget == NULL || item->amount < 0)
+        continue;
+      grant = pl_budget_lend (budget, message->from, item->amount, item->number, core->now_us);
+      *answer = (struct pl_loan_item){ item->budget, grant.number, grant.amount, grant.surplus };
+      reply.u.loans.count++;
+    }
+  if (reply.u.loans.count > 0)
+    peers_send (core, message->from, &reply);
+}
+
+void
+budgets_on_grant (struct pl_core *core, const struct pl_message *message)
+{
+  const struct pl_loan_message *loans = &message->u.loans;
+
+  /* A grant for an earlier process of this name was asked on another clock. */
+  if (loans->nonce != core->nonce)
+    return;
+  for (int i = 0; i < loans->count; i++)
+    {
+      struct pl_budget *budget = find_budget (core, loans->items[i].budget);
+      struct pl_grant grant = { loans->items[i].number, loans->items[i].amount,
+                                loans->items[i].surplus };
+
+      if (budget != NULL)
+        pl_budget_receive (budget, message->from, &grant, loans->asked_us, core->now_us);
+    }
+}
+
+bool
+budgets_link_eligible (const struct pl_core *core, const struct link_state *link, int host)
+{
+  return link->index != PL_NONE && pl_config_link_parts (core->config, link->index, host) > 0;
+}
+
+struct lender_list
+{
+  int count;
+  struct member *members[PL_LENDERS_MAX];
+  struct pl_message *messages[PL_LENDERS_MAX];
+};
+
+static struct pl_message *
+message_for (struct pl_core *core, struct lender_list *lenders, int at)
+{
+  if (lenders->messages[at] == NULL)
+    {
+      lenders->messages[at] = g_new0 (struct pl_message, 1);
+      lenders->messages[at]->type = PL_MESSAGE_ASK;
+      lenders->messages[at]->u.loans.asked_us = core->now_us;
+      lenders->messages[at]->u.loans.nonce = core->nonce;
+    }
+  return lenders->messages[at];
+}
+
+/* Splits WANT over the lenders by what they last said they could spare; one that said nothing
+ * yet, or nothing to spare, is still asked for a little, which is how it is heard of again. */
+static void
+ask_for (struct pl_core *core, struct lender_list *lenders, uint64_t id, struct pl_budget *budget,
+         const struct link_state *link, int64_t want)
+{
+  int64_t total = 0;
+  int eligible = 0;
+  bool is_eligible[PL_LENDERS_MAX];
+
+  for (int i = 0; i < lenders->count; i++)
+    {
+      is_eligible[i]
+          = link == NULL || budgets_link_eligible (core, link, lenders->members[i]->index);
+      if (!is_eligible[i])
+        continue;
+      eligible++;
+      total += MAX (pl_budget_surplus_of (budget, lenders->members[i]->id), 0);
+    }
+  for (int i = 0; i < lenders->count; i++)
+    {
+      int64_t surplus = MAX (pl_budget_surplus_of (budget, lenders->members[i]->id), 0);
+      int64_t amount = want / eligible + 1;
+      struct pl_loan_message *ask;
+
+      if (!is_eligible[i])
+        continue;
+      if (total > 0)
+        amount = amount / 4 + (int64_t) ((__int128) want * surplus / total);
+      ask = &message_for (core, lenders, i)->u.loans;
+      if (ask->count == PL_LOAN_ITEMS_MAX)
+        continue;
+      ask->items[ask->count++] = (struct pl_loan_item){
+        id, pl_budget_acked (budget, lenders->members[i]->id), amount, 0};
+    }
+}
+
+static void
+find_lenders (struct pl_core *core, struct lender_list *lenders)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value) && lenders->count < ASK_FANOUT)
+    {
+      struct member *member = value;
+
+      if (member->index != PL_NONE && peers_is_live (core, member))
+        lenders->members[lenders->count++] = member;
+    }
+}
+
+/* What waits unpaid is needed on top of what the forecast says. */
+static int64_t
+backlog_of (const struct account_state *account)
+{
+  return (int64_t) account->waiting.length * PL_MICRO;
+}
+
+void
+budgets_ask (struct pl_core *core)
+{
+  struct lender_list lenders = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  find_lenders (core, &lenders);
+  if (lenders.count == 0)
+    return;
+  g_hash_table_iter_init (&iter, core->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct account_state *account = value;
+      int64_t want;
+
+      if (account->index == PL_NONE)
+        continue;
+      account->budget.backlog = backlog_of (account);
+      want = pl_budget_want (&account->budget, ASK_HORIZON_US, core->now_us);
+      if (want > 0)
+        ask_for (core, &lenders, account->id, &account->budget, NULL, want);
+    }
+  g_hash_table_iter_init (&iter, core->links);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct link_state *link = value;
+      int64_t want = pl_budget_want (&link->budget, ASK_HORIZON_US, core->now_us);
+
+      if (want > 0 && budgets_link_eligible (core, link, core->self))
+        ask_for (core, &lenders, link->id, &link->budget, link, want);
+    }
+  for (int i = 0; i < lenders.count; i++)
+    if (lenders.messages[i] != NULL)
+      {
+        peers_send (core, lenders.members[i]->id, lenders.messages[i]);
+        g_free (lenders.messages[i]);
+      }
+}
+
+static void
+ask_timer (void *data)
+{
+  struct pl_core *core = data;
+
+  if (core->config != NULL && (core->switches & PL_SWITCH_NO_LOANS) == 0)
+    budgets_ask (core);
+}
+
+void
+budgets_start (struct pl_core *core)
+{
+  pl_timers_subscribe (&core->timers, ask_timer, ASK_PERIOD_US, core->now_us);
+}
--- /dev/null
+++ b/core/core_control.c
@@ -0,0 +1,543 @@
+/* The configuration in force: how it comes, how it is changed.
+ *
+ * Versions are consecutive and a version's content is fixed by the store's
+ * compare-and-swap on the head row.  A host adopts a release only onto the
+ * version just before it, or a whole snapshot of a higher version, from the
+ * store or from a peer: versions in force only rise.
+ *
+ * An operator's release is first looked for by its id, then checked against the
+ * configuration in force and committed onto the head.  If another release came
+ * first, it is checked again on top of that one.  If the commit's answer is
+ * lost, the id is looked for; nothing is written a second time.
+ *
+ * The head call also tells which process holds this host's name.
+ */
+#include "internal/core_state.h"
+
+#include <assert.h>
+#include <sodium.h>
+#include <string.h>
+
+#define CONTROL_TIMER_US (20 * PL_US_PER_MS)
+#define CONFIRM_POLL_US (100 * PL_US_PER_MS)
+#define LOG_KEPT 256 /* releases kept to bring peers up to date */
+
+static struct pl_store_request *
+add_store_effect (struct pl_core *core, enum pl_store_call call)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_STORE);
+
+  effect->u.store = g_new0 (struct pl_store_request, 1);
+  effect->u.store->call = call;
+  effect->u.store->ticket = ++core->next_ticket;
+  effect->u.store->nonce = core->nonce;
+  effect->u.store->version = pl_core_version (core);
+  return effect->u.store;
+}
+
+static void
+ask_slot (struct pl_core *core)
+{
+  core->slot_asked = true;
+  g_strlcpy (add_store_effect (core, PL_STORE_SLOT)->id, core->name, PL_ID_CHARS);
+}
+
+void
+control_release_slot (struct pl_core *core)
+{
+  struct pl_store_request *store = add_store_effect (core, PL_STORE_SLOT);
+
+  core->slot_released = true;
+  core->slot_held = false;
+  budgets_set_parts (core);
+  g_strlcpy (store->id, core->name, PL_ID_CHARS);
+  store->release_slot = true;
+}
+
+static bool
+changes_hosts (const json_t *changes)
+{
+  size_t i;
+  json_t *change;
+
+  json_array_foreach (changes, i, change)
+    {
+      const char *kind = json_string_value (json_object_get (change, "kind"));
+
+      if (strcmp (kind, "entry_hosts") == 0 || strcmp (kind, "domains") == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Returns the document after RELEASE at VERSION, which the caller owns, or NULL. */
+static json_t *
+document_after (struct pl_core *core, const struct pl_release *release, int64_t version,
+                struct pl_findings *findings)
+{
+  json_t *before = core->config != NULL ? json_incref (core->config->document) : json_object ();
+  json_t *after = pl_release_apply (before, release, findings);
+
+  if (after != NULL)
+    json_object_set_new (after, "hosts_version",
+                         json_integer (changes_hosts (release->changes) ? version
+                                                                        : core->hosts_version));
+  json_decref (before);
+  return after;
+}
+
+/* Puts DOCUMENT in force as VERSION, which must be higher than the one in force. */
+void
+control_adopt (struct pl_core *core, json_t *document, int64_t version)
+{
+  struct pl_config *config = pl_config_new (document, version);
+  json_t *old_blocks = NULL;
+  json_t *new_blocks = json_object_get (document, "blocks");
+  int64_t hosts_version = json_integer_value (json_object_get (document, "hosts_version"));
+
+  assert (version > pl_core_version (core));
+  if (core->config != NULL)
+    old_blocks = json_object_get (core->config->document, "blocks");
+  if (core->blocks == NULL || !json_equal (old_blocks, new_blocks))
+    {
+      pl_blocks_unref (core->blocks);
+      core->blocks = pl_blocks_new ((struct pl_block_config *) config->blocks->data,
+                                    config->blocks->len);
+    }
+  pl_config_unref (core->config);
+  core->config = config;
+  peers_adopt (core);
+  servers_adopt (core);
+  if (hosts_version != core->hosts_version)
+    {
+      core->hosts_version = hosts_version;
+      if (core->slot_held)
+        ask_slot (core);
+    }
+  budgets_adopt (core);
+  core_add_effect (core, PL_EFFECT_CONFIG)->u.config = pl_config_ref (config);
+  peers_heartbeat (core);
+}
+
+static void
+log_release (struct pl_core *core, int64_t version, const json_t *release)
+{
+  g_ptr_array_add (core->release_log, json_pack ("{s:I,s:O}", "version", (json_int_t) version,
+                                                 "release", (json_t *) release));
+  if (core->release_log->len > LOG_KEPT)
+    g_ptr_array_remove_index (core->release_log, 0);
+}
+
+/* Applies the release {"version","release"} when it is the next one. */
+static int
+adopt_release (struct pl_core *core, const json_t *entry)
+{
+  int64_t version = json_integer_value (json_object_get (entry, "version"));
+  struct pl_findings *findings;
+  struct pl_release *release;
+  json_t *document = NULL;
+
+  if (version != pl_core_version (core) + 1)
+    return PL_ERR_STALE;
+  release = pl_release_from_json (json_object_get (entry, "release"));
+  if (release == NULL)
+    return PL_ERR_INVALID;
+  findings = pl_findings_new ("store");
+  document = document_after (core, release, version, findings);
+  if (document != NULL)
+    {
+      log_release (core, version, json_object_get (entry, "release"));
+      control_adopt (core, document, version);
+    }
+  json_decref (document);
+  pl_findings_free (findings);
+  pl_release_free (release);
+  return document != NULL ? PL_OK : PL_ERR_INVALID;
+}
+
+static int
+adopt_snapshot (struct pl_core *core, const json_t *snapshot)
+{
+  int64_t version = json_integer_value (json_object_get (snapshot, "version"));
+  json_t *document = json_object_get (snapshot, "document");
+
+  if (version <= pl_core_version (core))
+    return PL_ERR_STALE;
+  if (!json_is_object (document))
+    return PL_ERR_INVALID;
+  g_ptr_array_set_size (core->release_log, 0);
+  control_adopt (core, document, version);
+  return PL_OK;
+}
+
+/* Sends PEER what it lacks beyond HELD: releases when the log reaches back, else a snapshot. */
+void
+control_send_releases (struct pl_core *core, uint64_t peer, int64_t held)
+{
+  struct pl_message message = { .type = PL_MESSAGE_RELEASE };
+  json_t *snapshot;
+  int64_t first;
+
+  if (pl_core_version (core) <= held)
+    return;
+  first = pl_core_version (core) - (int64_t) core->release_log->len + 1;
+  if (first <= held + 1)
+    {
+      for (guint i = (guint) (held + 1 - first); i < core->release_log->len; i++)
+        {
+          const json_t *entry = g_ptr_array_index (core->release_log, i);
+
+          message.u.document.version = json_integer_value (json_object_get (entry, "version"));
+          message.u.document.text = json_dumps (entry, JSON_COMPACT);
+          peers_send (core, peer, &message);
+          free (message.u.document.text);
+        }
+      return;
+    }
+  snapshot = json_pack ("{s:I,s:O}", "version", (json_int_t) pl_core_version (core), "document",
+                        core->config->document);
+  message.type = PL_MESSAGE_SNAPSHOT;
+  message.u.document.version = pl_core_version (core);
+  message.u.document.text = json_dumps (snapshot, JSON_COMPACT);
+  peers_send (core, peer, &message);
+  free (message.u.document.text);
+  json_decref (snapshot);
+}
+
+void
+control_on_document (struct pl_core *core, struct pl_message *message)
+{
+  json_t *json;
+
+  if (message->u.document.text == NULL || message->u.document.version <= pl_core_version (core))
+    return;
+  json = json_loads (message->u.document.text, 0, NULL);
+  if (message->type == PL_MESSAGE_RELEASE)
+    adopt_release (core, json);
+  else
+    adopt_snapshot (core, json);
+  json_decref (json);
+}
+
+/* Sends news from the store on to the peers that lack it. */
+static void
+push_news (struct pl_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct member *member = value;
+
+      if (member->index != PL_NONE && member->heard
+          && member->heartbeat.version < pl_core_version (core))
+        control_send_releases (core, member->id, member->heartbeat.version);
+    }
+}
+
+static void
+release_answer (struct pl_core *core, struct pending_release *pending, int result,
+                int64_t version, struct pl_findings *findings)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_RELEASED);
+
+  effect->valid_until_us = INT64_MAX;
+  effect->u.released.ticket = pending->ticket;
+  effect->u.released.result = result;
+  effect->u.released.version = version;
+  if (findings != NULL)
+    effect->u.released.findings = pl_findings_to_json (findings);
+  g_queue_remove (&core->releases, pending);
+  pl_release_free (pending->release);
+  json_decref (pending->document);
+  g_free (pending);
+}
+
+static void
+digest_release (struct pending_release *pending)
+{
+  unsigned char hash[PL_KEY_HASH_BYTES];
+  json_t *json = pl_release_to_json (pending->release);
+  char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
+
+  crypto_generichash (hash, sizeof hash, (unsigned char *) text, strlen (text), NULL, 0);
+  sodium_bin2hex (pending->digest, sizeof pending->digest, hash, sizeof hash);
+  free (text);
+  json_decref (json);
+}
+
+static void
+find_release (struct pl_core *core, struct pending_release *pending, enum release_phase phase)
+{
+  struct pl_store_request *store = add_store_effect (core, PL_STORE_FIND);
+
+  pending->phase = phase;
+  pending->store_ticket = store->ticket;
+  g_strlcpy (store->id, pending->release->id, sizeof store->id);
+}
+
+void
+control_on_release (struct pl_core *core, struct pl_release_event *event)
+{
+  struct pending_release *pending = g_new0 (struct pending_release, 1);
+
+  pending->ticket = event->ticket;
+  pending->release = event->release;
+  pending->check_only = event->check_only;
+  digest_release (pending);
+  g_queue_push_tail (&core->releases, pending);
+  find_release (core, pending, RELEASE_FINDING);
+}
+
+static void
+commit_release (struct pl_core *core, struct pending_release *pending)
+{
+  struct pl_findings *findings = pl_findings_new (pending->release->id);
+  int64_t version = pl_core_version (core) + 1;
+  struct pl_store_request *store;
+  json_t *json;
+
+  json_decref (pending->document);
+  pending->document = document_after (core, pending->release, version, findings);
+  if (pending->document == NULL || pending->check_only)
+    {
+      release_answer (core, pending, pending->document == NULL ? PL_ERR_INVALID : PL_OK,
+                      version - 1, findings);
+      pl_findings_free (findings);
+      return;
+    }
+  pl_findings_free (findings);
+  store = add_store_effect (core, PL_STORE_COMMIT);
+  json = pl_release_to_json (pending->release);
+  store->version = version - 1;
+  store->text = json_dumps (json, JSON_COMPACT);
+  store->document = json_dumps (pending->document, JSON_COMPACT);
+  g_strlcpy (store->id, pending->release->id, sizeof store->id);
+  g_strlcpy (store->digest, pending->digest, sizeof store->digest);
+  pending->store_ticket = store->ticket;
+  pending->phase = RELEASE_COMMITTING;
+  json_decref (json);
+}
+
+static void
+on_found (struct pl_core *core, struct pending_release *pending,
+          const struct pl_store_event *event)
+{
+  if (event->result == PL_OK)
+    release_answer (core, pending,
+                    strcmp (event->digest, pending->digest) == 0 ? PL_OK : PL_ERR_CONFLICT,
+                    event->version, NULL);
+  else if (event->result == PL_ERR_NOT_FOUND && pending->phase == RELEASE_FINDING)
+    pending->phase = RELEASE_READY;
+  else if (event->result == PL_ERR_NOT_FOUND)
+    release_answer (core, pending, PL_ERR_TIMEOUT, 0, NULL);
+  else
+    release_answer (core, pending,
+                    pending->phase == RELEASE_FINDING ? PL_ERR_UNAVAILABLE : PL_ERR_TIMEOUT, 0,
+                    NULL);
+}
+
+static void
+on_committed (struct pl_core *core, struct pending_release *pending,
+              const struct pl_store_event *event)
+{
+  json_t *entry;
+
+  switch (event->result)
+    {
+    case PL_OK:
+      entry = json_pack ("{s:I,s:o}", "version", (json_int_t) event->version, "release",
+                         pl_release_to_json (pending->release));
+      adopt_release (core, entry);
+      json_decref (entry);
+      push_news (core);
+      release_answer (core, pending, PL_OK, event->version, NULL);
+      break;
+    case PL_ERR_CONFLICT:
+      /* Someone else's release came first: read it, then look at ours again. */
+      pending->phase = RELEASE_CATCHING_UP;
+      core->head_due_us = core->now_us;
+      break;
+    case PL_ERR_TIMEOUT:
+      find_release (core, pending, RELEASE_RESOLVING);
+      break;
+    default:
+      release_answer (core, pending, event->result, 0, NULL);
+      break;
+    }
+}
+
+static struct pending_release *
+pending_by_store_ticket (struct pl_core *core, uint64_t ticket)
+{
+  for (GList *at = core->releases.head; at != NULL; at = at->next)
+    if (((struct pending_release *) at->data)->store_ticket == ticket)
+      return at->data;
+  return NULL;
+}
+
+static int64_t
+poll_period (const struct pl_core *core)
+{
+  int hosts = 1;
+
+  /* The hosts of a domain share its polling: each reads in its turn and tells the others. */
+  if (core->self != PL_NONE)
+    hosts = pl_config_count_hosts (core->config, PL_HOST (core->config, core->self)->domain);
+  if (core->confirmed_version < core->hosts_version || (core->slot_was_paused && core->slot_held))
+    return CONFIRM_POLL_US;
+  return core->options.store_poll_us * hosts;
+}
+
+static void
+check_slot (struct pl_core *core, const struct pl_store_event *event)
+{
+  if (core->stopping)
+    return;
+  if (!core->slot_held && !core->slot_asked && core->config != NULL && core->self != PL_NONE
+      && core->incarnation == 0)
+    ask_slot (core);
+  if (core->slot_held && event->slot_nonce != core->nonce)
+    {
+      /* Another process has taken the name: this one keeps serving on loans only. */
+      core->slot_held = false;
+      budgets_set_parts (core);
+    }
+  else if (core->slot_held && core->slot_was_paused)
+    {
+      core->slot_was_paused = false;
+      core->mint_from_us = core->now_us;
+      budgets_restart (core);
+    }
+}
+
+static void
+on_head (struct pl_core *core, const struct pl_store_event *event)
+{
+  int64_t version_before = pl_core_version (core);
+  size_t i;
+  json_t *entry;
+
+  core->head_open = false;
+  core->head_due_us = core->now_us + poll_period (core);
+  if (event->result < 0)
+    return;
+  core->store_read_at_us = core->now_us;
+  if (event->snapshot != NULL)
+    adopt_snapshot (core, event->snapshot);
+  json_array_foreach (event->releases, i, entry)
+    adopt_release (core, entry);
+  if (pl_core_version (core) > version_before)
+    push_news (core);
+  if (event->confirmed_version != core->confirmed_version)
+    {
+      core->confirmed_version = event->confirmed_version;
+      budgets_set_parts (core);
+    }
+  check_slot (core, event);
+  for (GList *at = core->releases.head; at != NULL; at = at->next)
+    {
+      struct pending_release *pending = at->data;
+
+      if (pending->phase == RELEASE_CATCHING_UP)
+        pending->phase = RELEASE_READY;
+    }
+}
+
+static void
+on_slot (struct pl_core *core, const struct pl_store_event *event)
+{
+  core->slot_asked = false;
+  if (core->slot_released)
+    return;
+  if (event->result < 0)
+    {
+      if (core->slot_held)
+        ask_slot (core); /* what is in force here must be written down */
+      return;
+    }
+  core->head_due_us = core->now_us;
+  if (core->slot_held)
+    return;
+  core->slot_held = true;
+  core->incarnation = event->slot_incarnation;
+  core->mint_from_us = core->now_us + (event->taken_over ? PL_SLOT_FENCE_US : 0);
+  budgets_restart (core);
+}
+
+void
+control_on_store (struct pl_core *core, struct pl_store_event *event)
+{
+  struct pending_release *pending = pending_by_store_ticket (core, event->ticket);
+
+  switch (event->call)
+    {
+    case PL_STORE_HEAD:
+      on_head (core, event);
+      break;
+    case PL_STORE_SLOT:
+      on_slot (core, event);
+      break;
+    case PL_STORE_FIND:
+      if (pending != NULL)
+        on_found (core, pending, event);
+      break;
+    case PL_STORE_COMMIT:
+      if (pending != NULL)
+        on_committed (core, pending, event);
+      break;
+    case PL_STORE_CLAIM:
+      core->claim_open = false;
+      if (event->result == PL_OK)
+        core->claim_retry_us = core->now_us;
+      requests_on_claims (core, event);
+      break;
+    case PL_STORE_FINISH:
+    case PL_STORE_ABANDON:
+      break;
+    }
+}
+
+static void
+control_timer (void *data)
+{
+  struct pl_core *core = data;
+  GList *next;
+
+  if (!core->head_open && core->now_us >= core->head_due_us)
+    {
+      struct pl_store_request *store = add_store_effect (core, PL_STORE_HEAD);
+
+      g_strlcpy (store->id, core->name, sizeof store->id);
+      core->head_open = true;
+    }
+  for (GList *at = core->releases.head; at != NULL; at = next)
+    {
+      struct pending_release *pending = at->data;
+
+      next = at->next;
+      if (pending->phase == RELEASE_READY && core->store_read_at_us >= 0)
+        commit_release (core, pending);
+    }
+}
+
+void
+control_start (struct pl_core *core)
+{
+  pl_timers_subscribe (&core->timers, control_timer, CONTROL_TIMER_US, core->now_us);
+}
+
+void
+control_free (struct pl_core *core)
+{
+  struct pending_release *pending;
+
+  while ((pending = g_queue_pop_head (&core->releases)) != NULL)
+    {
+      pl_release_free (pending->release);
+      json_decref (pending->document);
+      g_free (pending);
+    }
+}
--- /dev/null
+++ b/core/core_operations.c
@@ -0,0 +1,104 @@
+/* Work that may not be repeated.
+ *
+ * An operation is a row in the platform's table, named by account and hashed
+ * Idempotency-Key, inserted if absent before the operation is sent anywhere.
+ * Whoever inserted it runs it; nobody ever claims it again, so no lease's
+ * timing is trusted.  The row's value names the process and the request, so a
+ * call whose answer was lost is resolved by making the same call again: finding
+ * our own row is as good as writing it.  Claims wait for one another and go in
+ * groups, one call at a time, which bounds the writes a host makes.
+ *
+ * A claim that never came to run is removed, but only while the row still says
+ * that it is ours and unfinished.
+ */
+#include "internal/core_state.h"
+
+#include <string.h>
+
+#define CLAIM_RETRY_US (100 * PL_US_PER_MS)
+
+void
+operations_claim (struct pl_core *core, struct request *request)
+{
+  if (request->state != REQUEST_CLAIMING)
+    request->changed_us = core->now_us;
+  request->state = REQUEST_CLAIMING;
+  g_snprintf (request->claim_row, sizeof request->claim_row, "op/%s/%s", request->account->name,
+              request->event.operation);
+  g_queue_push_tail (&core->claims, g_memdup2 (&request->event.request, sizeof (uint64_t)));
+}
+
+static struct pl_store_request *
+add_store_effect (struct pl_core *core, enum pl_store_call call)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_STORE);
+
+  effect->u.store = g_new0 (struct pl_store_request, 1);
+  effect->u.store->call = call;
+  effect->u.store->nonce = core->nonce;
+  return effect->u.store;
+}
+
+void
+operations_flush (struct pl_core *core)
+{
+  struct pl_store_request *store;
+
+  if (core->claim_open || core->claims.length == 0 || core->now_us < core->claim_retry_us)
+    return;
+  store = add_store_effect (core, PL_STORE_CLAIM);
+  while (core->claims.length > 0 && store->claim_count < PL_CLAIMS_MAX)
+    {
+      g_autofree uint64_t *id = g_queue_pop_head (&core->claims);
+      const struct request *request = g_hash_table_lookup (core->requests, id);
+      struct pl_claim *claim = &store->claims[store->claim_count];
+
+      if (request == NULL || request->state != REQUEST_CLAIMING)
+        continue;
+      claim->request = *id;
+      g_strlcpy (claim->row, request->claim_row, sizeof claim->row);
+      store->claim_count++;
+    }
+  core->claim_open = true;
+  /* Nothing known of the store's state is trusted for longer than its time limit; what comes
+   * back says "unknown" and is asked again after a pause. */
+  core->claim_retry_us = core->now_us + CLAIM_RETRY_US;
+}
+
+void
+operations_finish (struct pl_core *core, const struct request *request,
+                   const struct pl_outcome_event *event)
+{
+  struct pl_store_request *store = add_store_effect (core, PL_STORE_FINISH);
+  json_t *row = json_pack ("{s:s,s:I,s:I,s:i,s:s%}", "state", "done", "nonce",
+                           (json_int_t) core->nonce, "request",
+                           (json_int_t) request->event.request, "status", event->status, "answer",
+                           event->answer != NULL ? event->answer : "",
+                           event->answer != NULL ? event->answer_length : (size_t) 0);
+
+  if (row == NULL) /* the answer is no text: only its status is kept */
+    row = json_pack ("{s:s,s:I,s:I,s:i,s:s}", "state", "done", "nonce", (json_int_t) core->nonce,
+                     "request", (json_int_t) request->event.request, "status", event->status,
+                     "answer", "");
+  store->text = json_dumps (row, JSON_COMPACT);
+  store->claim_count = 1;
+  store->claims[0].request = request->event.request;
+  g_strlcpy (store->claims[0].row, request->claim_row, sizeof store->claims[0].row);
+  json_decref (row);
+}
+
+void
+operations_abandon_row (struct pl_core *core, uint64_t request, const char *row)
+{
+  struct pl_store_request *store = add_store_effect (core, PL_STORE_ABANDON);
+
+  store->claim_count = 1;
+  store->claims[0].request = request;
+  g_strlcpy (store->claims[0].row, row, sizeof store->claims[0].row);
+}
+
+void
+operations_abandon (struct pl_core *core, const struct request *request)
+{
+  operations_abandon_row (core, request->event.request, request->claim_row);
+}
--- /dev/null
+++ b/core/core_peers.c
@@ -0,0 +1,218 @@
+/* Peers: heartbeats, who is there, and what they know.
+ *
+ * A heartbeat tells the version in force, how old the news from the store is,
+ * and what room each service has.  A host that hears of a higher version asks
+ * the teller for what it lacks.  Freshness travels with heartbeats: hearing
+ * from a host that read the store a second ago is like having read it then.
+ */
+#include "internal/core_state.h"
+
+#include <string.h>
+
+bool
+peers_is_live (const struct pl_core *core, const struct member *member)
+{
+  return member->heard && core->now_us - member->heard_at_us <= PL_MEMBER_LOST_US;
+}
+
+void
+peers_send (struct pl_core *core, uint64_t peer, const struct pl_message *message)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_SEND);
+
+  effect->u.send.peer = peer;
+  pl_message_copy (&effect->u.send.message, message);
+  effect->u.send.message.from = core->id;
+  if (message->type == PL_MESSAGE_GRANT)
+    effect->valid_until_us = core->now_us + PL_LOAN_TERM_US;
+}
+
+void
+peers_broadcast (struct pl_core *core, const struct pl_message *message)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct member *member = value;
+
+      if (member->index != PL_NONE)
+        peers_send (core, member->id, message);
+    }
+}
+
+static int
+waiting_for (const struct pl_core *core, uint64_t service)
+{
+  int waiting = 0;
+
+  for (guint i = 0; i < core->account_order->len; i++)
+    {
+      const struct account_state *account = g_ptr_array_index (core->account_order, i);
+
+      for (const GList *at = account->waiting.head; at != NULL; at = at->next)
+        if (((const struct request *) at->data)->service == service)
+          waiting++;
+    }
+  return waiting;
+}
+
+void
+peers_heartbeat (struct pl_core *core)
+{
+  struct pl_message message = { .type = PL_MESSAGE_HEARTBEAT };
+  struct pl_heartbeat *heartbeat = &message.u.heartbeat;
+  guint services = 0;
+
+  heartbeat->version = pl_core_version (core);
+  heartbeat->store_age_us
+      = core->store_read_at_us < 0 ? -1 : core->now_us - core->store_read_at_us;
+  heartbeat->leaving = core->stopping;
+  if (core->config != NULL)
+    services = MIN (core->config->services->len, (guint) PL_SERVICES_MAX);
+  for (guint i = 0; i < services; i++)
+    {
+      struct pl_service_load *load = &heartbeat->services[heartbeat->service_count++];
+
+      load->service = PL_SERVICE (core->config, i)->id;
+      load->waiting = waiting_for (core, load->service);
+      load->free_slots = servers_free_slots (core, (int) i) - load->waiting;
+    }
+  peers_broadcast (core, &message);
+}
+
+static void
+heartbeat_timer (void *data)
+{
+  peers_heartbeat (data);
+}
+
+static struct member *
+take_member (struct pl_core *core, uint64_t id)
+{
+  struct member *member = g_hash_table_lookup (core->members, &id);
+
+  if (member == NULL)
+    {
+      member = g_new0 (struct member, 1);
+      member->id = id;
+      member->index = PL_NONE;
+      g_hash_table_insert (core->members, &member->id, member);
+    }
+  return member;
+}
+
+/* Members that are no longer named are kept while requests run there, but not spoken to. */
+void
+peers_adopt (struct pl_core *core)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  core->self = pl_config_find_host (core->config, core->id);
+  g_hash_table_iter_init (&iter, core->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct member *) value)->index = PL_NONE;
+  for (guint i = 0; i < core->config->hosts->len; i++)
+    if ((int) i != core->self)
+      take_member (core, PL_HOST (core->config, i)->id)->index = (int) i;
+}
+
+static void
+on_heartbeat (struct pl_core *core, struct member *member, const struct pl_heartbeat *heartbeat)
+{
+  struct pl_message want = { .type = PL_MESSAGE_WANT_RELEASES };
+
+  member->heartbeat = *heartbeat;
+  member->heartbeat.service_count = CLAMP (heartbeat->service_count, 0, PL_SERVICES_MAX);
+  memset (member->forwarded_since, 0, sizeof member->forwarded_since);
+  if (heartbeat->store_age_us >= 0)
+    core->store_read_at_us
+        = MAX (core->store_read_at_us, core->now_us - heartbeat->store_age_us);
+  if (heartbeat->version > pl_core_version (core))
+    {
+      want.u.document.version = pl_core_version (core);
+      peers_send (core, member->id, &want);
+    }
+}
+
+static void
+on_suspect (struct pl_core *core, const struct pl_suspect_message *suspect)
+{
+  if (suspect->server == 0)
+    quarantine_note_success (&core->quarantine, suspect->fingerprint);
+  else if (suspect->convicted)
+    quarantine_convict (&core->quarantine, suspect->fingerprint, core->now_us);
+  else
+    quarantine_note_death (&core->quarantine, suspect->fingerprint, suspect->server, false,
+                           core->now_us);
+}
+
+void
+peers_on_message (struct pl_core *core, struct pl_message *message)
+{
+  struct member *member;
+
+  if (message->from == core->id)
+    return;
+  /* Before it has a configuration a host knows no names and takes any peer that the peer port
+   * has authenticated. */
+  member = g_hash_table_lookup (core->members, &message->from);
+  if (member == NULL && core->config != NULL)
+    return;
+  if (member == NULL)
+    member = take_member (core, message->from);
+  member->heard = true;
+  member->heard_at_us = core->now_us;
+  switch (message->type)
+    {
+    case PL_MESSAGE_HEARTBEAT:
+      on_heartbeat (core, member, &message->u.heartbeat);
+      break;
+    case PL_MESSAGE_ASK:
+      budgets_on_ask (core, message);
+      break;
+    case PL_MESSAGE_GRANT:
+      budgets_on_grant (core, message);
+      break;
+    case PL_MESSAGE_SUSPECT:
+      on_suspect (core, &message->u.suspect);
+      break;
+    case PL_MESSAGE_RELEASE:
+    case PL_MESSAGE_SNAPSHOT:
+      control_on_document (core, message);
+      break;
+    case PL_MESSAGE_WANT_RELEASES:
+      control_send_releases (core, message->from, message->u.document.version);
+      break;
+    case PL_MESSAGE_COUNT:
+      break;
+    }
+}
+
+/* Returns the lowest version that any named peer or this host has said to have in force. */
+int64_t
+peers_lowest_version (const struct pl_core *core)
+{
+  int64_t lowest = pl_core_version (core);
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, core->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct member *member = value;
+
+      if (member->index != PL_NONE)
+        lowest = MIN (lowest, member->heartbeat.version);
+    }
+  return lowest;
+}
+
+void
+peers_start (struct pl_core *core)
+{
+  pl_timers_subscribe (&core->timers, heartbeat_timer, core->options.heartbeat_us, core->now_us);
+}
--- /dev/null
+++ b/core/core_requests.c
@@ -0,0 +1,700 @@
+/* The life of a request: arrival, waiting, an attempt, its outcome.
+ *
+ * A request waits in the queue of its account until it has tokens, a claim if
+ * it may not be repeated, and a place to run, all at once; only then are tokens
+ * taken, so that what was saved up while waiting can not run as one bunch.
+ * Accounts take turns.  Invariants:
+ *
+ *  - a request is in its account's queue exactly while it is REQUEST_WAITING;
+ *  - each attempt ends by exactly one outcome event, cancelled or not;
+ *  - may_have_run is set before anything that could make it true is decided
+ *    upon, and never cleared: a refusal reads it.
+ */
+#include "internal/core_state.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define QUEUE_MAX 64         /* requests of one account */
+#define WAITING_MAX 1024     /* requests of all accounts */
+#define SCAN_MAX 16          /* requests looked at in one account's turn */
+#define ATTEMPTS_MAX 4
+#define SWEEP_PERIOD_US (20 * PL_US_PER_MS)
+#define TOKEN_WAIT_US (600 * PL_US_PER_MS)
+#define PLACE_WAIT_US (3 * PL_US_PER_S)
+#define FORWARDED_WAIT_US (60 * PL_US_PER_MS)
+#define CLAIM_WAIT_US (3 * PL_US_PER_S)
+#define MEMBER_SILENCE_EXTRA_US (500 * PL_US_PER_MS)
+#define RETRY_TOKENS_MAX 20.0
+#define RETRY_TOKENS_PER_REQUEST 0.1
+
+const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT] = {
+  [PL_REFUSAL_NO_CONFIG] = {"no-configuration", 503, 500},
+  [PL_REFUSAL_NO_ROUTE] = {"no-route", 404, 0},
+  [PL_REFUSAL_NO_KEY] = {"no-key", 401, 0},
+  [PL_REFUSAL_STALE] = {"cut-off-too-long", 503, 1000},
+  [PL_REFUSAL_QUARANTINED] = {"quarantined", 422, 0},
+  [PL_REFUSAL_NO_OPERATION] = {"idempotency-key-required", 400, 0},
+  [PL_REFUSAL_OVER_RATE] = {"over-rate", 429, 1000},
+  [PL_REFUSAL_QUEUE_FULL] = {"queue-full", 429, 1000},
+  [PL_REFUSAL_NO_SERVER] = {"no-server-free", 503, 500},
+  [PL_REFUSAL_DEADLINE] = {"deadline", 504, 0},
+  [PL_REFUSAL_LOST] = {"answer-lost", 502, 0},
+  [PL_REFUSAL_REPEATED] = {"repeated", 409, 500},
+  [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
+};
+
+static void
+request_free (struct pl_core *core, struct request *request)
+{
+  g_hash_table_remove (core->requests, &request->event.request);
+  g_free (request);
+}
+
+static void
+enqueue (struct pl_core *core, struct request *request, bool first)
+{
+  request->state = REQUEST_WAITING;
+  request->changed_us = core->now_us;
+  core->waiting_count++;
+  if (first)
+    g_queue_push_head (&request->account->waiting, request);
+  else
+    g_queue_push_tail (&request->account->waiting, request);
+}
+
+static void
+dequeue (struct pl_core *core, struct request *request)
+{
+  assert (request->state == REQUEST_WAITING);
+  if (g_queue_remove (&request->account->waiting, request))
+    core->waiting_count--;
+}
+
+/* Answers with REFUSAL and forgets the request, which must be in no queue. */
+void
+requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal)
+{
+  bool unrepeatable = request->route.service != PL_NONE && !request->route.repeatable
+                      && !request->event.forwarded && request->service != 0;
+  struct pl_effect *effect;
+
+  if (request->account != NULL)
+    request->account->counts.refused[refusal]++;
+  if (request->route_name[0] != '\0')
+    report_route (core, request->route_name)->refused[refusal]++;
+  if (!request->caller_gone)
+    {
+      effect = core_add_effect (core, PL_EFFECT_REFUSE);
+      effect->request = request->event.request;
+      effect->valid_until_us = INT64_MAX;
+      effect->u.refuse.refusal = refusal;
+      effect->u.refuse.attempt_ran = request->may_have_run;
+      effect->u.refuse.operation_ran
+          = request->may_have_run || (unrepeatable && !request->claimed);
+      effect->u.refuse.retry_after_ms = pl_refusals[refusal].retry_after_ms;
+    }
+  if (request->claimed && !request->may_have_run)
+    operations_abandon (core, request);
+  request_free (core, request);
+}
+
+static struct account_state *
+account_by_index (struct pl_core *core, int index)
+{
+  return g_hash_table_lookup (core->accounts, &PL_ACCOUNT (core->config, index)->id);
+}
+
+/* Returns the account whose key came with EVENT now, NULL for none. */
+static struct account_state *
+authenticate (struct pl_core *core, const struct pl_request_event *event)
+{
+  int index = PL_NONE;
+
+  if (event->forwarded)
+    index = pl_config_find_account (core->config, event->account);
+  else if (event->has_key)
+    index = pl_config_find_account_by_key (core->config, event->key_hash);
+  return index != PL_NONE ? account_by_index (core, index) : NULL;
+}
+
+static bool
+account_is_over (struct pl_core *core, struct account_state *account)
+{
+  return account != core->open_account
+         && pl_budget_balance (&account->budget, core->now_us) < PL_MICRO;
+}
+
+/* Makes room for one more by refusing the newest request of the account that waits with the most
+ * beyond its rate.  Returns false when none is beyond its rate. */
+static bool
+shed_worst (struct pl_core *core)
+{
+  struct account_state *worst = NULL;
+  struct request *victim;
+
+  for (guint i = 0; i < core->account_order->len; i++)
+    {
+      struct account_state *account = g_ptr_array_index (core->account_order, i);
+
+      if (account->waiting.length > 1 && account_is_over (core, account)
+          && (worst == NULL || account->waiting.length > worst->waiting.length))
+        worst = account;
+    }
+  if (worst == NULL)
+    return false;
+  victim = g_queue_peek_tail (&worst->waiting);
+  dequeue (core, victim);
+  requests_refuse (core, victim, PL_REFUSAL_QUEUE_FULL);
+  return true;
+}
+
+/* Returns the refusal that the request meets on arrival, or -1. */
+static int
+check_arrival (struct pl_core *core, struct request *request)
+{
+  const struct pl_request_event *event = &request->event;
+  int route;
+
+  if (core->config == NULL)
+    return PL_REFUSAL_NO_CONFIG;
+  route = pl_config_find_route (core->config, event->path);
+  if (route == PL_NONE)
+    return PL_REFUSAL_NO_ROUTE;
+  request->route = *PL_ROUTE (core->config, route);
+  g_strlcpy (request->route_name, request->route.name, sizeof request->route_name);
+  request->service = PL_SERVICE (core->config, request->route.service)->id;
+  request->config_version = core->config->version;
+  report_route (core, request->route_name)->asked++;
+  request->account = authenticate (core, event);
+  if (request->account == NULL && request->route.open)
+    request->account = core->open_account;
+  if (request->account == NULL)
+    return PL_REFUSAL_NO_KEY;
+  request->account->counts.asked++;
+  if (request->account != core->open_account && !event->forwarded)
+    pl_budget_note_demand (&request->account->budget, PL_MICRO);
+  if (!core_is_fresh (core, &request->route) && !request->route.open)
+    return PL_REFUSAL_STALE;
+  if (!request->route.repeatable && !event->forwarded && event->operation[0] == '\0')
+    return PL_REFUSAL_NO_OPERATION;
+  if (request->account->waiting.length >= QUEUE_MAX)
+    return PL_REFUSAL_QUEUE_FULL;
+  if (core->waiting_count >= WAITING_MAX && !shed_worst (core))
+    return PL_REFUSAL_NO_SERVER;
+  return -1;
+}
+
+void
+requests_on_arrival (struct pl_core *core, const struct pl_request_event *event)
+{
+  struct request *request;
+  int refusal;
+
+  if (g_hash_table_contains (core->requests, &event->request))
+    return;
+  request = g_new0 (struct request, 1);
+  request->event = *event;
+  request->route.service = PL_NONE;
+  request->arrived_us = core->now_us;
+  g_hash_table_insert (core->requests, &request->event.request, request);
+  refusal = check_arrival (core, request);
+  if (refusal >= 0)
+    {
+      requests_refuse (core, request, (enum pl_refusal) refusal);
+      return;
+    }
+  if (request->event.deadline_us > core->now_us + request->route.deadline_us)
+    request->event.deadline_us = core->now_us + request->route.deadline_us;
+  core->retry_tokens = MIN (core->retry_tokens + RETRY_TOKENS_PER_REQUEST, RETRY_TOKENS_MAX);
+  enqueue (core, request, false);
+}
+
+static void
+fill_send (struct pl_core *core, struct request *request, struct pl_effect *effect,
+           uint64_t target, const char *address)
+{
+  request->attempt++;
+  request->attempts++;
+  request->changed_us = core->now_us;
+  request->may_have_run = true;
+  core->active_count++;
+  effect->request = request->event.request;
+  effect->attempt = request->attempt;
+  effect->valid_until_us = MIN (request->event.deadline_us, request->valid_until_us);
+  g_strlcpy (effect->u.send_request.address, address, sizeof effect->u.send_request.address);
+  g_strlcpy (effect->u.send_request.account, request->account->name,
+             sizeof effect->u.send_request.account);
+  effect->u.send_request.target = target;
+  effect->u.send_request.deadline_us = request->event.deadline_us;
+  effect->u.send_request.keep_answer = request->claimed;
+  effect->u.send_request.fresh_connection = request->attempts > 1;
+}
+
+static void
+start_at_server (struct pl_core *core, struct request *request, struct server_state *server)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_DISPATCH);
+
+  request->state = REQUEST_AT_SERVER;
+  request->server = server;
+  server->in_flight++;
+  if (request->suspect)
+    server->suspects++;
+  fill_send (core, request, effect, server->id, PL_SERVER (core->config, server->index)->address);
+}
+
+static void
+start_at_member (struct pl_core *core, struct request *request, struct member *member)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_FORWARD);
+
+  request->state = REQUEST_AT_MEMBER;
+  request->member = member;
+  member->forwarded++;
+  member->used_at_us = core->now_us;
+  if (request->route.service < PL_SERVICES_MAX)
+    member->forwarded_since[request->route.service]++;
+  fill_send (core, request, effect, member->id,
+             PL_HOST (core->config, member->index)->forward_address);
+}
+
+enum start_result
+{
+  START_DONE,      /* it left the queue, one way or another */
+  START_NO_TOKENS, /* nothing of this account can start */
+  START_NO_PLACE,  /* nothing for this service can start */
+};
+
+/* Indices change from one configuration to the next.  Returns false when the service is gone. */
+static bool
+find_service (const struct pl_core *core, struct request *request)
+{
+  if (request->config_version == core->config->version)
+    return request->route.service != PL_NONE;
+  request->config_version = core->config->version;
+  request->route.service = PL_NONE;
+  for (guint i = 0; i < core->config->services->len; i++)
+    if (PL_SERVICE (core->config, i)->id == request->service)
+      request->route.service = (int) i;
+  return request->route.service != PL_NONE;
+}
+
+/* Returns the refusal that the request has come to deserve while it waited, or -1. */
+static int
+check_waiting (struct pl_core *core, struct request *request)
+{
+  enum quarantine_verdict verdict = QUARANTINE_CLEAR;
+  bool recheck = (core->switches & PL_SWITCH_NO_KEY_RECHECK) == 0;
+
+  if (core->now_us >= request->event.deadline_us)
+    return PL_REFUSAL_DEADLINE;
+  if (!find_service (core, request))
+    return PL_REFUSAL_NO_ROUTE;
+  if (recheck && request->account != core->open_account
+      && authenticate (core, &request->event) != request->account)
+    return PL_REFUSAL_NO_KEY;
+  if ((core->switches & PL_SWITCH_NO_QUARANTINE) == 0)
+    verdict = quarantine_judge (&core->quarantine, request->event.fingerprint);
+  if (verdict == QUARANTINE_CONVICTED)
+    return PL_REFUSAL_QUARANTINED;
+  request->suspect = verdict == QUARANTINE_SUSPECT;
+  return -1;
+}
+
+static bool
+needs_claim (const struct pl_core *core, const struct request *request)
+{
+  return !request->route.repeatable && !request->event.forwarded && !request->claimed
+         && (core->switches & PL_SWITCH_NO_CLAIMS) == 0;
+}
+
+static int
+pay (struct pl_core *core, struct request *request)
+{
+  int result;
+
+  request->valid_until_us = INT64_MAX;
+  if (request->paid || request->event.forwarded || request->account == core->open_account)
+    return PL_OK;
+  result = pl_budget_take (&request->account->budget, PL_MICRO, core->now_us,
+                           &request->valid_until_us);
+  request->paid = result == PL_OK;
+  return result;
+}
+
+static enum start_result
+try_start (struct pl_core *core, struct request *request)
+{
+  int refusal = check_waiting (core, request);
+  struct server_state *server;
+  struct member *member = NULL;
+
+  if (refusal >= 0)
+    {
+      dequeue (core, request);
+      requests_refuse (core, request, (enum pl_refusal) refusal);
+      return START_DONE;
+    }
+  if (!request->paid && !request->event.forwarded && account_is_over (core, request->account))
+    return START_NO_TOKENS;
+  server = servers_choose (core, request);
+  if (server == NULL)
+    member = steering_find (core, request);
+  if (server == NULL && member == NULL)
+    return START_NO_PLACE;
+  if (needs_claim (core, request))
+    {
+      dequeue (core, request);
+      operations_claim (core, request);
+      return START_DONE;
+    }
+  if (server == NULL && steering_reserve (core, request, member) < 0)
+    return START_NO_PLACE;
+  if (pay (core, request) < 0)
+    {
+      steering_settle (core, request, -1);
+      return START_NO_TOKENS;
+    }
+  dequeue (core, request);
+  if (server != NULL)
+    start_at_server (core, request, server);
+  else
+    start_at_member (core, request, member);
+  return START_DONE;
+}
+
+/* Starts at most one request of ACCOUNT.  Returns true when one left the queue. */
+static bool
+try_account (struct pl_core *core, struct account_state *account)
+{
+  uint64_t blocked[SCAN_MAX];
+  int blocked_count = 0;
+  int seen = 0;
+
+  for (GList *at = account->waiting.head; at != NULL && seen < SCAN_MAX; at = at->next, seen++)
+    {
+      struct request *request = at->data;
+      bool skip = false;
+      enum start_result result;
+
+      for (int i = 0; i < blocked_count; i++)
+        skip = skip || blocked[i] == request->service;
+      if (skip)
+        continue;
+      result = try_start (core, request);
+      if (result == START_DONE)
+        return true;
+      if (result == START_NO_TOKENS)
+        return false;
+      blocked[blocked_count++] = request->service;
+    }
+  return false;
+}
+
+void
+requests_pump (struct pl_core *core)
+{
+  bool moved = core->config != NULL && core->waiting_count > 0;
+
+  while (moved)
+    {
+      moved = false;
+      for (guint i = 0; i < core->account_order->len; i++)
+        {
+          guint at = (core->account_turn + i) % core->account_order->len;
+
+          moved = try_account (core, g_ptr_array_index (core->account_order, at)) || moved;
+        }
+      core->account_turn++;
+    }
+}
+
+/* Puts the request back to the front of its queue for another attempt. */
+static void
+retry (struct pl_core *core, struct request *request)
+{
+  request->cancelled = false;
+  enqueue (core, request, true);
+}
+
+static bool
+may_retry (struct pl_core *core, const struct request *request, bool certain)
+{
+  if (request->cancelled && core->now_us >= request->event.deadline_us)
+    return false;
+  if (request->caller_gone || request->attempts >= ATTEMPTS_MAX)
+    return false;
+  if (!certain && (!request->route.repeatable || !request->event.replayable))
+    return false;
+  if ((core->switches & PL_SWITCH_NO_RETRY_BUDGET) != 0)
+    return true;
+  if (core->retry_tokens < 1.0)
+    return false;
+  core->retry_tokens -= 1.0;
+  return true;
+}
+
+static void
+tell_suspect (struct pl_core *core, uint64_t fingerprint, uint64_t server, bool convicted)
+{
+  struct pl_message message = { .type = PL_MESSAGE_SUSPECT };
+
+  message.u.suspect.fingerprint = fingerprint;
+  message.u.suspect.server = server;
+  message.u.suspect.convicted = convicted;
+  peers_broadcast (core, &message);
+}
+
+static void
+note_server_outcome (struct pl_core *core, struct request *request, enum pl_outcome outcome)
+{
+  struct server_state *server = request->server;
+  uint64_t fingerprint = request->event.fingerprint;
+
+  assert (server->in_flight > 0);
+  server->in_flight--;
+  if (request->suspect)
+    server->suspects--;
+  servers_note_outcome (core, server, outcome);
+  if (outcome == PL_OUTCOME_DONE && quarantine_note_success (&core->quarantine, fingerprint))
+    tell_suspect (core, fingerprint, 0, false);
+  if ((outcome == PL_OUTCOME_BROKEN || outcome == PL_OUTCOME_TRUNCATED) && !request->cancelled
+      && quarantine_note_death (&core->quarantine, fingerprint, server->id, request->suspect,
+                                core->now_us))
+    tell_suspect (core, fingerprint, server->id, request->suspect);
+  request->failed = server;
+  request->server = NULL;
+}
+
+static void
+finish (struct pl_core *core, struct request *request, const struct pl_outcome_event *event)
+{
+  struct pl_counts *route = report_route (core, request->route_name);
+  int64_t latency = core->now_us - request->arrived_us;
+
+  if (event->outcome == PL_OUTCOME_DONE)
+    {
+      request->account->counts.served++;
+      route->served++;
+      pl_histogram_add (&request->account->counts.latency, latency);
+      pl_histogram_add (&route->latency, latency);
+      if (request->claimed)
+        operations_finish (core, request, event);
+    }
+  else
+    {
+      request->account->counts.refused[PL_REFUSAL_LOST]++;
+      route->refused[PL_REFUSAL_LOST]++;
+    }
+  request_free (core, request);
+}
+
+void
+requests_on_outcome (struct pl_core *core, const struct pl_outcome_event *event)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &event->request);
+  bool certain = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED
+                 || event->outcome == PL_OUTCOME_SHED;
+  enum pl_refusal refusal;
+
+  if (request == NULL || request->attempt != event->attempt
+      || (request->state != REQUEST_AT_SERVER && request->state != REQUEST_AT_MEMBER))
+    return;
+  core->active_count--;
+  if (request->state == REQUEST_AT_SERVER)
+    note_server_outcome (core, request, event->outcome);
+  else
+    steering_note_outcome (core, request->member, event->outcome);
+  steering_settle (core, request, certain ? 0 : event->answer_bytes);
+  request->member = NULL;
+  if (event->outcome == PL_OUTCOME_DONE || event->outcome == PL_OUTCOME_TRUNCATED)
+    {
+      finish (core, request, event);
+      return;
+    }
+  request->uncertain = request->uncertain || !certain;
+  request->may_have_run = request->uncertain;
+  if (certain && event->outcome != PL_OUTCOME_EXPIRED)
+    certain = request->event.replayable || event->outcome == PL_OUTCOME_NOT_SENT;
+  if (event->outcome == PL_OUTCOME_EXPIRED)
+    request->paid = false;
+  if (may_retry (core, request, certain))
+    {
+      retry (core, request);
+      return;
+    }
+  refusal = core->now_us >= request->event.deadline_us ? PL_REFUSAL_DEADLINE
+            : certain                                  ? PL_REFUSAL_NO_SERVER
+                                                       : PL_REFUSAL_LOST;
+  requests_refuse (core, request, refusal);
+}
+
+static void
+cancel (struct pl_core *core, struct request *request)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_CANCEL);
+
+  request->cancelled = true;
+  effect->request = request->event.request;
+  effect->attempt = request->attempt;
+  effect->valid_until_us = INT64_MAX;
+}
+
+void
+requests_on_caller_gone (struct pl_core *core, uint64_t id)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request == NULL)
+    return;
+  request->caller_gone = true;
+  if (request->state == REQUEST_WAITING)
+    {
+      dequeue (core, request);
+      if (request->claimed && !request->may_have_run)
+        operations_abandon (core, request);
+      request_free (core, request);
+    }
+  else if (request->state != REQUEST_CLAIMING && !request->claimed && !request->cancelled)
+    cancel (core, request);
+}
+
+void
+requests_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request != NULL && request->attempt == attempt)
+    request->changed_us = core->now_us;
+}
+
+void
+requests_on_claims (struct pl_core *core, struct pl_store_event *event)
+{
+  for (int i = 0; i < event->claim_count; i++)
+    {
+      struct pl_claim_result *claim = &event->claims[i];
+      struct request *request = g_hash_table_lookup (core->requests, &claim->request);
+      struct pl_effect *effect;
+
+      if (request == NULL || request->state != REQUEST_CLAIMING)
+        {
+          if (claim->state != PL_CLAIM_TAKEN && claim->state != PL_CLAIM_DONE)
+            operations_abandon_row (core, claim->request, claim->row);
+          g_free (claim->answer);
+          continue;
+        }
+      switch (claim->state)
+        {
+        case PL_CLAIM_CREATED:
+        case PL_CLAIM_OURS:
+          request->claimed = true;
+          if (request->caller_gone)
+            {
+              operations_abandon (core, request);
+              request_free (core, request);
+            }
+          else
+            enqueue (core, request, true);
+          break;
+        case PL_CLAIM_DONE:
+          effect = core_add_effect (core, PL_EFFECT_REPLAY);
+          effect->request = request->event.request;
+          effect->valid_until_us = INT64_MAX;
+          effect->u.replay.status = claim->status;
+          effect->u.replay.answer = g_steal_pointer (&claim->answer);
+          request_free (core, request);
+          break;
+        case PL_CLAIM_TAKEN:
+          requests_refuse (core, request, PL_REFUSAL_REPEATED);
+          break;
+        case PL_CLAIM_UNKNOWN:
+          /* Asked again with the next group, until the wait is over. */
+          operations_claim (core, request);
+          break;
+        }
+      g_free (claim->answer);
+    }
+  g_clear_pointer (&event->claims, g_free);
+}
+
+/* Returns the refusal for a request that waited too long in its state, or -1. */
+static int
+judge_wait (struct pl_core *core, const struct request *request)
+{
+  int64_t waited = core->now_us - request->changed_us;
+  bool lacks_tokens = !request->paid && !request->event.forwarded
+                      && account_is_over (core, request->account);
+
+  if (core->now_us >= request->event.deadline_us)
+    return PL_REFUSAL_DEADLINE;
+  if (request->state == REQUEST_CLAIMING)
+    return waited > CLAIM_WAIT_US ? PL_REFUSAL_STORE_DOWN : -1;
+  if (request->event.forwarded)
+    return waited > FORWARDED_WAIT_US ? PL_REFUSAL_NO_SERVER : -1;
+  if (lacks_tokens)
+    return waited > TOKEN_WAIT_US ? PL_REFUSAL_OVER_RATE : -1;
+  return waited > PLACE_WAIT_US ? PL_REFUSAL_NO_SERVER : -1;
+}
+
+static void
+sweep_one (struct pl_core *core, struct request *request)
+{
+  int64_t silence = request->route.silence_us;
+  int refusal;
+
+  if (request->state == REQUEST_AT_SERVER || request->state == REQUEST_AT_MEMBER)
+    {
+      if (request->state == REQUEST_AT_MEMBER)
+        silence += MEMBER_SILENCE_EXTRA_US;
+      if (!request->cancelled
+          && (core->now_us - request->changed_us > silence
+              || core->now_us >= request->event.deadline_us))
+        cancel (core, request);
+      return;
+    }
+  refusal = judge_wait (core, request);
+  if (refusal < 0)
+    return;
+  if (request->state == REQUEST_WAITING)
+    dequeue (core, request);
+  requests_refuse (core, request, (enum pl_refusal) refusal);
+}
+
+static void
+sweep (void *data)
+{
+  struct pl_core *core = data;
+  GList *all;
+
+  if (core->config == NULL)
+    return;
+  all = g_hash_table_get_values (core->requests);
+  for (GList *at = all; at != NULL; at = at->next)
+    sweep_one (core, at->data);
+  g_list_free (all);
+}
+
+void
+requests_start (struct pl_core *core)
+{
+  core->retry_tokens = RETRY_TOKENS_MAX;
+  core->open_account = g_new0 (struct account_state, 1);
+  core->open_account->index = PL_NONE;
+  g_strlcpy (core->open_account->name, "-", sizeof core->open_account->name);
+  g_queue_init (&core->open_account->waiting);
+  g_hash_table_insert (core->accounts, &core->open_account->id, core->open_account);
+  g_ptr_array_add (core->account_order, core->open_account);
+  pl_timers_subscribe (&core->timers, sweep, SWEEP_PERIOD_US, core->now_us);
+}
+
+void
+requests_free_all (struct pl_core *core)
+{
+  GList *all = g_hash_table_get_values (core->requests);
+
+  for (guint i = 0; i < core->account_order->len; i++)
+    g_queue_clear (&((struct account_state *) g_ptr_array_index (core->account_order, i))->waiting);
+  g_list_free_full (all, g_free);
+}
--- /dev/null
+++ b/core/quarantine.c
@@ -0,0 +1,112 @@
+/* Two strikes.
+ *
+ * When a server dies, each request in flight there is a suspect.  A suspect may
+ * run once more, but only where no other suspect runs: if that server dies too,
+ * the blame is certain and the fingerprint is quarantined.  Innocent requests
+ * that shared the first server end well at their second and are cleared.  A
+ * crashing request so costs two servers.
+ */
+#include "internal/quarantine.h"
+
+#define QUARANTINE_TIME_US INT64_C (600000000)
+#define SUSPICION_TIME_US INT64_C (60000000)
+#define ENTRIES_MAX 4096
+
+struct quarantine_entry
+{
+  uint64_t fingerprint;
+  uint64_t first_server;
+  bool convicted;
+  int64_t since_us;
+};
+
+void
+quarantine_init (struct quarantine *quarantine)
+{
+  quarantine->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+void
+quarantine_free (struct quarantine *quarantine)
+{
+  g_hash_table_destroy (quarantine->entries);
+}
+
+/* Returns a new entry, or NULL when the table is full. */
+static struct quarantine_entry *
+add_entry (struct quarantine *quarantine, uint64_t fingerprint, uint64_t server, int64_t now_us)
+{
+  struct quarantine_entry *entry;
+
+  if (g_hash_table_size (quarantine->entries) >= ENTRIES_MAX)
+    return NULL;
+  entry = g_new0 (struct quarantine_entry, 1);
+  entry->fingerprint = fingerprint;
+  entry->first_server = server;
+  entry->since_us = now_us;
+  g_hash_table_insert (quarantine->entries, &entry->fingerprint, entry);
+  return entry;
+}
+
+void
+quarantine_convict (struct quarantine *quarantine, uint64_t fingerprint, int64_t now_us)
+{
+  struct quarantine_entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
+
+  if (entry == NULL)
+    entry = add_entry (quarantine, fingerprint, 0, now_us);
+  if (entry != NULL)
+    entry->convicted = true;
+}
+
+bool
+quarantine_note_death (struct quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+                       bool alone, int64_t now_us)
+{
+  struct quarantine_entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
+
+  if (entry == NULL)
+    return add_entry (quarantine, fingerprint, server, now_us) != NULL;
+  entry->since_us = now_us;
+  if (entry->convicted || entry->first_server == server || !alone)
+    return false;
+  entry->convicted = true;
+  return true;
+}
+
+bool
+quarantine_note_success (struct quarantine *quarantine, uint64_t fingerprint)
+{
+  const struct quarantine_entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
+
+  if (entry == NULL || entry->convicted)
+    return false;
+  return g_hash_table_remove (quarantine->entries, &fingerprint);
+}
+
+enum quarantine_verdict
+quarantine_judge (const struct quarantine *quarantine, uint64_t fingerprint)
+{
+  const struct quarantine_entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
+
+  if (entry == NULL)
+    return QUARANTINE_CLEAR;
+  return entry->convicted ? QUARANTINE_CONVICTED : QUARANTINE_SUSPECT;
+}
+
+void
+quarantine_expire (struct quarantine *quarantine, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct quarantine_entry *entry = value;
+      int64_t limit = entry->convicted ? QUARANTINE_TIME_US : SUSPICION_TIME_US;
+
+      if (now_us - entry->since_us > limit)
+        g_hash_table_iter_remove (&iter);
+    }
+}
--- /dev/null
+++ b/include/internal/core_state.h
@@ -0,0 +1,265 @@
+/* core_state.h - the reducer's tables, shared by its parts.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_CORE_STATE_H
+#define POMELOLATCH_CORE_STATE_H
+
+#include "pomelolatch/budget.h"
+#include "pomelolatch/core.h"
+#include "pomelolatch/error.h"
+#include "pomelolatch/lookup.h"
+#include "pomelolatch/release.h"
+#include "internal/quarantine.h"
+#include "internal/timers.h"
+
+#define PL_US_PER_MS INT64_C (1000)
+#define PL_US_PER_S INT64_C (1000000)
+
+/* A peer not heard of for this long is taken for lost. */
+#define PL_MEMBER_LOST_US (3 * PL_US_PER_S)
+/* A host that took over a name mints nothing for this long. */
+#define PL_SLOT_FENCE_US (4 * PL_US_PER_S)
+/* A host that stood still for this long no longer counts on its name being its own. */
+#define PL_PAUSE_LIMIT_US (2 * PL_US_PER_S)
+
+struct account_state
+{
+  uint64_t id;
+  int index; /* in the configuration in force, or PL_NONE when withdrawn */
+  char name[PL_ID_CHARS];
+  struct pl_budget budget;
+  GQueue waiting; /* of struct request */
+  struct pl_counts counts;
+};
+
+struct link_state
+{
+  uint64_t id;
+  int index;
+  struct pl_budget budget;
+  uint64_t bytes;
+};
+
+struct server_state
+{
+  uint64_t id;
+  int index;
+  int in_flight;
+  int suspects; /* suspected requests in flight */
+  int failures; /* in a row */
+  bool down;
+  bool leaving; /* by its own word or the platform's list */
+  int reported_load;
+  int64_t shed_until_us;
+  int64_t warm_from_us; /* when it was last found up after being new or down */
+  int64_t probed_at_us;
+  bool probe_open;
+  uint64_t served;
+};
+
+struct member
+{
+  uint64_t id;
+  int index; /* in the configuration, or PL_NONE */
+  bool heard;
+  int64_t heard_at_us;
+  int64_t stopped_asking_us;
+  struct pl_heartbeat heartbeat;
+  int forwarded; /* in flight towards it */
+  int forwarded_since[PL_SERVICES_MAX]; /* since its last heartbeat */
+  double forward_limit;
+  int64_t shed_until_us;
+  int64_t used_at_us;
+};
+
+enum request_state
+{
+  REQUEST_WAITING,
+  REQUEST_CLAIMING,
+  REQUEST_AT_SERVER,
+  REQUEST_AT_MEMBER,
+};
+
+struct request
+{
+  struct pl_request_event event;
+  enum request_state state;
+  struct account_state *account;
+  struct pl_route_config route; /* the strings in it are not used after arrival */
+  char route_name[PL_ID_CHARS];
+  uint64_t service;
+  int64_t config_version; /* that route.service is an index of */
+  int64_t arrived_us;
+  int64_t changed_us; /* when it came into its state, or last moved */
+  int64_t valid_until_us;
+  uint32_t attempt;
+  int attempts;
+  bool paid;
+  bool claimed;
+  bool may_have_run;  /* the attempt under way, or an earlier one, may have */
+  bool uncertain;     /* an earlier attempt may have */
+  bool suspect;
+  bool cancelled; /* the attempt is being broken off; its outcome is awaited */
+  bool caller_gone;
+  struct server_state *server;
+  struct server_state *failed; /* not tried again next */
+  struct member *member;
+  int64_t link_bytes[2]; /* reserved: there, back */
+  struct link_state *links[2];
+  char claim_row[PL_ID_CHARS * 2 + 8];
+};
+
+enum release_phase
+{
+  RELEASE_FINDING,    /* is the id known already? */
+  RELEASE_READY,      /* it is not: apply and commit */
+  RELEASE_CATCHING_UP, /* the head moved: read on, then apply again */
+  RELEASE_COMMITTING,
+  RELEASE_RESOLVING, /* the commit's answer was lost: look whether it took effect */
+};
+
+struct pending_release
+{
+  uint64_t ticket; /* the operator's */
+  struct pl_release *release;
+  bool check_only;
+  enum release_phase phase;
+  uint64_t store_ticket;
+  json_t *document; /* what the commit under way leads to */
+  char digest[PL_ID_CHARS + 1];
+};
+
+struct pl_core
+{
+  char name[PL_ID_CHARS];
+  uint64_t id;
+  uint64_t nonce;
+  unsigned switches;
+  struct pl_core_options options;
+  int64_t now_us;
+  int64_t last_step_us;
+  struct pl_effects *effects; /* of the step under way */
+  struct pl_timers timers;
+
+  struct pl_config *config; /* in force, or NULL */
+  struct pl_blocks *blocks;
+  int64_t hosts_version; /* when the list of entry hosts last changed */
+  int self;              /* own index, or PL_NONE */
+  GPtrArray *release_log; /* of json {"version","release"}, newest last */
+
+  uint64_t incarnation; /* how often this name was taken, 0 while not held */
+  bool slot_held;
+  bool slot_asked;
+  bool slot_was_paused;
+  int64_t mint_from_us;
+  int64_t confirmed_version;
+  int64_t fleet_parts; /* in use; 0: none */
+  int64_t store_read_at_us; /* last sight of the store, here or through peers; -1: never */
+  bool head_open;
+  int64_t head_due_us;
+
+  struct account_state *open_account; /* stands for all callers of open routes */
+  GHashTable *accounts; /* id -> struct account_state */
+  GHashTable *links;
+  GHashTable *servers;
+  GHashTable *members;
+  GHashTable *requests; /* request -> struct request */
+  GHashTable *routes;   /* name -> struct pl_counts */
+  GPtrArray *account_order;
+  guint account_turn;
+  GPtrArray *server_order;
+  guint server_turn;
+  int sharing_hosts; /* live entry hosts of this domain, with this one */
+  int sharing_rank;  /* this host's place among them */
+  int waiting_count;
+  int active_count;
+  double retry_tokens;
+  struct quarantine quarantine;
+
+  GQueue claims; /* of request number, as uint64_t * */
+  bool claim_open;
+  int64_t claim_retry_us; /* not before this, after the store failed */
+  GQueue releases; /* of struct pending_release */
+  uint64_t next_ticket;
+
+  bool stopping;
+  int64_t stopping_since_us;
+  bool slot_released;
+  bool stopped;
+};
+
+/* core.c */
+struct pl_effect *core_add_effect (struct pl_core *core, enum pl_effect_type type);
+bool core_is_fresh (const struct pl_core *core, const struct pl_route_config *route);
+
+/* core_requests.c */
+void requests_start (struct pl_core *core);
+void requests_on_arrival (struct pl_core *core, const struct pl_request_event *event);
+void requests_on_caller_gone (struct pl_core *core, uint64_t request);
+void requests_on_progress (struct pl_core *core, uint64_t request, uint32_t attempt);
+void requests_on_outcome (struct pl_core *core, const struct pl_outcome_event *event);
+void requests_on_claims (struct pl_core *core, struct pl_store_event *event);
+void requests_pump (struct pl_core *core);
+void requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal);
+void requests_free_all (struct pl_core *core);
+
+/* core_operations.c */
+void operations_claim (struct pl_core *core, struct request *request);
+void operations_flush (struct pl_core *core);
+void operations_finish (struct pl_core *core, const struct request *request,
+                        const struct pl_outcome_event *event);
+void operations_abandon (struct pl_core *core, const struct request *request);
+void operations_abandon_row (struct pl_core *core, uint64_t request, const char *row);
+
+/* core_servers.c */
+void servers_start (struct pl_core *core);
+void servers_adopt (struct pl_core *core);
+struct server_state *servers_choose (struct pl_core *core, const struct request *request);
+int servers_free_slots (struct pl_core *core, int service);
+bool servers_any_up (struct pl_core *core, uint64_t service);
+void servers_on_probe (struct pl_core *core, const struct pl_probe_event *event);
+void servers_on_leaving_list (struct pl_core *core, const uint64_t *servers, int count);
+void servers_note_outcome (struct pl_core *core, struct server_state *server,
+                           enum pl_outcome outcome);
+
+/* core_peers.c */
+void peers_start (struct pl_core *core);
+void peers_adopt (struct pl_core *core);
+void peers_on_message (struct pl_core *core, struct pl_message *message);
+bool peers_is_live (const struct pl_core *core, const struct member *member);
+void peers_send (struct pl_core *core, uint64_t peer, const struct pl_message *message);
+void peers_broadcast (struct pl_core *core, const struct pl_message *message);
+void peers_heartbeat (struct pl_core *core);
+int64_t peers_lowest_version (const struct pl_core *core);
+
+/* core_budgets.c */
+void budgets_start (struct pl_core *core);
+void budgets_adopt (struct pl_core *core);
+void budgets_restart (struct pl_core *core);
+bool budgets_link_eligible (const struct pl_core *core, const struct link_state *link, int host);
+void budgets_set_parts (struct pl_core *core);
+void budgets_on_ask (struct pl_core *core, const struct pl_message *message);
+void budgets_on_grant (struct pl_core *core, const struct pl_message *message);
+void budgets_ask (struct pl_core *core);
+
+/* core_steering.c */
+struct member *steering_find (struct pl_core *core, const struct request *request);
+int steering_reserve (struct pl_core *core, struct request *request, const struct member *member);
+void steering_note_outcome (struct pl_core *core, struct member *member, enum pl_outcome outcome);
+void steering_settle (struct pl_core *core, struct request *request, int64_t answer_bytes);
+
+/* core_control.c */
+void control_start (struct pl_core *core);
+void control_on_store (struct pl_core *core, struct pl_store_event *event);
+void control_on_release (struct pl_core *core, struct pl_release_event *event);
+void control_on_document (struct pl_core *core, struct pl_message *message);
+void control_send_releases (struct pl_core *core, uint64_t peer, int64_t held);
+void control_adopt (struct pl_core *core, json_t *document, int64_t version);
+void control_release_slot (struct pl_core *core);
+void control_free (struct pl_core *core);
+
+/* core_report.c */
+struct pl_counts *report_route (struct pl_core *core, const char *name);
+
+#endif
--- /dev/null
+++ b/include/internal/loop.h
@@ -0,0 +1,35 @@
+/* loop.h - the thread that runs the reducer.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_LOOP_H
+#define POMELOLATCH_LOOP_H
+
+#include "pomelolatch/core.h"
+
+struct pl_loop;
+
+struct pl_loop_options
+{
+  struct pl_core *core; /* taken over */
+  /* Carries out one effect that is still valid.  Called on the loop's thread. */
+  void (*execute) (void *data, struct pl_effect *effect);
+  /* Tells of an effect whose time had passed; nothing was done. */
+  void (*expired) (void *data, struct pl_effect *effect);
+  void *data;
+};
+
+struct pl_loop *pl_loop_new (const struct pl_loop_options *options);
+void pl_loop_free (struct pl_loop *loop);
+
+/* Starts the thread. */
+void pl_loop_start (struct pl_loop *loop);
+
+/* Hands over EVENT, which is copied with the ownership of what it owns; its time is set when the
+ * reducer comes to it.  Waits while the ring is full.  Any thread. */
+void pl_loop_post (struct pl_loop *loop, const struct pl_event *event);
+
+/* Returns the reducer's report; the caller owns it.  Any thread but the loop's. */
+json_t *pl_loop_report (struct pl_loop *loop);
+
+#endif
--- /dev/null
+++ b/include/internal/metrics.h
@@ -0,0 +1,13 @@
+/* metrics.h - a report in the usual text format for metrics.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_METRICS_H
+#define POMELOLATCH_METRICS_H
+
+#include <jansson.h>
+
+/* Returns REPORT, as made by pl_core_report(), as text; the caller frees it with g_free(). */
+char *pl_metrics_format (const json_t *report);
+
+#endif
--- /dev/null
+++ b/include/internal/net.h
@@ -0,0 +1,19 @@
+/* net.h - sockets by IP numbers.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_NET_H
+#define POMELOLATCH_NET_H
+
+#include <netinet/in.h>
+
+/* Parses "IP:port".  Returns 0 or PL_ERR_INVALID. */
+int pl_net_parse (const char *text, struct sockaddr_in *address);
+
+/* Returns a listening socket, or -1 with errno set. */
+int pl_net_listen (const struct sockaddr_in *address);
+
+/* Connects within LIMIT_MS.  Returns a blocking socket, or -1. */
+int pl_net_connect (const struct sockaddr_in *address, int limit_ms);
+
+#endif
--- /dev/null
+++ b/include/internal/store_http.h
@@ -0,0 +1,36 @@
+/* store_http.h - the platform's table service and host list, over HTTP.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_STORE_HTTP_H
+#define POMELOLATCH_STORE_HTTP_H
+
+#include "internal/http_client.h"
+#include "pomelolatch/event.h"
+
+struct pl_store;
+
+struct pl_store_options
+{
+  struct pl_http_client *client;
+  const char *address; /* IP:port */
+  /* Takes the outcome of a call; called on the client's thread. */
+  void (*on_event) (void *data, const struct pl_event *event);
+  void *data;
+};
+
+/* Returns a store that must outlive the client's calls. */
+struct pl_store *pl_store_new (const struct pl_store_options *options);
+void pl_store_free (struct pl_store *store);
+
+/* Makes REQUEST's call.  Its outcome comes as one event, always. */
+void pl_store_call (struct pl_store *store, const struct pl_store_request *request);
+
+/* Asks for the list of leaving servers; it comes as an event, or not at all. */
+void pl_store_fetch_host_list (struct pl_store *store);
+
+/* Returns the releases in the store, newest last, as a JSON array that the caller owns, or NULL
+ * when the store can not be read.  Waits; not for the client's thread. */
+json_t *pl_store_read_history (struct pl_store *store);
+
+#endif
--- /dev/null
+++ b/include/pomelolatch/event.h
@@ -0,0 +1,363 @@
+/* event.h - what goes into and comes out of the reducer.
+ *
+ * API tier: provisional.
+ *
+ * Events tell what happened outside; effects tell what to do outside.  Both
+ * are plain data.  Times are microseconds on the host's monotonic clock.
+ * Every effect carries valid_until_us: an executor that comes to it later
+ * drops it and reports PL_OUTCOME_EXPIRED, so that a process that was paused does nothing late.
+ */
+#ifndef POMELOLATCH_EVENT_H
+#define POMELOLATCH_EVENT_H
+
+#include "pomelolatch/config.h"
+
+#define PL_ID_CHARS 64
+#define PL_ADDRESS_CHARS 24
+#define PL_PATH_CHARS 256
+#define PL_LOAN_ITEMS_MAX 32
+#define PL_SERVICES_MAX 16
+#define PL_ANSWER_KEPT_MAX 4096
+
+/* How an attempt at a backend server or another entry host ended. */
+enum pl_outcome
+{
+  PL_OUTCOME_DONE,      /* the whole answer was read */
+  PL_OUTCOME_NOT_SENT,  /* no byte of the request left: it did not run */
+  PL_OUTCOME_EXPIRED,   /* the effect was too old and was dropped: it did not run */
+  PL_OUTCOME_SHED,      /* the other side said that it did not run */
+  PL_OUTCOME_BROKEN,    /* lost after sending, before any answer: it may have run */
+  PL_OUTCOME_TRUNCATED, /* lost within the answer */
+  PL_OUTCOME_SILENT,    /* cancelled here for lack of progress: it may have run */
+};
+
+/* Why a request is not served.  The order is that of refusal_table in core_requests.c. */
+enum pl_refusal
+{
+  PL_REFUSAL_NO_CONFIG,
+  PL_REFUSAL_NO_ROUTE,
+  PL_REFUSAL_NO_KEY,
+  PL_REFUSAL_STALE,
+  PL_REFUSAL_QUARANTINED,
+  PL_REFUSAL_NO_OPERATION,
+  PL_REFUSAL_OVER_RATE,
+  PL_REFUSAL_QUEUE_FULL,
+  PL_REFUSAL_NO_SERVER,
+  PL_REFUSAL_DEADLINE,
+  PL_REFUSAL_LOST,
+  PL_REFUSAL_REPEATED,
+  PL_REFUSAL_STORE_DOWN,
+  PL_REFUSAL_COUNT,
+};
+
+struct pl_refusal_info
+{
+  const char *name;
+  int status;
+  int retry_after_ms; /* 0: coming back does not help */
+};
+
+extern const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT];
+
+struct pl_request_event
+{
+  uint64_t request; /* the caller's side's own number for it */
+  bool has_key;
+  uint8_t key_hash[PL_KEY_HASH_BYTES];
+  char path[PL_PATH_CHARS];
+  char operation[PL_ID_CHARS + 1]; /* hash of the Idempotency-Key in hex; empty: none */
+  uint64_t fingerprint;            /* of account, method, target and operation */
+  int64_t deadline_us;
+  int64_t body_bytes;
+  bool forwarded; /* came through another entry host, which paid and claimed */
+  bool replayable;
+  char account[PL_ID_CHARS];
+};
+
+struct pl_outcome_event
+{
+  uint64_t request;
+  uint32_t attempt;
+  enum pl_outcome outcome;
+  int status;
+  int64_t answer_bytes;
+  const char *answer;   /* what is kept for resends, or NULL; borrowed */
+  size_t answer_length; /* bytes */
+};
+
+struct pl_probe_event
+{
+  uint64_t server;
+  bool answered;
+  bool leaving;
+  int load; /* requests that the server says it runs */
+};
+
+enum pl_message_type
+{
+  PL_MESSAGE_HEARTBEAT,
+  PL_MESSAGE_ASK,
+  PL_MESSAGE_GRANT,
+  PL_MESSAGE_SUSPECT,
+  PL_MESSAGE_RELEASE,
+  PL_MESSAGE_SNAPSHOT,
+  PL_MESSAGE_WANT_RELEASES,
+  PL_MESSAGE_COUNT,
+};
+
+struct pl_service_load
+{
+  uint64_t service;
+  int32_t free_slots;
+  int32_t waiting;
+};
+
+struct pl_heartbeat
+{
+  int64_t version;
+  int64_t store_age_us; /* how long ago the store was last read, here or by one heard from */
+  bool leaving;
+  int32_t service_count;
+  struct pl_service_load services[PL_SERVICES_MAX];
+};
+
+struct pl_loan_item
+{
+  uint64_t budget;
+  uint64_t number; /* ask: highest number that is spent; grant: of this grant */
+  int64_t amount;
+  int64_t surplus;
+};
+
+struct pl_loan_message
+{
+  int64_t asked_us; /* the borrower's clock, echoed in the grant */
+  uint64_t nonce;   /* the borrower process's, echoed in the grant */
+  int32_t count;
+  struct pl_loan_item items[PL_LOAN_ITEMS_MAX];
+};
+
+struct pl_suspect_message
+{
+  uint64_t fingerprint;
+  uint64_t server; /* whose death it was at; 0: it is cleared */
+  bool convicted;
+};
+
+struct pl_message
+{
+  enum pl_message_type type;
+  uint64_t from;
+  union
+  {
+    struct pl_heartbeat heartbeat;
+    struct pl_loan_message loans;
+    struct pl_suspect_message suspect;
+    struct
+    {
+      int64_t version;
+      char *text; /* owned by the message */
+    } document;   /* release, snapshot (JSON); want: the version held, no text */
+  } u;
+};
+
+/* Frees what MESSAGE owns, not MESSAGE itself. */
+void pl_message_clear (struct pl_message *message);
+/* Copies SOURCE with all that it owns into TARGET. */
+void pl_message_copy (struct pl_message *target, const struct pl_message *source);
+
+enum pl_store_call
+{
+  PL_STORE_HEAD,    /* read head and the releases after a version */
+  PL_STORE_COMMIT,  /* append a release if the head is as expected */
+  PL_STORE_FIND,    /* look for a release by its id */
+  PL_STORE_CLAIM,   /* insert claims, each if absent */
+  PL_STORE_FINISH,  /* keep an operation's answer in its claim */
+  PL_STORE_ABANDON, /* remove a claim of ours that never ran */
+  PL_STORE_SLOT,    /* take this host's name, or write down what it has in force */
+};
+
+#define PL_CLAIMS_MAX 64
+
+struct pl_claim
+{
+  uint64_t request;
+  char row[PL_ID_CHARS * 2 + 8];
+};
+
+struct pl_store_request
+{
+  enum pl_store_call call;
+  uint64_t ticket;
+  int64_t version;   /* head: held here; commit: expected head */
+  char *text;        /* commit: the release; finish: the row; owned by the effect */
+  char *document;    /* commit: the whole document after it; owned */
+  char id[PL_ID_CHARS]; /* commit, find: the release's */
+  char digest[PL_ID_CHARS + 1]; /* commit: of the release's content */
+  uint64_t nonce;    /* of this process */
+  bool release_slot; /* slot: this host stops, its name is free */
+  int claim_count;
+  struct pl_claim claims[PL_CLAIMS_MAX];
+};
+
+enum pl_claim_state
+{
+  PL_CLAIM_CREATED,
+  PL_CLAIM_OURS,    /* our own row, written by a call whose answer was lost */
+  PL_CLAIM_TAKEN,   /* someone's; outcome unknown */
+  PL_CLAIM_DONE,    /* finished; the answer was kept */
+  PL_CLAIM_UNKNOWN, /* the store could not be asked */
+};
+
+struct pl_claim_result
+{
+  uint64_t request;
+  char row[PL_ID_CHARS * 2 + 8];
+  enum pl_claim_state state;
+  int status;
+  char *answer; /* kept answer, or NULL; owned by the event */
+};
+
+struct pl_store_event
+{
+  enum pl_store_call call;
+  uint64_t ticket;
+  int result; /* PL_OK or negative; PL_ERR_TIMEOUT when it may have been applied */
+  int64_t version;             /* head, commit, find: of the head or of the release found */
+  char digest[PL_ID_CHARS + 1]; /* find: of the content under that id */
+  json_t *releases; /* head: array of {"version","release"}; borrowed */
+  json_t *snapshot; /* head: {"version","document"} when releases do not reach back; borrowed */
+  uint64_t slot_nonce;       /* head, slot: the process that holds this host's name; 0: none */
+  uint64_t slot_incarnation; /* slot: how often the name was taken */
+  bool taken_over;           /* slot: another process held it before and did not release it */
+  int64_t confirmed_version; /* head: lowest version that every named host has in force */
+  int claim_count;
+  struct pl_claim_result *claims; /* owned by the event */
+};
+
+/* An operator's release, already read from YAML. */
+struct pl_release;
+struct pl_release_event
+{
+  uint64_t ticket;
+  struct pl_release *release; /* taken over by the reducer */
+  bool check_only;
+};
+
+enum pl_event_type
+{
+  PL_EVENT_TICK,
+  PL_EVENT_REQUEST,
+  PL_EVENT_CALLER_GONE,
+  PL_EVENT_PROGRESS, /* bytes moved on an attempt */
+  PL_EVENT_OUTCOME,
+  PL_EVENT_PROBE,
+  PL_EVENT_MESSAGE,
+  PL_EVENT_STORE,
+  PL_EVENT_LEAVING_LIST, /* the platform's list: servers that leave */
+  PL_EVENT_RELEASE,
+  PL_EVENT_STOP,
+};
+
+struct pl_event
+{
+  enum pl_event_type type;
+  int64_t now_us;
+  union
+  {
+    struct pl_request_event request;
+    struct pl_outcome_event outcome;
+    struct pl_probe_event probe;
+    struct pl_message message;
+    struct pl_store_event store;
+    struct pl_release_event release;
+    struct
+    {
+      int count;
+      const uint64_t *servers; /* borrowed */
+    } leaving;
+    struct
+    {
+      uint64_t request;
+      uint32_t attempt;
+    } progress;
+  } u;
+};
+
+enum pl_effect_type
+{
+  PL_EFFECT_DISPATCH, /* send the request to a backend server */
+  PL_EFFECT_FORWARD,  /* send the request to another entry host */
+  PL_EFFECT_REFUSE,   /* answer the caller with a refusal */
+  PL_EFFECT_REPLAY,   /* answer the caller with a kept answer */
+  PL_EFFECT_CANCEL,   /* break off an attempt */
+  PL_EFFECT_PROBE,    /* ask a backend server how it is, on a new connection */
+  PL_EFFECT_SEND,     /* send a message to a peer */
+  PL_EFFECT_STORE,    /* call the store */
+  PL_EFFECT_CONFIG,   /* a new configuration is in force here */
+  PL_EFFECT_LOOKUP,   /* a new look-up snapshot */
+  PL_EFFECT_RELEASED, /* answer an operator's release */
+  PL_EFFECT_STOPPED,  /* all is finished; the process may end */
+};
+
+struct pl_effect
+{
+  enum pl_effect_type type;
+  int64_t valid_until_us;
+  uint64_t request;
+  uint32_t attempt;
+  union
+  {
+    struct
+    {
+      char address[PL_ADDRESS_CHARS];
+      char account[PL_ID_CHARS];
+      uint64_t target; /* server or entry host */
+      int64_t deadline_us;
+      bool keep_answer;
+      bool fresh_connection;
+    } send_request;
+    struct
+    {
+      enum pl_refusal refusal;
+      bool attempt_ran;   /* this very request may have reached a server */
+      bool operation_ran; /* it, or an earlier one with the same identity, may have */
+      int retry_after_ms;
+    } refuse;
+    struct
+    {
+      int status;
+      char *answer; /* owned by the effect */
+    } replay;
+    struct
+    {
+      uint64_t peer;
+      struct pl_message message;
+    } send;
+    struct pl_store_request *store; /* owned by the effect */
+    struct pl_config *config;       /* one reference, owned by the effect */
+    struct pl_lookup *lookup;       /* owned by the effect until its executor sets it to NULL */
+    struct
+    {
+      uint64_t ticket;
+      int result;
+      int64_t version;
+      json_t *findings; /* owned by the effect, or NULL */
+    } released;
+  } u;
+};
+
+/* An effect list grows as needed and is reused from step to step. */
+struct pl_effects
+{
+  struct pl_effect *items;
+  int count;
+  int room;
+};
+
+/* Frees what EFFECT owns. */
+void pl_effect_clear (struct pl_effect *effect);
+void pl_effects_clear (struct pl_effects *effects);
+void pl_effects_free (struct pl_effects *effects);
+
+#endif
--- /dev/null
+++ b/modules/attempts.c
@@ -0,0 +1,349 @@
+/* One attempt: the request goes to a server or another entry host, the answer comes back.
+ *
+ * The answer's head is held back until the answer is whole or longer than what
+ * is held, so that an attempt that breaks early can still be made elsewhere and
+ * the caller sees one answer or one refusal.  An answer is matched to its
+ * request by the connection and by the echoed number.
+ */
+#include "internal/clock.h"
+#include "internal/entry.h"
+
+#include <ck_pr.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define PROGRESS_PERIOD_US 50000
+#define PROBE_TIMEOUT_US 800000
+#define OUTCOME_HEADER "Pomelolatch-Outcome:"
+#define ECHO_HEADER "Pomelolatch-Request:"
+
+struct attempt
+{
+  struct pl_entry *entry;
+  struct pl_exchange *exchange; /* one reference */
+  uint32_t number;
+  bool is_forward;
+  bool keep_answer;
+  bool says_not_run;
+  bool says_refused;
+  bool wrong_echo;
+  char echo[64];
+  int status;
+  int64_t progress_at_us;
+};
+
+static void
+post_outcome (struct pl_entry *entry, const struct pl_outcome_event *outcome)
+{
+  struct pl_event event = { .type = PL_EVENT_OUTCOME };
+
+  event.u.outcome = *outcome;
+  entry->options.post (entry->options.data, &event);
+}
+
+void
+pl_attempt_not_made (struct pl_entry *entry, uint64_t request, uint32_t attempt,
+                     enum pl_outcome outcome)
+{
+  struct pl_outcome_event event = { .request = request, .attempt = attempt, .outcome = outcome };
+
+  post_outcome (entry, &event);
+}
+
+static void
+note_progress (struct attempt *attempt)
+{
+  struct pl_event event = { .type = PL_EVENT_PROGRESS };
+  int64_t now_us = pl_clock_now_us ();
+
+  if (now_us - attempt->progress_at_us < PROGRESS_PERIOD_US)
+    return;
+  attempt->progress_at_us = now_us;
+  event.u.progress.request = attempt->exchange->id;
+  event.u.progress.attempt = attempt->number;
+  attempt->entry->options.post (attempt->entry->options.data, &event);
+}
+
+static bool
+header_is (const char *line, const char *name)
+{
+  return g_ascii_strncasecmp (line, name, strlen (name)) == 0;
+}
+
+/* Headers that concern one connection only, or that are set anew here. */
+static bool
+header_stays (const char *line)
+{
+  static const char *const names[] = {
+    "HTTP/", "Connection:", "Keep-Alive:", "Transfer-Encoding:", "Content-Length:", "Date:",
+    "Trailer:", "Upgrade:", "Proxy-", "Server:", ECHO_HEADER,
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (header_is (line, names[i]))
+      return true;
+  return false;
+}
+
+static void
+on_header (void *data, const char *line, size_t length)
+{
+  struct attempt *attempt = data;
+  struct pl_exchange *exchange = attempt->exchange;
+  g_autofree char *text = g_strchomp (g_strndup (line, length));
+
+  g_mutex_lock (&exchange->lock);
+  if (header_is (text, "HTTP/"))
+    {
+      const char *space = strchr (text, ' ');
+
+      attempt->status = space != NULL ? atoi (space + 1) : 0;
+      g_ptr_array_set_size (exchange->answer_headers, 0);
+    }
+  else if (header_is (text, "Content-Length:"))
+    exchange->answer_length = strtoll (text + strlen ("Content-Length:"), NULL, 10);
+  else if (header_is (text, ECHO_HEADER))
+    attempt->wrong_echo
+        = strcmp (g_strchug (text + strlen (ECHO_HEADER)), attempt->echo) != 0;
+  if (header_is (text, OUTCOME_HEADER))
+    {
+      attempt->says_not_run = strstr (text, "not-run") != NULL;
+      attempt->says_refused = true;
+    }
+  if (!header_stays (text) && strchr (text, ':') != NULL)
+    g_ptr_array_add (exchange->answer_headers, g_strdup (text));
+  g_mutex_unlock (&exchange->lock);
+}
+
+/* A refusal by the other side is for the reducer, not for the caller. */
+static bool
+is_refusal (const struct attempt *attempt)
+{
+  return attempt->says_refused && (attempt->is_forward || attempt->status == 503);
+}
+
+static void
+open_answer (struct attempt *attempt)
+{
+  struct pl_exchange *exchange = attempt->exchange;
+
+  exchange->status = attempt->status;
+  exchange->answer_open = true;
+  exchange->from_server = true;
+}
+
+static size_t
+on_write (void *data, const char *bytes, size_t length)
+{
+  struct attempt *attempt = data;
+  struct pl_exchange *exchange = attempt->exchange;
+  size_t result = length;
+
+  note_progress (attempt);
+  if (attempt->wrong_echo)
+    return 0;
+  g_mutex_lock (&exchange->lock);
+  if (exchange->answer_open && !exchange->caller_done
+      && pl_pipe_waiting (&exchange->answer) >= PL_BODY_WINDOW)
+    result = PL_HTTP_PAUSE;
+  else
+    {
+      exchange->answer_seen += (int64_t) length;
+      /* After the caller has gone, an answer that is kept is still read to its end. */
+      if (!exchange->caller_done || exchange->answer_seen <= (int64_t) PL_ANSWER_HELD_MAX)
+        pl_pipe_add (&exchange->answer, bytes, length);
+      if (!exchange->answer_open && !is_refusal (attempt)
+          && pl_pipe_waiting (&exchange->answer) > PL_ANSWER_HELD_MAX)
+        open_answer (attempt);
+      if (exchange->answer_open)
+        pl_exchange_resume (exchange);
+    }
+  g_mutex_unlock (&exchange->lock);
+  return result;
+}
+
+static size_t
+on_read (void *data, char *bytes, size_t length)
+{
+  struct attempt *attempt = data;
+  struct pl_exchange *exchange = attempt->exchange;
+  size_t result;
+
+  note_progress (attempt);
+  g_mutex_lock (&exchange->lock);
+  result = pl_pipe_take (&exchange->body, bytes, length, !exchange->streamed);
+  if (exchange->streamed)
+    exchange->event.replayable = false;
+  if (result == 0 && !exchange->body.ended)
+    result = PL_HTTP_PAUSE;
+  if (exchange->streamed)
+    pl_exchange_resume (exchange);
+  g_mutex_unlock (&exchange->lock);
+  return result;
+}
+
+static enum pl_outcome
+outcome_of (const struct attempt *attempt, enum pl_http_end end)
+{
+  if (end == PL_HTTP_NOT_SENT)
+    return PL_OUTCOME_NOT_SENT;
+  if (attempt->exchange->answer_open)
+    return end == PL_HTTP_WHOLE ? PL_OUTCOME_DONE : PL_OUTCOME_TRUNCATED;
+  if (end != PL_HTTP_WHOLE || attempt->wrong_echo)
+    return PL_OUTCOME_BROKEN;
+  if (is_refusal (attempt))
+    return attempt->says_not_run ? PL_OUTCOME_SHED : PL_OUTCOME_BROKEN;
+  return PL_OUTCOME_DONE;
+}
+
+static void
+keep_answer (struct attempt *attempt, struct pl_outcome_event *event)
+{
+  struct pl_exchange *exchange = attempt->exchange;
+  size_t length = pl_pipe_waiting (&exchange->answer);
+
+  if (exchange->answer_open || length > PL_ANSWER_KEPT_MAX)
+    return;
+  event->answer = g_memdup2 (exchange->answer.bytes->data + exchange->answer.taken, length + 1);
+  event->answer_length = length;
+}
+
+static void
+on_done (void *data, enum pl_http_end end, int status)
+{
+  struct attempt *attempt = data;
+  struct pl_exchange *exchange = attempt->exchange;
+  struct pl_outcome_event event = { .request = exchange->id, .attempt = attempt->number };
+
+  g_mutex_lock (&exchange->lock);
+  event.outcome = outcome_of (attempt, end);
+  event.status = status;
+  event.answer_bytes = exchange->answer_seen;
+  if (event.outcome == PL_OUTCOME_DONE)
+    {
+      if (attempt->keep_answer)
+        keep_answer (attempt, &event);
+      if (!exchange->answer_open)
+        open_answer (attempt);
+      exchange->answer.ended = true;
+    }
+  else if (event.outcome == PL_OUTCOME_TRUNCATED)
+    {
+      exchange->answer_cut = true;
+      exchange->answer.ended = true;
+    }
+  else
+    {
+      g_byte_array_set_size (exchange->answer.bytes, 0);
+      exchange->answer.taken = 0;
+    }
+  g_clear_pointer (&exchange->call, pl_http_call_unref);
+  if (exchange->answer_open)
+    pl_exchange_resume (exchange);
+  g_mutex_unlock (&exchange->lock);
+  post_outcome (attempt->entry, &event);
+  pl_exchange_unref (exchange);
+  g_free (attempt);
+}
+
+static const struct pl_http_handler attempt_handler = {on_header, on_write, on_read, on_done};
+
+static GPtrArray *
+make_headers (struct pl_entry *entry, struct pl_exchange *exchange, const struct attempt *attempt,
+              const struct pl_effect *effect)
+{
+  GPtrArray *headers = g_ptr_array_new_with_free_func (g_free);
+  const char *account = effect->u.send_request.account;
+  int64_t left_us = effect->u.send_request.deadline_us - pl_clock_now_us ();
+  g_autofree char *deadline = g_strdup_printf ("%" G_GINT64_FORMAT, MAX (left_us / 1000, 1));
+
+  for (guint i = 0; i < exchange->headers->len; i++)
+    g_ptr_array_add (headers, g_strdup (g_ptr_array_index (exchange->headers, i)));
+  g_ptr_array_add (headers, g_strdup_printf ("%s %s", ECHO_HEADER, attempt->echo));
+  g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Deadline-Ms: %s", deadline));
+  g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Account: %s", account));
+  if (attempt->is_forward)
+    {
+      char mac[65];
+
+      pl_entry_forward_mac (entry, exchange->method, exchange->target, account, deadline, mac);
+      g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Peer: %s", mac));
+      g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Fingerprint: %" G_GUINT64_FORMAT,
+                                                 exchange->event.fingerprint));
+    }
+  g_ptr_array_add (headers, NULL);
+  return headers;
+}
+
+/* Starts the attempt of EFFECT.  The caller holds the exchange's lock. */
+void
+pl_attempt_start (struct pl_entry *entry, struct pl_exchange *exchange,
+                  const struct pl_effect *effect)
+{
+  struct attempt *attempt = g_new0 (struct attempt, 1);
+  g_autofree char *url
+      = g_strdup_printf ("http://%s%s", effect->u.send_request.address, exchange->target);
+  g_autoptr (GPtrArray) headers = NULL;
+  struct pl_http_call_options options = { 0 };
+
+  attempt->entry = entry;
+  attempt->exchange = pl_exchange_ref (exchange);
+  attempt->number = effect->attempt;
+  attempt->is_forward = effect->type == PL_EFFECT_FORWARD;
+  attempt->keep_answer = effect->u.send_request.keep_answer;
+  g_snprintf (attempt->echo, sizeof attempt->echo, "%" G_GUINT64_FORMAT "-%u", exchange->id,
+              effect->attempt);
+  headers = make_headers (entry, exchange, attempt, effect);
+  exchange->attempt = effect->attempt;
+  exchange->answer_length = -1;
+  exchange->answer_seen = 0;
+  if (!exchange->streamed)
+    exchange->body.taken = 0;
+  options.method = exchange->method;
+  options.url = url;
+  options.headers = (const char *const *) headers->pdata;
+  options.body_length = exchange->body_length;
+  options.timeout_us = effect->u.send_request.deadline_us - pl_clock_now_us ();
+  /* libcurl repeats a request on its own when a kept connection fails, so what may run only once
+   * gets a new connection. */
+  options.fresh_connection
+      = effect->u.send_request.fresh_connection || exchange->event.operation[0] != '\0';
+  options.handler = &attempt_handler;
+  options.data = attempt;
+  pl_http_call_unref (exchange->call);
+  exchange->call = pl_http_client_start (entry->options.client, &options);
+}
+
+struct probe
+{
+  struct pl_entry *entry;
+  uint64_t server;
+};
+
+static void
+on_probed (void *data, enum pl_http_end end, int status, const char *text)
+{
+  struct probe *probe = data;
+  struct pl_event event = { .type = PL_EVENT_PROBE };
+  json_t *json = end == PL_HTTP_WHOLE && status == 200 ? json_loads (text, 0, NULL) : NULL;
+
+  event.u.probe.server = probe->server;
+  event.u.probe.answered = json != NULL;
+  event.u.probe.leaving = json_is_true (json_object_get (json, "leaving"));
+  event.u.probe.load = (int) json_integer_value (json_object_get (json, "load"));
+  probe->entry->options.post (probe->entry->options.data, &event);
+  json_decref (json);
+  g_free (probe);
+}
+
+void
+pl_attempt_probe (struct pl_entry *entry, const struct pl_effect *effect)
+{
+  struct probe *probe = g_new0 (struct probe, 1);
+  g_autofree char *url = g_strdup_printf ("http://%s/health", effect->u.send_request.address);
+
+  probe->entry = entry;
+  probe->server = effect->u.send_request.target;
+  pl_http_client_fetch (entry->options.client, "GET", url, NULL, PROBE_TIMEOUT_US, true,
+                        on_probed, probe);
+}
--- /dev/null
+++ b/modules/caller_http.c
@@ -0,0 +1,517 @@
+/* The two ports that take requests, on libmicrohttpd.
+ *
+ * A request passes through three stages: its head is checked and stripped of
+ * the key; its body is gathered when short or streamed when long; it is handed
+ * to the reducer and its connection suspended until there is an answer.  A
+ * suspended connection does not notice that the caller has gone, so a watcher
+ * peeks at the sockets of those that wait.
+ */
+#include "internal/clock.h"
+#include "internal/entry.h"
+#include "internal/keys.h"
+#include "internal/net.h"
+#include "internal/snapshot.h"
+
+#include <arpa/inet.h>
+#include <ck_pr.h>
+#include <errno.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define CONNECTION_MEMORY ((size_t) 64 << 10)
+#define CONNECTION_LIMIT 8192u
+#define CONNECTION_TIMEOUT_S 120u
+#define CALLER_THREADS 2u
+#define ANSWER_BLOCK ((size_t) 64 << 10)
+#define DEADLINE_DEFAULT_MS 60000
+#define DEADLINE_MAX_MS 3600000
+#define LOOKUP_PATH "/pomelolatch/lookup"
+#define LOOKUP_TEXT_MAX 2048
+
+struct port
+{
+  struct pl_entry *entry;
+  bool forwarded;
+};
+
+struct head
+{
+  struct pl_exchange *exchange;
+  const char *key; /* as presented, or NULL */
+  int keys;
+  int lengths;
+  bool chunked;
+  bool is_odd;
+  const char *account;
+  const char *mac;
+  const char *deadline;
+  const char *operation;
+  uint64_t fingerprint;
+};
+
+/* First pass: finds the key and what tells whether the framing is sound. */
+static enum MHD_Result
+scan_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  struct head *head = data;
+
+  (void) kind;
+  if (value == NULL)
+    value = "";
+  if (g_ascii_strcasecmp (name, "Authorization") == 0)
+    {
+      head->keys++;
+      if (g_ascii_strncasecmp (value, "Bearer ", 7) == 0)
+        head->key = value + 7;
+    }
+  else if (g_ascii_strcasecmp (name, "X-Api-Key") == 0)
+    {
+      head->keys++;
+      head->key = value;
+    }
+  else if (g_ascii_strcasecmp (name, "Content-Length") == 0)
+    {
+      head->lengths++;
+      head->is_odd = head->is_odd || value[0] == '\0'
+                     || strspn (value, "0123456789") != strlen (value) || strlen (value) > 18;
+      head->exchange->body_length = strtoll (value, NULL, 10);
+    }
+  else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
+    {
+      head->is_odd = head->is_odd || head->chunked || g_ascii_strcasecmp (value, "chunked") != 0;
+      head->chunked = true;
+    }
+  else if (g_ascii_strcasecmp (name, "Idempotency-Key") == 0)
+    {
+      head->is_odd = head->is_odd || head->operation != NULL;
+      head->operation = value;
+    }
+  else if (g_ascii_strcasecmp (name, "Pomelolatch-Account") == 0)
+    head->account = value;
+  else if (g_ascii_strcasecmp (name, "Pomelolatch-Peer") == 0)
+    head->mac = value;
+  else if (g_ascii_strcasecmp (name, "Pomelolatch-Deadline-Ms") == 0)
+    head->deadline = value;
+  else if (g_ascii_strcasecmp (name, "Pomelolatch-Fingerprint") == 0)
+    head->fingerprint = strtoull (value, NULL, 10);
+  return MHD_YES;
+}
+
+/* Second pass, when the key is known: what may be sent on. */
+static enum MHD_Result
+copy_header (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  struct head *head = data;
+
+  (void) kind;
+  if (value != NULL && pl_key_header_may_pass (name, value, head->key))
+    g_ptr_array_add (head->exchange->headers, g_strdup_printf ("%s: %s", name, value));
+  return MHD_YES;
+}
+
+static void
+refuse_early (struct pl_exchange *exchange, int status, const char *reason)
+{
+  pl_entry_set_refusal (exchange, status, reason, false, false, 0);
+}
+
+static bool
+forward_is_genuine (struct pl_entry *entry, const struct pl_exchange *exchange,
+                    const struct head *head)
+{
+  char mac[65];
+
+  if (head->mac == NULL || head->account == NULL || head->deadline == NULL
+      || strlen (head->mac) != sizeof mac - 1)
+    return false;
+  pl_entry_forward_mac (entry, exchange->method, exchange->raw_target, head->account,
+                        head->deadline, mac);
+  return sodium_memcmp (mac, head->mac, sizeof mac) == 0;
+}
+
+static void
+fill_event (struct pl_exchange *exchange, const struct head *head, bool forwarded)
+{
+  struct pl_request_event *event = &exchange->event;
+  long deadline_ms = head->deadline != NULL ? atol (head->deadline) : DEADLINE_DEFAULT_MS;
+  uint8_t hash[PL_KEY_HASH_BYTES];
+  g_autofree char *print = NULL;
+
+  event->request = exchange->id;
+  event->forwarded = forwarded;
+  event->replayable = true;
+  event->has_key = !forwarded && head->key != NULL;
+  if (event->has_key)
+    pl_key_hash (head->key, strlen (head->key), event->key_hash);
+  if (forwarded)
+    g_strlcpy (event->account, head->account, sizeof event->account);
+  g_strlcpy (event->path, exchange->target, sizeof event->path);
+  event->path[strcspn (event->path, "?")] = '\0';
+  event->deadline_us = pl_clock_now_us () + CLAMP (deadline_ms, 1, DEADLINE_MAX_MS) * 1000;
+  event->body_bytes = MAX (exchange->body_length, 0);
+  if (head->operation != NULL && head->operation[0] != '\0')
+    {
+      crypto_generichash (hash, sizeof hash, (const uint8_t *) head->operation,
+                          strlen (head->operation), NULL, 0);
+      sodium_bin2hex (event->operation, sizeof event->operation, hash, sizeof hash);
+    }
+  print = g_strjoin ("\n", exchange->method, exchange->target, event->operation, NULL);
+  event->fingerprint = XXH3_64bits_withSeed (
+      print, strlen (print), XXH3_64bits (event->key_hash, sizeof event->key_hash));
+  if (forwarded)
+    event->fingerprint = head->fingerprint;
+}
+
+/* Checks the head.  Sets a refusal and returns false when the request can not go on. */
+static bool
+begin (struct port *port, struct pl_exchange *exchange, struct MHD_Connection *connection,
+       const char *method)
+{
+  struct head head = { .exchange = exchange };
+
+  exchange->connection = connection;
+  exchange->method = g_strdup (method);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, scan_header, &head);
+  if (head.lengths > 1 || (head.lengths > 0 && head.chunked) || head.is_odd)
+    {
+      refuse_early (exchange, 400, "malformed-framing-or-repeated-header");
+      return false;
+    }
+  if (head.keys > 1)
+    {
+      refuse_early (exchange, 400, "more-than-one-key");
+      return false;
+    }
+  if (head.chunked)
+    exchange->body_length = -1;
+  if (exchange->body_length > port->entry->options.body_max)
+    {
+      refuse_early (exchange, 413, "body-too-large");
+      return false;
+    }
+  if (port->forwarded && !forward_is_genuine (port->entry, exchange, &head))
+    {
+      refuse_early (exchange, 403, "not-an-entry-host");
+      return false;
+    }
+  if (exchange->raw_target[0] != '/' || strlen (exchange->raw_target) >= 8192)
+    {
+      refuse_early (exchange, 400, "malformed-target");
+      return false;
+    }
+  exchange->target = pl_key_strip_target (exchange->raw_target, head.key);
+  if (exchange->target == NULL)
+    {
+      refuse_early (exchange, 400, "key-in-target");
+      return false;
+    }
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &head);
+  fill_event (exchange, &head, port->forwarded);
+  exchange->streamed
+      = exchange->body_length < 0 || exchange->body_length > (int64_t) PL_BODY_HELD_MAX;
+  return true;
+}
+
+static void
+submit (struct pl_entry *entry, struct pl_exchange *exchange)
+{
+  struct pl_event event = { .type = PL_EVENT_REQUEST };
+
+  exchange->submitted = true;
+  event.u.request = exchange->event;
+  pl_entry_add (entry, exchange);
+  entry->options.post (entry->options.data, &event);
+}
+
+/* Takes in a piece of the body; returns how much of it was taken. */
+static size_t
+take_body (struct pl_entry *entry, struct pl_exchange *exchange, const char *bytes, size_t length)
+{
+  size_t part = length;
+
+  if (exchange->answer_open && !exchange->from_server)
+    return length; /* refused: the rest is read and dropped */
+  if (exchange->streamed)
+    {
+      size_t waiting = pl_pipe_waiting (&exchange->body);
+
+      if (!exchange->submitted)
+        submit (entry, exchange);
+      part = MIN (length, PL_BODY_WINDOW - MIN (waiting, PL_BODY_WINDOW));
+    }
+  exchange->body_seen += (int64_t) part;
+  if (exchange->body_seen > entry->options.body_max)
+    {
+      exchange->body.ended = true;
+      if (exchange->call != NULL)
+        pl_http_call_cancel (exchange->call);
+      pl_entry_set_refusal (exchange, 413, "body-too-large", exchange->attempt > 0,
+                            exchange->attempt > 0, 0);
+      return length;
+    }
+  pl_pipe_add (&exchange->body, bytes, part);
+  if (exchange->call != NULL)
+    pl_http_call_wake (exchange->call);
+  if (part == 0)
+    pl_exchange_suspend (exchange);
+  return part;
+}
+
+static ssize_t
+read_answer (void *data, uint64_t position, char *bytes, size_t length)
+{
+  struct pl_exchange *exchange = data;
+  ssize_t result;
+
+  (void) position;
+  g_mutex_lock (&exchange->lock);
+  result = (ssize_t) pl_pipe_take (&exchange->answer, bytes, length, false);
+  if (result > 0 && exchange->call != NULL)
+    pl_http_call_wake (exchange->call);
+  if (result == 0 && exchange->answer_cut)
+    result = MHD_CONTENT_READER_END_WITH_ERROR;
+  else if (result == 0 && exchange->answer.ended)
+    result = MHD_CONTENT_READER_END_OF_STREAM;
+  else if (result == 0)
+    pl_exchange_suspend (exchange);
+  g_mutex_unlock (&exchange->lock);
+  return result;
+}
+
+static void
+release_exchange (void *data)
+{
+  pl_exchange_unref (data);
+}
+
+static bool
+may_have_body (const struct pl_exchange *exchange)
+{
+  return strcmp (exchange->method, "HEAD") != 0 && exchange->status != 204
+         && exchange->status != 304;
+}
+
+static enum MHD_Result
+queue_answer (struct pl_exchange *exchange, struct MHD_Connection *connection)
+{
+  uint64_t size = MHD_SIZE_UNKNOWN;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (exchange->answer.ended && !exchange->answer_cut)
+    size = pl_pipe_waiting (&exchange->answer);
+  else if (exchange->answer_length >= 0)
+    size = (uint64_t) exchange->answer_length;
+  if (may_have_body (exchange))
+    response = MHD_create_response_from_callback (size, ANSWER_BLOCK, read_answer,
+                                                  pl_exchange_ref (exchange), release_exchange);
+  else
+    response = MHD_create_response_from_buffer (0, NULL, MHD_RESPMEM_PERSISTENT);
+  for (guint i = 0; i < exchange->answer_headers->len; i++)
+    {
+      const char *line = g_ptr_array_index (exchange->answer_headers, i);
+      const char *colon = strchr (line, ':');
+      g_autofree char *name = g_strndup (line, (gsize) (colon - line));
+
+      MHD_add_response_header (response, name, colon + 1 + strspn (colon + 1, " "));
+    }
+  result = MHD_queue_response (connection, (unsigned) exchange->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+answer_lookup (struct pl_entry *entry, struct MHD_Connection *connection)
+{
+  const char *client = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "client");
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
+  struct in_addr address = ((const struct sockaddr_in *) info->client_addr)->sin_addr;
+  uint32_t salt = (uint32_t) ck_pr_faa_64 (&entry->next_id, 1);
+  struct pl_lookup_answer answer = { 0 };
+  const struct pl_lookup *lookup;
+  GString *text = g_string_sized_new (LOOKUP_TEXT_MAX);
+  struct MHD_Response *response;
+  enum MHD_Result result;
+  unsigned status = MHD_HTTP_OK;
+
+  if (client != NULL && inet_pton (AF_INET, client, &address) != 1)
+    status = MHD_HTTP_BAD_REQUEST;
+  lookup = pl_snapshot_begin ();
+  if (lookup != NULL)
+    pl_lookup_answer (lookup, ntohl (address.s_addr), salt, &answer);
+  if (answer.count == 0 && status == MHD_HTTP_OK)
+    status = MHD_HTTP_SERVICE_UNAVAILABLE;
+  g_string_printf (text, "{\"ttl_ms\":%" G_GINT64_FORMAT ",\"hosts\":[",
+                   lookup != NULL ? lookup->ttl_us / 1000 : 0);
+  for (int i = 0; i < answer.count; i++)
+    g_string_append_printf (text, "%s{\"name\":\"%s\",\"domain\":\"%s\",\"address\":\"%s\"}",
+                            i > 0 ? "," : "", answer.names[i], answer.domains[i],
+                            answer.addresses[i]);
+  pl_snapshot_end ();
+  g_string_append (text, "]}\n");
+  response = MHD_create_response_from_buffer (text->len, text->str, MHD_RESPMEM_MUST_COPY);
+  MHD_add_response_header (response, "Content-Type", "application/json");
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  g_string_free (text, TRUE);
+  return result;
+}
+
+/* All of the body is here: hands the request over, or answers when there is an answer. */
+static enum MHD_Result
+advance (struct pl_entry *entry, struct pl_exchange *exchange, struct MHD_Connection *connection)
+{
+  exchange->body.ended = true;
+  if (exchange->answer_open)
+    return queue_answer (exchange, connection);
+  if (exchange->call != NULL)
+    pl_http_call_wake (exchange->call);
+  /* Suspended before the reducer can know of it: a resume finds the connection suspended. */
+  pl_exchange_suspend (exchange);
+  if (!exchange->submitted)
+    submit (entry, exchange);
+  return MHD_YES;
+}
+
+static enum MHD_Result
+on_request (void *data, struct MHD_Connection *connection, const char *url, const char *method,
+            const char *version, const char *upload, size_t *upload_size, void **context)
+{
+  struct port *port = data;
+  struct pl_exchange *exchange = *context;
+  enum MHD_Result result = MHD_YES;
+
+  (void) version;
+  g_mutex_lock (&exchange->lock);
+  if (!exchange->begun)
+    {
+      exchange->begun = true;
+      if (!port->forwarded && strcmp (url, LOOKUP_PATH) == 0)
+        result = answer_lookup (port->entry, connection);
+      else if (!begin (port, exchange, connection, method))
+        result = queue_answer (exchange, connection);
+    }
+  else if (*upload_size > 0)
+    *upload_size -= take_body (port->entry, exchange, upload, *upload_size);
+  else
+    result = advance (port->entry, exchange, connection);
+  g_mutex_unlock (&exchange->lock);
+  return result;
+}
+
+static void *
+on_target (void *data, const char *target, struct MHD_Connection *connection)
+{
+  struct port *port = data;
+  struct pl_exchange *exchange = pl_exchange_new (ck_pr_faa_64 (&port->entry->next_id, 1) + 1);
+
+  (void) connection;
+  exchange->raw_target = g_strdup (target);
+  return exchange;
+}
+
+static void
+tell_caller_gone (struct pl_entry *entry, uint64_t id)
+{
+  struct pl_event event = { .type = PL_EVENT_CALLER_GONE };
+
+  event.u.progress.request = id;
+  entry->options.post (entry->options.data, &event);
+}
+
+static void
+on_completed (void *data, struct MHD_Connection *connection, void **context,
+              enum MHD_RequestTerminationCode code)
+{
+  struct port *port = data;
+  struct pl_exchange *exchange = *context;
+  struct pl_http_call *call = NULL;
+  bool open;
+
+  (void) connection;
+  (void) code;
+  if (exchange == NULL)
+    return;
+  g_mutex_lock (&exchange->lock);
+  exchange->caller_done = true;
+  exchange->connection = NULL;
+  exchange->suspended = false;
+  exchange->body.ended = true;
+  open = exchange->submitted && !exchange->answer.ended;
+  call = exchange->call;
+  if (call != NULL)
+    pl_http_call_wake (call);
+  g_mutex_unlock (&exchange->lock);
+  if (open)
+    tell_caller_gone (port->entry, exchange->id);
+  pl_entry_remove (port->entry, exchange->id);
+  pl_exchange_unref (exchange);
+  *context = NULL;
+}
+
+static bool
+peer_has_closed (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+/* Tells the reducer of callers that closed while they waited. */
+void
+pl_callers_watch (struct pl_entry *entry)
+{
+  g_autoptr (GPtrArray) all = pl_entry_list (entry);
+
+  for (guint i = 0; i < all->len; i++)
+    {
+      struct pl_exchange *exchange = g_ptr_array_index (all, i);
+      bool gone = false;
+
+      g_mutex_lock (&exchange->lock);
+      if (exchange->suspended && exchange->connection != NULL && !exchange->caller_done)
+        gone = peer_has_closed (exchange->connection);
+      if (gone && !exchange->answer_open)
+        {
+          /* The connection has to be resumed to be closed; nobody reads this. */
+          pl_entry_set_refusal (exchange, 503, "caller-gone", exchange->attempt > 0,
+                                exchange->attempt > 0, 0);
+          exchange->answer.ended = false;
+          exchange->answer_cut = true;
+        }
+      if (gone)
+        pl_exchange_resume (exchange);
+      g_mutex_unlock (&exchange->lock);
+    }
+}
+
+struct MHD_Daemon *
+pl_callers_start (struct pl_entry *entry, const char *address, bool forwarded)
+{
+  struct port *port = g_new0 (struct port, 1); /* lives as long as the process */
+  struct sockaddr_in listen_address;
+  int fd;
+
+  port->entry = entry;
+  port->forwarded = forwarded;
+  if (pl_net_parse (address, &listen_address) < 0)
+    return NULL;
+  fd = pl_net_listen (&listen_address);
+  if (fd < 0)
+    return NULL;
+  return MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, port,
+      MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE, CALLER_THREADS,
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, port, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      port, MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
+      CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
+      MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+}
--- /dev/null
+++ b/modules/http_client.c
@@ -0,0 +1,402 @@
+/* One libcurl multi handle on one thread.
+ *
+ * Other threads hand over commands (start, wake, cancel) through a locked queue
+ * and wake the thread.  A call is counted by reference, one of them held by the
+ * thread until done() has been called, so that no command reaches a freed call.
+ *
+ * libcurl silently sends a request again when a kept connection turns out to be
+ * dead.  What must not be sent twice therefore asks for a connection of its own.
+ */
+#include "internal/http_client.h"
+
+#include <curl/curl.h>
+#include <pthread.h>
+#include <string.h>
+
+#define CONNECT_TIMEOUT_MS 1000L
+#define CONNECTION_LIFE_S 60L
+#define CONNECTION_IDLE_S 20L
+#define CONNECTIONS_KEPT 1024L
+#define POLL_MS 200
+
+enum command_type
+{
+  COMMAND_START,
+  COMMAND_WAKE,
+  COMMAND_CANCEL,
+};
+
+struct command
+{
+  enum command_type type;
+  struct pl_http_call *call; /* one reference */
+};
+
+struct pl_http_call
+{
+  int references;
+  struct pl_http_client *client;
+  CURL *easy;
+  struct curl_slist *headers;
+  const struct pl_http_handler *handler;
+  void *data;
+  bool running; /* on the thread only, as all below */
+  bool answered;
+  bool paused;
+};
+
+struct pl_http_client
+{
+  CURLM *multi;
+  pthread_t thread;
+  GMutex lock;
+  GQueue commands; /* of struct command */
+  GHashTable *running; /* of struct pl_http_call; on the thread only */
+  bool stopping;
+};
+
+void
+pl_http_call_unref (struct pl_http_call *call)
+{
+  if (call == NULL || !g_atomic_int_dec_and_test (&call->references))
+    return;
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  g_free (call);
+}
+
+static size_t
+on_header (char *line, size_t size, size_t count, void *data)
+{
+  struct pl_http_call *call = data;
+
+  call->answered = true;
+  if (call->handler->header != NULL)
+    call->handler->header (call->data, line, size * count);
+  return size * count;
+}
+
+static size_t
+on_write (char *bytes, size_t size, size_t count, void *data)
+{
+  struct pl_http_call *call = data;
+  size_t result = size * count;
+
+  if (call->handler->write != NULL)
+    result = call->handler->write (call->data, bytes, size * count);
+  call->paused = call->paused || result == PL_HTTP_PAUSE;
+  return result == PL_HTTP_PAUSE ? CURL_WRITEFUNC_PAUSE : result;
+}
+
+static size_t
+on_read (char *bytes, size_t size, size_t count, void *data)
+{
+  struct pl_http_call *call = data;
+  size_t result = 0;
+
+  if (call->handler->read != NULL)
+    result = call->handler->read (call->data, bytes, size * count);
+  call->paused = call->paused || result == PL_HTTP_PAUSE;
+  return result == PL_HTTP_PAUSE ? CURL_READFUNC_PAUSE : result;
+}
+
+static void
+finish_call (struct pl_http_call *call, CURLcode code)
+{
+  enum pl_http_end end = PL_HTTP_WHOLE;
+  long status = 0;
+  long sent = 0;
+
+  call->running = false;
+  curl_multi_remove_handle (call->client->multi, call->easy);
+  g_hash_table_remove (call->client->running, call);
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
+  if (code != CURLE_OK)
+    end = call->answered ? PL_HTTP_CUT : sent > 0 ? PL_HTTP_NO_ANSWER : PL_HTTP_NOT_SENT;
+  call->handler->done (call->data, end, (int) status);
+  pl_http_call_unref (call);
+}
+
+static void
+run_command (struct pl_http_client *client, struct command *command)
+{
+  struct pl_http_call *call = command->call;
+
+  switch (command->type)
+    {
+    case COMMAND_START:
+      call->running = true;
+      g_atomic_int_inc (&call->references);
+      g_hash_table_add (client->running, call);
+      curl_multi_add_handle (client->multi, call->easy);
+      break;
+    case COMMAND_WAKE:
+      if (call->running && call->paused)
+        {
+          call->paused = false;
+          curl_easy_pause (call->easy, CURLPAUSE_CONT);
+        }
+      break;
+    case COMMAND_CANCEL:
+      if (call->running)
+        finish_call (call, CURLE_ABORTED_BY_CALLBACK);
+      break;
+    }
+  pl_http_call_unref (call);
+}
+
+/* Returns false when the client is stopping. */
+static bool
+run_commands (struct pl_http_client *client)
+{
+  GQueue taken;
+  struct command *command;
+  bool stopping;
+
+  g_mutex_lock (&client->lock);
+  taken = client->commands;
+  g_queue_init (&client->commands);
+  stopping = client->stopping;
+  g_mutex_unlock (&client->lock);
+  while ((command = g_queue_pop_head (&taken)) != NULL)
+    {
+      run_command (client, command);
+      g_free (command);
+    }
+  return !stopping;
+}
+
+static void
+reap (struct pl_http_client *client)
+{
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct pl_http_call *call;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **) &call);
+      finish_call (call, message->data.result);
+    }
+}
+
+static void *
+client_thread (void *data)
+{
+  struct pl_http_client *client = data;
+  GList *left;
+  int running;
+
+  while (run_commands (client))
+    {
+      curl_multi_perform (client->multi, &running);
+      reap (client);
+      curl_multi_poll (client->multi, NULL, 0, POLL_MS, NULL);
+    }
+  left = g_hash_table_get_keys (client->running);
+  for (GList *at = left; at != NULL; at = at->next)
+    finish_call (at->data, CURLE_ABORTED_BY_CALLBACK);
+  g_list_free (left);
+  return NULL;
+}
+
+struct pl_http_client *
+pl_http_client_new (const char *name)
+{
+  struct pl_http_client *client = g_new0 (struct pl_http_client, 1);
+
+  client->multi = curl_multi_init ();
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTIONS_KEPT);
+  g_mutex_init (&client->lock);
+  g_queue_init (&client->commands);
+  client->running = g_hash_table_new (NULL, NULL);
+  pthread_create (&client->thread, NULL, client_thread, client);
+  pthread_setname_np (client->thread, name);
+  return client;
+}
+
+void
+pl_http_client_free (struct pl_http_client *client)
+{
+  struct command *command;
+
+  if (client == NULL)
+    return;
+  g_mutex_lock (&client->lock);
+  client->stopping = true;
+  g_mutex_unlock (&client->lock);
+  curl_multi_wakeup (client->multi);
+  pthread_join (client->thread, NULL);
+  while ((command = g_queue_pop_head (&client->commands)) != NULL)
+    {
+      if (command->type == COMMAND_START)
+        command->call->handler->done (command->call->data, PL_HTTP_NOT_SENT, 0);
+      pl_http_call_unref (command->call);
+      g_free (command);
+    }
+  g_hash_table_destroy (client->running);
+  curl_multi_cleanup (client->multi);
+  g_mutex_clear (&client->lock);
+  g_free (client);
+}
+
+static void
+send_command (struct pl_http_call *call, enum command_type type)
+{
+  struct pl_http_client *client = call->client;
+  struct command *command = g_new0 (struct command, 1);
+
+  command->type = type;
+  command->call = call;
+  g_atomic_int_inc (&call->references);
+  g_mutex_lock (&client->lock);
+  g_queue_push_tail (&client->commands, command);
+  g_mutex_unlock (&client->lock);
+  curl_multi_wakeup (client->multi);
+}
+
+void
+pl_http_call_wake (struct pl_http_call *call)
+{
+  send_command (call, COMMAND_WAKE);
+}
+
+void
+pl_http_call_cancel (struct pl_http_call *call)
+{
+  send_command (call, COMMAND_CANCEL);
+}
+
+static void
+set_body (struct pl_http_call *call, const struct pl_http_call_options *options)
+{
+  if (options->body_length == 0 && strcmp (options->method, "GET") == 0)
+    return;
+  if (options->body_length == 0 && strcmp (options->method, "HEAD") == 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L);
+      return;
+    }
+  curl_easy_setopt (call->easy, CURLOPT_UPLOAD, 1L);
+  if (options->body_length >= 0)
+    curl_easy_setopt (call->easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t) options->body_length);
+}
+
+struct pl_http_call *
+pl_http_client_start (struct pl_http_client *client, const struct pl_http_call_options *options)
+{
+  struct pl_http_call *call = g_new0 (struct pl_http_call, 1);
+
+  call->references = 1;
+  call->client = client;
+  call->handler = options->handler;
+  call->data = options->data;
+  call->easy = curl_easy_init ();
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  for (const char *const *header = options->headers; header != NULL && *header != NULL; header++)
+    call->headers = curl_slist_append (call->headers, *header);
+  set_body (call, options);
+  curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, options->method);
+  curl_easy_setopt (call->easy, CURLOPT_URL, options->url);
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (call->easy, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEFUNCTION, on_write);
+  curl_easy_setopt (call->easy, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_READFUNCTION, on_read);
+  curl_easy_setopt (call->easy, CURLOPT_READDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
+  curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http");
+  curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (call->easy, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (call->easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_LIFE_S);
+  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
+  curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
+                    (long) MAX (options->timeout_us / 1000, INT64_C (1)));
+  if (options->fresh_connection)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  send_command (call, COMMAND_START);
+  return call;
+}
+
+struct fetch
+{
+  GString *answer;
+  char *body;
+  size_t body_length;
+  size_t body_read;
+  pl_http_text_function done;
+  void *data;
+};
+
+#define FETCH_ANSWER_MAX ((size_t) 64 << 20)
+
+static size_t
+fetch_write (void *data, const char *bytes, size_t length)
+{
+  struct fetch *fetch = data;
+
+  if (fetch->answer->len + length > FETCH_ANSWER_MAX)
+    return 0;
+  g_string_append_len (fetch->answer, bytes, (gssize) length);
+  return length;
+}
+
+static size_t
+fetch_read (void *data, char *bytes, size_t length)
+{
+  struct fetch *fetch = data;
+  size_t part = MIN (length, fetch->body_length - fetch->body_read);
+
+  memcpy (bytes, fetch->body + fetch->body_read, part);
+  fetch->body_read += part;
+  return part;
+}
+
+static void
+fetch_done (void *data, enum pl_http_end end, int status)
+{
+  struct fetch *fetch = data;
+
+  fetch->done (fetch->data, end, status, fetch->answer->str);
+  g_string_free (fetch->answer, TRUE);
+  g_free (fetch->body);
+  g_free (fetch);
+}
+
+static const struct pl_http_handler fetch_handler = {NULL, fetch_write, fetch_read, fetch_done};
+
+void
+pl_http_client_fetch (struct pl_http_client *client, const char *method, const char *url,
+                      const char *body, int64_t timeout_us, bool fresh_connection,
+                      pl_http_text_function done, void *data)
+{
+  struct fetch *fetch = g_new0 (struct fetch, 1);
+  struct pl_http_call_options options = {
+    .method = method,
+    .url = url,
+    .timeout_us = timeout_us,
+    .fresh_connection = fresh_connection,
+    .handler = &fetch_handler,
+    .data = fetch,
+  };
+
+  fetch->answer = g_string_new (NULL);
+  fetch->body = g_strdup (body != NULL ? body : "");
+  fetch->body_length = strlen (fetch->body);
+  fetch->done = done;
+  fetch->data = data;
+  options.body_length = (int64_t) fetch->body_length;
+  pl_http_call_unref (pl_http_client_start (client, &options));
+}
--- /dev/null
+++ b/modules/settings.c
@@ -0,0 +1,44 @@
+/* Settings are one mapping, checked by the same tables as releases. */
+#include "internal/settings.h"
+
+#include <stdio.h>
+
+json_t *
+pl_settings_read (const char *file, const struct pl_field *fields)
+{
+  struct pl_findings *findings = pl_findings_new (file);
+  const struct pl_place whole = { 0, 0 };
+  g_autofree char *text = NULL;
+  g_autofree char *list = NULL;
+  GError *error = NULL;
+  json_t *settings = NULL;
+  gsize length;
+
+  if (!g_file_get_contents (file, &text, &length, &error))
+    {
+      pl_findings_add (findings, whole, "%s", error->message);
+      g_error_free (error);
+    }
+  else
+    settings = pl_schema_read_text (text, length, fields, findings);
+  list = pl_findings_format (findings);
+  fputs (list, stderr);
+  pl_findings_free (findings);
+  return settings;
+}
+
+const char *
+pl_settings_text (const json_t *settings, const char *field, const char *fallback)
+{
+  const char *text = json_string_value (json_object_get (settings, field));
+
+  return text != NULL ? text : fallback;
+}
+
+int64_t
+pl_settings_number (const json_t *settings, const char *field, int64_t fallback)
+{
+  json_t *value = json_object_get (settings, field);
+
+  return value != NULL ? json_integer_value (value) : fallback;
+}
