Operators program, load tool and deployment script

Cause: operators had only curl, and nothing measured the path.

Change: pomelolatch (release check, apply, status, history; report by layout files; key hash), pomelolatch-load (open loop, latency from the due time, fault script, history, CSV, plot), tools/deployment.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 CFLAGS += -std=c11 -O2 -g -Wall -Wextra -Wshadow -Wno-missing-field-initializers
 CFLAGS += $(SANITIZE)
 LDFLAGS += $(SANITIZE)
-PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) $(EDGE_PACKAGES) check)
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) $(EDGE_PACKAGES) check cairo)
 LIB_LIBS := $(shell pkg-config --libs $(PACKAGES))
 EDGE_LIBS := $(shell pkg-config --libs $(EDGE_PACKAGES)) -pthread -lm
 CHECK_LIBS := $(shell pkg-config --libs check)
@@ -22,6 +22,7 @@
 BENCHES := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
 
 LIB_OBJECTS := $(LIB_SOURCES:%.c=$(BUILD)/%.o)
+OPERATOR_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/operator/*.c))
 STANDIN_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/standin/*.c))
 LOAD_OBJECTS := $(patsubst %.c,$(BUILD)/%.o,$(wildcard programs/load/*.c))
 EDGE_OBJECTS := $(EDGE_SOURCES:%.c=$(BUILD)/%.o)
@@ -42,8 +43,10 @@
 $(PROGRAMS): $(BUILD)/%: $(BUILD)/programs/%.o $(EDGE_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(EDGE_LIBS) $(LIB_LIBS)
 
+$(BUILD)/pomelolatch: $(OPERATOR_OBJECTS)
 $(BUILD)/pomelolatch-standin: $(STANDIN_OBJECTS)
 $(BUILD)/pomelolatch-load: $(LOAD_OBJECTS)
+$(BUILD)/pomelolatch-load: EDGE_LIBS += $(shell pkg-config --libs cairo)
 
 # The library links without HTTP, RPC or threads of its own.
 $(EXAMPLES): $(BUILD)/%: $(BUILD)/examples/%.o $(LIBRARY)
--- a/core/core_report.c
+++ b/core/core_report.c
@@ -114,10 +114,11 @@
       const struct pl_server_config *config = PL_SERVER (core->config, server->index);
 
       json_object_set_new (servers, config->name,
-                           json_pack ("{s:i,s:b,s:b,s:b,s:I}", "in_flight", server->in_flight,
-                                      "down", server->down, "leaving", server->leaving,
-                                      "draining", config->draining, "served",
-                                      (json_int_t) server->served));
+                           json_pack ("{s:i,s:b,s:b,s:b,s:I,s:I}", "in_flight",
+                                      server->in_flight, "down", server->down, "leaving",
+                                      server->leaving, "draining", config->draining, "served",
+                                      (json_int_t) server->served, "drain_us",
+                                      (json_int_t) server->drain_us));
     }
   return servers;
 }
@@ -177,6 +178,17 @@
       core->slot_held, "stopping", core->stopping, "waiting", core->waiting_count, "active",
       core->active_count);
 
+  if (core->self != PL_NONE)
+    {
+      const struct pl_domain_config *domain
+          = PL_DOMAIN (core->config, PL_HOST (core->config, core->self)->domain);
+
+      json_object_set_new (report, "domain", json_string (domain->name));
+      json_object_set_new (
+          report, "region",
+          json_string (g_ptr_array_index (core->config->region_names, domain->region)));
+    }
+  json_object_set_new (report, "up_us", json_integer (now_us - core->options.now_us));
   json_object_set_new (report, "accounts", report_accounts (core));
   json_object_set_new (report, "routes", report_routes (core));
   json_object_set_new (report, "services", report_services (core));
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -75,8 +75,8 @@
 void
 requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal)
 {
-  bool unrepeatable = request->route.service != PL_NONE && !request->route.repeatable
-                      && !request->event.forwarded && request->service != 0;
+  bool unrepeatable = request->service != 0 && !request->route.repeatable
+                      && !request->event.forwarded && request->event.operation[0] != '\0';
   struct pl_effect *effect;
 
   if (request->account != NULL)
--- a/core/core_servers.c
+++ b/core/core_servers.c
@@ -39,6 +39,23 @@
   return limit;
 }
 
+/* Notes when a server began to drain and when the last request there ended. */
+static void
+note_drain (struct pl_core *core, struct server_state *server)
+{
+  bool draining = server->leaving || server_config (core, server)->draining;
+
+  if (!draining)
+    server->drain_from_us = 0;
+  else if (server->drain_from_us == 0)
+    {
+      server->drain_from_us = core->now_us;
+      server->drain_us = -1;
+    }
+  if (draining && server->in_flight == 0 && server->drain_us < 0)
+    server->drain_us = core->now_us - server->drain_from_us;
+}
+
 static bool
 is_usable (const struct pl_core *core, const struct server_state *server)
 {
@@ -218,6 +235,7 @@
       struct server_state *server = g_ptr_array_index (core->server_order, i);
       int64_t period = server->down ? PROBE_DOWN_PERIOD_US : PROBE_PERIOD_US;
 
+      note_drain (core, server);
       if (core->now_us - server->probed_at_us >= period)
         probe (core, server);
     }
--- a/core/schema.c
+++ b/core/schema.c
@@ -268,6 +268,33 @@
   return object;
 }
 
+json_t *
+pl_schema_read_list (yaml_document_t *document, yaml_node_t *node, const struct pl_field *fields,
+                     json_t *places, struct pl_findings *findings)
+{
+  json_t *list = json_array ();
+
+  if (node->type != YAML_SEQUENCE_NODE)
+    {
+      pl_findings_add (findings, pl_schema_place (node), "a list is expected here");
+      return list;
+    }
+  for (yaml_node_item_t *item = node->data.sequence.items.start;
+       item < node->data.sequence.items.top; item++)
+    {
+      yaml_node_t *entry = yaml_document_get_node (document, *item);
+      struct pl_place place = pl_schema_place (entry);
+      json_t *object = pl_schema_read_mapping (document, entry, fields, false, NULL, findings);
+
+      if (object == NULL)
+        continue;
+      json_array_append_new (list, object);
+      if (places != NULL)
+        json_array_append_new (places, json_pack ("[i,i]", place.line, place.column));
+    }
+  return list;
+}
+
 yaml_node_t *
 pl_schema_lookup (yaml_document_t *document, yaml_node_t *node, const char *key)
 {
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -53,6 +53,8 @@
   int reported_load;
   int64_t shed_until_us;
   int64_t warm_from_us; /* when it was last found up after being new or down */
+  int64_t drain_from_us; /* 0: it does not drain */
+  int64_t drain_us;      /* how long the last drain took; -1: under way */
   int64_t probed_at_us;
   bool probe_open;
   uint64_t served;
--- a/include/pomelolatch/schema.h
+++ b/include/pomelolatch/schema.h
@@ -61,6 +61,13 @@
 json_t *pl_schema_read_text (const char *text, size_t length, const struct pl_field *fields,
                              struct pl_findings *findings);
 
+/* Reads NODE as a list of mappings by FIELDS.  Returns a new JSON array that the caller owns; what
+ * is malformed is left out with findings added.  PLACES, when not NULL, receives [line, column] of
+ * each entry. */
+json_t *pl_schema_read_list (yaml_document_t *document, yaml_node_t *node,
+                             const struct pl_field *fields, json_t *places,
+                             struct pl_findings *findings);
+
 struct pl_place pl_schema_place (const yaml_node_t *node);
 
 /* Returns the value of KEY in the mapping NODE, or NULL. */
--- /dev/null
+++ b/programs/load/tally.c
@@ -0,0 +1,196 @@
+/* Figures of a run, account by account.
+ *
+ * Whether a request came inside its account's rate is judged by a bucket of the
+ * account's rate and burst over all callers together: the oracle that the
+ * hosts' split budgets are measured against.
+ */
+#include "load.h"
+
+#include <cairo.h>
+#include <math.h>
+
+#define PLOT_WIDTH 900
+#define PLOT_HEIGHT 500
+#define PLOT_MARGIN 60
+
+bool
+load_tally_arrive (struct load_tally *tally, int64_t now_us)
+{
+  double rate = tally->account->rate;
+
+  if (tally->offered == 0)
+    {
+      tally->tokens = tally->account->burst;
+      tally->filled_at_us = now_us;
+    }
+  tally->offered++;
+  tally->tokens += rate * (double) (now_us - tally->filled_at_us) / 1e6;
+  tally->tokens = MIN (tally->tokens, tally->account->burst);
+  tally->filled_at_us = now_us;
+  if (tally->tokens < 1.0)
+    return false;
+  tally->tokens -= 1.0;
+  tally->inside++;
+  return true;
+}
+
+static void
+count_reason (struct load_tally *tally, const char *reason)
+{
+  for (int i = 0; i < LOAD_REASONS_MAX; i++)
+    {
+      if (tally->reasons[i] == NULL)
+        tally->reasons[i] = reason;
+      if (tally->reasons[i] != reason)
+        continue;
+      tally->reason_counts[i]++;
+      return;
+    }
+}
+
+void
+load_tally_add (struct load_tally *tally, const struct load_result *result)
+{
+  if (result->wrong)
+    tally->wrong++;
+  if (result->served)
+    {
+      tally->served++;
+      tally->served_inside += result->inside;
+      pl_histogram_add (&tally->latency, result->latency_us);
+      return;
+    }
+  tally->refused_inside += result->inside;
+  count_reason (tally, result->reason);
+}
+
+static double
+part (uint64_t count, uint64_t whole)
+{
+  return whole > 0 ? (double) count / (double) whole : 1.0;
+}
+
+void
+load_tally_print (const struct load_tally *tallies, guint count, double seconds, FILE *out)
+{
+  struct pl_histogram all = { 0 };
+  double worst = 1.0;
+  double sum = 0;
+  uint64_t inside = 0;
+  uint64_t refused = 0;
+  uint64_t served = 0;
+  uint64_t wrong = 0;
+
+  fprintf (out, "%-14s %8s %8s %8s %8s %8s %9s %8s %8s  %s\n", "account", "offered", "inside",
+           "served", "ref.in", "wrong", "served/s", "p50 ms", "p99 ms", "refused for");
+  for (guint i = 0; i < count; i++)
+    {
+      const struct load_tally *tally = &tallies[i];
+      double fair = part (tally->served_inside, tally->inside);
+
+      fprintf (out, "%-14s %8lu %8lu %8lu %8lu %8lu %9.1f %8.1f %8.1f ", tally->account->name,
+               tally->offered, tally->inside, tally->served, tally->refused_inside, tally->wrong,
+               (double) tally->served / seconds,
+               (double) pl_histogram_quantile (&tally->latency, 0.5) / 1e3,
+               (double) pl_histogram_quantile (&tally->latency, 0.99) / 1e3);
+      for (int j = 0; j < LOAD_REASONS_MAX && tally->reasons[j] != NULL; j++)
+        fprintf (out, " %s:%lu", tally->reasons[j], tally->reason_counts[j]);
+      fprintf (out, "\n");
+      pl_histogram_merge (&all, &tally->latency);
+      worst = MIN (worst, fair);
+      sum += fair;
+      inside += tally->inside;
+      refused += tally->refused_inside;
+      served += tally->served;
+      wrong += tally->wrong;
+    }
+  fprintf (out,
+           "all: served %.1f/s, refused inside rate %.4f%%, worst-served account %.4f of the "
+           "mean, wrong answers %lu, p50 %.1f ms, p99 %.1f ms\n",
+           (double) served / seconds, 100.0 * part (refused, inside) * (inside > 0),
+           sum > 0 ? worst / (sum / count) : 1.0, wrong,
+           (double) pl_histogram_quantile (&all, 0.5) / 1e3,
+           (double) pl_histogram_quantile (&all, 0.99) / 1e3);
+}
+
+void
+load_tally_write_csv (const struct load_tally *tallies, guint count, const char *label,
+                      const char *file)
+{
+  FILE *out = fopen (file, "a");
+
+  if (out == NULL)
+    {
+      perror (file);
+      return;
+    }
+  if (ftell (out) == 0)
+    fprintf (out, "label,account,offered,inside,served,refused_inside,wrong,p50_us,p99_us\n");
+  for (guint i = 0; i < count; i++)
+    fprintf (out, "%s,%s,%lu,%lu,%lu,%lu,%lu,%ld,%ld\n", label, tallies[i].account->name,
+             tallies[i].offered, tallies[i].inside, tallies[i].served, tallies[i].refused_inside,
+             tallies[i].wrong, pl_histogram_quantile (&tallies[i].latency, 0.5),
+             pl_histogram_quantile (&tallies[i].latency, 0.99));
+  fclose (out);
+}
+
+/* Latency on a logarithmic scale of 0.1 ms to 100 s. */
+static double
+plot_y (int64_t latency_us)
+{
+  double height = PLOT_HEIGHT - 2 * PLOT_MARGIN;
+  double decades = log10 (MAX ((double) latency_us, 100.0) / 100.0);
+
+  return PLOT_HEIGHT - PLOT_MARGIN - height * MIN (decades / 6.0, 1.0);
+}
+
+static void
+plot_axes (cairo_t *cairo)
+{
+  static const char *const labels[] = {"0.1 ms", "1 ms", "10 ms", "100 ms", "1 s", "10 s", "100 s"};
+  int64_t latency_us = 100;
+
+  cairo_set_source_rgb (cairo, 1, 1, 1);
+  cairo_paint (cairo);
+  cairo_set_line_width (cairo, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (labels); i++, latency_us *= 10)
+    {
+      cairo_set_source_rgb (cairo, 0.85, 0.85, 0.85);
+      cairo_move_to (cairo, PLOT_MARGIN, plot_y (latency_us));
+      cairo_line_to (cairo, PLOT_WIDTH - PLOT_MARGIN, plot_y (latency_us));
+      cairo_stroke (cairo);
+      cairo_set_source_rgb (cairo, 0, 0, 0);
+      cairo_move_to (cairo, 8, plot_y (latency_us) + 4);
+      cairo_show_text (cairo, labels[i]);
+    }
+  cairo_move_to (cairo, PLOT_WIDTH / 2 - 80, PLOT_HEIGHT - 20);
+  cairo_show_text (cairo, "part of requests served within (0 to 1)");
+}
+
+void
+load_tally_plot (const struct load_tally *tallies, guint count, const char *file)
+{
+  cairo_surface_t *surface
+      = cairo_image_surface_create (CAIRO_FORMAT_RGB24, PLOT_WIDTH, PLOT_HEIGHT);
+  cairo_t *cairo = cairo_create (surface);
+  double width = PLOT_WIDTH - 2 * PLOT_MARGIN;
+
+  plot_axes (cairo);
+  for (guint i = 0; i < count; i++)
+    {
+      double hue = (double) i / count;
+
+      cairo_set_source_rgb (cairo, fabs (cos (hue * 6)) * 0.8, fabs (sin (hue * 5)) * 0.7,
+                            fabs (cos (hue * 3 + 1)) * 0.9);
+      for (int step = 1; step <= 1000; step++)
+        cairo_line_to (cairo, PLOT_MARGIN + width * step / 1000,
+                       plot_y (pl_histogram_quantile (&tallies[i].latency, step / 1000.0)));
+      cairo_stroke (cairo);
+      cairo_move_to (cairo, PLOT_MARGIN + 10, PLOT_MARGIN + 14.0 * i);
+      cairo_show_text (cairo, tallies[i].account->name);
+    }
+  if (cairo_surface_write_to_png (surface, file) != CAIRO_STATUS_SUCCESS)
+    fprintf (stderr, "can not write %s\n", file);
+  cairo_destroy (cairo);
+  cairo_surface_destroy (surface);
+}
