--- a/Makefile
+++ b/Makefile
@@ -58,6 +58,8 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(EDGE_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(EDGE_LIBS) $(LIB_LIBS)
 
+$(BUILD)/tests/test_fuzz: $(BUILD)/tests/fleet.o
+
 tests: $(TESTS)
 
 bench: $(BENCHES) all
@@ -75,7 +77,7 @@
 	clang-format --dry-run -Werror $(FORMATTED)
 
 tidy:
-	clang-tidy --quiet $(filter %.c,$(FORMATTED)) -- $(CPPFLAGS) -std=c11 $(PKG_CFLAGS)
+	printf '%s\n' $(filter %.c,$(FORMATTED)) | xargs -P 6 -I{} clang-tidy --quiet {} -- $(CPPFLAGS) -std=c11 $(PKG_CFLAGS)
 
 # The peer protocol's codec, committed so that a build needs no generator.
 generate:
--- a/core/budget.c
+++ b/core/budget.c
@@ -49,7 +49,7 @@
 static int64_t
 amount_over (int64_t rate, int64_t span_us)
 {
-  return (int64_t) ((__int128) rate * span_us / US_PER_S);
+  return (int64_t)((__int128)rate * span_us / US_PER_S);
 }
 
 static void
@@ -188,7 +188,7 @@
 
   if (span < DEMAND_WINDOW_US)
     return;
-  seen = (int64_t) ((__int128) budget->demand_seen * US_PER_S / span);
+  seen = (int64_t)((__int128)budget->demand_seen * US_PER_S / span);
   if (seen > budget->demand)
     budget->demand = seen;
   else
@@ -276,7 +276,7 @@
 pl_budget_lend (struct pl_budget *budget, uint64_t peer, int64_t amount, uint64_t acked,
                 int64_t now_us)
 {
-  struct pl_grant grant = { 0, 0, 0 };
+  struct pl_grant grant = {0, 0, 0};
   int64_t surplus;
 
   close_loans (budget, peer, acked);
@@ -284,8 +284,8 @@
   surplus = surplus_now (budget, now_us);
   if (amount > 0 && surplus > 0)
     {
-      struct pl_loan loan = { peer, budget->next_number + 1, min64 (amount, surplus),
-                              now_us + PL_LOAN_OPEN_US };
+      struct pl_loan loan
+          = {peer, budget->next_number + 1, min64 (amount, surplus), now_us + PL_LOAN_OPEN_US};
 
       if (enter_lent (budget, &loan))
         {
@@ -311,7 +311,7 @@
   if (budget->lender_count == PL_LENDERS_MAX)
     return NULL;
   lender = &budget->lenders[budget->lender_count++];
-  *lender = (struct pl_lender){ peer, 0, 0 };
+  *lender = (struct pl_lender){peer, 0, 0};
   return lender;
 }
 
@@ -333,7 +333,7 @@
   settle (budget, now_us);
   if (asked_us + PL_LOAN_TERM_US <= now_us)
     return PL_ERR_EXPIRED;
-  loan = (struct pl_loan){ peer, grant->number, grant->amount, asked_us + PL_LOAN_TERM_US };
+  loan = (struct pl_loan){peer, grant->number, grant->amount, asked_us + PL_LOAN_TERM_US};
   return enter_borrowed (budget, &loan) ? PL_OK : PL_ERR_FULL;
 }
 
--- a/core/config.c
+++ b/core/config.c
@@ -62,16 +62,15 @@
   const char *kind;
   json_t *entries;
 
-  json_object_foreach ((json_t *) document, kind, entries)
-    {
-      const char *name;
-      json_t *entry;
-      int next = 0;
-
-      json_object_foreach (entries, name, entry)
-        g_hash_table_insert (indices, g_strdup_printf ("%s/%s", kind, name),
-                             GINT_TO_POINTER (next++));
-    }
+  json_object_foreach ((json_t *)document, kind, entries)
+  {
+    const char *name;
+    json_t *entry;
+    int next = 0;
+
+    json_object_foreach (entries, name, entry) g_hash_table_insert (
+        indices, g_strdup_printf ("%s/%s", kind, name), GINT_TO_POINTER (next++));
+  }
   return indices;
 }
 
@@ -82,35 +81,33 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "regions"), name, entry)
-    g_ptr_array_add (config->region_names, (gpointer) name);
+      g_ptr_array_add (config->region_names, (gpointer)name);
   json_object_foreach (json_object_get (config->document, "domains"), name, entry)
-    {
-      struct pl_domain_config domain = { name, index_of (indices, "regions", entry, "region"),
-                                         false };
+  {
+    struct pl_domain_config domain = {name, index_of (indices, "regions", entry, "region"), false};
 
-      g_array_append_val (config->domains, domain);
-    }
+    g_array_append_val (config->domains, domain);
+  }
   json_object_foreach (json_object_get (config->document, "links"), name, entry)
-    {
-      struct pl_link_config link = { name, pl_id_of ("links", name),
-                                     index_of (indices, "regions", entry, "from"),
-                                     index_of (indices, "regions", entry, "to"),
-                                     number_of (entry, "bytes_per_second", 1) };
+  {
+    struct pl_link_config link
+        = {name, pl_id_of ("links", name), index_of (indices, "regions", entry, "from"),
+           index_of (indices, "regions", entry, "to"), number_of (entry, "bytes_per_second", 1)};
 
-      g_array_append_val (config->links, link);
-    }
+    g_array_append_val (config->links, link);
+  }
   json_object_foreach (json_object_get (config->document, "entry_hosts"), name, entry)
-    {
-      struct pl_host_config host = { name,
-                                     pl_id_of ("entry_hosts", name),
-                                     index_of (indices, "domains", entry, "domain"),
-                                     text_of (entry, "caller"),
-                                     text_of (entry, "peer"),
-                                     text_of (entry, "forward"),
-                                     false };
-
-      g_array_append_val (config->hosts, host);
-    }
+  {
+    struct pl_host_config host = {name,
+                                  pl_id_of ("entry_hosts", name),
+                                  index_of (indices, "domains", entry, "domain"),
+                                  text_of (entry, "caller"),
+                                  text_of (entry, "peer"),
+                                  text_of (entry, "forward"),
+                                  false};
+
+    g_array_append_val (config->hosts, host);
+  }
 }
 
 static void
@@ -120,26 +117,26 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "services"), name, entry)
-    {
-      struct pl_service_config service = { name, pl_id_of ("services", name) };
+  {
+    struct pl_service_config service = {name, pl_id_of ("services", name)};
 
-      g_array_append_val (config->services, service);
-    }
+    g_array_append_val (config->services, service);
+  }
   json_object_foreach (json_object_get (config->document, "servers"), name, entry)
-    {
-      struct pl_server_config server = { name,
-                                         pl_id_of ("servers", name),
-                                         index_of (indices, "services", entry, "service"),
-                                         index_of (indices, "domains", entry, "domain"),
-                                         text_of (entry, "address"),
-                                         (int) number_of (entry, "slots", 1),
-                                         false };
-
-      g_array_append_val (config->servers, server);
-    }
+  {
+    struct pl_server_config server = {name,
+                                      pl_id_of ("servers", name),
+                                      index_of (indices, "services", entry, "service"),
+                                      index_of (indices, "domains", entry, "domain"),
+                                      text_of (entry, "address"),
+                                      (int)number_of (entry, "slots", 1),
+                                      false};
+
+    g_array_append_val (config->servers, server);
+  }
   json_object_foreach (json_object_get (config->document, "routes"), name, entry)
-    {
-      struct pl_route_config route = {
+  {
+    struct pl_route_config route = {
         name,
         text_of (entry, "path"),
         index_of (indices, "services", entry, "service"),
@@ -149,10 +146,10 @@
         number_of (entry, "deadline_ms", DEFAULT_DEADLINE_MS) * US_PER_MS,
         number_of (entry, "silence_ms", DEFAULT_SILENCE_MS) * US_PER_MS,
         number_of (entry, "stale_limit_ms", DEFAULT_STALE_LIMIT_MS) * US_PER_MS,
-      };
+    };
 
-      g_array_append_val (config->routes, route);
-    }
+    g_array_append_val (config->routes, route);
+  }
 }
 
 static void
@@ -162,21 +159,21 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "accounts"), name, entry)
-    {
-      struct pl_account_config account = { name, pl_id_of ("accounts", name),
-                                           number_of (entry, "rate", 1),
-                                           number_of (entry, "burst", 1) };
+  {
+    struct pl_account_config account
+        = {name, pl_id_of ("accounts", name), number_of (entry, "rate", 1),
+           number_of (entry, "burst", 1)};
 
-      g_array_append_val (config->accounts, account);
-    }
+    g_array_append_val (config->accounts, account);
+  }
   json_object_foreach (json_object_get (config->document, "keys"), name, entry)
-    {
-      struct pl_key_config key = { .account = index_of (indices, "accounts", entry, "account") };
-      const char *hash = text_of (entry, "hash");
+  {
+    struct pl_key_config key = {.account = index_of (indices, "accounts", entry, "account")};
+    const char *hash = text_of (entry, "hash");
 
-      if (sodium_hex2bin (key.hash, sizeof key.hash, hash, strlen (hash), NULL, NULL, NULL) == 0)
-        g_array_append_val (config->keys, key);
-    }
+    if (sodium_hex2bin (key.hash, sizeof key.hash, hash, strlen (hash), NULL, NULL, NULL) == 0)
+      g_array_append_val (config->keys, key);
+  }
 }
 
 static void
@@ -186,18 +183,18 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "drains"), name, entry)
-    {
-      int server = index_of (indices, "servers", entry, "server");
-      int domain = index_of (indices, "domains", entry, "domain");
-      int host = index_of (indices, "entry_hosts", entry, "entry_host");
-
-      if (server != PL_NONE)
-        PL_SERVER (config, server)->draining = true;
-      if (domain != PL_NONE)
-        PL_DOMAIN (config, domain)->draining = true;
-      if (host != PL_NONE)
-        PL_HOST (config, host)->draining = true;
-    }
+  {
+    int server = index_of (indices, "servers", entry, "server");
+    int domain = index_of (indices, "domains", entry, "domain");
+    int host = index_of (indices, "entry_hosts", entry, "entry_host");
+
+    if (server != PL_NONE)
+      PL_SERVER (config, server)->draining = true;
+    if (domain != PL_NONE)
+      PL_DOMAIN (config, domain)->draining = true;
+    if (host != PL_NONE)
+      PL_HOST (config, host)->draining = true;
+  }
   for (guint i = 0; i < config->servers->len; i++)
     if (PL_DOMAIN (config, PL_SERVER (config, i)->domain)->draining)
       PL_SERVER (config, i)->draining = true;
@@ -210,17 +207,17 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "blocks"), name, entry)
-    {
-      struct pl_block_config block = { 0 };
-      g_auto (GStrv) parts = g_strsplit (text_of (entry, "prefix"), "/", 2);
-      struct in_addr address = { 0 };
-
-      inet_pton (AF_INET, parts[0], &address);
-      block.address = ntohl (address.s_addr);
-      block.bits = (uint8_t) atoi (parts[1]);
-      block.domain = (uint16_t) index_of (indices, "domains", entry, "domain");
-      g_array_append_val (config->blocks, block);
-    }
+  {
+    struct pl_block_config block = {0};
+    g_auto (GStrv) parts = g_strsplit (text_of (entry, "prefix"), "/", 2);
+    struct in_addr address = {0};
+
+    inet_pton (AF_INET, parts[0], &address);
+    block.address = ntohl (address.s_addr);
+    block.bits = (uint8_t)atoi (parts[1]);
+    block.domain = (uint16_t)index_of (indices, "domains", entry, "domain");
+    g_array_append_val (config->blocks, block);
+  }
 }
 
 static guint
@@ -301,7 +298,7 @@
 {
   for (guint i = 0; i < config->hosts->len; i++)
     if (PL_HOST (config, i)->id == id)
-      return (int) i;
+      return (int)i;
   return PL_NONE;
 }
 
@@ -322,7 +319,7 @@
       if (path[length] == '\0' || path[length] == '/' || candidate[length - 1] == '/')
         {
           longest = length;
-          found = (int) i;
+          found = (int)i;
         }
     }
   return found;
@@ -333,7 +330,7 @@
 {
   for (guint i = 0; i < config->accounts->len; i++)
     if (strcmp (PL_ACCOUNT (config, i)->name, name) == 0)
-      return (int) i;
+      return (int)i;
   return PL_NONE;
 }
 
@@ -350,7 +347,7 @@
 {
   for (guint i = 0; i < config->links->len; i++)
     if (PL_LINK (config, i)->from == from_region && PL_LINK (config, i)->to == to_region)
-      return (int) i;
+      return (int)i;
   return PL_NONE;
 }
 
@@ -373,9 +370,9 @@
   if (host == PL_NONE)
     return 0;
   for (guint i = 0; i < config->domains->len; i++)
-    if (pl_config_count_hosts (config, (int) i) > 0)
+    if (pl_config_count_hosts (config, (int)i) > 0)
       domains_with_hosts++;
-  return (int64_t) domains_with_hosts
+  return (int64_t)domains_with_hosts
          * pl_config_count_hosts (config, PL_HOST (config, host)->domain);
 }
 
@@ -393,7 +390,7 @@
       if (region != ends->from && region != ends->to)
         continue;
       count++;
-      if ((int) i == host)
+      if ((int)i == host)
         holds = true;
     }
   return holds ? count : 0;
--- a/core/core_budgets.c
+++ b/core/core_budgets.c
@@ -31,7 +31,7 @@
 static int64_t
 part_of (int64_t total, int64_t parts)
 {
-  return parts > 0 ? (int64_t) ((__int128) total * PL_MICRO / parts) : 0;
+  return parts > 0 ? (int64_t)((__int128)total * PL_MICRO / parts) : 0;
 }
 
 void
@@ -81,8 +81,7 @@
 static void
 init_budget (struct pl_core *core, struct pl_budget *budget)
 {
-  int64_t from_us = (core->switches & PL_SWITCH_NO_FENCE) != 0 ? core->now_us
-                                                               : core->mint_from_us;
+  int64_t from_us = (core->switches & PL_SWITCH_NO_FENCE) != 0 ? core->now_us : core->mint_from_us;
 
   pl_budget_init (budget, core->incarnation & UINT32_MAX, from_us);
 }
@@ -96,10 +95,10 @@
 
   g_hash_table_iter_init (&iter, core->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    init_budget (core, &((struct account_state *) value)->budget);
+    init_budget (core, &((struct account_state *)value)->budget);
   g_hash_table_iter_init (&iter, core->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    init_budget (core, &((struct link_state *) value)->budget);
+    init_budget (core, &((struct link_state *)value)->budget);
   budgets_set_parts (core);
 }
 
@@ -150,14 +149,14 @@
 
   g_hash_table_iter_init (&iter, core->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct account_state *) value)->index = PL_NONE;
+    ((struct account_state *)value)->index = PL_NONE;
   g_hash_table_iter_init (&iter, core->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct link_state *) value)->index = PL_NONE;
+    ((struct link_state *)value)->index = PL_NONE;
   for (guint i = 0; i < core->config->accounts->len; i++)
-    adopt_account (core, (int) i);
+    adopt_account (core, (int)i);
   for (guint i = 0; i < core->config->links->len; i++)
-    adopt_link (core, (int) i);
+    adopt_link (core, (int)i);
   budgets_set_parts (core);
 }
 
@@ -177,7 +176,7 @@
 budgets_on_ask (struct pl_core *core, const struct pl_message *message)
 {
   const struct pl_loan_message *ask = &message->u.loans;
-  struct pl_message reply = { .type = PL_MESSAGE_GRANT };
+  struct pl_message reply = {.type = PL_MESSAGE_GRANT};
 
   reply.u.loans.asked_us = ask->asked_us;
   reply.u.loans.nonce = ask->nonce;
@@ -191,7 +190,7 @@
       if (budget == NULL || item->amount < 0)
         continue;
       grant = pl_budget_lend (budget, message->from, item->amount, item->number, core->now_us);
-      *answer = (struct pl_loan_item){ item->budget, grant.number, grant.amount, grant.surplus };
+      *answer = (struct pl_loan_item){item->budget, grant.number, grant.amount, grant.surplus};
       reply.u.loans.count++;
     }
   if (reply.u.loans.count > 0)
@@ -209,8 +208,8 @@
   for (int i = 0; i < loans->count; i++)
     {
       struct pl_budget *budget = find_budget (core, loans->items[i].budget);
-      struct pl_grant grant = { loans->items[i].number, loans->items[i].amount,
-                                loans->items[i].surplus };
+      struct pl_grant grant
+          = {loans->items[i].number, loans->items[i].amount, loans->items[i].surplus};
 
       if (budget != NULL)
         pl_budget_receive (budget, message->from, &grant, loans->asked_us, core->now_us);
@@ -262,7 +261,7 @@
       eligible++;
       total += MAX (pl_budget_surplus_of (budget, lenders->members[i]->id), 0);
     }
-  for (int i = 0; i < lenders->count; i++)
+  for (int i = 0; i < lenders->count && eligible > 0; i++)
     {
       int64_t surplus = MAX (pl_budget_surplus_of (budget, lenders->members[i]->id), 0);
       int64_t amount = want / eligible + 1;
@@ -271,12 +270,12 @@
       if (!is_eligible[i])
         continue;
       if (total > 0)
-        amount = amount / 4 + (int64_t) ((__int128) want * surplus / total);
+        amount = amount / 4 + (int64_t)((__int128)want * surplus / total);
       ask = &message_for (core, lenders, i)->u.loans;
       if (ask->count == PL_LOAN_ITEMS_MAX)
         continue;
-      ask->items[ask->count++] = (struct pl_loan_item){
-        id, pl_budget_acked (budget, lenders->members[i]->id), amount, 0};
+      ask->items[ask->count++]
+          = (struct pl_loan_item){id, pl_budget_acked (budget, lenders->members[i]->id), amount, 0};
     }
 }
 
@@ -300,13 +299,13 @@
 static int64_t
 backlog_of (const struct account_state *account)
 {
-  return (int64_t) account->waiting.length * PL_MICRO;
+  return (int64_t)account->waiting.length * PL_MICRO;
 }
 
 void
 budgets_ask (struct pl_core *core)
 {
-  struct lender_list lenders = { 0 };
+  struct lender_list lenders = {0};
   GHashTableIter iter;
   gpointer value;
 
--- a/core/core_control.c
+++ b/core/core_control.c
@@ -61,12 +61,12 @@
   json_t *change;
 
   json_array_foreach (changes, i, change)
-    {
-      const char *kind = json_string_value (json_object_get (change, "kind"));
+  {
+    const char *kind = json_string_value (json_object_get (change, "kind"));
 
-      if (strcmp (kind, "entry_hosts") == 0 || strcmp (kind, "domains") == 0)
-        return true;
-    }
+    if (strcmp (kind, "entry_hosts") == 0 || strcmp (kind, "domains") == 0)
+      return true;
+  }
   return false;
 }
 
@@ -79,13 +79,22 @@
   json_t *after = pl_release_apply (before, release, findings);
 
   if (after != NULL)
-    json_object_set_new (after, "hosts_version",
-                         json_integer (changes_hosts (release->changes) ? version
-                                                                        : core->hosts_version));
+    json_object_set_new (
+        after, "hosts_version",
+        json_integer (changes_hosts (release->changes) ? version : core->hosts_version));
   json_decref (before);
   return after;
 }
 
+/* Returns whether VERSION may take the place of what is in force. */
+static bool
+may_adopt (const struct pl_core *core, int64_t version)
+{
+  if ((core->switches & PL_SWITCH_DEAF) != 0 && core->config != NULL)
+    return false;
+  return version > pl_core_version (core);
+}
+
 /* Puts DOCUMENT in force as VERSION, which must be higher than the one in force. */
 void
 control_adopt (struct pl_core *core, json_t *document, int64_t version)
@@ -95,14 +104,14 @@
   json_t *new_blocks = json_object_get (document, "blocks");
   int64_t hosts_version = json_integer_value (json_object_get (document, "hosts_version"));
 
-  assert (version > pl_core_version (core));
+  assert (may_adopt (core, version));
   if (core->config != NULL)
     old_blocks = json_object_get (core->config->document, "blocks");
   if (core->blocks == NULL || !json_equal (old_blocks, new_blocks))
     {
       pl_blocks_unref (core->blocks);
-      core->blocks = pl_blocks_new ((struct pl_block_config *) config->blocks->data,
-                                    config->blocks->len);
+      core->blocks
+          = pl_blocks_new ((struct pl_block_config *)config->blocks->data, config->blocks->len);
     }
   pl_config_unref (core->config);
   core->config = config;
@@ -122,8 +131,8 @@
 static void
 log_release (struct pl_core *core, int64_t version, const json_t *release)
 {
-  g_ptr_array_add (core->release_log, json_pack ("{s:I,s:O}", "version", (json_int_t) version,
-                                                 "release", (json_t *) release));
+  g_ptr_array_add (core->release_log, json_pack ("{s:I,s:O}", "version", (json_int_t)version,
+                                                 "release", (json_t *)release));
   if (core->release_log->len > LOG_KEPT)
     g_ptr_array_remove_index (core->release_log, 0);
 }
@@ -137,7 +146,7 @@
   struct pl_release *release;
   json_t *document = NULL;
 
-  if (version != pl_core_version (core) + 1)
+  if (version != pl_core_version (core) + 1 || !may_adopt (core, version))
     return PL_ERR_STALE;
   release = pl_release_from_json (json_object_get (entry, "release"));
   if (release == NULL)
@@ -161,7 +170,7 @@
   int64_t version = json_integer_value (json_object_get (snapshot, "version"));
   json_t *document = json_object_get (snapshot, "document");
 
-  if (version <= pl_core_version (core))
+  if (!may_adopt (core, version))
     return PL_ERR_STALE;
   if (!json_is_object (document))
     return PL_ERR_INVALID;
@@ -174,16 +183,16 @@
 void
 control_send_releases (struct pl_core *core, uint64_t peer, int64_t held)
 {
-  struct pl_message message = { .type = PL_MESSAGE_RELEASE };
+  struct pl_message message = {.type = PL_MESSAGE_RELEASE};
   json_t *snapshot;
   int64_t first;
 
   if (pl_core_version (core) <= held)
     return;
-  first = pl_core_version (core) - (int64_t) core->release_log->len + 1;
+  first = pl_core_version (core) - (int64_t)core->release_log->len + 1;
   if (first <= held + 1)
     {
-      for (guint i = (guint) (held + 1 - first); i < core->release_log->len; i++)
+      for (guint i = (guint)(held + 1 - first); i < core->release_log->len; i++)
         {
           const json_t *entry = g_ptr_array_index (core->release_log, i);
 
@@ -194,7 +203,7 @@
         }
       return;
     }
-  snapshot = json_pack ("{s:I,s:O}", "version", (json_int_t) pl_core_version (core), "document",
+  snapshot = json_pack ("{s:I,s:O}", "version", (json_int_t)pl_core_version (core), "document",
                         core->config->document);
   message.type = PL_MESSAGE_SNAPSHOT;
   message.u.document.version = pl_core_version (core);
@@ -209,7 +218,7 @@
 {
   json_t *json;
 
-  if (message->u.document.text == NULL || message->u.document.version <= pl_core_version (core))
+  if (message->u.document.text == NULL || !may_adopt (core, message->u.document.version))
     return;
   json = json_loads (message->u.document.text, 0, NULL);
   if (message->type == PL_MESSAGE_RELEASE)
@@ -238,8 +247,8 @@
 }
 
 static void
-release_answer (struct pl_core *core, struct pending_release *pending, int result,
-                int64_t version, struct pl_findings *findings)
+release_answer (struct pl_core *core, struct pending_release *pending, int result, int64_t version,
+                struct pl_findings *findings)
 {
   struct pl_effect *effect = core_add_effect (core, PL_EFFECT_RELEASED);
 
@@ -262,7 +271,7 @@
   json_t *json = pl_release_to_json (pending->release);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
 
-  crypto_generichash (hash, sizeof hash, (unsigned char *) text, strlen (text), NULL, 0);
+  crypto_generichash (hash, sizeof hash, (unsigned char *)text, strlen (text), NULL, 0);
   sodium_bin2hex (pending->digest, sizeof pending->digest, hash, sizeof hash);
   free (text);
   json_decref (json);
@@ -322,8 +331,7 @@
 }
 
 static void
-on_found (struct pl_core *core, struct pending_release *pending,
-          const struct pl_store_event *event)
+on_found (struct pl_core *core, struct pending_release *pending, const struct pl_store_event *event)
 {
   if (event->result == PL_OK)
     release_answer (core, pending,
@@ -348,7 +356,7 @@
   switch (event->result)
     {
     case PL_OK:
-      entry = json_pack ("{s:I,s:o}", "version", (json_int_t) event->version, "release",
+      entry = json_pack ("{s:I,s:o}", "version", (json_int_t)event->version, "release",
                          pl_release_to_json (pending->release));
       adopt_release (core, entry);
       json_decref (entry);
@@ -373,7 +381,7 @@
 pending_by_store_ticket (struct pl_core *core, uint64_t ticket)
 {
   for (GList *at = core->releases.head; at != NULL; at = at->next)
-    if (((struct pending_release *) at->data)->store_ticket == ticket)
+    if (((struct pending_release *)at->data)->store_ticket == ticket)
       return at->data;
   return NULL;
 }
@@ -427,8 +435,7 @@
   core->store_read_at_us = core->now_us;
   if (event->snapshot != NULL)
     adopt_snapshot (core, event->snapshot);
-  json_array_foreach (event->releases, i, entry)
-    adopt_release (core, entry);
+  json_array_foreach (event->releases, i, entry) adopt_release (core, entry);
   if (pl_core_version (core) > version_before)
     push_news (core);
   if (event->confirmed_version != core->confirmed_version)
--- a/core/core_peers.c
+++ b/core/core_peers.c
@@ -43,6 +43,7 @@
     }
 }
 
+/* Requests that would run if there were a slot; those that wait for tokens take no headroom. */
 static int
 waiting_for (const struct pl_core *core, uint64_t service)
 {
@@ -53,8 +54,12 @@
       const struct account_state *account = g_ptr_array_index (core->account_order, i);
 
       for (const GList *at = account->waiting.head; at != NULL; at = at->next)
-        if (((const struct request *) at->data)->service == service)
-          waiting++;
+        {
+          const struct request *request = at->data;
+
+          if (request->service == service && request->lacks_place)
+            waiting++;
+        }
     }
   return waiting;
 }
@@ -62,23 +67,22 @@
 void
 peers_heartbeat (struct pl_core *core)
 {
-  struct pl_message message = { .type = PL_MESSAGE_HEARTBEAT };
+  struct pl_message message = {.type = PL_MESSAGE_HEARTBEAT};
   struct pl_heartbeat *heartbeat = &message.u.heartbeat;
   guint services = 0;
 
   heartbeat->version = pl_core_version (core);
-  heartbeat->store_age_us
-      = core->store_read_at_us < 0 ? -1 : core->now_us - core->store_read_at_us;
+  heartbeat->store_age_us = core->store_read_at_us < 0 ? -1 : core->now_us - core->store_read_at_us;
   heartbeat->leaving = core->stopping;
   if (core->config != NULL)
-    services = MIN (core->config->services->len, (guint) PL_SERVICES_MAX);
+    services = MIN (core->config->services->len, (guint)PL_SERVICES_MAX);
   for (guint i = 0; i < services; i++)
     {
       struct pl_service_load *load = &heartbeat->services[heartbeat->service_count++];
 
       load->service = PL_SERVICE (core->config, i)->id;
       load->waiting = waiting_for (core, load->service);
-      load->free_slots = servers_free_slots (core, (int) i) - load->waiting;
+      load->free_slots = servers_free_slots (core, (int)i) - load->waiting;
     }
   peers_broadcast (core, &message);
 }
@@ -114,23 +118,29 @@
   core->self = pl_config_find_host (core->config, core->id);
   g_hash_table_iter_init (&iter, core->members);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct member *) value)->index = PL_NONE;
+    {
+      struct member *member = value;
+
+      /* Services may have other indices now; counts by service start anew. */
+      memset (member->by_service, 0, sizeof member->by_service);
+      memset (member->at_heartbeat, 0, sizeof member->at_heartbeat);
+      member->index = PL_NONE;
+    }
   for (guint i = 0; i < core->config->hosts->len; i++)
-    if ((int) i != core->self)
-      take_member (core, PL_HOST (core->config, i)->id)->index = (int) i;
+    if ((int)i != core->self)
+      take_member (core, PL_HOST (core->config, i)->id)->index = (int)i;
 }
 
 static void
 on_heartbeat (struct pl_core *core, struct member *member, const struct pl_heartbeat *heartbeat)
 {
-  struct pl_message want = { .type = PL_MESSAGE_WANT_RELEASES };
+  struct pl_message want = {.type = PL_MESSAGE_WANT_RELEASES};
 
   member->heartbeat = *heartbeat;
   member->heartbeat.service_count = CLAMP (heartbeat->service_count, 0, PL_SERVICES_MAX);
-  memset (member->forwarded_since, 0, sizeof member->forwarded_since);
+  memcpy (member->at_heartbeat, member->by_service, sizeof member->at_heartbeat);
   if (heartbeat->store_age_us >= 0)
-    core->store_read_at_us
-        = MAX (core->store_read_at_us, core->now_us - heartbeat->store_age_us);
+    core->store_read_at_us = MAX (core->store_read_at_us, core->now_us - heartbeat->store_age_us);
   if (heartbeat->version > pl_core_version (core))
     {
       want.u.document.version = pl_core_version (core);
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -15,33 +15,34 @@
 #include <assert.h>
 #include <string.h>
 
-#define QUEUE_MAX 64         /* requests of one account */
-#define WAITING_MAX 1024     /* requests of all accounts */
-#define SCAN_MAX 16          /* requests looked at in one account's turn */
-#define ATTEMPTS_MAX 4
+#define QUEUE_MAX 64     /* requests of one account */
+#define WAITING_MAX 1024 /* requests of all accounts */
+#define SCAN_MAX 16      /* requests looked at in one account's turn */
+#define ATTEMPTS_MAX 6
 #define SWEEP_PERIOD_US (20 * PL_US_PER_MS)
 #define TOKEN_WAIT_US (600 * PL_US_PER_MS)
 #define PLACE_WAIT_US (3 * PL_US_PER_S)
 #define FORWARDED_WAIT_US (60 * PL_US_PER_MS)
 #define CLAIM_WAIT_US (3 * PL_US_PER_S)
 #define MEMBER_SILENCE_EXTRA_US (500 * PL_US_PER_MS)
+#define RETRY_PAUSE_US (100 * PL_US_PER_MS)
 #define RETRY_TOKENS_MAX 20.0
 #define RETRY_TOKENS_PER_REQUEST 0.1
 
 const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT] = {
-  [PL_REFUSAL_NO_CONFIG] = {"no-configuration", 503, 500},
-  [PL_REFUSAL_NO_ROUTE] = {"no-route", 404, 0},
-  [PL_REFUSAL_NO_KEY] = {"no-key", 401, 0},
-  [PL_REFUSAL_STALE] = {"cut-off-too-long", 503, 1000},
-  [PL_REFUSAL_QUARANTINED] = {"quarantined", 422, 0},
-  [PL_REFUSAL_NO_OPERATION] = {"idempotency-key-required", 400, 0},
-  [PL_REFUSAL_OVER_RATE] = {"over-rate", 429, 1000},
-  [PL_REFUSAL_QUEUE_FULL] = {"queue-full", 429, 1000},
-  [PL_REFUSAL_NO_SERVER] = {"no-server-free", 503, 500},
-  [PL_REFUSAL_DEADLINE] = {"deadline", 504, 0},
-  [PL_REFUSAL_LOST] = {"answer-lost", 502, 0},
-  [PL_REFUSAL_REPEATED] = {"repeated", 409, 500},
-  [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
+    [PL_REFUSAL_NO_CONFIG] = {"no-configuration", 503, 500},
+    [PL_REFUSAL_NO_ROUTE] = {"no-route", 404, 0},
+    [PL_REFUSAL_NO_KEY] = {"no-key", 401, 0},
+    [PL_REFUSAL_STALE] = {"cut-off-too-long", 503, 1000},
+    [PL_REFUSAL_QUARANTINED] = {"quarantined", 422, 0},
+    [PL_REFUSAL_NO_OPERATION] = {"idempotency-key-required", 400, 0},
+    [PL_REFUSAL_OVER_RATE] = {"over-rate", 429, 1000},
+    [PL_REFUSAL_QUEUE_FULL] = {"queue-full", 429, 1000},
+    [PL_REFUSAL_NO_SERVER] = {"no-server-free", 503, 500},
+    [PL_REFUSAL_DEADLINE] = {"deadline", 504, 0},
+    [PL_REFUSAL_LOST] = {"answer-lost", 502, 0},
+    [PL_REFUSAL_REPEATED] = {"repeated", 409, 500},
+    [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
 };
 
 static void
@@ -75,7 +76,8 @@
 void
 requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal)
 {
-  bool unrepeatable = request->service != 0 && !request->route.repeatable
+  /* Without a configuration or a route nothing says that the work may be repeated. */
+  bool unrepeatable = (request->service == 0 || !request->route.repeatable)
                       && !request->event.forwarded && request->event.operation[0] != '\0';
   struct pl_effect *effect;
 
@@ -90,8 +92,7 @@
       effect->valid_until_us = INT64_MAX;
       effect->u.refuse.refusal = refusal;
       effect->u.refuse.attempt_ran = request->may_have_run;
-      effect->u.refuse.operation_ran
-          = request->may_have_run || (unrepeatable && !request->claimed);
+      effect->u.refuse.operation_ran = request->may_have_run || (unrepeatable && !request->claimed);
       effect->u.refuse.retry_after_ms = pl_refusals[refusal].retry_after_ms;
     }
   if (request->claimed && !request->may_have_run)
@@ -201,7 +202,7 @@
   refusal = check_arrival (core, request);
   if (refusal >= 0)
     {
-      requests_refuse (core, request, (enum pl_refusal) refusal);
+      requests_refuse (core, request, (enum pl_refusal)refusal);
       return;
     }
   if (request->event.deadline_us > core->now_us + request->route.deadline_us)
@@ -211,8 +212,8 @@
 }
 
 static void
-fill_send (struct pl_core *core, struct request *request, struct pl_effect *effect,
-           uint64_t target, const char *address)
+fill_send (struct pl_core *core, struct request *request, struct pl_effect *effect, uint64_t target,
+           const char *address)
 {
   request->attempt++;
   request->attempts++;
@@ -251,10 +252,8 @@
 
   request->state = REQUEST_AT_MEMBER;
   request->member = member;
-  member->forwarded++;
   member->used_at_us = core->now_us;
-  if (request->route.service < PL_SERVICES_MAX)
-    member->forwarded_since[request->route.service]++;
+  steering_count (member, request->route.service, 1);
   fill_send (core, request, effect, member->id,
              PL_HOST (core->config, member->index)->forward_address);
 }
@@ -264,6 +263,7 @@
   START_DONE,      /* it left the queue, one way or another */
   START_NO_TOKENS, /* nothing of this account can start */
   START_NO_PLACE,  /* nothing for this service can start */
+  START_LATER,     /* this one can not start yet, others may */
 };
 
 /* Indices change from one configuration to the next.  Returns false when the service is gone. */
@@ -276,7 +276,7 @@
   request->route.service = PL_NONE;
   for (guint i = 0; i < core->config->services->len; i++)
     if (PL_SERVICE (core->config, i)->id == request->service)
-      request->route.service = (int) i;
+      request->route.service = (int)i;
   return request->route.service != PL_NONE;
 }
 
@@ -333,9 +333,11 @@
   if (refusal >= 0)
     {
       dequeue (core, request);
-      requests_refuse (core, request, (enum pl_refusal) refusal);
+      requests_refuse (core, request, (enum pl_refusal)refusal);
       return START_DONE;
     }
+  if (core->now_us < request->not_before_us)
+    return START_LATER;
   if (!request->paid && !request->event.forwarded && account_is_over (core, request->account))
     return START_NO_TOKENS;
   server = servers_choose (core, request);
@@ -383,11 +385,14 @@
       if (skip)
         continue;
       result = try_start (core, request);
+      if (result != START_DONE)
+        request->lacks_place = result == START_NO_PLACE;
       if (result == START_DONE)
         return true;
       if (result == START_NO_TOKENS)
         return false;
-      blocked[blocked_count++] = request->service;
+      if (result == START_NO_PLACE)
+        blocked[blocked_count++] = request->service;
     }
   return false;
 }
@@ -418,8 +423,10 @@
   enqueue (core, request, true);
 }
 
+/* An attempt that certainly did not run may always be made again, but one that took another's
+ * time (was shed) waits a while once the retry budget is spent. */
 static bool
-may_retry (struct pl_core *core, const struct request *request, bool certain)
+may_retry (struct pl_core *core, struct request *request, bool certain, bool costs_nothing)
 {
   if (request->cancelled && core->now_us >= request->event.deadline_us)
     return false;
@@ -427,18 +434,21 @@
     return false;
   if (!certain && (!request->route.repeatable || !request->event.replayable))
     return false;
-  if ((core->switches & PL_SWITCH_NO_RETRY_BUDGET) != 0)
+  if (costs_nothing || (core->switches & PL_SWITCH_NO_RETRY_BUDGET) != 0)
     return true;
-  if (core->retry_tokens < 1.0)
+  if (core->retry_tokens >= 1.0)
+    core->retry_tokens -= 1.0;
+  else if (certain)
+    request->not_before_us = core->now_us + RETRY_PAUSE_US;
+  else
     return false;
-  core->retry_tokens -= 1.0;
   return true;
 }
 
 static void
 tell_suspect (struct pl_core *core, uint64_t fingerprint, uint64_t server, bool convicted)
 {
-  struct pl_message message = { .type = PL_MESSAGE_SUSPECT };
+  struct pl_message message = {.type = PL_MESSAGE_SUSPECT};
 
   message.u.suspect.fingerprint = fingerprint;
   message.u.suspect.server = server;
@@ -496,6 +506,8 @@
   struct request *request = g_hash_table_lookup (core->requests, &event->request);
   bool certain = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED
                  || event->outcome == PL_OUTCOME_SHED;
+  bool costs_nothing
+      = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED;
   enum pl_refusal refusal;
 
   if (request == NULL || request->attempt != event->attempt
@@ -505,7 +517,7 @@
   if (request->state == REQUEST_AT_SERVER)
     note_server_outcome (core, request, event->outcome);
   else
-    steering_note_outcome (core, request->member, event->outcome);
+    steering_note_outcome (core, request, event->outcome);
   steering_settle (core, request, certain ? 0 : event->answer_bytes);
   request->member = NULL;
   if (event->outcome == PL_OUTCOME_DONE || event->outcome == PL_OUTCOME_TRUNCATED)
@@ -519,7 +531,7 @@
     certain = request->event.replayable || event->outcome == PL_OUTCOME_NOT_SENT;
   if (event->outcome == PL_OUTCOME_EXPIRED)
     request->paid = false;
-  if (may_retry (core, request, certain))
+  if (may_retry (core, request, certain, costs_nothing))
     {
       retry (core, request);
       return;
@@ -624,8 +636,8 @@
 judge_wait (struct pl_core *core, const struct request *request)
 {
   int64_t waited = core->now_us - request->changed_us;
-  bool lacks_tokens = !request->paid && !request->event.forwarded
-                      && account_is_over (core, request->account);
+  bool lacks_tokens
+      = !request->paid && !request->event.forwarded && account_is_over (core, request->account);
 
   if (core->now_us >= request->event.deadline_us)
     return PL_REFUSAL_DEADLINE;
@@ -659,7 +671,7 @@
     return;
   if (request->state == REQUEST_WAITING)
     dequeue (core, request);
-  requests_refuse (core, request, (enum pl_refusal) refusal);
+  requests_refuse (core, request, (enum pl_refusal)refusal);
 }
 
 static void
@@ -695,6 +707,6 @@
   GList *all = g_hash_table_get_values (core->requests);
 
   for (guint i = 0; i < core->account_order->len; i++)
-    g_queue_clear (&((struct account_state *) g_ptr_array_index (core->account_order, i))->waiting);
+    g_queue_clear (&((struct account_state *)g_ptr_array_index (core->account_order, i))->waiting);
   g_list_free_full (all, g_free);
 }
--- a/core/core_steering.c
+++ b/core/core_steering.c
@@ -21,17 +21,20 @@
   return PL_DOMAIN (core->config, PL_HOST (core->config, host)->domain)->region;
 }
 
+/* What a heartbeat says is free already allows for what was in flight there from here; only what
+ * has been added since is taken off. */
 static int
 free_slots_of (const struct member *member, uint64_t service, int service_index)
 {
   int free_slots = 0;
+  int added = 0;
 
   for (int i = 0; i < member->heartbeat.service_count; i++)
     if (member->heartbeat.services[i].service == service)
       free_slots = member->heartbeat.services[i].free_slots;
   if (service_index < PL_SERVICES_MAX)
-    free_slots -= member->forwarded_since[service_index];
-  return free_slots;
+    added = member->by_service[service_index] - member->at_heartbeat[service_index];
+  return free_slots - MAX (added, 0);
 }
 
 static bool
@@ -69,16 +72,15 @@
     return NULL;
   for (guint i = 0; i < core->config->hosts->len; i++)
     {
-      struct member *member
-          = g_hash_table_lookup (core->members, &PL_HOST (core->config, i)->id);
+      struct member *member = g_hash_table_lookup (core->members, &PL_HOST (core->config, i)->id);
       bool same_region;
       int score;
 
-      if (member == NULL || (int) i == core->self || !is_usable (core, member)
+      if (member == NULL || (int)i == core->self || !is_usable (core, member)
           || PL_HOST (core->config, i)->domain == PL_HOST (core->config, core->self)->domain
           || member->forwarded >= forward_limit (core, member))
         continue;
-      same_region = region_of (core, (int) i) == region_of (core, core->self);
+      same_region = region_of (core, (int)i) == region_of (core, core->self);
       if (!same_region && patient)
         continue;
       score = free_slots_of (member, request->service, request->route.service);
@@ -150,7 +152,7 @@
         pl_budget_give_back (&request->links[0]->budget, request->link_bytes[0] * PL_MICRO,
                              core->now_us);
       else
-        request->links[0]->bytes += (uint64_t) request->link_bytes[0];
+        request->links[0]->bytes += (uint64_t)request->link_bytes[0];
     }
   if (request->links[1] != NULL)
     {
@@ -161,18 +163,28 @@
         pl_budget_charge (&request->links[1]->budget, over * PL_MICRO, core->now_us);
       else
         pl_budget_give_back (&request->links[1]->budget, -over * PL_MICRO, core->now_us);
-      request->links[1]->bytes += (uint64_t) used;
+      request->links[1]->bytes += (uint64_t)used;
     }
   request->links[0] = NULL;
   request->links[1] = NULL;
 }
 
+/* Keeps the count of what is in flight at MEMBER from here. */
 void
-steering_note_outcome (struct pl_core *core, struct member *member, enum pl_outcome outcome)
+steering_count (struct member *member, int service, int change)
 {
+  member->forwarded += change;
+  if (service >= 0 && service < PL_SERVICES_MAX)
+    member->by_service[service] = MAX (member->by_service[service] + change, 0);
+}
+
+void
+steering_note_outcome (struct pl_core *core, const struct request *request, enum pl_outcome outcome)
+{
+  struct member *member = request->member;
   double limit = forward_limit (core, member);
 
-  member->forwarded--;
+  steering_count (member, request->route.service, -1);
   switch (outcome)
     {
     case PL_OUTCOME_DONE:
--- a/core/release.c
+++ b/core/release.c
@@ -14,91 +14,93 @@
 #define BYTES_MAX 1000000000000
 
 static const struct pl_field region_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {NULL},
 };
 static const struct pl_field domain_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"region", PL_FIELD_NAME, true, 0, 0, "regions"},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"region", PL_FIELD_NAME, true, 0, 0, "regions"},
+    {NULL},
 };
 static const struct pl_field link_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"from", PL_FIELD_NAME, true, 0, 0, "regions"},
-  {"to", PL_FIELD_NAME, true, 0, 0, "regions"},
-  {"bytes_per_second", PL_FIELD_NUMBER, true, 1, BYTES_MAX, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"from", PL_FIELD_NAME, true, 0, 0, "regions"},
+    {"to", PL_FIELD_NAME, true, 0, 0, "regions"},
+    {"bytes_per_second", PL_FIELD_NUMBER, true, 1, BYTES_MAX, NULL},
+    {NULL},
 };
 static const struct pl_field host_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
-  {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"peer", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"forward", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
+    {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"peer", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"forward", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {NULL},
 };
 static const struct pl_field service_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {NULL},
 };
 static const struct pl_field server_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"service", PL_FIELD_NAME, true, 0, 0, "services"},
-  {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
-  {"address", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"slots", PL_FIELD_NUMBER, true, 1, 10000, NULL},
-  {"connections", PL_FIELD_NUMBER, false, 1, 100000, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"service", PL_FIELD_NAME, true, 0, 0, "services"},
+    {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
+    {"address", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"slots", PL_FIELD_NUMBER, true, 1, 10000, NULL},
+    {"connections", PL_FIELD_NUMBER, false, 1, 100000, NULL},
+    {NULL},
 };
 static const struct pl_field route_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"path", PL_FIELD_PATH, true, 0, 0, NULL},
-  {"service", PL_FIELD_NAME, true, 0, 0, "services"},
-  {"repeatable", PL_FIELD_BOOL, true, 0, 0, NULL},
-  {"open", PL_FIELD_BOOL, false, 0, 0, NULL},
-  {"answer_bytes", PL_FIELD_NUMBER, false, 1, BYTES_MAX, NULL},
-  {"deadline_ms", PL_FIELD_NUMBER, false, 10, 3600000, NULL},
-  {"silence_ms", PL_FIELD_NUMBER, false, 10, 3600000, NULL},
-  {"stale_limit_ms", PL_FIELD_NUMBER, false, 1000, 86400000, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"path", PL_FIELD_PATH, true, 0, 0, NULL},
+    {"service", PL_FIELD_NAME, true, 0, 0, "services"},
+    {"repeatable", PL_FIELD_BOOL, true, 0, 0, NULL},
+    {"open", PL_FIELD_BOOL, false, 0, 0, NULL},
+    {"answer_bytes", PL_FIELD_NUMBER, false, 1, BYTES_MAX, NULL},
+    {"deadline_ms", PL_FIELD_NUMBER, false, 10, 3600000, NULL},
+    {"silence_ms", PL_FIELD_NUMBER, false, 10, 3600000, NULL},
+    {"stale_limit_ms", PL_FIELD_NUMBER, false, 1000, 86400000, NULL},
+    {NULL},
 };
 static const struct pl_field account_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"rate", PL_FIELD_NUMBER, true, 1, RATE_MAX, NULL},
-  {"burst", PL_FIELD_NUMBER, true, 1, RATE_MAX, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"rate", PL_FIELD_NUMBER, true, 1, RATE_MAX, NULL},
+    {"burst", PL_FIELD_NUMBER, true, 1, RATE_MAX, NULL},
+    {NULL},
 };
 static const struct pl_field key_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"account", PL_FIELD_NAME, true, 0, 0, "accounts"},
-  {"hash", PL_FIELD_HASH, true, 0, 0, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"account", PL_FIELD_NAME, true, 0, 0, "accounts"},
+    {"hash", PL_FIELD_HASH, true, 0, 0, NULL},
+    {NULL},
 };
 static const struct pl_field drain_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"server", PL_FIELD_NAME, false, 0, 0, "servers"},
-  {"domain", PL_FIELD_NAME, false, 0, 0, "domains"},
-  {"entry_host", PL_FIELD_NAME, false, 0, 0, "entry_hosts"},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"server", PL_FIELD_NAME, false, 0, 0, "servers"},
+    {"domain", PL_FIELD_NAME, false, 0, 0, "domains"},
+    {"entry_host", PL_FIELD_NAME, false, 0, 0, "entry_hosts"},
+    {NULL},
 };
 static const struct pl_field block_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"prefix", PL_FIELD_PREFIX, true, 0, 0, NULL},
-  {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"prefix", PL_FIELD_PREFIX, true, 0, 0, NULL},
+    {"domain", PL_FIELD_NAME, true, 0, 0, "domains"},
+    {NULL},
 };
 
 const struct pl_kind pl_release_kinds[] = {
-  {"regions", region_fields},   {"domains", domain_fields},   {"links", link_fields},
-  {"entry_hosts", host_fields}, {"services", service_fields}, {"servers", server_fields},
-  {"routes", route_fields},     {"accounts", account_fields}, {"keys", key_fields},
-  {"drains", drain_fields},     {"blocks", block_fields},     {NULL, NULL},
+    {"regions", region_fields},   {"domains", domain_fields},   {"links", link_fields},
+    {"entry_hosts", host_fields}, {"services", service_fields}, {"servers", server_fields},
+    {"routes", route_fields},     {"accounts", account_fields}, {"keys", key_fields},
+    {"drains", drain_fields},     {"blocks", block_fields},     {NULL, NULL},
 };
 
 static const struct pl_field note_fields[] = {
-  {"release", PL_FIELD_NAME, true, 0, 0, NULL},    {"added", PL_FIELD_ANY, false, 0, 0, NULL},
-  {"changed", PL_FIELD_ANY, false, 0, 0, NULL},    {"withdrawn", PL_FIELD_ANY, false, 0, 0, NULL},
-  {NULL},
+    {"release", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"added", PL_FIELD_ANY, false, 0, 0, NULL},
+    {"changed", PL_FIELD_ANY, false, 0, 0, NULL},
+    {"withdrawn", PL_FIELD_ANY, false, 0, 0, NULL},
+    {NULL},
 };
 
 static const struct pl_kind *
@@ -111,13 +113,12 @@
 }
 
 static void
-add_change (json_t *changes, const char *action, const char *kind, const char *name,
-            json_t *fields, json_t *places, struct pl_place place)
+add_change (json_t *changes, const char *action, const char *kind, const char *name, json_t *fields,
+            json_t *places, struct pl_place place)
 {
   json_array_append_new (changes, json_pack ("{s:s,s:s,s:s,s:o,s:o,s:i,s:i}", "action", action,
-                                             "kind", kind, "name", name, "fields", fields,
-                                             "places", places, "line", place.line, "column",
-                                             place.column));
+                                             "kind", kind, "name", name, "fields", fields, "places",
+                                             places, "line", place.line, "column", place.column));
 }
 
 /* Reads one entry of a kind's list: a mapping, or for withdrawals a name. */
@@ -134,16 +135,16 @@
   if (is_withdrawal)
     {
       if (node->type != YAML_SCALAR_NODE
-          || !pl_schema_text_is_valid (PL_FIELD_NAME, (const char *) node->data.scalar.value))
+          || !pl_schema_text_is_valid (PL_FIELD_NAME, (const char *)node->data.scalar.value))
         pl_findings_add (findings, place, "a name is expected here");
       else
-        add_change (changes, action, kind->name, (const char *) node->data.scalar.value,
+        add_change (changes, action, kind->name, (const char *)node->data.scalar.value,
                     json_object (), json_object (), place);
       return;
     }
   places = json_object ();
-  fields = pl_schema_read_mapping (document, node, kind->fields,
-                                   strcmp (action, "changed") == 0, places, findings);
+  fields = pl_schema_read_mapping (document, node, kind->fields, strcmp (action, "changed") == 0,
+                                   places, findings);
   name = json_string_value (json_object_get (fields, "name"));
   if (name == NULL)
     {
@@ -165,15 +166,15 @@
       pl_findings_add (findings, pl_schema_place (node), "'%s' must map kinds to lists", action);
       return;
     }
-  for (yaml_node_pair_t *pair = node->data.mapping.pairs.start;
-       pair < node->data.mapping.pairs.top; pair++)
+  for (yaml_node_pair_t *pair = node->data.mapping.pairs.start; pair < node->data.mapping.pairs.top;
+       pair++)
     {
       yaml_node_t *key = yaml_document_get_node (document, pair->key);
       yaml_node_t *list = yaml_document_get_node (document, pair->value);
       const struct pl_kind *kind = NULL;
 
       if (key->type == YAML_SCALAR_NODE)
-        kind = find_kind ((const char *) key->data.scalar.value);
+        kind = find_kind ((const char *)key->data.scalar.value);
       if (kind == NULL)
         {
           pl_findings_add (findings, pl_schema_place (key), "unknown kind");
@@ -200,15 +201,15 @@
   json_t *change;
 
   json_array_foreach (changes, i, change)
-    {
-      const char *kind = json_string_value (json_object_get (change, "kind"));
-      const char *name = json_string_value (json_object_get (change, "name"));
-      struct pl_place place = { (int) json_integer_value (json_object_get (change, "line")),
-                                (int) json_integer_value (json_object_get (change, "column")) };
-
-      if (!g_hash_table_add (seen, g_strdup_printf ("%s/%s", kind, name)))
-        pl_findings_add (findings, place, "'%s' of '%s' stands twice in this release", name, kind);
-    }
+  {
+    const char *kind = json_string_value (json_object_get (change, "kind"));
+    const char *name = json_string_value (json_object_get (change, "name"));
+    struct pl_place place = {(int)json_integer_value (json_object_get (change, "line")),
+                             (int)json_integer_value (json_object_get (change, "column"))};
+
+    if (!g_hash_table_add (seen, g_strdup_printf ("%s/%s", kind, name)))
+      pl_findings_add (findings, place, "'%s' of '%s' stands twice in this release", name, kind);
+  }
   g_hash_table_destroy (seen);
 }
 
@@ -266,8 +267,8 @@
   const char *name = json_string_value (json_object_get (change, "name"));
   json_t *fields = json_object_get (change, "fields");
   json_t *known = json_object_get (entries, name);
-  struct pl_place place = { (int) json_integer_value (json_object_get (change, "line")),
-                            (int) json_integer_value (json_object_get (change, "column")) };
+  struct pl_place place = {(int)json_integer_value (json_object_get (change, "line")),
+                           (int)json_integer_value (json_object_get (change, "column"))};
 
   if (strcmp (action, "added") == 0)
     {
@@ -296,23 +297,23 @@
 static struct pl_place
 place_of (const struct pl_release *release, const char *kind, const char *name, const char *field)
 {
-  struct pl_place place = { 1, 1 };
+  struct pl_place place = {1, 1};
   size_t i;
   json_t *change;
 
   json_array_foreach (release->changes, i, change)
-    {
-      json_t *mark;
-
-      if (strcmp (json_string_value (json_object_get (change, "kind")), kind) != 0
-          || strcmp (json_string_value (json_object_get (change, "name")), name) != 0)
-        continue;
-      place.line = (int) json_integer_value (json_object_get (change, "line"));
-      place.column = (int) json_integer_value (json_object_get (change, "column"));
-      mark = json_object_get (json_object_get (change, "places"), field);
-      if (mark != NULL)
-        json_unpack (mark, "[i,i]", &place.line, &place.column);
-    }
+  {
+    json_t *mark;
+
+    if (strcmp (json_string_value (json_object_get (change, "kind")), kind) != 0
+        || strcmp (json_string_value (json_object_get (change, "name")), name) != 0)
+      continue;
+    place.line = (int)json_integer_value (json_object_get (change, "line"));
+    place.column = (int)json_integer_value (json_object_get (change, "column"));
+    mark = json_object_get (json_object_get (change, "places"), field);
+    if (mark != NULL)
+      json_unpack (mark, "[i,i]", &place.line, &place.column);
+  }
   return place;
 }
 
@@ -327,39 +328,38 @@
       json_t *entry;
 
       json_object_foreach (entries, name, entry)
-        {
-          for (const struct pl_field *field = kind->fields; field->name != NULL; field++)
-            {
-              const char *target = json_string_value (json_object_get (entry, field->name));
-
-              if (field->refers_to == NULL || target == NULL)
-                continue;
-              if (json_object_get (json_object_get (document, field->refers_to), target) == NULL)
-                pl_findings_add (findings, place_of (release, kind->name, name, field->name),
-                                 "'%s' of '%s' names '%s', which is not in '%s'", name, kind->name,
-                                 target, field->refers_to);
-            }
-        }
+      {
+        for (const struct pl_field *field = kind->fields; field->name != NULL; field++)
+          {
+            const char *target = json_string_value (json_object_get (entry, field->name));
+
+            if (field->refers_to == NULL || target == NULL)
+              continue;
+            if (json_object_get (json_object_get (document, field->refers_to), target) == NULL)
+              pl_findings_add (findings, place_of (release, kind->name, name, field->name),
+                               "'%s' of '%s' names '%s', which is not in '%s'", name, kind->name,
+                               target, field->refers_to);
+          }
+      }
     }
 }
 
 /* A key belongs to one account, so one hash may stand once. */
 static void
-check_keys (const json_t *document, const struct pl_release *release,
-            struct pl_findings *findings)
+check_keys (const json_t *document, const struct pl_release *release, struct pl_findings *findings)
 {
   GHashTable *seen = g_hash_table_new (g_str_hash, g_str_equal);
   const char *name;
   json_t *key;
 
   json_object_foreach (json_object_get (document, "keys"), name, key)
-    {
-      const char *hash = json_string_value (json_object_get (key, "hash"));
+  {
+    const char *hash = json_string_value (json_object_get (key, "hash"));
 
-      if (!g_hash_table_add (seen, (gpointer) hash))
-        pl_findings_add (findings, place_of (release, "keys", name, "hash"),
-                         "the hash of key '%s' belongs to another key too", name);
-    }
+    if (!g_hash_table_add (seen, (gpointer)hash))
+      pl_findings_add (findings, place_of (release, "keys", name, "hash"),
+                       "the hash of key '%s' belongs to another key too", name);
+  }
   g_hash_table_destroy (seen);
 }
 
@@ -372,15 +372,15 @@
   json_t *drain;
 
   json_object_foreach (json_object_get (document, "drains"), name, drain)
-    {
-      int targets = (json_object_get (drain, "server") != NULL)
-                    + (json_object_get (drain, "domain") != NULL)
-                    + (json_object_get (drain, "entry_host") != NULL);
-
-      if (targets != 1)
-        pl_findings_add (findings, place_of (release, "drains", name, "name"),
-                         "drain '%s' must name one of server, domain or entry_host", name);
-    }
+  {
+    int targets = (json_object_get (drain, "server") != NULL)
+                  + (json_object_get (drain, "domain") != NULL)
+                  + (json_object_get (drain, "entry_host") != NULL);
+
+    if (targets != 1)
+      pl_findings_add (findings, place_of (release, "drains", name, "name"),
+                       "drain '%s' must name one of server, domain or entry_host", name);
+  }
 }
 
 json_t *
@@ -400,11 +400,11 @@
                            entries != NULL ? json_copy (entries) : json_object ());
     }
   json_array_foreach (release->changes, i, change)
-    {
-      const char *kind = json_string_value (json_object_get (change, "kind"));
+  {
+    const char *kind = json_string_value (json_object_get (change, "kind"));
 
-      apply_change (json_object_get (next, kind), change, findings);
-    }
+    apply_change (json_object_get (next, kind), change, findings);
+  }
   check_references (next, release, findings);
   check_keys (next, release, findings);
   check_drains (next, release, findings);
@@ -431,14 +431,14 @@
   if (id == NULL || !json_is_array (changes))
     return NULL;
   json_array_foreach (changes, i, change)
-    {
-      const char *kind = json_string_value (json_object_get (change, "kind"));
-
-      if (kind == NULL || find_kind (kind) == NULL
-          || json_string_value (json_object_get (change, "name")) == NULL
-          || json_string_value (json_object_get (change, "action")) == NULL)
-        return NULL;
-    }
+  {
+    const char *kind = json_string_value (json_object_get (change, "kind"));
+
+    if (kind == NULL || find_kind (kind) == NULL
+        || json_string_value (json_object_get (change, "name")) == NULL
+        || json_string_value (json_object_get (change, "action")) == NULL)
+      return NULL;
+  }
   release = g_new0 (struct pl_release, 1);
   release->id = g_strdup (id);
   release->changes = json_incref (changes);
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -52,7 +52,7 @@
   bool leaving; /* by its own word or the platform's list */
   int reported_load;
   int64_t shed_until_us;
-  int64_t warm_from_us; /* when it was last found up after being new or down */
+  int64_t warm_from_us;  /* when it was last found up after being new or down */
   int64_t drain_from_us; /* 0: it does not drain */
   int64_t drain_us;      /* how long the last drain took; -1: under way */
   int64_t probed_at_us;
@@ -68,8 +68,9 @@
   int64_t heard_at_us;
   int64_t stopped_asking_us;
   struct pl_heartbeat heartbeat;
-  int forwarded; /* in flight towards it */
-  int forwarded_since[PL_SERVICES_MAX]; /* since its last heartbeat */
+  int forwarded;                     /* in flight towards it */
+  int by_service[PL_SERVICES_MAX];   /* the same, by service */
+  int at_heartbeat[PL_SERVICES_MAX]; /* as it was when the last heartbeat came */
   double forward_limit;
   int64_t shed_until_us;
   int64_t used_at_us;
@@ -95,12 +96,14 @@
   int64_t arrived_us;
   int64_t changed_us; /* when it came into its state, or last moved */
   int64_t valid_until_us;
+  int64_t not_before_us; /* of the next attempt */
   uint32_t attempt;
   int attempts;
+  bool lacks_place; /* it waits for a slot, not for tokens */
   bool paid;
   bool claimed;
-  bool may_have_run;  /* the attempt under way, or an earlier one, may have */
-  bool uncertain;     /* an earlier attempt may have */
+  bool may_have_run; /* the attempt under way, or an earlier one, may have */
+  bool uncertain;    /* an earlier attempt may have */
   bool suspect;
   bool cancelled; /* the attempt is being broken off; its outcome is awaited */
   bool caller_gone;
@@ -114,8 +117,8 @@
 
 enum release_phase
 {
-  RELEASE_FINDING,    /* is the id known already? */
-  RELEASE_READY,      /* it is not: apply and commit */
+  RELEASE_FINDING,     /* is the id known already? */
+  RELEASE_READY,       /* it is not: apply and commit */
   RELEASE_CATCHING_UP, /* the head moved: read on, then apply again */
   RELEASE_COMMITTING,
   RELEASE_RESOLVING, /* the commit's answer was lost: look whether it took effect */
@@ -146,8 +149,8 @@
 
   struct pl_config *config; /* in force, or NULL */
   struct pl_blocks *blocks;
-  int64_t hosts_version; /* when the list of entry hosts last changed */
-  int self;              /* own index, or PL_NONE */
+  int64_t hosts_version;  /* when the list of entry hosts last changed */
+  int self;               /* own index, or PL_NONE */
   GPtrArray *release_log; /* of json {"version","release"}, newest last */
 
   uint64_t incarnation; /* how often this name was taken, 0 while not held */
@@ -156,13 +159,13 @@
   bool slot_was_paused;
   int64_t mint_from_us;
   int64_t confirmed_version;
-  int64_t fleet_parts; /* in use; 0: none */
+  int64_t fleet_parts;      /* in use; 0: none */
   int64_t store_read_at_us; /* last sight of the store, here or through peers; -1: never */
   bool head_open;
   int64_t head_due_us;
 
   struct account_state *open_account; /* stands for all callers of open routes */
-  GHashTable *accounts; /* id -> struct account_state */
+  GHashTable *accounts;               /* id -> struct account_state */
   GHashTable *links;
   GHashTable *servers;
   GHashTable *members;
@@ -182,7 +185,7 @@
   GQueue claims; /* of request number, as uint64_t * */
   bool claim_open;
   int64_t claim_retry_us; /* not before this, after the store failed */
-  GQueue releases; /* of struct pending_release */
+  GQueue releases;        /* of struct pending_release */
   uint64_t next_ticket;
 
   bool stopping;
@@ -198,8 +201,8 @@
 /* core_requests.c */
 void requests_start (struct pl_core *core);
 void requests_on_arrival (struct pl_core *core, const struct pl_request_event *event);
-void requests_on_caller_gone (struct pl_core *core, uint64_t request);
-void requests_on_progress (struct pl_core *core, uint64_t request, uint32_t attempt);
+void requests_on_caller_gone (struct pl_core *core, uint64_t id);
+void requests_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt);
 void requests_on_outcome (struct pl_core *core, const struct pl_outcome_event *event);
 void requests_on_claims (struct pl_core *core, struct pl_store_event *event);
 void requests_pump (struct pl_core *core);
@@ -248,7 +251,9 @@
 /* core_steering.c */
 struct member *steering_find (struct pl_core *core, const struct request *request);
 int steering_reserve (struct pl_core *core, struct request *request, const struct member *member);
-void steering_note_outcome (struct pl_core *core, struct member *member, enum pl_outcome outcome);
+void steering_count (struct member *member, int service, int change);
+void steering_note_outcome (struct pl_core *core, const struct request *request,
+                            enum pl_outcome outcome);
 void steering_settle (struct pl_core *core, struct request *request, int64_t answer_bytes);
 
 /* core_control.c */
--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -42,7 +42,7 @@
   uint64_t next_id;
   GMutex lock;
   GHashTable *exchanges; /* id -> struct pl_exchange, one reference each */
-  GHashTable *cut; /* of peer id */
+  GHashTable *cut;       /* of peer id */
   pthread_t watcher;
   uint32_t stopping;
 };
--- a/include/internal/peer_rpc.h
+++ b/include/internal/peer_rpc.h
@@ -27,15 +27,15 @@
 struct pl_peers *pl_peers_new (const struct pl_peers_options *options);
 void pl_peers_free (struct pl_peers *peers);
 
-/* Tells where PEER listens; a changed address replaces the old one. */
-void pl_peers_set_address (struct pl_peers *peers, uint64_t peer, const char *address);
+/* Tells where the peer ID listens; a changed address replaces the old one. */
+void pl_peers_set_address (struct pl_peers *peers, uint64_t id, const char *address);
 
 /* Queues a copy of MESSAGE.  Returns 0, PL_ERR_NOT_FOUND without an address, or PL_ERR_FULL when
  * the peer's queue is full and the message was dropped. */
-int pl_peers_send (struct pl_peers *peers, uint64_t peer, const struct pl_message *message);
+int pl_peers_send (struct pl_peers *peers, uint64_t id, const struct pl_message *message);
 
-/* For tests and cuts on purpose: while CUT, nothing is sent to or taken from PEER. */
-void pl_peers_cut (struct pl_peers *peers, uint64_t peer, bool cut);
+/* For tests and cuts on purpose: while CUT, nothing is sent to or taken from the peer. */
+void pl_peers_cut (struct pl_peers *peers, uint64_t id, bool cut);
 
 /* Bytes sent so far, all peers together. */
 uint64_t pl_peers_bytes_sent (const struct pl_peers *peers);
--- a/include/pomelolatch/budget.h
+++ b/include/pomelolatch/budget.h
@@ -92,17 +92,17 @@
 struct pl_grant pl_budget_lend (struct pl_budget *budget, uint64_t peer, int64_t amount,
                                 uint64_t acked, int64_t now_us);
 
-/* As borrower: takes in GRANT of LENDER for an ask made at ASKED_US.  Returns 0, PL_ERR_STALE
+/* As borrower: takes in GRANT of PEER for an ask made at ASKED_US.  Returns 0, PL_ERR_STALE
  * when this or a later grant was applied before, PL_ERR_EXPIRED when its term is over,
  * PL_ERR_FULL when no room is left.  On failure nothing was added. */
-int pl_budget_receive (struct pl_budget *budget, uint64_t lender, const struct pl_grant *grant,
+int pl_budget_receive (struct pl_budget *budget, uint64_t peer, const struct pl_grant *grant,
                        int64_t asked_us, int64_t now_us);
 
-/* Returns the highest loan number of LENDER up to which everything is spent or ended. */
-uint64_t pl_budget_acked (const struct pl_budget *budget, uint64_t lender);
+/* Returns the highest loan number of PEER up to which everything is spent or ended. */
+uint64_t pl_budget_acked (const struct pl_budget *budget, uint64_t peer);
 
-/* Returns what LENDER last told it could spare, or -1 when it told nothing yet. */
-int64_t pl_budget_surplus_of (const struct pl_budget *budget, uint64_t lender);
+/* Returns what PEER last told it could spare, or -1 when it told nothing yet. */
+int64_t pl_budget_surplus_of (const struct pl_budget *budget, uint64_t peer);
 
 /* Returns all micro-tokens that could be spent at NOW_US. */
 int64_t pl_budget_balance (struct pl_budget *budget, int64_t now_us);
--- a/include/pomelolatch/config.h
+++ b/include/pomelolatch/config.h
@@ -100,7 +100,7 @@
   int64_t version;
   json_t *document;
   GPtrArray *region_names;
-  GArray *domains;  /* of struct pl_domain_config, and so on */
+  GArray *domains; /* of struct pl_domain_config, and so on */
   GArray *links;
   GArray *hosts;
   GArray *services;
--- a/include/pomelolatch/core.h
+++ b/include/pomelolatch/core.h
@@ -22,17 +22,18 @@
   PL_SWITCH_ROUND_ROBIN = 1 << 2,     /* choose servers in turn */
   PL_SWITCH_NO_RETRY_BUDGET = 1 << 3, /* retry without limit */
   PL_SWITCH_NO_QUARANTINE = 1 << 4,
-  PL_SWITCH_NO_CLAIMS = 1 << 5,       /* unsafe: run unrepeatable work unclaimed */
-  PL_SWITCH_NO_KEY_RECHECK = 1 << 6,  /* unsafe: keys are checked on arrival only */
-  PL_SWITCH_NO_FENCE = 1 << 7,        /* unsafe: mint at once after taking a name over */
-  PL_SWITCH_GROW_AT_ONCE = 1 << 8,    /* unsafe: larger parts without confirmation */
-  PL_SWITCH_NO_LINK_BUDGET = 1 << 9,  /* unsafe: links carry what comes */
+  PL_SWITCH_NO_CLAIMS = 1 << 5,      /* unsafe: run unrepeatable work unclaimed */
+  PL_SWITCH_NO_KEY_RECHECK = 1 << 6, /* unsafe: keys are checked on arrival only */
+  PL_SWITCH_NO_FENCE = 1 << 7,       /* unsafe: mint at once after taking a name over */
+  PL_SWITCH_GROW_AT_ONCE = 1 << 8,   /* unsafe: larger parts without confirmation */
+  PL_SWITCH_NO_LINK_BUDGET = 1 << 9, /* unsafe: links carry what comes */
+  PL_SWITCH_DEAF = 1 << 10,          /* unsafe: stay with the first configuration */
 };
 
 struct pl_core_options
 {
-  const char *name; /* this entry host's, as in the configuration */
-  uint64_t nonce;   /* differs between any two processes */
+  const char *name;  /* this entry host's, as in the configuration */
+  uint64_t nonce;    /* differs between any two processes */
   unsigned switches; /* of enum pl_core_switch */
   int64_t now_us;
   int64_t heartbeat_us;       /* 0: the default */
--- a/include/pomelolatch/event.h
+++ b/include/pomelolatch/event.h
@@ -189,13 +189,13 @@
 {
   enum pl_store_call call;
   uint64_t ticket;
-  int64_t version;   /* head: held here; commit: expected head */
-  char *text;        /* commit: the release; finish: the row; owned by the effect */
-  char *document;    /* commit: the whole document after it; owned */
-  char id[PL_ID_CHARS]; /* commit, find: the release's */
+  int64_t version;              /* head: held here; commit: expected head */
+  char *text;                   /* commit: the release; finish: the row; owned by the effect */
+  char *document;               /* commit: the whole document after it; owned */
+  char id[PL_ID_CHARS];         /* commit, find: the release's */
   char digest[PL_ID_CHARS + 1]; /* commit: of the release's content */
-  uint64_t nonce;    /* of this process */
-  bool release_slot; /* slot: this host stops, its name is free */
+  uint64_t nonce;               /* of this process */
+  bool release_slot;            /* slot: this host stops, its name is free */
   int claim_count;
   struct pl_claim claims[PL_CLAIMS_MAX];
 };
@@ -222,12 +222,12 @@
 {
   enum pl_store_call call;
   uint64_t ticket;
-  int result; /* PL_OK or negative; PL_ERR_TIMEOUT when it may have been applied */
-  int64_t version;             /* head, commit, find: of the head or of the release found */
+  int result;      /* PL_OK or negative; PL_ERR_TIMEOUT when it may have been applied */
+  int64_t version; /* head, commit, find: of the head or of the release found */
   char digest[PL_ID_CHARS + 1]; /* find: of the content under that id */
-  json_t *releases; /* head: array of {"version","release"}; borrowed */
-  json_t *snapshot; /* head: {"version","document"} when releases do not reach back; borrowed */
-  uint64_t slot_nonce;       /* head, slot: the process that holds this host's name; 0: none */
+  json_t *releases;             /* head: array of {"version","release"}; borrowed */
+  json_t *snapshot;    /* head: {"version","document"} when releases do not reach back; borrowed */
+  uint64_t slot_nonce; /* head, slot: the process that holds this host's name; 0: none */
   uint64_t slot_incarnation; /* slot: how often the name was taken */
   bool taken_over;           /* slot: another process held it before and did not release it */
   int64_t confirmed_version; /* head: lowest version that every named host has in force */
--- a/include/pomelolatch/release.h
+++ b/include/pomelolatch/release.h
@@ -22,8 +22,7 @@
 
 /* Reads a release note.  Returns a release that the caller frees with pl_release_free(), or NULL
  * with findings added. */
-struct pl_release *pl_release_parse (const char *text, size_t length,
-                                     struct pl_findings *findings);
+struct pl_release *pl_release_parse (const char *text, size_t length, struct pl_findings *findings);
 void pl_release_free (struct pl_release *release);
 
 /* Applies RELEASE to DOCUMENT.  Returns a new document that the caller owns, or NULL with
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -35,7 +35,7 @@
 static void
 post_outcome (struct pl_entry *entry, const struct pl_outcome_event *outcome)
 {
-  struct pl_event event = { .type = PL_EVENT_OUTCOME };
+  struct pl_event event = {.type = PL_EVENT_OUTCOME};
 
   event.u.outcome = *outcome;
   entry->options.post (entry->options.data, &event);
@@ -45,7 +45,7 @@
 pl_attempt_not_made (struct pl_entry *entry, uint64_t request, uint32_t attempt,
                      enum pl_outcome outcome)
 {
-  struct pl_outcome_event event = { .request = request, .attempt = attempt, .outcome = outcome };
+  struct pl_outcome_event event = {.request = request, .attempt = attempt, .outcome = outcome};
 
   post_outcome (entry, &event);
 }
@@ -53,7 +53,7 @@
 static void
 note_progress (struct attempt *attempt)
 {
-  struct pl_event event = { .type = PL_EVENT_PROGRESS };
+  struct pl_event event = {.type = PL_EVENT_PROGRESS};
   int64_t now_us = pl_clock_now_us ();
 
   if (now_us - attempt->progress_at_us < PROGRESS_PERIOD_US)
@@ -75,8 +75,9 @@
 header_stays (const char *line)
 {
   static const char *const names[] = {
-    "HTTP/", "Connection:", "Keep-Alive:", "Transfer-Encoding:", "Content-Length:", "Date:",
-    "Trailer:", "Upgrade:", "Proxy-", "Server:", ECHO_HEADER,
+      "HTTP/",           "Connection:", "Keep-Alive:", "Transfer-Encoding:",
+      "Content-Length:", "Date:",       "Trailer:",    "Upgrade:",
+      "Proxy-",          "Server:",     ECHO_HEADER,
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
@@ -103,8 +104,7 @@
   else if (header_is (text, "Content-Length:"))
     exchange->answer_length = strtoll (text + strlen ("Content-Length:"), NULL, 10);
   else if (header_is (text, ECHO_HEADER))
-    attempt->wrong_echo
-        = strcmp (g_strchug (text + strlen (ECHO_HEADER)), attempt->echo) != 0;
+    attempt->wrong_echo = strcmp (g_strchug (text + strlen (ECHO_HEADER)), attempt->echo) != 0;
   if (header_is (text, OUTCOME_HEADER))
     {
       attempt->says_not_run = strstr (text, "not-run") != NULL;
@@ -148,9 +148,9 @@
     result = PL_HTTP_PAUSE;
   else
     {
-      exchange->answer_seen += (int64_t) length;
+      exchange->answer_seen += (int64_t)length;
       /* After the caller has gone, an answer that is kept is still read to its end. */
-      if (!exchange->caller_done || exchange->answer_seen <= (int64_t) PL_ANSWER_HELD_MAX)
+      if (!exchange->caller_done || exchange->answer_seen <= (int64_t)PL_ANSWER_HELD_MAX)
         pl_pipe_add (&exchange->answer, bytes, length);
       if (!exchange->answer_open && !is_refusal (attempt)
           && pl_pipe_waiting (&exchange->answer) > PL_ANSWER_HELD_MAX)
@@ -213,7 +213,7 @@
 {
   struct attempt *attempt = data;
   struct pl_exchange *exchange = attempt->exchange;
-  struct pl_outcome_event event = { .request = exchange->id, .attempt = attempt->number };
+  struct pl_outcome_event event = {.request = exchange->id, .attempt = attempt->number};
 
   g_mutex_lock (&exchange->lock);
   event.outcome = outcome_of (attempt, end);
@@ -284,7 +284,7 @@
   g_autofree char *url
       = g_strdup_printf ("http://%s%s", effect->u.send_request.address, exchange->target);
   g_autoptr (GPtrArray) headers = NULL;
-  struct pl_http_call_options options = { 0 };
+  struct pl_http_call_options options = {0};
 
   attempt->entry = entry;
   attempt->exchange = pl_exchange_ref (exchange);
@@ -301,7 +301,7 @@
     exchange->body.taken = 0;
   options.method = exchange->method;
   options.url = url;
-  options.headers = (const char *const *) headers->pdata;
+  options.headers = (const char *const *)headers->pdata;
   options.body_length = exchange->body_length;
   options.timeout_us = effect->u.send_request.deadline_us - pl_clock_now_us ();
   /* libcurl repeats a request on its own when a kept connection fails, so what may run only once
@@ -324,13 +324,13 @@
 on_probed (void *data, enum pl_http_end end, int status, const char *text)
 {
   struct probe *probe = data;
-  struct pl_event event = { .type = PL_EVENT_PROBE };
+  struct pl_event event = {.type = PL_EVENT_PROBE};
   json_t *json = end == PL_HTTP_WHOLE && status == 200 ? json_loads (text, 0, NULL) : NULL;
 
   event.u.probe.server = probe->server;
   event.u.probe.answered = json != NULL;
   event.u.probe.leaving = json_is_true (json_object_get (json, "leaving"));
-  event.u.probe.load = (int) json_integer_value (json_object_get (json, "load"));
+  event.u.probe.load = (int)json_integer_value (json_object_get (json, "load"));
   probe->entry->options.post (probe->entry->options.data, &event);
   json_decref (json);
   g_free (probe);
@@ -344,6 +344,6 @@
 
   probe->entry = entry;
   probe->server = effect->u.send_request.target;
-  pl_http_client_fetch (entry->options.client, "GET", url, NULL, PROBE_TIMEOUT_US, true,
-                        on_probed, probe);
+  pl_http_client_fetch (entry->options.client, "GET", url, NULL, PROBE_TIMEOUT_US, true, on_probed,
+                        probe);
 }
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -22,11 +22,11 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#define CONNECTION_MEMORY ((size_t) 64 << 10)
+#define CONNECTION_MEMORY ((size_t)64 << 10)
 #define CONNECTION_LIMIT 8192u
 #define CONNECTION_TIMEOUT_S 120u
 #define CALLER_THREADS 2u
-#define ANSWER_BLOCK ((size_t) 64 << 10)
+#define ANSWER_BLOCK ((size_t)64 << 10)
 #define DEADLINE_DEFAULT_MS 60000
 #define DEADLINE_MAX_MS 3600000
 #define LOOKUP_PATH "/pomelolatch/lookup"
@@ -59,7 +59,7 @@
 {
   struct head *head = data;
 
-  (void) kind;
+  (void)kind;
   if (value == NULL)
     value = "";
   if (g_ascii_strcasecmp (name, "Authorization") == 0)
@@ -107,16 +107,18 @@
 {
   struct head *head = data;
 
-  (void) kind;
+  (void)kind;
   if (value != NULL && pl_key_header_may_pass (name, value, head->key))
     g_ptr_array_add (head->exchange->headers, g_strdup_printf ("%s: %s", name, value));
   return MHD_YES;
 }
 
+/* This attempt did not run; whether an earlier one with the same Idempotency-Key did is not looked
+ * up for a request that is malformed. */
 static void
-refuse_early (struct pl_exchange *exchange, int status, const char *reason)
+refuse_early (const struct head *head, int status, const char *reason)
 {
-  pl_entry_set_refusal (exchange, status, reason, false, false, 0);
+  pl_entry_set_refusal (head->exchange, status, reason, head->operation != NULL, false, 0);
 }
 
 static bool
@@ -155,13 +157,13 @@
   event->body_bytes = MAX (exchange->body_length, 0);
   if (head->operation != NULL && head->operation[0] != '\0')
     {
-      crypto_generichash (hash, sizeof hash, (const uint8_t *) head->operation,
+      crypto_generichash (hash, sizeof hash, (const uint8_t *)head->operation,
                           strlen (head->operation), NULL, 0);
       sodium_bin2hex (event->operation, sizeof event->operation, hash, sizeof hash);
     }
   print = g_strjoin ("\n", exchange->method, exchange->target, event->operation, NULL);
-  event->fingerprint = XXH3_64bits_withSeed (
-      print, strlen (print), XXH3_64bits (event->key_hash, sizeof event->key_hash));
+  event->fingerprint = XXH3_64bits_withSeed (print, strlen (print),
+                                             XXH3_64bits (event->key_hash, sizeof event->key_hash));
   if (forwarded)
     event->fingerprint = head->fingerprint;
 }
@@ -171,55 +173,55 @@
 begin (struct port *port, struct pl_exchange *exchange, struct MHD_Connection *connection,
        const char *method)
 {
-  struct head head = { .exchange = exchange };
+  struct head head = {.exchange = exchange};
 
   exchange->connection = connection;
   exchange->method = g_strdup (method);
   MHD_get_connection_values (connection, MHD_HEADER_KIND, scan_header, &head);
   if (head.lengths > 1 || (head.lengths > 0 && head.chunked) || head.is_odd)
     {
-      refuse_early (exchange, 400, "malformed-framing-or-repeated-header");
+      refuse_early (&head, 400, "malformed-framing-or-repeated-header");
       return false;
     }
   if (head.keys > 1)
     {
-      refuse_early (exchange, 400, "more-than-one-key");
+      refuse_early (&head, 400, "more-than-one-key");
       return false;
     }
   if (head.chunked)
     exchange->body_length = -1;
   if (exchange->body_length > port->entry->options.body_max)
     {
-      refuse_early (exchange, 413, "body-too-large");
+      refuse_early (&head, 413, "body-too-large");
       return false;
     }
   if (port->forwarded && !forward_is_genuine (port->entry, exchange, &head))
     {
-      refuse_early (exchange, 403, "not-an-entry-host");
+      refuse_early (&head, 403, "not-an-entry-host");
       return false;
     }
   if (exchange->raw_target[0] != '/' || strlen (exchange->raw_target) >= 8192)
     {
-      refuse_early (exchange, 400, "malformed-target");
+      refuse_early (&head, 400, "malformed-target");
       return false;
     }
   exchange->target = pl_key_strip_target (exchange->raw_target, head.key);
   if (exchange->target == NULL)
     {
-      refuse_early (exchange, 400, "key-in-target");
+      refuse_early (&head, 400, "key-in-target");
       return false;
     }
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &head);
   fill_event (exchange, &head, port->forwarded);
   exchange->streamed
-      = exchange->body_length < 0 || exchange->body_length > (int64_t) PL_BODY_HELD_MAX;
+      = exchange->body_length < 0 || exchange->body_length > (int64_t)PL_BODY_HELD_MAX;
   return true;
 }
 
 static void
 submit (struct pl_entry *entry, struct pl_exchange *exchange)
 {
-  struct pl_event event = { .type = PL_EVENT_REQUEST };
+  struct pl_event event = {.type = PL_EVENT_REQUEST};
 
   exchange->submitted = true;
   event.u.request = exchange->event;
@@ -243,7 +245,7 @@
         submit (entry, exchange);
       part = MIN (length, PL_BODY_WINDOW - MIN (waiting, PL_BODY_WINDOW));
     }
-  exchange->body_seen += (int64_t) part;
+  exchange->body_seen += (int64_t)part;
   if (exchange->body_seen > entry->options.body_max)
     {
       exchange->body.ended = true;
@@ -267,9 +269,9 @@
   struct pl_exchange *exchange = data;
   ssize_t result;
 
-  (void) position;
+  (void)position;
   g_mutex_lock (&exchange->lock);
-  result = (ssize_t) pl_pipe_take (&exchange->answer, bytes, length, false);
+  result = (ssize_t)pl_pipe_take (&exchange->answer, bytes, length, false);
   if (result > 0 && exchange->call != NULL)
     pl_http_call_wake (exchange->call);
   if (result == 0 && exchange->answer_cut)
@@ -305,7 +307,7 @@
   if (exchange->answer.ended && !exchange->answer_cut)
     size = pl_pipe_waiting (&exchange->answer);
   else if (exchange->answer_length >= 0)
-    size = (uint64_t) exchange->answer_length;
+    size = (uint64_t)exchange->answer_length;
   if (may_have_body (exchange))
     response = MHD_create_response_from_callback (size, ANSWER_BLOCK, read_answer,
                                                   pl_exchange_ref (exchange), release_exchange);
@@ -315,11 +317,11 @@
     {
       const char *line = g_ptr_array_index (exchange->answer_headers, i);
       const char *colon = strchr (line, ':');
-      g_autofree char *name = g_strndup (line, (gsize) (colon - line));
+      g_autofree char *name = g_strndup (line, (gsize)(colon - line));
 
       MHD_add_response_header (response, name, colon + 1 + strspn (colon + 1, " "));
     }
-  result = MHD_queue_response (connection, (unsigned) exchange->status, response);
+  result = MHD_queue_response (connection, (unsigned)exchange->status, response);
   MHD_destroy_response (response);
   return result;
 }
@@ -330,9 +332,9 @@
   const char *client = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "client");
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  struct in_addr address = ((const struct sockaddr_in *) info->client_addr)->sin_addr;
-  uint32_t salt = (uint32_t) ck_pr_faa_64 (&entry->next_id, 1);
-  struct pl_lookup_answer answer = { 0 };
+  struct in_addr address = ((const struct sockaddr_in *)info->client_addr)->sin_addr;
+  uint32_t salt = (uint32_t)ck_pr_faa_64 (&entry->next_id, 1);
+  struct pl_lookup_answer answer = {0};
   const struct pl_lookup *lookup;
   GString *text = g_string_sized_new (LOOKUP_TEXT_MAX);
   struct MHD_Response *response;
@@ -386,7 +388,7 @@
   struct pl_exchange *exchange = *context;
   enum MHD_Result result = MHD_YES;
 
-  (void) version;
+  (void)version;
   g_mutex_lock (&exchange->lock);
   if (!exchange->begun)
     {
@@ -410,7 +412,7 @@
   struct port *port = data;
   struct pl_exchange *exchange = pl_exchange_new (ck_pr_faa_64 (&port->entry->next_id, 1) + 1);
 
-  (void) connection;
+  (void)connection;
   exchange->raw_target = g_strdup (target);
   return exchange;
 }
@@ -418,7 +420,7 @@
 static void
 tell_caller_gone (struct pl_entry *entry, uint64_t id)
 {
-  struct pl_event event = { .type = PL_EVENT_CALLER_GONE };
+  struct pl_event event = {.type = PL_EVENT_CALLER_GONE};
 
   event.u.progress.request = id;
   entry->options.post (entry->options.data, &event);
@@ -433,8 +435,8 @@
   struct pl_http_call *call = NULL;
   bool open;
 
-  (void) connection;
-  (void) code;
+  (void)connection;
+  (void)code;
   if (exchange == NULL)
     return;
   g_mutex_lock (&exchange->lock);
@@ -510,8 +512,8 @@
   return MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, port,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE, CALLER_THREADS,
-      MHD_OPTION_URI_LOG_CALLBACK, on_target, port, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      port, MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
+      MHD_OPTION_URI_LOG_CALLBACK, on_target, port, MHD_OPTION_NOTIFY_COMPLETED, on_completed, port,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
       CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
       MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 }
--- a/modules/keys.c
+++ b/modules/keys.c
@@ -12,19 +12,31 @@
 #include <string.h>
 
 static const char *const passing_headers[] = {
-  "Accept",        "Accept-Encoding",   "Accept-Language", "Content-Encoding", "Content-Language",
-  "Content-Type",  "Idempotency-Key",   "If-Match",        "If-Modified-Since", "If-None-Match",
-  "If-Unmodified-Since", "Range",       "Traceparent",     "User-Agent",       "Digest",
+    "Accept",
+    "Accept-Encoding",
+    "Accept-Language",
+    "Content-Encoding",
+    "Content-Language",
+    "Content-Type",
+    "Idempotency-Key",
+    "If-Match",
+    "If-Modified-Since",
+    "If-None-Match",
+    "If-Unmodified-Since",
+    "Range",
+    "Traceparent",
+    "User-Agent",
+    "Digest",
 };
 
 static const char *const key_parameters[] = {
-  "key", "api_key", "apikey", "api-key", "access_token", "token", "x-api-key", "authorization",
+    "key", "api_key", "apikey", "api-key", "access_token", "token", "x-api-key", "authorization",
 };
 
 void
 pl_key_hash (const char *key, size_t length, uint8_t hash[PL_KEY_HASH_BYTES])
 {
-  crypto_generichash (hash, PL_KEY_HASH_BYTES, (const uint8_t *) key, length, NULL, 0);
+  crypto_generichash (hash, PL_KEY_HASH_BYTES, (const uint8_t *)key, length, NULL, 0);
 }
 
 void
@@ -55,7 +67,8 @@
 pl_key_strip_target (const char *target, const char *key)
 {
   const char *query = strchr (target, '?');
-  GString *out = g_string_new_len (target, query != NULL ? query - target : (gssize) strlen (target));
+  GString *out
+      = g_string_new_len (target, query != NULL ? query - target : (gssize)strlen (target));
   g_auto (GStrv) parameters = g_strsplit (query != NULL ? query + 1 : "", "&", -1);
   g_autofree char *plain = NULL;
   char joint = '?';
--- a/modules/loop.c
+++ b/modules/loop.c
@@ -17,6 +17,7 @@
 
 #define RING_SIZE 16384
 #define TICK_MS 10
+#define TICK_US INT64_C (10000)
 #define EVENTS_PER_TICK 256
 
 struct item
@@ -116,9 +117,9 @@
   item->event.now_us = pl_clock_now_us ();
   pl_core_step (loop->options.core, &item->event, effects);
   if (item->event.type == PL_EVENT_OUTCOME)
-    g_free ((char *) item->event.u.outcome.answer);
+    g_free ((char *)item->event.u.outcome.answer);
   if (item->event.type == PL_EVENT_LEAVING_LIST)
-    g_free ((uint64_t *) item->event.u.leaving.servers);
+    g_free ((uint64_t *)item->event.u.leaving.servers);
   if (item->event.type == PL_EVENT_STORE)
     {
       json_decref (item->event.u.store.releases);
@@ -129,7 +130,7 @@
 static void
 sleep_a_tick (struct pl_loop *loop)
 {
-  struct pollfd wakeup = { .fd = loop->wakeup, .events = POLLIN };
+  struct pollfd wakeup = {.fd = loop->wakeup, .events = POLLIN};
   uint64_t count;
 
   ck_pr_store_32 (&loop->sleeping, 1);
@@ -144,8 +145,8 @@
 loop_thread (void *data)
 {
   struct pl_loop *loop = data;
-  struct pl_effects effects = { 0 };
-  struct item tick = { .event.type = PL_EVENT_TICK };
+  struct pl_effects effects = {0};
+  struct item tick = {.event.type = PL_EVENT_TICK};
   int64_t ticked_at_us = 0;
   struct item *item;
 
@@ -159,7 +160,7 @@
           run_effects (loop, &effects);
           g_free (item);
         }
-      if (pl_clock_now_us () - ticked_at_us >= TICK_MS * 1000)
+      if (pl_clock_now_us () - ticked_at_us >= TICK_US)
         {
           ticked_at_us = pl_clock_now_us ();
           run_item (loop, &tick, &effects);
--- a/modules/operator_http.c
+++ b/modules/operator_http.c
@@ -16,7 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RELEASE_MAX ((size_t) 16 << 20)
+#define RELEASE_MAX ((size_t)16 << 20)
 #define RELEASE_WAIT_US (10 * G_TIME_SPAN_SECOND)
 
 struct pl_operators
@@ -38,8 +38,8 @@
 static enum MHD_Result
 send_text (struct MHD_Connection *connection, unsigned status, const char *type, const char *text)
 {
-  struct MHD_Response *response = MHD_create_response_from_buffer (
-      strlen (text), (void *) text, MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result result;
 
   MHD_add_response_header (response, "Content-Type", type);
@@ -62,8 +62,7 @@
 static bool
 is_operator (const struct pl_operators *operators, struct MHD_Connection *connection)
 {
-  const char *value
-      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Authorization");
+  const char *value = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Authorization");
   uint8_t hash[PL_KEY_HASH_BYTES];
 
   if (value == NULL || strncmp (value, "Bearer ", 7) != 0)
@@ -76,10 +75,9 @@
 pl_operators_released (struct pl_operators *operators, const struct pl_effect *effect)
 {
   uint64_t ticket = effect->u.released.ticket;
-  json_t *answer = json_pack ("{s:s,s:i,s:I}", "result",
-                              pl_error_name (effect->u.released.result), "code",
-                              effect->u.released.result, "version",
-                              (json_int_t) effect->u.released.version);
+  json_t *answer
+      = json_pack ("{s:s,s:i,s:I}", "result", pl_error_name (effect->u.released.result), "code",
+                   effect->u.released.result, "version", (json_int_t)effect->u.released.version);
 
   if (effect->u.released.findings != NULL)
     json_object_set (answer, "findings", effect->u.released.findings);
@@ -98,7 +96,7 @@
 static json_t *
 wait_for_release (struct pl_operators *operators, struct pl_release *release, bool check_only)
 {
-  struct pl_event event = { .type = PL_EVENT_RELEASE };
+  struct pl_event event = {.type = PL_EVENT_RELEASE};
   gint64 until = g_get_monotonic_time () + RELEASE_WAIT_US;
   json_t *answer = NULL;
   uint64_t ticket;
@@ -159,11 +157,10 @@
     answer = wait_for_release (operators, release, check != NULL);
   else
     answer = json_pack ("{s:s,s:i,s:i,s:o}", "result", pl_error_name (PL_ERR_INVALID), "code",
-                        PL_ERR_INVALID, "version", 0, "findings",
-                        pl_findings_to_json (findings));
+                        PL_ERR_INVALID, "version", 0, "findings", pl_findings_to_json (findings));
   pl_findings_free (findings);
   return send_json (connection,
-                    status_of_code ((int) json_integer_value (json_object_get (answer, "code"))),
+                    status_of_code ((int)json_integer_value (json_object_get (answer, "code"))),
                     answer);
 }
 
@@ -187,8 +184,7 @@
   enum MHD_Result result;
 
   if (strcmp (url, "/report") == 0)
-    return send_json (connection, MHD_HTTP_OK,
-                      operators->options.report (operators->options.data));
+    return send_json (connection, MHD_HTTP_OK, operators->options.report (operators->options.data));
   if (strcmp (url, "/metrics") == 0)
     {
       json = operators->options.report (operators->options.data);
@@ -215,7 +211,7 @@
   struct pl_operators *operators = data;
   struct upload *upload = *context;
 
-  (void) version;
+  (void)version;
   if (upload == NULL)
     {
       upload = g_new0 (struct upload, 1);
@@ -227,7 +223,7 @@
     {
       upload->too_large = upload->too_large || upload->text->len + *upload_size > RELEASE_MAX;
       if (!upload->too_large)
-        g_string_append_len (upload->text, upload_data, (gssize) *upload_size);
+        g_string_append_len (upload->text, upload_data, (gssize)*upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -237,8 +233,7 @@
     return send_text (connection, MHD_HTTP_UNAUTHORIZED, "text/plain", "operators only\n");
   if (strcmp (method, "POST") == 0 && strcmp (url, "/release") == 0)
     return answer_release (operators, connection, upload);
-  if (strcmp (method, "POST") == 0 && strcmp (url, "/cut") == 0
-      && operators->options.allow_faults)
+  if (strcmp (method, "POST") == 0 && strcmp (url, "/cut") == 0 && operators->options.allow_faults)
     return answer_cut (operators, connection);
   if (strcmp (method, "GET") == 0)
     return answer_get (operators, connection, url);
@@ -251,9 +246,9 @@
 {
   struct upload *upload = *context;
 
-  (void) data;
-  (void) connection;
-  (void) code;
+  (void)data;
+  (void)connection;
+  (void)code;
   if (upload == NULL)
     return;
   g_string_free (upload->text, TRUE);
@@ -270,8 +265,8 @@
   operators->options = *options;
   g_mutex_init (&operators->lock);
   g_cond_init (&operators->answered);
-  operators->answers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free,
-                                              (GDestroyNotify) json_decref);
+  operators->answers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)json_decref);
   if (pl_net_parse (options->address, &address) == 0)
     fd = pl_net_listen (&address);
   if (fd >= 0)
--- a/modules/peer_codec.c
+++ b/modules/peer_codec.c
@@ -12,7 +12,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define ENCODE_ROOM_FIXED ((size_t) 128 << 10)
+#define ENCODE_ROOM_FIXED ((size_t)128 << 10)
 
 G_STATIC_ASSERT (PEER_SERVICES_MAX == PL_SERVICES_MAX);
 G_STATIC_ASSERT (PEER_ITEMS_MAX == PL_LOAN_ITEMS_MAX);
@@ -30,11 +30,11 @@
 {
   to->asked_us = from->asked_us;
   to->nonce = from->nonce;
-  to->items.items_len = (u_int) from->count;
+  to->items.items_len = (u_int)from->count;
   to->items.items_val = items;
   for (int i = 0; i < from->count; i++)
-    items[i] = (struct peer_loan_item){ from->items[i].budget, from->items[i].number,
-                                        from->items[i].amount, from->items[i].surplus };
+    items[i] = (struct peer_loan_item){from->items[i].budget, from->items[i].number,
+                                       from->items[i].amount, from->items[i].surplus};
 }
 
 static void
@@ -44,11 +44,11 @@
   to->config_version = from->version;
   to->store_age_us = from->store_age_us;
   to->leaving = from->leaving;
-  to->services.services_len = (u_int) from->service_count;
+  to->services.services_len = (u_int)from->service_count;
   to->services.services_val = loads;
   for (int i = 0; i < from->service_count; i++)
-    loads[i] = (struct peer_load){ from->services[i].service, from->services[i].free_slots,
-                                   from->services[i].waiting };
+    loads[i] = (struct peer_load){from->services[i].service, from->services[i].free_slots,
+                                  from->services[i].waiting};
 }
 
 static void
@@ -56,7 +56,7 @@
 {
   struct peer_message *to = &scratch->messages[at];
 
-  to->type = (int) from->type;
+  to->type = (int)from->type;
   switch (from->type)
     {
     case PL_MESSAGE_HEARTBEAT:
@@ -68,12 +68,12 @@
       break;
     case PL_MESSAGE_SUSPECT:
       to->peer_message_u.suspect = (struct peer_suspect){
-        from->u.suspect.fingerprint, from->u.suspect.server, from->u.suspect.convicted};
+          from->u.suspect.fingerprint, from->u.suspect.server, from->u.suspect.convicted};
       break;
     case PL_MESSAGE_RELEASE:
     case PL_MESSAGE_SNAPSHOT:
       to->peer_message_u.release
-          = (struct peer_document){ from->u.document.version, from->u.document.text };
+          = (struct peer_document){from->u.document.version, from->u.document.text};
       break;
     case PL_MESSAGE_WANT_RELEASES:
       to->peer_message_u.held = from->u.document.version;
@@ -88,7 +88,7 @@
 pl_peer_encode (const struct pl_message *messages, int count, size_t *length)
 {
   struct scratch *scratch = g_new0 (struct scratch, 1);
-  struct peer_batch batch = { { (u_int) count, scratch->messages } };
+  struct peer_batch batch = {{(u_int)count, scratch->messages}};
   size_t room = ENCODE_ROOM_FIXED;
   char *bytes;
   XDR xdrs;
@@ -101,7 +101,7 @@
         room += strlen (messages[i].u.document.text) + 16;
     }
   bytes = g_malloc (room);
-  xdrmem_create (&xdrs, bytes, (u_int) room, XDR_ENCODE);
+  xdrmem_create (&xdrs, bytes, (u_int)room, XDR_ENCODE);
   if (xdr_peer_batch (&xdrs, &batch))
     *length = xdr_getpos (&xdrs);
   else
@@ -116,13 +116,12 @@
 {
   to->asked_us = from->asked_us;
   to->nonce = from->nonce;
-  to->count = (int32_t) MIN (from->items.items_len, (u_int) PL_LOAN_ITEMS_MAX);
+  to->count = (int32_t)MIN (from->items.items_len, (u_int)PL_LOAN_ITEMS_MAX);
   for (int i = 0; i < to->count; i++)
     {
       const struct peer_loan_item *item = &from->items.items_val[i];
 
-      to->items[i]
-          = (struct pl_loan_item){ item->budget, item->number, item->amount, item->surplus };
+      to->items[i] = (struct pl_loan_item){item->budget, item->number, item->amount, item->surplus};
     }
 }
 
@@ -132,19 +131,19 @@
   to->version = from->config_version;
   to->store_age_us = from->store_age_us;
   to->leaving = from->leaving;
-  to->service_count = (int32_t) MIN (from->services.services_len, (u_int) PL_SERVICES_MAX);
+  to->service_count = (int32_t)MIN (from->services.services_len, (u_int)PL_SERVICES_MAX);
   for (int i = 0; i < to->service_count; i++)
     {
       const struct peer_load *load = &from->services.services_val[i];
 
-      to->services[i] = (struct pl_service_load){ load->service, load->free_slots, load->waiting };
+      to->services[i] = (struct pl_service_load){load->service, load->free_slots, load->waiting};
     }
 }
 
 static void
 message_from_wire (const struct peer_message *from, struct pl_message *to)
 {
-  to->type = (enum pl_message_type) from->type;
+  to->type = (enum pl_message_type)from->type;
   switch (to->type)
     {
     case PL_MESSAGE_HEARTBEAT:
@@ -155,9 +154,9 @@
       loans_from_wire (&from->peer_message_u.ask, &to->u.loans);
       break;
     case PL_MESSAGE_SUSPECT:
-      to->u.suspect = (struct pl_suspect_message){ from->peer_message_u.suspect.fingerprint,
-                                                   from->peer_message_u.suspect.server,
-                                                   from->peer_message_u.suspect.convicted };
+      to->u.suspect = (struct pl_suspect_message){from->peer_message_u.suspect.fingerprint,
+                                                  from->peer_message_u.suspect.server,
+                                                  from->peer_message_u.suspect.convicted};
       break;
     case PL_MESSAGE_RELEASE:
     case PL_MESSAGE_SNAPSHOT:
@@ -174,21 +173,21 @@
 pl_peer_decode (const char *bytes, size_t length, uint64_t from,
                 void (*on_message) (void *data, struct pl_message *message), void *data)
 {
-  struct peer_batch batch = { 0 };
+  struct peer_batch batch = {0};
   XDR xdrs;
   bool decoded;
 
-  xdrmem_create (&xdrs, (char *) bytes, (u_int) length, XDR_DECODE);
+  xdrmem_create (&xdrs, (char *)bytes, (u_int)length, XDR_DECODE);
   decoded = xdr_peer_batch (&xdrs, &batch) && xdr_getpos (&xdrs) == length;
   xdr_destroy (&xdrs);
   for (u_int i = 0; decoded && i < batch.messages.messages_len; i++)
     {
-      struct pl_message message = { 0 };
+      struct pl_message message = {0};
 
       message_from_wire (&batch.messages.messages_val[i], &message);
       message.from = from;
       on_message (data, &message);
     }
-  xdr_free ((xdrproc_t) xdr_peer_batch, &batch);
+  xdr_free ((xdrproc_t)xdr_peer_batch, &batch);
   return decoded ? PL_OK : PL_ERR_INVALID;
 }
--- a/modules/store_http.c
+++ b/modules/store_http.c
@@ -54,8 +54,7 @@
 static void
 send_call (struct store_call *call, const char *path, json_t *body, pl_http_text_function done)
 {
-  g_autofree char *url
-      = g_strdup_printf ("http://%s%s", call->store->options.address, path);
+  g_autofree char *url = g_strdup_printf ("http://%s%s", call->store->options.address, path);
   char *text = json_dumps (body, JSON_COMPACT);
 
   pl_http_client_fetch (call->store->options.client, "POST", url, text, CALL_TIMEOUT_US, false,
@@ -67,7 +66,7 @@
 static struct pl_event
 new_event (const struct store_call *call, int result)
 {
-  struct pl_event event = { .type = PL_EVENT_STORE };
+  struct pl_event event = {.type = PL_EVENT_STORE};
 
   event.u.store.call = call->request.call;
   event.u.store.ticket = call->request.ticket;
@@ -115,7 +114,7 @@
       if (release == NULL)
         break;
       json_array_append_new (event->releases,
-                             json_pack ("{s:I,s:O}", "version", (json_int_t) version, "release",
+                             json_pack ("{s:I,s:O}", "version", (json_int_t)version, "release",
                                         json_object_get (release, "release")));
     }
 }
@@ -129,12 +128,12 @@
   json_t *row;
 
   json_object_foreach (rows, key, row)
-    {
-      json_t *value = json_object_get (row, "value");
+  {
+    json_t *value = json_object_get (row, "value");
 
-      if (strncmp (key, "slot/", 5) == 0 && !json_is_true (json_object_get (value, "released")))
-        lowest = MIN (lowest, json_integer_value (json_object_get (value, "version")));
-    }
+    if (strncmp (key, "slot/", 5) == 0 && !json_is_true (json_object_get (value, "released")))
+      lowest = MIN (lowest, json_integer_value (json_object_get (value, "version")));
+  }
   return lowest;
 }
 
@@ -153,8 +152,8 @@
     {
       event.u.store.version
           = json_integer_value (json_object_get (row_value (rows, "head"), "version"));
-      event.u.store.slot_nonce = (uint64_t) json_integer_value (
-          json_object_get (row_value (rows, slot_key), "nonce"));
+      event.u.store.slot_nonce
+          = (uint64_t)json_integer_value (json_object_get (row_value (rows, slot_key), "nonce"));
       event.u.store.confirmed_version = lowest_confirmed (rows);
       read_releases (call, rows, &event.u.store);
     }
@@ -167,8 +166,7 @@
 {
   g_autofree char *first = release_key (call->request.version + 1);
   json_t *body = json_pack ("{s:[s],s:[s],s:[{s:s,s:s,s:i}]}", "keys", "head", "prefixes", "slot/",
-                            "ranges", "from", first, "to", "release/~", "limit",
-                            RELEASES_PER_READ);
+                            "ranges", "from", first, "to", "release/~", "limit", RELEASES_PER_READ);
 
   if (call->request.version == 0)
     json_array_append_new (json_object_get (body, "keys"), json_string ("snapshot"));
@@ -179,7 +177,7 @@
 put_op (const char *key, int64_t if_version, json_t *value)
 {
   return json_pack ("{s:s,s:s,s:I,s:o}", "op", "put", "key", key, "if_version",
-                    (json_int_t) if_version, "value", value);
+                    (json_int_t)if_version, "value", value);
 }
 
 static void
@@ -188,7 +186,7 @@
   struct store_call *call = data;
   struct pl_event event = new_event (call, result_of (end, status));
 
-  (void) text;
+  (void)text;
   event.u.store.version = call->request.version + 1;
   answer (call, &event);
 }
@@ -203,21 +201,21 @@
   g_autofree char *id_key = g_strdup_printf ("release-id/%s", request->id);
   json_t *ops = json_array ();
 
-  json_array_append_new (ops, put_op ("head", request->version,
-                                      json_pack ("{s:I,s:s}", "version", (json_int_t) version,
-                                                 "id", request->id)));
-  json_array_append_new (ops, put_op (key, 0,
-                                      json_pack ("{s:s,s:o,s:I}", "id", request->id, "release",
-                                                 json_loads (request->text, 0, NULL), "time",
-                                                 (json_int_t) (g_get_real_time ()
-                                                               / G_USEC_PER_SEC))));
+  json_array_append_new (
+      ops, put_op ("head", request->version,
+                   json_pack ("{s:I,s:s}", "version", (json_int_t)version, "id", request->id)));
+  json_array_append_new (ops,
+                         put_op (key, 0,
+                                 json_pack ("{s:s,s:o,s:I}", "id", request->id, "release",
+                                            json_loads (request->text, 0, NULL), "time",
+                                            (json_int_t)(g_get_real_time () / G_USEC_PER_SEC))));
   json_array_append_new (ops, put_op (id_key, 0,
-                                      json_pack ("{s:I,s:s}", "version", (json_int_t) version,
+                                      json_pack ("{s:I,s:s}", "version", (json_int_t)version,
                                                  "digest", request->digest)));
-  json_array_append_new (ops, put_op ("snapshot", -1,
-                                      json_pack ("{s:I,s:o}", "version", (json_int_t) version,
-                                                 "document",
-                                                 json_loads (request->document, 0, NULL))));
+  json_array_append_new (ops,
+                         put_op ("snapshot", -1,
+                                 json_pack ("{s:I,s:o}", "version", (json_int_t)version, "document",
+                                            json_loads (request->document, 0, NULL))));
   send_call (call, "/transaction", json_pack ("{s:b,s:o}", "each", 0, "ops", ops), commit_done);
 }
 
@@ -253,10 +251,9 @@
 read_claim (const struct store_call *call, const json_t *result, struct pl_claim_result *claim)
 {
   json_t *value = json_object_get (result, "value");
-  bool ours = (uint64_t) json_integer_value (json_object_get (value, "nonce"))
-                  == call->request.nonce
-              && (uint64_t) json_integer_value (json_object_get (value, "request"))
-                     == claim->request;
+  bool ours
+      = (uint64_t)json_integer_value (json_object_get (value, "nonce")) == call->request.nonce
+        && (uint64_t)json_integer_value (json_object_get (value, "request")) == claim->request;
   const char *state = json_string_value (json_object_get (value, "state"));
 
   if (json_is_true (json_object_get (result, "ok")))
@@ -266,7 +263,7 @@
   else if (strcmp (state, "done") == 0)
     {
       claim->state = PL_CLAIM_DONE;
-      claim->status = (int) json_integer_value (json_object_get (value, "status"));
+      claim->status = (int)json_integer_value (json_object_get (value, "status"));
       claim->answer = g_strdup (json_string_value (json_object_get (value, "answer")));
     }
   else
@@ -291,7 +288,7 @@
       memcpy (claim->row, call->request.claims[i].row, sizeof claim->row);
       claim->state = PL_CLAIM_UNKNOWN;
       if (results != NULL)
-        read_claim (call, json_array_get (results, (size_t) i), claim);
+        read_claim (call, json_array_get (results, (size_t)i), claim);
     }
   json_decref (json);
   answer (call, &event);
@@ -300,9 +297,8 @@
 static json_t *
 claim_value (const struct store_call *call, int at)
 {
-  return json_pack ("{s:s,s:I,s:I}", "state", "claimed", "nonce",
-                    (json_int_t) call->request.nonce, "request",
-                    (json_int_t) call->request.claims[at].request);
+  return json_pack ("{s:s,s:I,s:I}", "state", "claimed", "nonce", (json_int_t)call->request.nonce,
+                    "request", (json_int_t)call->request.claims[at].request);
 }
 
 static void
@@ -325,7 +321,7 @@
   int result = result_of (end, status);
   struct pl_event event = new_event (call, result);
 
-  (void) text;
+  (void)text;
   if (result < 0 && --call->tries_left > 0)
     call_finish (call);
   else
@@ -340,8 +336,8 @@
   if (call->request.call == PL_STORE_FINISH)
     op = put_op (call->request.claims[0].row, -1, json_loads (call->request.text, 0, NULL));
   else
-    op = json_pack ("{s:s,s:s,s:o}", "op", "delete", "key", call->request.claims[0].row,
-                    "if_value", claim_value (call, 0));
+    op = json_pack ("{s:s,s:s,s:o}", "op", "delete", "key", call->request.claims[0].row, "if_value",
+                    claim_value (call, 0));
   send_call (call, "/transaction", json_pack ("{s:b,s:[o]}", "each", 1, "ops", op), finish_done);
 }
 
@@ -351,7 +347,7 @@
   struct store_call *call = data;
   struct pl_event event = new_event (call, result_of (end, status));
 
-  (void) text;
+  (void)text;
   event.u.store.slot_nonce = call->request.nonce;
   event.u.store.slot_incarnation = call->slot_incarnation;
   event.u.store.taken_over = call->slot_taken_over;
@@ -369,8 +365,8 @@
   json_t *row = json_object_get (json_object_get (json, "rows"), key);
   json_t *value = json_object_get (row, "value");
   int64_t row_version = json_integer_value (json_object_get (row, "version"));
-  bool ours = (uint64_t) json_integer_value (json_object_get (value, "nonce"))
-              == call->request.nonce;
+  bool ours
+      = (uint64_t)json_integer_value (json_object_get (value, "nonce")) == call->request.nonce;
   json_t *op;
 
   if (json == NULL)
@@ -379,13 +375,13 @@
       return;
     }
   call->slot_incarnation
-      = (uint64_t) json_integer_value (json_object_get (value, "incarnation")) + (ours ? 0 : 1);
+      = (uint64_t)json_integer_value (json_object_get (value, "incarnation")) + (ours ? 0 : 1);
   call->slot_taken_over
       = value != NULL && !ours && !json_is_true (json_object_get (value, "released"));
   op = put_op (key, row_version,
-               json_pack ("{s:I,s:I,s:I,s:b}", "nonce", (json_int_t) call->request.nonce,
-                          "incarnation", (json_int_t) call->slot_incarnation, "version",
-                          (json_int_t) call->request.version, "released",
+               json_pack ("{s:I,s:I,s:I,s:b}", "nonce", (json_int_t)call->request.nonce,
+                          "incarnation", (json_int_t)call->slot_incarnation, "version",
+                          (json_int_t)call->request.version, "released",
                           call->request.release_slot));
   json_decref (json);
   send_call (call, "/transaction", json_pack ("{s:b,s:[o]}", "each", 0, "ops", op), slot_written);
@@ -402,9 +398,10 @@
 typedef void (*store_function) (struct store_call *call);
 
 static const store_function store_functions[] = {
-  [PL_STORE_HEAD] = call_head,     [PL_STORE_COMMIT] = call_commit,  [PL_STORE_FIND] = call_find,
-  [PL_STORE_CLAIM] = call_claim,   [PL_STORE_FINISH] = call_finish,  [PL_STORE_ABANDON] = call_finish,
-  [PL_STORE_SLOT] = call_slot,
+    [PL_STORE_HEAD] = call_head,     [PL_STORE_COMMIT] = call_commit,
+    [PL_STORE_FIND] = call_find,     [PL_STORE_CLAIM] = call_claim,
+    [PL_STORE_FINISH] = call_finish, [PL_STORE_ABANDON] = call_finish,
+    [PL_STORE_SLOT] = call_slot,
 };
 
 void
@@ -424,7 +421,7 @@
 host_list_done (void *data, enum pl_http_end end, int status, const char *text)
 {
   struct pl_store *store = data;
-  struct pl_event event = { .type = PL_EVENT_LEAVING_LIST };
+  struct pl_event event = {.type = PL_EVENT_LEAVING_LIST};
   json_t *json = end == PL_HTTP_WHOLE && status == 200 ? json_loads (text, 0, NULL) : NULL;
   json_t *leaving = json_object_get (json, "leaving");
   uint64_t *servers;
@@ -434,9 +431,9 @@
   if (json_array_size (leaving) > 0)
     {
       servers = g_new0 (uint64_t, json_array_size (leaving));
-      json_array_foreach (leaving, i, name)
-        if (json_is_string (name))
-          servers[event.u.leaving.count++] = pl_id_of ("servers", json_string_value (name));
+      json_array_foreach (leaving, i, name) if (json_is_string (name))
+          servers[event.u.leaving.count++]
+          = pl_id_of ("servers", json_string_value (name));
       event.u.leaving.servers = servers;
       store->options.on_event (store->options.data, &event);
     }
@@ -473,15 +470,15 @@
   if (rows != NULL)
     history->list = json_array ();
   json_object_foreach (rows, key, row)
-    {
-      json_t *value = json_object_get (row, "value");
-
-      json_array_append_new (
-          history->list,
-          json_pack ("{s:i,s:O,s:O,s:O}", "version", atoi (key + strlen ("release/")), "id",
-                     json_object_get (value, "id"), "time", json_object_get (value, "time"),
-                     "changes", json_object_get (json_object_get (value, "release"), "changes")));
-    }
+  {
+    json_t *value = json_object_get (row, "value");
+
+    json_array_append_new (
+        history->list,
+        json_pack ("{s:i,s:O,s:O,s:O}", "version", atoi (key + strlen ("release/")), "id",
+                   json_object_get (value, "id"), "time", json_object_get (value, "time"),
+                   "changes", json_object_get (json_object_get (value, "release"), "changes")));
+  }
   history->ended = true;
   g_cond_signal (&history->done);
   g_mutex_unlock (&history->lock);
@@ -492,7 +489,7 @@
 pl_store_read_history (struct pl_store *store)
 {
   g_autofree char *url = g_strdup_printf ("http://%s/read", store->options.address);
-  struct history history = { 0 };
+  struct history history = {0};
 
   g_mutex_init (&history.lock);
   g_cond_init (&history.done);
@@ -524,6 +521,6 @@
 {
   if (store == NULL)
     return;
-  g_free ((char *) store->options.address);
+  g_free ((char *)store->options.address);
   g_free (store);
 }
--- a/objects/findings.c
+++ b/objects/findings.c
@@ -77,9 +77,9 @@
     {
       const struct pl_finding *finding = g_ptr_array_index (findings->items, i);
 
-      json_array_append_new (array, json_pack ("{s:i,s:i,s:s}", "line", finding->place.line,
-                                               "column", finding->place.column, "text",
-                                               finding->text));
+      json_array_append_new (array,
+                             json_pack ("{s:i,s:i,s:s}", "line", finding->place.line, "column",
+                                        finding->place.column, "text", finding->text));
     }
   return array;
 }
@@ -91,12 +91,12 @@
   json_t *item;
 
   json_array_foreach (array, i, item)
-    {
-      struct pl_place place = { 0, 0 };
-      const char *text = "?";
-
-      json_unpack (item, "{s:i,s:i,s:s}", "line", &place.line, "column", &place.column, "text",
-                   &text);
-      pl_findings_add (findings, place, "%s", text);
-    }
+  {
+    struct pl_place place = {0, 0};
+    const char *text = "?";
+
+    json_unpack (item, "{s:i,s:i,s:s}", "line", &place.line, "column", &place.column, "text",
+                 &text);
+    pl_findings_add (findings, place, "%s", text);
+  }
 }
--- a/objects/timers.c
+++ b/objects/timers.c
@@ -11,7 +11,7 @@
 {
   if (timers->count == PL_TIMERS_MAX)
     return PL_ERR_FULL;
-  timers->items[timers->count++] = (struct pl_timer){ function, period_us, now_us + period_us };
+  timers->items[timers->count++] = (struct pl_timer){function, period_us, now_us + period_us};
   return PL_OK;
 }
 
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -77,11 +77,9 @@
   if (json_array_size (hosts) > 0)
     {
       cache->count = 0;
-      json_array_foreach (hosts, i, host)
-        if (cache->count < HOSTS_MAX)
+      json_array_foreach (hosts, i, host) if (cache->count < HOSTS_MAX)
           g_strlcpy (cache->hosts[cache->count++],
-                     json_string_value (json_object_get (host, "address")),
-                     sizeof cache->hosts[0]);
+                     json_string_value (json_object_get (host, "address")), sizeof cache->hosts[0]);
       cache->valid_until_us = pl_clock_now_us () + ttl_ms * 1000;
     }
   g_mutex_unlock (&callers->lock);
@@ -96,8 +94,8 @@
   const struct load_plan *plan = callers->options.plan;
   struct route_cache *cache = &callers->caches[site];
   guint turn = callers->lookup_turn++;
-  const char *address = json_string_value (
-      json_array_get (plan->lookups, turn % json_array_size (plan->lookups)));
+  const char *address
+      = json_string_value (json_array_get (plan->lookups, turn % json_array_size (plan->lookups)));
   g_autofree char *url = NULL;
   struct attempt *asker;
 
@@ -105,7 +103,7 @@
     return;
   /* An address that was named before is as good as one from the settings. */
   if (cache->count > 0 && turn % 2 == 0)
-    address = cache->hosts[turn / 2 % (guint) cache->count];
+    address = cache->hosts[turn / 2 % (guint)cache->count];
   cache->asking = true;
   asker = g_new0 (struct attempt, 1);
   asker->callers = callers;
@@ -133,7 +131,7 @@
   if (cache->count > 0)
     {
       /* Callers of a site share the load between the first two hosts that they were given. */
-      int at = (attempt->host + (int) (attempt->number % 2)) % cache->count;
+      int at = (attempt->host + (int)(attempt->number % 2)) % cache->count;
 
       g_strlcpy (attempt->address, cache->hosts[at], sizeof attempt->address);
     }
@@ -159,7 +157,7 @@
            "\"outcome\":\"%s\",\"reason\":\"%s\",\"whole\":%s}\n",
            attempt->number, account->name, attempt->route->path,
            attempt->route->unrepeatable ? "true" : "false", attempt->sends, attempt->address,
-           attempt->sent_us, pl_clock_now_us (), status, (int) end, attempt->outcome,
+           attempt->sent_us, pl_clock_now_us (), status, (int)end, attempt->outcome,
            attempt->reason, whole ? "true" : "false");
   g_mutex_unlock (&callers->lock);
 }
@@ -168,9 +166,9 @@
 finish (struct attempt *attempt, bool served, bool wrong, const char *reason)
 {
   struct load_callers *callers = attempt->callers;
-  struct load_result result = { attempt->inside, served, wrong,
-                                reason != NULL ? g_intern_string (reason) : NULL,
-                                pl_clock_now_us () - attempt->due_us };
+  struct load_result result
+      = {attempt->inside, served, wrong, reason != NULL ? g_intern_string (reason) : NULL,
+         pl_clock_now_us () - attempt->due_us};
 
   g_mutex_lock (&callers->lock);
   load_tally_add (&callers->options.tallies[attempt->account], &result);
@@ -198,7 +196,7 @@
 {
   struct attempt *attempt = data;
 
-  g_string_append_len (attempt->answer, bytes, (gssize) length);
+  g_string_append_len (attempt->answer, bytes, (gssize)length);
   return length;
 }
 
@@ -206,10 +204,10 @@
 on_read (void *data, char *bytes, size_t length)
 {
   struct attempt *attempt = data;
-  size_t part = (size_t) MIN ((int64_t) length, attempt->body_left);
+  size_t part = (size_t)MIN ((int64_t)length, attempt->body_left);
 
   memset (bytes, 'p', part);
-  attempt->body_left -= (int64_t) part;
+  attempt->body_left -= (int64_t)part;
   return part;
 }
 
@@ -221,7 +219,7 @@
       = g_strdup_printf ("tag=%lu received=%ld ", attempt->number, attempt->route->body_bytes);
 
   return g_str_has_prefix (attempt->answer->str, start)
-         && (int64_t) attempt->answer->len == attempt->route->answer_bytes;
+         && (int64_t)attempt->answer->len == attempt->route->answer_bytes;
 }
 
 static gboolean
@@ -249,8 +247,7 @@
   write_history (attempt, status, end, whole);
   if (attempt->sends < RESENDS_MAX
       && (elsewhere
-          || (unknown && attempt->callers->options.plan->resend
-              && attempt->route->fault == NULL)))
+          || (unknown && attempt->callers->options.plan->resend && attempt->route->fault == NULL)))
     {
       resend_later (attempt);
       return;
@@ -274,11 +271,10 @@
       = &g_array_index (callers->options.plan->accounts, struct load_account, attempt->account);
   g_autofree char *url = NULL;
   g_autofree char *key = g_strdup_printf ("X-Api-Key: %s", account->key);
-  g_autofree char *operation
-      = g_strdup_printf ("Idempotency-Key: op-%u-%lu", callers->options.plan->seed,
-                         attempt->number);
-  const char *headers[] = { key, route->unrepeatable ? operation : NULL, NULL };
-  struct pl_http_call_options options = { 0 };
+  g_autofree char *operation = g_strdup_printf ("Idempotency-Key: op-%u-%lu",
+                                                callers->options.plan->seed, attempt->number);
+  const char *headers[] = {key, route->unrepeatable ? operation : NULL, NULL};
+  struct pl_http_call_options options = {0};
 
   attempt->outcome[0] = '\0';
   attempt->reason[0] = '\0';
--- a/programs/operator/layout.c
+++ b/programs/operator/layout.c
@@ -14,19 +14,22 @@
 #define DECIMALS_DEFAULT 0
 
 static const struct pl_field layout_fields[] = {
-  {"title", PL_FIELD_TEXT, false, 0, 0, NULL},   {"rows", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"format", PL_FIELD_NAME, false, 0, 0, NULL},  {"separator", PL_FIELD_TEXT, false, 0, 0, NULL},
-  {"order", PL_FIELD_NAME, false, 0, 0, NULL},   {"columns", PL_FIELD_ANY, true, 0, 0, NULL},
-  {NULL},
+    {"title", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"rows", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"format", PL_FIELD_NAME, false, 0, 0, NULL},
+    {"separator", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"order", PL_FIELD_NAME, false, 0, 0, NULL},
+    {"columns", PL_FIELD_ANY, true, 0, 0, NULL},
+    {NULL},
 };
 
 static const struct pl_field column_fields[] = {
-  {"heading", PL_FIELD_TEXT, true, 0, 0, NULL},
-  {"figure", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"unit", PL_FIELD_NAME, false, 0, 0, NULL},
-  {"width", PL_FIELD_NUMBER, false, 1, WIDTH_MAX, NULL},
-  {"decimals", PL_FIELD_NUMBER, false, 0, 9, NULL},
-  {NULL},
+    {"heading", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"figure", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"unit", PL_FIELD_NAME, false, 0, 0, NULL},
+    {"width", PL_FIELD_NUMBER, false, 1, WIDTH_MAX, NULL},
+    {"decimals", PL_FIELD_NUMBER, false, 0, 9, NULL},
+    {NULL},
 };
 
 struct unit
@@ -36,7 +39,7 @@
 };
 
 static const struct unit units[] = {
-  {"none", 1}, {"s", 1}, {"ms", 1e3}, {"us", 1e6}, {"percent", 100}, {"kB", 1e-3}, {"MB", 1e-6},
+    {"none", 1}, {"s", 1}, {"ms", 1e3}, {"us", 1e6}, {"percent", 100}, {"kB", 1e-3}, {"MB", 1e-6},
 };
 
 struct layout
@@ -86,12 +89,12 @@
 
   layout->columns = pl_schema_read_list (document, list, column_fields, places, findings);
   json_array_foreach (layout->columns, i, column)
-    {
-      struct pl_place place = { 0, 0 };
+  {
+    struct pl_place place = {0, 0};
 
-      json_unpack (json_array_get (places, i), "[i,i]", &place.line, &place.column);
-      check_column (column, rows, place, findings);
-    }
+    json_unpack (json_array_get (places, i), "[i,i]", &place.line, &place.column);
+    check_column (column, rows, place, findings);
+  }
   if (json_array_size (layout->columns) == 0)
     pl_findings_add (findings, pl_schema_place (list), "'columns' must name a column");
   json_decref (places);
@@ -100,7 +103,7 @@
 static void
 check_head (const struct layout *layout, struct pl_findings *findings)
 {
-  const struct pl_place whole = { 1, 1 };
+  const struct pl_place whole = {1, 1};
   const char *rows = text_of (layout->head, "rows", "accounts");
   const char *format = text_of (layout->head, "format", "table");
   const char *order = text_of (layout->head, "order", "name");
@@ -116,7 +119,7 @@
 struct layout *
 layout_read (const char *file, struct pl_findings *findings)
 {
-  const struct pl_place whole = { 0, 0 };
+  const struct pl_place whole = {0, 0};
   g_autoptr (GError) error = NULL;
   g_autofree char *text = NULL;
   yaml_document_t document;
@@ -164,18 +167,16 @@
     return g_strdup (json_string_value (value));
   if (!json_is_number (value))
     return g_strdup ("-");
-  return g_strdup_printf ("%.*f",
-                          decimals != NULL ? (int) json_integer_value (decimals)
-                                           : DECIMALS_DEFAULT,
-                          json_number_value (value)
-                              * find_unit (text_of (column, "unit", "none"))->factor);
+  return g_strdup_printf (
+      "%.*f", decimals != NULL ? (int)json_integer_value (decimals) : DECIMALS_DEFAULT,
+      json_number_value (value) * find_unit (text_of (column, "unit", "none"))->factor);
 }
 
 static void
 print_cell (const struct layout *layout, size_t at, const char *text, bool is_text)
 {
   const json_t *column = json_array_get (layout->columns, at);
-  int width = (int) json_integer_value (json_object_get (column, "width"));
+  int width = (int)json_integer_value (json_object_get (column, "width"));
   const char *separator = text_of (layout->head, "separator", " ");
 
   if (strcmp (text_of (layout->head, "format", "table"), "csv") == 0)
@@ -194,8 +195,8 @@
 static int
 compare_rows (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const json_t *x = json_object_get (*(json_t *const *) a, data);
-  const json_t *y = json_object_get (*(json_t *const *) b, data);
+  const json_t *x = json_object_get (*(json_t *const *)a, data);
+  const json_t *y = json_object_get (*(json_t *const *)b, data);
 
   if (json_is_string (x) && json_is_string (y))
     return strcmp (json_string_value (x), json_string_value (y));
@@ -214,24 +215,23 @@
   size_t at;
   json_t *column;
 
-  json_object_foreach (summary, name, row)
-    g_ptr_array_add (rows, row);
+  json_object_foreach (summary, name, row) g_ptr_array_add (rows, row);
   g_ptr_array_sort_with_data (rows, compare_rows,
-                              (gpointer) text_of (layout->head, "order", "name"));
+                              (gpointer)text_of (layout->head, "order", "name"));
   if (title[0] != '\0' && strcmp (text_of (layout->head, "format", "table"), "csv") != 0)
     printf ("%s\n", title);
   json_array_foreach (layout->columns, at, column)
-    print_cell (layout, at, text_of (column, "heading", ""),
-                strcmp (text_of (column, "figure", ""), "name") == 0);
+      print_cell (layout, at, text_of (column, "heading", ""),
+                  strcmp (text_of (column, "figure", ""), "name") == 0);
   printf ("\n");
   for (guint i = 0; i < rows->len; i++)
     {
       json_array_foreach (layout->columns, at, column)
-        {
-          g_autofree char *text = cell_text (column, g_ptr_array_index (rows, i));
+      {
+        g_autofree char *text = cell_text (column, g_ptr_array_index (rows, i));
 
-          print_cell (layout, at, text, strcmp (text_of (column, "figure", ""), "name") == 0);
-        }
+        print_cell (layout, at, text, strcmp (text_of (column, "figure", ""), "name") == 0);
+      }
       printf ("\n");
     }
   json_decref (summary);
--- a/programs/operator/operator.h
+++ b/programs/operator/operator.h
@@ -13,7 +13,7 @@
 enum operator_exit
 {
   OPERATOR_OK = 0,
-  OPERATOR_FINDINGS = 1,    /* the release, layout or settings are wrong; nothing was changed */
+  OPERATOR_FINDINGS = 1, /* the release, layout or settings are wrong; nothing was changed */
   OPERATOR_USAGE = 2,
   OPERATOR_UNAVAILABLE = 3, /* no entry host or no store: nothing was changed */
   OPERATOR_UNKNOWN = 4,     /* the outcome is not known; the same command may be given again */
--- a/programs/operator/summary.c
+++ b/programs/operator/summary.c
@@ -18,20 +18,21 @@
 };
 
 static const char *const traffic_figures[] = {
-  "name", "asked", "served", "refused", "refused_inside_rate", "over_rate", "served_part",
-  "p50", "p99", "max", "mean", "rate", "burst", "asked_rate", NULL,
+    "name",      "asked",       "served", "refused",    "refused_inside_rate",
+    "over_rate", "served_part", "p50",    "p99",        "max",
+    "mean",      "rate",        "burst",  "asked_rate", NULL,
 };
-static const char *const service_figures[] = {"name", "in_flight", "free", "slots", "headroom",
-                                              NULL};
+static const char *const service_figures[]
+    = {"name", "in_flight", "free", "slots", "headroom", NULL};
 static const char *const link_figures[] = {"name", "bytes", "bytes_per_second", "used", NULL};
 static const char *const server_figures[] = {"name", "served", "in_flight", "drain", NULL};
-static const char *const host_figures[] = {"name", "version", "waiting", "active", "store_age",
-                                           NULL};
+static const char *const host_figures[]
+    = {"name", "version", "waiting", "active", "store_age", NULL};
 
 static const struct rows_kind rows_kinds[] = {
-  {"accounts", traffic_figures}, {"routes", traffic_figures}, {"regions", traffic_figures},
-  {"services", service_figures}, {"links", link_figures},     {"servers", server_figures},
-  {"hosts", host_figures},
+    {"accounts", traffic_figures}, {"routes", traffic_figures}, {"regions", traffic_figures},
+    {"services", service_figures}, {"links", link_figures},     {"servers", server_figures},
+    {"hosts", host_figures},
 };
 
 static const struct rows_kind *
@@ -61,9 +62,9 @@
 static bool
 is_own_doing (const char *reason)
 {
-  static const char *const reasons[] = {"over-rate", "queue-full", "no-key", "no-route",
-                                        "idempotency-key-required", "repeated", "quarantined",
-                                        NULL};
+  static const char *const reasons[]
+      = {"over-rate", "queue-full",  "no-key", "no-route", "idempotency-key-required",
+         "repeated",  "quarantined", NULL};
 
   return g_strv_contains (reasons, reason);
 }
@@ -92,28 +93,28 @@
   traffic->seconds = MAX (traffic->seconds, seconds);
   traffic->entry = entry;
   json_object_foreach (json_object_get (entry, "refused"), reason, value)
-    {
-      double count = json_number_value (value);
-
-      traffic->refused += count;
-      if (strcmp (reason, "over-rate") == 0 || strcmp (reason, "queue-full") == 0)
-        traffic->over_rate += count;
-      else if (!is_own_doing (reason))
-        traffic->refused_inside += count;
-    }
+  {
+    double count = json_number_value (value);
+
+    traffic->refused += count;
+    if (strcmp (reason, "over-rate") == 0 || strcmp (reason, "queue-full") == 0)
+      traffic->over_rate += count;
+    else if (!is_own_doing (reason))
+      traffic->refused_inside += count;
+  }
   json_array_foreach (json_object_get (entry, "buckets"), i, value)
-    {
-      json_int_t bucket = json_integer_value (json_array_get (value, 0));
-      json_int_t count = json_integer_value (json_array_get (value, 1));
-
-      if (bucket < 0 || bucket >= PL_HISTOGRAM_BUCKETS)
-        continue;
-      traffic->latency.buckets[bucket] += (uint64_t) count;
-      traffic->latency.count += (uint64_t) count;
-    }
-  traffic->latency.sum_us += (uint64_t) json_integer_value (json_object_get (entry, "sum_us"));
-  traffic->latency.max_us = MAX (traffic->latency.max_us,
-                                 json_integer_value (json_object_get (entry, "max_us")));
+  {
+    json_int_t bucket = json_integer_value (json_array_get (value, 0));
+    json_int_t count = json_integer_value (json_array_get (value, 1));
+
+    if (bucket < 0 || bucket >= PL_HISTOGRAM_BUCKETS)
+      continue;
+    traffic->latency.buckets[bucket] += (uint64_t)count;
+    traffic->latency.count += (uint64_t)count;
+  }
+  traffic->latency.sum_us += (uint64_t)json_integer_value (json_object_get (entry, "sum_us"));
+  traffic->latency.max_us
+      = MAX (traffic->latency.max_us, json_integer_value (json_object_get (entry, "max_us")));
 }
 
 /* Latencies in seconds. */
@@ -123,20 +124,20 @@
   double rate = json_number_value (json_object_get (traffic->entry, "rate"));
   double asked_rate = traffic->seconds > 0 ? traffic->asked / traffic->seconds : 0;
   double inside = traffic->refused_inside;
-  double count = (double) traffic->latency.count;
+  double count = (double)traffic->latency.count;
 
   if (rate > 0 && asked_rate <= rate)
     inside += traffic->over_rate;
-  return json_pack (
-      "{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "name", name, "asked",
-      traffic->asked, "served", traffic->served, "refused", traffic->refused,
-      "refused_inside_rate", inside, "over_rate", traffic->over_rate, "served_part",
-      traffic->asked > 0 ? traffic->served / traffic->asked : 1.0, "p50",
-      (double) pl_histogram_quantile (&traffic->latency, 0.5) / 1e6, "p99",
-      (double) pl_histogram_quantile (&traffic->latency, 0.99) / 1e6, "max",
-      (double) traffic->latency.max_us / 1e6, "mean",
-      count > 0 ? (double) traffic->latency.sum_us / count / 1e6 : 0.0, "rate", rate, "burst",
-      json_number_value (json_object_get (traffic->entry, "burst")), "asked_rate", asked_rate);
+  return json_pack ("{s:s,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f,s:f}", "name", name,
+                    "asked", traffic->asked, "served", traffic->served, "refused", traffic->refused,
+                    "refused_inside_rate", inside, "over_rate", traffic->over_rate, "served_part",
+                    traffic->asked > 0 ? traffic->served / traffic->asked : 1.0, "p50",
+                    (double)pl_histogram_quantile (&traffic->latency, 0.5) / 1e6, "p99",
+                    (double)pl_histogram_quantile (&traffic->latency, 0.99) / 1e6, "max",
+                    (double)traffic->latency.max_us / 1e6, "mean",
+                    count > 0 ? (double)traffic->latency.sum_us / count / 1e6 : 0.0, "rate", rate,
+                    "burst", json_number_value (json_object_get (traffic->entry, "burst")),
+                    "asked_rate", asked_rate);
 }
 
 static struct traffic *
@@ -165,16 +166,16 @@
   json_t *report;
 
   json_array_foreach (reports, i, report)
-    {
-      double seconds = json_number_value (json_object_get (report, "up_us")) / 1e6;
-      const char *region = json_string_value (json_object_get (report, "region"));
-      const char *name;
-      json_t *entry;
+  {
+    double seconds = json_number_value (json_object_get (report, "up_us")) / 1e6;
+    const char *region = json_string_value (json_object_get (report, "region"));
+    const char *name;
+    json_t *entry;
 
-      json_object_foreach (json_object_get (report, by_region ? "routes" : rows), name, entry)
+    json_object_foreach (json_object_get (report, by_region ? "routes" : rows), name, entry)
         add_traffic (take_traffic (all, by_region && region != NULL ? region : name), entry,
                      seconds);
-    }
+  }
   g_hash_table_iter_init (&iter, all);
   while (g_hash_table_iter_next (&iter, &key, &value))
     json_object_set_new (summary, key, traffic_row (key, value));
@@ -202,47 +203,47 @@
   json_t *row;
 
   json_array_foreach (reports, i, report)
+  {
+    json_t *entry;
+
+    seconds = MAX (seconds, json_number_value (json_object_get (report, "up_us")) / 1e6);
+    json_object_foreach (json_object_get (report, rows), name, entry)
     {
-      json_t *entry;
+      const char *figure;
+      json_t *value;
 
-      seconds = MAX (seconds, json_number_value (json_object_get (report, "up_us")) / 1e6);
-      json_object_foreach (json_object_get (report, rows), name, entry)
+      row = json_object_get (summary, name);
+      if (row == NULL)
         {
-          const char *figure;
-          json_t *value;
-
-          row = json_object_get (summary, name);
-          if (row == NULL)
-            {
-              row = json_pack ("{s:s}", "name", name);
-              json_object_set_new (summary, name, row);
-            }
-          json_object_foreach (entry, figure, value)
-            {
-              if (strcmp (figure, "drain_us") == 0)
-                json_object_set_new (row, "drain", json_real (json_number_value (value) / 1e6));
-              else if (strcmp (figure, "bytes_per_second") == 0
-                       || (strcmp (figure, "slots") == 0 && strcmp (rows, "servers") == 0))
-                json_object_set (row, figure, value);
-              else if (json_is_number (value))
-                add_figure (row, figure, json_number_value (value));
-            }
+          row = json_pack ("{s:s}", "name", name);
+          json_object_set_new (summary, name, row);
         }
+      json_object_foreach (entry, figure, value)
+      {
+        if (strcmp (figure, "drain_us") == 0)
+          json_object_set_new (row, "drain", json_real (json_number_value (value) / 1e6));
+        else if (strcmp (figure, "bytes_per_second") == 0
+                 || (strcmp (figure, "slots") == 0 && strcmp (rows, "servers") == 0))
+          json_object_set (row, figure, value);
+        else if (json_is_number (value))
+          add_figure (row, figure, json_number_value (value));
+      }
     }
+  }
   json_object_foreach (summary, name, row)
-    {
-      double slots = json_number_value (json_object_get (row, "slots"));
-      double limit = json_number_value (json_object_get (row, "bytes_per_second"));
-
-      if (slots > 0)
-        json_object_set_new (
-            row, "headroom",
-            json_real (1.0 - json_number_value (json_object_get (row, "in_flight")) / slots));
-      if (limit > 0 && seconds > 0)
-        json_object_set_new (
-            row, "used",
-            json_real (json_number_value (json_object_get (row, "bytes")) / seconds / limit));
-    }
+  {
+    double slots = json_number_value (json_object_get (row, "slots"));
+    double limit = json_number_value (json_object_get (row, "bytes_per_second"));
+
+    if (slots > 0)
+      json_object_set_new (
+          row, "headroom",
+          json_real (1.0 - json_number_value (json_object_get (row, "in_flight")) / slots));
+    if (limit > 0 && seconds > 0)
+      json_object_set_new (
+          row, "used",
+          json_real (json_number_value (json_object_get (row, "bytes")) / seconds / limit));
+  }
   return summary;
 }
 
@@ -254,17 +255,17 @@
   json_t *report;
 
   json_array_foreach (reports, i, report)
-    {
-      const char *name = json_string_value (json_object_get (report, "host"));
-
-      json_object_set_new (
-          summary, name,
-          json_pack ("{s:s,s:O,s:O,s:O,s:f}", "name", name, "version",
-                     json_object_get (report, "version"), "waiting",
-                     json_object_get (report, "waiting"), "active",
-                     json_object_get (report, "active"), "store_age",
-                     json_number_value (json_object_get (report, "store_age_us")) / 1e6));
-    }
+  {
+    const char *name = json_string_value (json_object_get (report, "host"));
+
+    json_object_set_new (
+        summary, name,
+        json_pack ("{s:s,s:O,s:O,s:O,s:f}", "name", name, "version",
+                   json_object_get (report, "version"), "waiting",
+                   json_object_get (report, "waiting"), "active",
+                   json_object_get (report, "active"), "store_age",
+                   json_number_value (json_object_get (report, "store_age_us")) / 1e6));
+  }
   return summary;
 }
 
--- a/programs/pomelolatch-standin.c
+++ b/programs/pomelolatch-standin.c
@@ -18,8 +18,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SLOW_US (700 * 1000)
-#define LIST_LAG_US (1 * G_USEC_PER_SEC)
+#define SLOW_US 700000UL
+#define LIST_LAG_US INT64_C (1000000)
 
 enum store_fault
 {
@@ -64,7 +64,7 @@
   json_t *live = json_array ();
   json_t *leaving = json_array ();
 
-  (void) data;
+  (void)data;
   for (guint i = 0; i < standin.servers->len; i++)
     {
       const struct server *server = g_ptr_array_index (standin.servers, i);
@@ -94,14 +94,14 @@
   static const char *const names[] = {"up", "down", "slow", "lose"};
   const char *store = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "store");
   const char *kind = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "kind");
-  struct server *server = find_server (
-      MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "server"));
+  struct server *server
+      = find_server (MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "server"));
   bool known = false;
 
-  for (int i = 0; store != NULL && i < (int) G_N_ELEMENTS (names); i++)
+  for (int i = 0; store != NULL && i < (int)G_N_ELEMENTS (names); i++)
     if (strcmp (store, names[i]) == 0)
       {
-        standin.fault = (enum store_fault) i;
+        standin.fault = (enum store_fault)i;
         known = true;
       }
   if (server != NULL && kind != NULL)
@@ -155,9 +155,9 @@
       return send_json (connection, MHD_HTTP_OK, list);
     }
   table_counts (standin.table, &reads, &writes);
-  return send_json (connection, MHD_HTTP_OK,
-                    json_pack ("{s:I,s:I}", "reads", (json_int_t) reads, "writes",
-                               (json_int_t) writes));
+  return send_json (
+      connection, MHD_HTTP_OK,
+      json_pack ("{s:I,s:I}", "reads", (json_int_t)reads, "writes", (json_int_t)writes));
 }
 
 static enum MHD_Result
@@ -166,8 +166,8 @@
 {
   GString *text = *context;
 
-  (void) data;
-  (void) version;
+  (void)data;
+  (void)version;
   if (text == NULL)
     {
       *context = g_string_new (NULL);
@@ -175,7 +175,7 @@
     }
   if (*upload_size > 0)
     {
-      g_string_append_len (text, upload_data, (gssize) *upload_size);
+      g_string_append_len (text, upload_data, (gssize)*upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -190,9 +190,9 @@
 on_completed (void *data, struct MHD_Connection *connection, void **context,
               enum MHD_RequestTerminationCode code)
 {
-  (void) data;
-  (void) connection;
-  (void) code;
+  (void)data;
+  (void)connection;
+  (void)code;
   if (*context != NULL)
     g_string_free (*context, TRUE);
 }
@@ -218,24 +218,24 @@
   if (release == NULL)
     return false;
   json_array_foreach (release->changes, i, change)
-    {
-      json_t *fields = json_object_get (change, "fields");
-      struct server *server;
+  {
+    json_t *fields = json_object_get (change, "fields");
+    struct server *server;
 
-      if (strcmp (json_string_value (json_object_get (change, "kind")), "servers") != 0)
-        continue;
-      server = server_new (json_string_value (json_object_get (fields, "name")),
-                           json_string_value (json_object_get (fields, "address")),
-                           (int) json_integer_value (json_object_get (fields, "slots")));
-      if (server != NULL)
-        g_ptr_array_add (standin.servers, server);
-      else
-        {
-          fprintf (stderr, "can not listen on %s\n",
-                   json_string_value (json_object_get (fields, "address")));
-          ok = false;
-        }
-    }
+    if (strcmp (json_string_value (json_object_get (change, "kind")), "servers") != 0)
+      continue;
+    server = server_new (json_string_value (json_object_get (fields, "name")),
+                         json_string_value (json_object_get (fields, "address")),
+                         (int)json_integer_value (json_object_get (fields, "slots")));
+    if (server != NULL)
+      g_ptr_array_add (standin.servers, server);
+    else
+      {
+        fprintf (stderr, "can not listen on %s\n",
+                 json_string_value (json_object_get (fields, "address")));
+        ok = false;
+      }
+  }
   pl_release_free (release);
   return ok;
 }
@@ -245,15 +245,17 @@
 {
   g_autofree char *platform = NULL;
   g_autofree char *release = NULL;
-  struct servers_options options = { .think_ms = 20, .answer_bytes = 2048, .seed = 1 };
+  struct servers_options options = {.think_ms = 20, .answer_bytes = 2048, .seed = 1};
   int seed = 1;
   GOptionEntry entries[] = {
-    {"platform", 'p', 0, G_OPTION_ARG_STRING, &platform, "Listen here as the platform", "IP:PORT"},
-    {"release", 'r', 0, G_OPTION_ARG_FILENAME, &release, "Play the servers that FILE adds", "FILE"},
-    {"think-ms", 0, 0, G_OPTION_ARG_INT, &options.think_ms, "Mean time of a request", "MS"},
-    {"answer-bytes", 0, 0, G_OPTION_ARG_INT, &options.answer_bytes, "Length of answers", "N"},
-    {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of all randomness", "N"},
-    {NULL},
+      {"platform", 'p', 0, G_OPTION_ARG_STRING, &platform, "Listen here as the platform",
+       "IP:PORT"},
+      {"release", 'r', 0, G_OPTION_ARG_FILENAME, &release, "Play the servers that FILE adds",
+       "FILE"},
+      {"think-ms", 0, 0, G_OPTION_ARG_INT, &options.think_ms, "Mean time of a request", "MS"},
+      {"answer-bytes", 0, 0, G_OPTION_ARG_INT, &options.answer_bytes, "Length of answers", "N"},
+      {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Seed of all randomness", "N"},
+      {NULL},
   };
   g_autoptr (GOptionContext) context = g_option_context_new ("- platform and server stand-ins");
   g_autoptr (GError) error = NULL;
@@ -270,7 +272,7 @@
                error != NULL ? error->message : "--platform IP:PORT is needed");
       return 2;
     }
-  options.seed = (uint32_t) seed;
+  options.seed = (uint32_t)seed;
   signal (SIGPIPE, SIG_IGN);
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
--- a/programs/pomelolatch.c
+++ b/programs/pomelolatch.c
@@ -17,7 +17,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WAIT_STEP_US (200 * 1000)
+#define WAIT_STEP_US 200000UL
 
 static const char description[]
     = "Commands:\n"
@@ -44,9 +44,9 @@
       "  printf %s \"$KEY\" | pomelolatch key hash\n";
 
 static const struct pl_field settings_fields[] = {
-  {"hosts", PL_FIELD_LIST, true, 0, 0, NULL},
-  {"key", PL_FIELD_TEXT, true, 0, 0, NULL},
-  {NULL},
+    {"hosts", PL_FIELD_LIST, true, 0, 0, NULL},
+    {"key", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {NULL},
 };
 
 static int option_wait_s;
@@ -74,13 +74,12 @@
 
   *status = 0;
   json_array_foreach (settings->hosts, i, host)
-    {
-      answer = operator_call (settings, json_string_value (host), method, path, body, length,
-                              status);
-      /* What was sent may have been done: the next host is not asked to do it again. */
-      if (*status != 0)
-        return answer;
-    }
+  {
+    answer = operator_call (settings, json_string_value (host), method, path, body, length, status);
+    /* What was sent may have been done: the next host is not asked to do it again. */
+    if (*status != 0)
+      return answer;
+  }
   return answer;
 }
 
@@ -92,17 +91,17 @@
   json_t *host;
 
   json_array_foreach (settings->hosts, i, host)
-    {
-      long status;
-      json_t *report
-          = operator_call (settings, json_string_value (host), "GET", "/report", NULL, 0, &status);
-
-      if (report != NULL && status == 200)
-        json_array_append (reports, report);
-      else
-        fprintf (stderr, "pomelolatch: %s does not answer\n", json_string_value (host));
-      json_decref (report);
-    }
+  {
+    long status;
+    json_t *report
+        = operator_call (settings, json_string_value (host), "GET", "/report", NULL, 0, &status);
+
+    if (report != NULL && status == 200)
+      json_array_append (reports, report);
+    else
+      fprintf (stderr, "pomelolatch: %s does not answer\n", json_string_value (host));
+    json_decref (report);
+  }
   return reports;
 }
 
@@ -118,24 +117,23 @@
   gpointer key;
 
   json_object_foreach (json_object_get (json_array_get (reports, 0), "members"), name, member)
-    {
-      json_int_t best = 0;
-      size_t i;
-      json_t *report;
+  {
+    json_int_t best = 0;
+    size_t i;
+    json_t *report;
 
-      json_array_foreach (reports, i, report)
-        {
-          json_t *view = json_object_get (json_object_get (report, "members"), name);
+    json_array_foreach (reports, i, report)
+    {
+      json_t *view = json_object_get (json_object_get (report, "members"), name);
 
-          best = MAX (best, json_integer_value (json_object_get (view, "version")));
-        }
-      if (best < version)
-        g_hash_table_add (behind,
-                          (gpointer) json_string_value (json_object_get (member, "domain")));
+      best = MAX (best, json_integer_value (json_object_get (view, "version")));
     }
+    if (best < version)
+      g_hash_table_add (behind, (gpointer)json_string_value (json_object_get (member, "domain")));
+  }
   g_hash_table_iter_init (&iter, behind);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    g_string_append_printf (list, "%s%s", list->len > 0 ? ", " : "", (const char *) key);
+    g_string_append_printf (list, "%s%s", list->len > 0 ? ", " : "", (const char *)key);
   g_hash_table_destroy (behind);
   return g_string_free (list, FALSE);
 }
@@ -150,20 +148,20 @@
   size_t i;
   json_t *report;
 
-  json_array_foreach (reports, i, report)
-    version = MAX (version, json_integer_value (json_object_get (report, "version")));
+  json_array_foreach (reports, i, report) version
+      = MAX (version, json_integer_value (json_object_get (report, "version")));
   if (json_array_size (reports) > 0)
     {
       behind = domains_behind (reports, version);
       result = behind[0] == '\0' ? OPERATOR_OK : OPERATOR_WAITING;
       if (result == OPERATOR_OK)
-        printf ("version %lld: in force everywhere\n", (long long) version);
+        printf ("version %lld: in force everywhere\n", (long long)version);
       else
-        printf ("version %lld: recorded, waiting for %s\n", (long long) version, behind);
+        printf ("version %lld: recorded, waiting for %s\n", (long long)version, behind);
       json_array_foreach (reports, i, report)
-        printf ("  %-20s version %lld in force here\n",
-                json_string_value (json_object_get (report, "host")),
-                (long long) json_integer_value (json_object_get (report, "version")));
+          printf ("  %-20s version %lld in force here\n",
+                  json_string_value (json_object_get (report, "host")),
+                  (long long)json_integer_value (json_object_get (report, "version")));
     }
   else
     fprintf (stderr, "pomelolatch: no entry host answers\n");
@@ -174,7 +172,7 @@
 static enum operator_exit
 wait_everywhere (const struct operator_settings *settings, json_int_t version)
 {
-  gint64 until = g_get_monotonic_time () + (gint64) option_wait_s * G_USEC_PER_SEC;
+  gint64 until = g_get_monotonic_time () + (gint64)option_wait_s * G_USEC_PER_SEC;
 
   while (g_get_monotonic_time () < until)
     {
@@ -215,7 +213,7 @@
     case 200:
       result = OPERATOR_OK;
       printf (check_only ? "no findings against version %lld\n" : "recorded as version %lld\n",
-              (long long) version);
+              (long long)version);
       break;
     case 422:
       result = OPERATOR_FINDINGS;
@@ -226,7 +224,7 @@
       break;
     case 409:
       fprintf (stderr, "pomelolatch: version %lld has the same id and another content\n",
-               (long long) version);
+               (long long)version);
       result = OPERATOR_CONFLICT;
       break;
     case -1:
@@ -262,16 +260,16 @@
       return OPERATOR_UNAVAILABLE;
     }
   json_array_foreach (list, i, release)
-    {
-      g_autoptr (GDateTime) time = g_date_time_new_from_unix_utc (
-          json_integer_value (json_object_get (release, "time")));
-      g_autofree char *text = g_date_time_format_iso8601 (time);
-
-      printf ("%6lld  %s  %-40s %zu changes\n",
-              (long long) json_integer_value (json_object_get (release, "version")), text,
-              json_string_value (json_object_get (release, "id")),
-              json_array_size (json_object_get (release, "changes")));
-    }
+  {
+    g_autoptr (GDateTime) time
+        = g_date_time_new_from_unix_utc (json_integer_value (json_object_get (release, "time")));
+    g_autofree char *text = g_date_time_format_iso8601 (time);
+
+    printf ("%6lld  %s  %-40s %zu changes\n",
+            (long long)json_integer_value (json_object_get (release, "version")), text,
+            json_string_value (json_object_get (release, "id")),
+            json_array_size (json_object_get (release, "changes")));
+  }
   json_decref (list);
   return OPERATOR_OK;
 }
@@ -351,15 +349,15 @@
   g_autofree char *file = NULL;
   gboolean check = FALSE;
   GOptionEntry entries[] = {
-    {"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "Operators' settings", "FILE"},
-    {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
-    {"wait", 'w', 0, G_OPTION_ARG_INT, &option_wait_s,
-     "After apply, wait up to S seconds until it is in force everywhere", "S"},
-    {NULL},
+      {"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "Operators' settings", "FILE"},
+      {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
+      {"wait", 'w', 0, G_OPTION_ARG_INT, &option_wait_s,
+       "After apply, wait up to S seconds until it is in force everywhere", "S"},
+      {NULL},
   };
   g_autoptr (GOptionContext) context = g_option_context_new ("COMMAND - for operators");
   g_autoptr (GError) error = NULL;
-  struct operator_settings settings = { 0 };
+  struct operator_settings settings = {0};
   enum operator_exit result;
 
   g_option_context_add_main_entries (context, entries, NULL);
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -27,26 +27,26 @@
 #include <string.h>
 
 #define HOST_LIST_PERIOD_S 1
-#define BODY_MAX_DEFAULT ((int64_t) 256 << 20)
+#define BODY_MAX_DEFAULT ((int64_t)256 << 20)
 
 static const struct pl_field settings_fields[] = {
-  {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-  {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"forward", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"peer", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"operator", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"platform", PL_FIELD_ADDRESS, true, 0, 0, NULL},
-  {"peer_secret", PL_FIELD_HASH, true, 0, 0, NULL},
-  {"operator_key_hash", PL_FIELD_HASH, true, 0, 0, NULL},
-  {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
-  {"body_max_bytes", PL_FIELD_NUMBER, false, 1, INT64_MAX, NULL},
-  {"heartbeat_ms", PL_FIELD_NUMBER, false, 10, 60000, NULL},
-  {"store_poll_ms", PL_FIELD_NUMBER, false, 10, 60000, NULL},
-  {"lookup_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
-  {"remote_patience_ms", PL_FIELD_NUMBER, false, 1, 60000, NULL},
-  {"switches", PL_FIELD_NUMBER, false, 0, 65535, NULL},
-  {"allow_faults", PL_FIELD_BOOL, false, 0, 0, NULL},
-  {NULL},
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"forward", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"peer", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"operator", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"platform", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"peer_secret", PL_FIELD_HASH, true, 0, 0, NULL},
+    {"operator_key_hash", PL_FIELD_HASH, true, 0, 0, NULL},
+    {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"body_max_bytes", PL_FIELD_NUMBER, false, 1, INT64_MAX, NULL},
+    {"heartbeat_ms", PL_FIELD_NUMBER, false, 10, 60000, NULL},
+    {"store_poll_ms", PL_FIELD_NUMBER, false, 10, 60000, NULL},
+    {"lookup_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
+    {"remote_patience_ms", PL_FIELD_NUMBER, false, 1, 60000, NULL},
+    {"switches", PL_FIELD_NUMBER, false, 0, 65535, NULL},
+    {"allow_faults", PL_FIELD_BOOL, false, 0, 0, NULL},
+    {NULL},
 };
 
 struct host
@@ -74,7 +74,7 @@
 on_message (void *data, struct pl_message *message)
 {
   struct host *host = data;
-  struct pl_event event = { .type = PL_EVENT_MESSAGE };
+  struct pl_event event = {.type = PL_EVENT_MESSAGE};
 
   event.u.message = *message;
   pl_loop_post (host->loop, &event);
@@ -86,7 +86,7 @@
   uint64_t own = pl_id_of ("entry_hosts", pl_settings_text (host->settings, "name", ""));
 
   pl_log (PL_LOG_INFO, "configuration-in-force",
-          json_pack ("{s:I}", "version", (json_int_t) config->version));
+          json_pack ("{s:I}", "version", (json_int_t)config->version));
   for (guint i = 0; i < config->hosts->len; i++)
     if (PL_HOST (config, i)->id != own)
       pl_peers_set_address (host->peers, PL_HOST (config, i)->id,
@@ -157,7 +157,7 @@
 expired (void *data, struct pl_effect *effect)
 {
   struct host *host = data;
-  struct pl_event event = { .type = PL_EVENT_STORE };
+  struct pl_event event = {.type = PL_EVENT_STORE};
 
   if (effect->type == PL_EFFECT_DISPATCH || effect->type == PL_EFFECT_FORWARD)
     pl_attempt_not_made (host->entry, effect->request, effect->attempt, PL_OUTCOME_EXPIRED);
@@ -185,7 +185,7 @@
   json_t *report = pl_loop_report (host->loop);
 
   json_object_set_new (report, "peer_bytes_sent",
-                       json_integer ((json_int_t) pl_peers_bytes_sent (host->peers)));
+                       json_integer ((json_int_t)pl_peers_bytes_sent (host->peers)));
   return report;
 }
 
@@ -220,7 +220,7 @@
 begin_stop (gpointer data)
 {
   struct host *host = data;
-  struct pl_event event = { .type = PL_EVENT_STOP };
+  struct pl_event event = {.type = PL_EVENT_STOP};
 
   pl_log (PL_LOG_INFO, "stopping", NULL);
   pl_loop_post (host->loop, &event);
@@ -239,14 +239,14 @@
 make_core (const json_t *settings, uint64_t nonce)
 {
   struct pl_core_options options = {
-    .name = pl_settings_text (settings, "name", ""),
-    .nonce = nonce,
-    .switches = (unsigned) pl_settings_number (settings, "switches", 0),
-    .now_us = pl_clock_now_us (),
-    .heartbeat_us = pl_settings_number (settings, "heartbeat_ms", 0) * 1000,
-    .store_poll_us = pl_settings_number (settings, "store_poll_ms", 0) * 1000,
-    .lookup_ttl_us = pl_settings_number (settings, "lookup_ttl_ms", 0) * 1000,
-    .remote_patience_us = pl_settings_number (settings, "remote_patience_ms", 0) * 1000,
+      .name = pl_settings_text (settings, "name", ""),
+      .nonce = nonce,
+      .switches = (unsigned)pl_settings_number (settings, "switches", 0),
+      .now_us = pl_clock_now_us (),
+      .heartbeat_us = pl_settings_number (settings, "heartbeat_ms", 0) * 1000,
+      .store_poll_us = pl_settings_number (settings, "store_poll_ms", 0) * 1000,
+      .lookup_ttl_us = pl_settings_number (settings, "lookup_ttl_ms", 0) * 1000,
+      .remote_patience_us = pl_settings_number (settings, "remote_patience_ms", 0) * 1000,
   };
 
   return pl_core_new (&options);
@@ -258,28 +258,28 @@
 {
   const json_t *settings = host->settings;
   struct pl_peers_options peers = {
-    .name = pl_settings_text (settings, "name", ""),
-    .listen = pl_settings_text (settings, "peer", ""),
-    .nonce = nonce,
-    .on_message = on_message,
-    .data = host,
+      .name = pl_settings_text (settings, "name", ""),
+      .listen = pl_settings_text (settings, "peer", ""),
+      .nonce = nonce,
+      .on_message = on_message,
+      .data = host,
   };
   struct pl_entry_options entry = {
-    .caller_address = pl_settings_text (settings, "caller", ""),
-    .forward_address = pl_settings_text (settings, "forward", ""),
-    .body_max = pl_settings_number (settings, "body_max_bytes", BODY_MAX_DEFAULT),
-    .client = host->traffic_client,
-    .post = post_event,
-    .data = host,
+      .caller_address = pl_settings_text (settings, "caller", ""),
+      .forward_address = pl_settings_text (settings, "forward", ""),
+      .body_max = pl_settings_number (settings, "body_max_bytes", BODY_MAX_DEFAULT),
+      .client = host->traffic_client,
+      .post = post_event,
+      .data = host,
   };
   struct pl_operators_options operators = {
-    .address = pl_settings_text (settings, "operator", ""),
-    .allow_faults = json_is_true (json_object_get (settings, "allow_faults")),
-    .post = post_event,
-    .report = make_report,
-    .cut = cut_peer,
-    .history = read_history,
-    .data = host,
+      .address = pl_settings_text (settings, "operator", ""),
+      .allow_faults = json_is_true (json_object_get (settings, "allow_faults")),
+      .post = post_event,
+      .report = make_report,
+      .cut = cut_peer,
+      .history = read_history,
+      .data = host,
   };
 
   read_hash (settings, "peer_secret", peers.secret);
@@ -299,9 +299,9 @@
 static int
 run (json_t *settings)
 {
-  struct host host = { .settings = settings };
-  struct pl_loop_options loop = { .execute = execute, .expired = expired, .data = &host };
-  struct pl_store_options store = { .on_event = post_event, .data = &host };
+  struct host host = {.settings = settings};
+  struct pl_loop_options loop = {.execute = execute, .expired = expired, .data = &host};
+  struct pl_store_options store = {.on_event = post_event, .data = &host};
   uint64_t nonce = 0;
   int result;
 
@@ -336,9 +336,9 @@
   g_autofree char *file = NULL;
   gboolean check = FALSE;
   GOptionEntry entries[]
-      = { {"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "Settings file", "FILE"},
-          {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
-          {NULL} };
+      = {{"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "Settings file", "FILE"},
+         {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
+         {NULL}};
   g_autoptr (GOptionContext) context = g_option_context_new ("- an entry host");
   g_autoptr (GError) error = NULL;
   json_t *settings;
@@ -368,6 +368,6 @@
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
-  pl_log_set ((enum pl_log_level) level, pl_settings_text (settings, "name", ""));
+  pl_log_set ((enum pl_log_level)level, pl_settings_text (settings, "name", ""));
   return run (settings);
 }
--- a/programs/standin/journal.c
+++ b/programs/standin/journal.c
@@ -19,7 +19,7 @@
 void
 journal_note_run (const char *account, const char *operation, const char *server)
 {
-  struct run run = { pl_clock_now_us (), g_intern_string (account), g_intern_string (server) };
+  struct run run = {pl_clock_now_us (), g_intern_string (account), g_intern_string (server)};
 
   g_mutex_lock (&journal_lock);
   if (runs == NULL)
@@ -73,8 +73,8 @@
         {
           const struct run *run = &g_array_index (runs, struct run, i);
 
-          json_array_append_new (run_list, json_pack ("[I,s,s]", (json_int_t) run->time_us,
-                                                      run->account, run->server));
+          json_array_append_new (
+              run_list, json_pack ("[I,s,s]", (json_int_t)run->time_us, run->account, run->server));
         }
     }
   g_mutex_unlock (&journal_lock);
--- a/programs/standin/table.c
+++ b/programs/standin/table.c
@@ -29,7 +29,7 @@
 static int
 compare_keys (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void) data;
+  (void)data;
   return strcmp (a, b);
 }
 
@@ -56,9 +56,9 @@
 add_row (json_t *rows, const char *key, const struct row *row)
 {
   if (row != NULL && row->value != NULL)
-    json_object_set_new (rows, key,
-                         json_pack ("{s:I,s:O}", "version", (json_int_t) row->version, "value",
-                                    row->value));
+    json_object_set_new (
+        rows, key,
+        json_pack ("{s:I,s:O}", "version", (json_int_t)row->version, "value", row->value));
 }
 
 static void
@@ -83,19 +83,18 @@
 
   g_mutex_lock (&table->lock);
   table->reads++;
-  json_array_foreach (json_object_get (body, "keys"), i, item)
-    add_row (rows, json_string_value (item),
-             g_tree_lookup (table->rows, json_string_value (item)));
+  json_array_foreach (json_object_get (body, "keys"), i, item) add_row (
+      rows, json_string_value (item), g_tree_lookup (table->rows, json_string_value (item)));
   json_array_foreach (json_object_get (body, "prefixes"), i, item)
-    {
-      g_autofree char *end = g_strconcat (json_string_value (item), "~", NULL);
+  {
+    g_autofree char *end = g_strconcat (json_string_value (item), "~", NULL);
 
-      read_range (table, rows, json_string_value (item), end, G_MAXINT);
-    }
+    read_range (table, rows, json_string_value (item), end, G_MAXINT);
+  }
   json_array_foreach (json_object_get (body, "ranges"), i, item)
-    read_range (table, rows, json_string_value (json_object_get (item, "from")),
-                json_string_value (json_object_get (item, "to")),
-                (int) json_integer_value (json_object_get (item, "limit")));
+      read_range (table, rows, json_string_value (json_object_get (item, "from")),
+                  json_string_value (json_object_get (item, "to")),
+                  (int)json_integer_value (json_object_get (item, "limit")));
   g_mutex_unlock (&table->lock);
   *status = MHD_HTTP_OK;
   return json_pack ("{s:o}", "rows", rows);
@@ -120,8 +119,7 @@
   if (row == NULL)
     {
       row = g_new0 (struct row, 1);
-      g_tree_insert (table->rows, g_strdup (json_string_value (json_object_get (op, "key"))),
-                     row);
+      g_tree_insert (table->rows, g_strdup (json_string_value (json_object_get (op, "key"))), row);
     }
   row->version++;
   json_decref (row->value);
@@ -141,23 +139,22 @@
   g_mutex_lock (&table->lock);
   table->writes++;
   json_array_foreach (ops, i, op)
-    {
-      const char *key = json_string_value (json_object_get (op, "key"));
-      struct row *row = g_tree_lookup (table->rows, key);
-      bool ok = op_may_run (row, op);
-      json_t *result = json_pack ("{s:b}", "ok", ok);
-
-      if (!ok && row != NULL && row->value != NULL)
-        json_object_set (result, "value", row->value);
-      json_array_append_new (results, result);
-      all = all && ok;
-      if (each && ok)
-        run_op (table, row, op);
-    }
+  {
+    const char *key = json_string_value (json_object_get (op, "key"));
+    struct row *row = g_tree_lookup (table->rows, key);
+    bool ok = op_may_run (row, op);
+    json_t *result = json_pack ("{s:b}", "ok", ok);
+
+    if (!ok && row != NULL && row->value != NULL)
+      json_object_set (result, "value", row->value);
+    json_array_append_new (results, result);
+    all = all && ok;
+    if (each && ok)
+      run_op (table, row, op);
+  }
   if (!each && all)
-    json_array_foreach (ops, i, op)
-      run_op (table,
-              g_tree_lookup (table->rows, json_string_value (json_object_get (op, "key"))), op);
+    json_array_foreach (ops, i, op) run_op (
+        table, g_tree_lookup (table->rows, json_string_value (json_object_get (op, "key"))), op);
   g_mutex_unlock (&table->lock);
   *status = each || all ? MHD_HTTP_OK : MHD_HTTP_CONFLICT;
   return json_pack ("{s:o}", "results", results);
--- /dev/null
+++ b/tests/fleet.h
@@ -0,0 +1,80 @@
+/* fleet.h - many reducers in virtual time, under a seeded scheduler, against an oracle.
+ *
+ * No sockets and no network model beyond delay, loss, doubling and cuts.  Every
+ * random choice comes from the seed, so a run is repeated by its seed and its
+ * list of faults.
+ */
+#ifndef FLEET_H
+#define FLEET_H
+
+#include "pomelolatch/core.h"
+
+enum fleet_fault_kind
+{
+  FLEET_PAUSE,      /* a process stands still and goes on */
+  FLEET_KILL,       /* a process dies; a new one takes its name later */
+  FLEET_REPLACE,    /* a process stands still, a new one takes its name, the old one goes on */
+  FLEET_CUT_DOMAIN, /* a domain is cut off from the others, and from the store */
+  FLEET_CUT_STORE,  /* the store answers nobody */
+  FLEET_LOSE_STORE, /* the store applies writes and loses the answers */
+  FLEET_LOSSY,      /* messages are lost and doubled often */
+  FLEET_CRASH,      /* a server dies with what it runs */
+  FLEET_CRASHER,    /* a request that kills each server it runs on, sent again and again */
+  FLEET_SILENT,     /* what runs at a server is never answered */
+  FLEET_RELEASE,    /* operators race: two releases at two hosts */
+  FLEET_FLOOD,      /* an account sends several times its rate, at one host */
+  FLEET_RESIZE,     /* the list of entry hosts changes */
+  FLEET_KINDS,
+};
+
+struct fleet_fault
+{
+  enum fleet_fault_kind kind;
+  int64_t at_us;
+  int64_t length_us;
+  int subject;
+};
+
+#define FLEET_FAULTS_MAX 64
+
+struct fleet_options
+{
+  uint32_t seed;
+  int64_t length_us; /* with faults; a calm time follows in which all must come right again */
+  unsigned switches;
+  int fault_count;
+  struct fleet_fault faults[FLEET_FAULTS_MAX];
+  bool trace;
+  double load; /* 1: about what the servers can take */
+};
+
+struct fleet_result
+{
+  char violation[256]; /* empty: none */
+  int64_t violated_at_us;
+  uint64_t steps;
+  uint64_t requests;
+  uint64_t served;
+  uint64_t runs;
+  uint64_t operations;
+  uint64_t refused_not_run;
+  uint64_t refused_unknown;
+  uint64_t loans;
+  uint64_t forwards;
+  uint64_t messages;
+  uint64_t servers_lost_to_crasher;
+  int64_t versions;
+};
+
+/* Fills in COUNT faults drawn from the seed of OPTIONS. */
+void fleet_draw_faults (struct fleet_options *options, int count);
+
+/* Runs until the end or the first violation. */
+void fleet_run (const struct fleet_options *options, struct fleet_result *result);
+
+/* Leaves out every fault that the violation does not need. */
+void fleet_shrink (struct fleet_options *options, struct fleet_result *result);
+
+void fleet_print (const struct fleet_options *options, const struct fleet_result *result);
+
+#endif
--- /dev/null
+++ b/tests/test_fuzz.c
@@ -0,0 +1,194 @@
+/* The stateful fuzzer: random faults on a fleet of reducers, against the oracle of fleet.c.
+ *
+ * Run by itself it checks fixed seeds, and that each unsafe switch is caught.
+ * With --seed and --runs it goes on for longer; a failing run is shrunk.
+ */
+#include "fleet.h"
+
+#include <check.h>
+#include <glib.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SECOND INT64_C (1000000)
+#define LENGTH_US (20 * SECOND)
+#define FAULTS 8
+
+static struct fleet_options
+make_options (uint32_t seed, unsigned switches)
+{
+  struct fleet_options options
+      = {.seed = seed, .length_us = LENGTH_US, .switches = switches, .load = 1.0};
+
+  fleet_draw_faults (&options, FAULTS);
+  return options;
+}
+
+START_TEST (random_faults_break_no_promise)
+{
+  struct fleet_options options = make_options ((uint32_t)_i, 0);
+  struct fleet_result result;
+
+  fleet_run (&options, &result);
+  if (result.violation[0] != '\0')
+    {
+      fleet_shrink (&options, &result);
+      fleet_print (&options, &result);
+    }
+  ck_assert_str_eq (result.violation, "");
+  ck_assert_uint_gt (result.served, 100);
+}
+END_TEST
+
+/* A proof that can not fail proves nothing: each mechanism is switched off, with the fault it is
+ * there for. */
+struct broken_case
+{
+  const char *violation; /* what the oracle must say */
+  unsigned switches;
+  double load;
+  int fault_count;
+  struct fleet_fault faults[4];
+};
+
+static const struct broken_case broken_cases[] = {
+    {"ran twice", PL_SWITCH_NO_CLAIMS, 1.5, 1, {{FLEET_LOSE_STORE, SECOND, 5 * SECOND, 0}}},
+    {"rate and burst",
+     PL_SWITCH_NO_FENCE,
+     1.5,
+     4,
+     {{FLEET_REPLACE, 1 * SECOND, 3 * SECOND / 2, 0},
+      {FLEET_REPLACE, 4 * SECOND, 3 * SECOND / 2, 1},
+      {FLEET_REPLACE, 7 * SECOND, 3 * SECOND / 2, 2},
+      {FLEET_REPLACE, 10 * SECOND, 3 * SECOND / 2, 3}}},
+    {"rate and burst",
+     PL_SWITCH_GROW_AT_ONCE,
+     6.0,
+     2,
+     {{FLEET_CUT_DOMAIN, SECOND, 15 * SECOND, 2}, {FLEET_RESIZE, 2 * SECOND, 14 * SECOND, 0}}},
+    {"over its cap",
+     PL_SWITCH_NO_LINK_BUDGET,
+     4.0,
+     4,
+     {{FLEET_CRASH, SECOND, 15 * SECOND, 0},
+      {FLEET_CRASH, SECOND, 15 * SECOND, 1},
+      {FLEET_CRASH, SECOND, 15 * SECOND, 4},
+      {FLEET_CRASH, SECOND, 15 * SECOND, 5}}},
+    {"one request cost", PL_SWITCH_NO_QUARANTINE, 1.5, 1, {{FLEET_CRASHER, SECOND, 9 * SECOND, 0}}},
+    {"key withdrawn", PL_SWITCH_DEAF, 1.0, 1, {{FLEET_RELEASE, SECOND, 3 * SECOND / 2, 0}}},
+    {"server drained", PL_SWITCH_DEAF, 1.0, 1, {{FLEET_RELEASE, SECOND, 3 * SECOND / 2, 1}}},
+};
+
+/* Runs CASE with SWITCHES over a few seeds, until one shows a violation. */
+static void
+run_case (const struct broken_case *broken, unsigned switches, bool with_trace,
+          struct fleet_result *result)
+{
+  memset (result, 0, sizeof *result);
+  for (uint32_t seed = 1; seed <= 10; seed++)
+    {
+      struct fleet_options options = {.seed = seed,
+                                      .length_us = LENGTH_US,
+                                      .switches = switches,
+                                      .load = broken->load,
+                                      .trace = with_trace,
+                                      .fault_count = broken->fault_count};
+
+      memcpy (options.faults, broken->faults, sizeof broken->faults);
+      fleet_run (&options, result);
+      if (strstr (result->violation, broken->violation) != NULL
+          || (switches == 0 && result->violation[0] != '\0'))
+        break;
+    }
+}
+
+START_TEST (a_switched_off_mechanism_is_caught)
+{
+  struct fleet_result result;
+
+  run_case (&broken_cases[_i], broken_cases[_i].switches, false, &result);
+  printf ("with switch %#x: %s\n", broken_cases[_i].switches, result.violation);
+  ck_assert_ptr_nonnull (strstr (result.violation, broken_cases[_i].violation));
+  run_case (&broken_cases[_i], 0, false, &result);
+  ck_assert_str_eq (result.violation, "");
+}
+END_TEST
+
+static int
+run_suite (void)
+{
+  Suite *suite = suite_create ("fuzz");
+  TCase *tcase = tcase_create ("fleet");
+  SRunner *runner;
+  int failed;
+
+  tcase_set_timeout (tcase, 0);
+  tcase_add_loop_test (tcase, random_faults_break_no_promise, 1, 25);
+  tcase_add_loop_test (tcase, a_switched_off_mechanism_is_caught, 0,
+                       (int)G_N_ELEMENTS (broken_cases));
+  suite_add_tcase (suite, tcase);
+  runner = srunner_create (suite);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main (int argc, char **argv)
+{
+  int seed = 0;
+  int runs = 1;
+  int faults = FAULTS;
+  int broken = -1;
+  gboolean with_trace = FALSE;
+  GOptionEntry entries[] = {
+      {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "First seed of a long run", "N"},
+      {"runs", 0, 0, G_OPTION_ARG_INT, &runs, "How many seeds", "N"},
+      {"faults", 0, 0, G_OPTION_ARG_INT, &faults, "Faults in each", "N"},
+      {"broken", 0, 0, G_OPTION_ARG_INT, &broken, "Run one case with its switch", "N"},
+      {"trace", 0, 0, G_OPTION_ARG_NONE, &with_trace, "Print what happens", NULL},
+      {NULL},
+  };
+  g_autoptr (GOptionContext) context = g_option_context_new ("- stateful fuzzing");
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, NULL) || sodium_init () < 0)
+    return 2;
+  if (broken >= 0 && broken < (int)G_N_ELEMENTS (broken_cases))
+    {
+      struct fleet_result result;
+
+      run_case (&broken_cases[broken], broken_cases[broken].switches, with_trace, &result);
+      printf ("%s: requests %lu served %lu runs %lu forwards %lu\n", result.violation,
+              result.requests, result.served, result.runs, result.forwards);
+      return EXIT_SUCCESS;
+    }
+  if (seed == 0)
+    return run_suite ();
+  for (int i = 0; i < runs; i++)
+    {
+      struct fleet_options options
+          = {.seed = (uint32_t)(seed + i), .length_us = LENGTH_US, .load = 1.0};
+      struct fleet_result result;
+
+      fleet_draw_faults (&options, faults);
+      options.trace = with_trace;
+      fleet_run (&options, &result);
+      if (result.violation[0] != '\0')
+        {
+          options.trace = FALSE;
+          fleet_print (&options, &result);
+          fleet_shrink (&options, &result);
+          fleet_print (&options, &result);
+          return EXIT_FAILURE;
+        }
+      printf ("seed %d: steps %lu requests %lu served %lu runs %lu not-run %lu unknown %lu "
+              "loans %lu versions %ld\n",
+              seed + i, result.steps, result.requests, result.served, result.runs,
+              result.refused_not_run, result.refused_unknown, result.loans, result.versions);
+    }
+  return EXIT_SUCCESS;
+}
