--- a/core/blocks.c
+++ b/core/blocks.c
@@ -46,14 +46,14 @@
 
   if (x->address != y->address)
     return x->address < y->address ? -1 : 1;
-  return (int)x->bits - (int)y->bits;
+  return (int) x->bits - (int) y->bits;
 }
 
 static uint32_t
 block_end (const struct pl_block_config *block)
 {
   uint32_t host_mask
-      = block->bits == 0 ? UINT32_MAX : (uint32_t)((UINT64_C (1) << (32 - block->bits)) - 1);
+      = block->bits == 0 ? UINT32_MAX : (uint32_t) ((UINT64_C (1) << (32 - block->bits)) - 1);
 
   return (block->address & ~host_mask) | host_mask;
 }
@@ -67,11 +67,11 @@
 static struct page *
 page_new (const struct range *ranges, uint32_t count)
 {
-  struct page *page = g_malloc (sizeof *page + (size_t)count * 2 * sizeof (uint16_t));
+  struct page *page = g_malloc (sizeof *page + (size_t) count * 2 * sizeof (uint16_t));
 
   page->references = 1;
   page->count = count;
-  page->starts = (uint16_t *)(page + 1);
+  page->starts = (uint16_t *) (page + 1);
   page->domains = page->starts + count;
   for (uint32_t i = 0; i < count; i++)
     {
@@ -91,7 +91,7 @@
 static void
 add_range (GArray *ranges, uint32_t start, uint16_t domain)
 {
-  struct range range = {(uint16_t)start, domain};
+  struct range range = {(uint16_t) start, domain};
 
   if (ranges->len > 0)
     {
@@ -144,7 +144,7 @@
   for (; depth > 0; depth--)
     if (ends[depth] < ends[0])
       add_range (ranges, ends[depth] + 1 - base, domains[depth - 1]);
-  return page_new ((const struct range *)ranges->data, ranges->len);
+  return page_new ((const struct range *) ranges->data, ranges->len);
 }
 
 /* Returns, for each page, the domain of the longest block that covers all of it. */
@@ -266,7 +266,7 @@
 pl_blocks_find (const struct pl_blocks *table, uint32_t address)
 {
   const struct page *page = table->pages[address >> PAGE_BITS];
-  uint16_t low = (uint16_t)address;
+  uint16_t low = (uint16_t) address;
   const uint16_t *base = page->starts;
   uint32_t left = page->count;
 
@@ -290,6 +290,6 @@
 
   for (uint32_t i = 0; i < PAGE_COUNT; i++)
     if (i == 0 || table->pages[i] != table->pages[i - 1])
-      bytes += sizeof (struct page) + (size_t)table->pages[i]->count * 2 * sizeof (uint16_t);
+      bytes += sizeof (struct page) + (size_t) table->pages[i]->count * 2 * sizeof (uint16_t);
   return bytes;
 }
--- a/core/budget.c
+++ b/core/budget.c
@@ -49,7 +49,7 @@
 static int64_t
 amount_over (int64_t rate, int64_t span_us)
 {
-  return (int64_t)((__int128)rate * span_us / US_PER_S);
+  return (int64_t) ((__int128) rate * span_us / US_PER_S);
 }
 
 static void
@@ -188,7 +188,7 @@
 
   if (span < DEMAND_WINDOW_US)
     return;
-  seen = (int64_t)((__int128)budget->demand_seen * US_PER_S / span);
+  seen = (int64_t) ((__int128) budget->demand_seen * US_PER_S / span);
   if (seen > budget->demand)
     budget->demand = seen;
   else
--- a/core/config.c
+++ b/core/config.c
@@ -62,7 +62,7 @@
   const char *kind;
   json_t *entries;
 
-  json_object_foreach ((json_t *)document, kind, entries)
+  json_object_foreach ((json_t *) document, kind, entries)
   {
     const char *name;
     json_t *entry;
@@ -81,7 +81,7 @@
   json_t *entry;
 
   json_object_foreach (json_object_get (config->document, "regions"), name, entry)
-      g_ptr_array_add (config->region_names, (gpointer)name);
+      g_ptr_array_add (config->region_names, (gpointer) name);
   json_object_foreach (json_object_get (config->document, "domains"), name, entry)
   {
     struct pl_domain_config domain = {name, index_of (indices, "regions", entry, "region"), false};
@@ -129,7 +129,7 @@
                                       index_of (indices, "services", entry, "service"),
                                       index_of (indices, "domains", entry, "domain"),
                                       text_of (entry, "address"),
-                                      (int)number_of (entry, "slots", 1),
+                                      (int) number_of (entry, "slots", 1),
                                       false};
 
     g_array_append_val (config->servers, server);
@@ -214,8 +214,8 @@
 
     inet_pton (AF_INET, parts[0], &address);
     block.address = ntohl (address.s_addr);
-    block.bits = (uint8_t)atoi (parts[1]);
-    block.domain = (uint16_t)index_of (indices, "domains", entry, "domain");
+    block.bits = (uint8_t) atoi (parts[1]);
+    block.domain = (uint16_t) index_of (indices, "domains", entry, "domain");
     g_array_append_val (config->blocks, block);
   }
 }
@@ -298,7 +298,7 @@
 {
   for (guint i = 0; i < config->hosts->len; i++)
     if (PL_HOST (config, i)->id == id)
-      return (int)i;
+      return (int) i;
   return PL_NONE;
 }
 
@@ -319,7 +319,7 @@
       if (path[length] == '\0' || path[length] == '/' || candidate[length - 1] == '/')
         {
           longest = length;
-          found = (int)i;
+          found = (int) i;
         }
     }
   return found;
@@ -330,7 +330,7 @@
 {
   for (guint i = 0; i < config->accounts->len; i++)
     if (strcmp (PL_ACCOUNT (config, i)->name, name) == 0)
-      return (int)i;
+      return (int) i;
   return PL_NONE;
 }
 
@@ -347,7 +347,7 @@
 {
   for (guint i = 0; i < config->links->len; i++)
     if (PL_LINK (config, i)->from == from_region && PL_LINK (config, i)->to == to_region)
-      return (int)i;
+      return (int) i;
   return PL_NONE;
 }
 
@@ -370,9 +370,9 @@
   if (host == PL_NONE)
     return 0;
   for (guint i = 0; i < config->domains->len; i++)
-    if (pl_config_count_hosts (config, (int)i) > 0)
+    if (pl_config_count_hosts (config, (int) i) > 0)
       domains_with_hosts++;
-  return (int64_t)domains_with_hosts
+  return (int64_t) domains_with_hosts
          * pl_config_count_hosts (config, PL_HOST (config, host)->domain);
 }
 
@@ -390,7 +390,7 @@
       if (region != ends->from && region != ends->to)
         continue;
       count++;
-      if ((int)i == host)
+      if ((int) i == host)
         holds = true;
     }
   return holds ? count : 0;
--- a/core/core.c
+++ b/core/core.c
@@ -135,7 +135,7 @@
     return;
   headroom = g_new0 (int, core->config->hosts->len + 1);
   for (guint i = 0; i < core->config->hosts->len; i++)
-    headroom[i] = headroom_of (core, (int)i);
+    headroom[i] = headroom_of (core, (int) i);
   options.config = core->config;
   options.blocks = core->blocks != NULL ? pl_blocks_ref (core->blocks) : NULL;
   options.own_domain = core->self != PL_NONE ? PL_HOST (core->config, core->self)->domain : 0;
@@ -215,7 +215,7 @@
   core->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   core->account_order = g_ptr_array_new ();
   core->server_order = g_ptr_array_new ();
-  core->release_log = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
+  core->release_log = g_ptr_array_new_with_free_func ((GDestroyNotify) json_decref);
   g_queue_init (&core->claims);
   g_queue_init (&core->releases);
   quarantine_init (&core->quarantine);
--- a/core/core_budgets.c
+++ b/core/core_budgets.c
@@ -31,7 +31,7 @@
 static int64_t
 part_of (int64_t total, int64_t parts)
 {
-  return parts > 0 ? (int64_t)((__int128)total * PL_MICRO / parts) : 0;
+  return parts > 0 ? (int64_t) ((__int128) total * PL_MICRO / parts) : 0;
 }
 
 void
@@ -95,10 +95,10 @@
 
   g_hash_table_iter_init (&iter, core->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    init_budget (core, &((struct account_state *)value)->budget);
+    init_budget (core, &((struct account_state *) value)->budget);
   g_hash_table_iter_init (&iter, core->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    init_budget (core, &((struct link_state *)value)->budget);
+    init_budget (core, &((struct link_state *) value)->budget);
   budgets_set_parts (core);
 }
 
@@ -149,14 +149,14 @@
 
   g_hash_table_iter_init (&iter, core->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct account_state *)value)->index = PL_NONE;
+    ((struct account_state *) value)->index = PL_NONE;
   g_hash_table_iter_init (&iter, core->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct link_state *)value)->index = PL_NONE;
+    ((struct link_state *) value)->index = PL_NONE;
   for (guint i = 0; i < core->config->accounts->len; i++)
-    adopt_account (core, (int)i);
+    adopt_account (core, (int) i);
   for (guint i = 0; i < core->config->links->len; i++)
-    adopt_link (core, (int)i);
+    adopt_link (core, (int) i);
   budgets_set_parts (core);
 }
 
@@ -270,7 +270,7 @@
       if (!is_eligible[i])
         continue;
       if (total > 0)
-        amount = amount / 4 + (int64_t)((__int128)want * surplus / total);
+        amount = amount / 4 + (int64_t) ((__int128) want * surplus / total);
       ask = &message_for (core, lenders, i)->u.loans;
       if (ask->count == PL_LOAN_ITEMS_MAX)
         continue;
@@ -299,7 +299,7 @@
 static int64_t
 backlog_of (const struct account_state *account)
 {
-  return (int64_t)account->waiting.length * PL_MICRO;
+  return (int64_t) account->waiting.length * PL_MICRO;
 }
 
 void
--- a/core/core_control.c
+++ b/core/core_control.c
@@ -111,7 +111,7 @@
     {
       pl_blocks_unref (core->blocks);
       core->blocks
-          = pl_blocks_new ((struct pl_block_config *)config->blocks->data, config->blocks->len);
+          = pl_blocks_new ((struct pl_block_config *) config->blocks->data, config->blocks->len);
     }
   pl_config_unref (core->config);
   core->config = config;
@@ -131,8 +131,8 @@
 static void
 log_release (struct pl_core *core, int64_t version, const json_t *release)
 {
-  g_ptr_array_add (core->release_log, json_pack ("{s:I,s:O}", "version", (json_int_t)version,
-                                                 "release", (json_t *)release));
+  g_ptr_array_add (core->release_log, json_pack ("{s:I,s:O}", "version", (json_int_t) version,
+                                                 "release", (json_t *) release));
   if (core->release_log->len > LOG_KEPT)
     g_ptr_array_remove_index (core->release_log, 0);
 }
@@ -189,10 +189,10 @@
 
   if (pl_core_version (core) <= held)
     return;
-  first = pl_core_version (core) - (int64_t)core->release_log->len + 1;
+  first = pl_core_version (core) - (int64_t) core->release_log->len + 1;
   if (first <= held + 1)
     {
-      for (guint i = (guint)(held + 1 - first); i < core->release_log->len; i++)
+      for (guint i = (guint) (held + 1 - first); i < core->release_log->len; i++)
         {
           const json_t *entry = g_ptr_array_index (core->release_log, i);
 
@@ -203,7 +203,7 @@
         }
       return;
     }
-  snapshot = json_pack ("{s:I,s:O}", "version", (json_int_t)pl_core_version (core), "document",
+  snapshot = json_pack ("{s:I,s:O}", "version", (json_int_t) pl_core_version (core), "document",
                         core->config->document);
   message.type = PL_MESSAGE_SNAPSHOT;
   message.u.document.version = pl_core_version (core);
@@ -271,7 +271,7 @@
   json_t *json = pl_release_to_json (pending->release);
   char *text = json_dumps (json, JSON_COMPACT | JSON_SORT_KEYS);
 
-  crypto_generichash (hash, sizeof hash, (unsigned char *)text, strlen (text), NULL, 0);
+  crypto_generichash (hash, sizeof hash, (unsigned char *) text, strlen (text), NULL, 0);
   sodium_bin2hex (pending->digest, sizeof pending->digest, hash, sizeof hash);
   free (text);
   json_decref (json);
@@ -356,7 +356,7 @@
   switch (event->result)
     {
     case PL_OK:
-      entry = json_pack ("{s:I,s:o}", "version", (json_int_t)event->version, "release",
+      entry = json_pack ("{s:I,s:o}", "version", (json_int_t) event->version, "release",
                          pl_release_to_json (pending->release));
       adopt_release (core, entry);
       json_decref (entry);
@@ -381,7 +381,7 @@
 pending_by_store_ticket (struct pl_core *core, uint64_t ticket)
 {
   for (GList *at = core->releases.head; at != NULL; at = at->next)
-    if (((struct pending_release *)at->data)->store_ticket == ticket)
+    if (((struct pending_release *) at->data)->store_ticket == ticket)
       return at->data;
   return NULL;
 }
--- a/core/core_operations.c
+++ b/core/core_operations.c
@@ -71,14 +71,14 @@
 {
   struct pl_store_request *store = add_store_effect (core, PL_STORE_FINISH);
   json_t *row
-      = json_pack ("{s:s,s:I,s:I,s:i,s:s%}", "state", "done", "nonce", (json_int_t)core->nonce,
-                   "request", (json_int_t)request->event.request, "status", event->status, "answer",
-                   event->answer != NULL ? event->answer : "",
-                   event->answer != NULL ? event->answer_length : (size_t)0);
+      = json_pack ("{s:s,s:I,s:I,s:i,s:s%}", "state", "done", "nonce", (json_int_t) core->nonce,
+                   "request", (json_int_t) request->event.request, "status", event->status,
+                   "answer", event->answer != NULL ? event->answer : "",
+                   event->answer != NULL ? event->answer_length : (size_t) 0);
 
   if (row == NULL) /* the answer is no text: only its status is kept */
-    row = json_pack ("{s:s,s:I,s:I,s:i,s:s}", "state", "done", "nonce", (json_int_t)core->nonce,
-                     "request", (json_int_t)request->event.request, "status", event->status,
+    row = json_pack ("{s:s,s:I,s:I,s:i,s:s}", "state", "done", "nonce", (json_int_t) core->nonce,
+                     "request", (json_int_t) request->event.request, "status", event->status,
                      "answer", "");
   store->text = json_dumps (row, JSON_COMPACT);
   store->claim_count = 1;
--- a/core/core_peers.c
+++ b/core/core_peers.c
@@ -75,14 +75,14 @@
   heartbeat->store_age_us = core->store_read_at_us < 0 ? -1 : core->now_us - core->store_read_at_us;
   heartbeat->leaving = core->stopping;
   if (core->config != NULL)
-    services = MIN (core->config->services->len, (guint)PL_SERVICES_MAX);
+    services = MIN (core->config->services->len, (guint) PL_SERVICES_MAX);
   for (guint i = 0; i < services; i++)
     {
       struct pl_service_load *load = &heartbeat->services[heartbeat->service_count++];
 
       load->service = PL_SERVICE (core->config, i)->id;
       load->waiting = waiting_for (core, load->service);
-      load->free_slots = servers_free_slots (core, (int)i) - load->waiting;
+      load->free_slots = servers_free_slots (core, (int) i) - load->waiting;
     }
   peers_broadcast (core, &message);
 }
@@ -127,8 +127,8 @@
       member->index = PL_NONE;
     }
   for (guint i = 0; i < core->config->hosts->len; i++)
-    if ((int)i != core->self)
-      take_member (core, PL_HOST (core->config, i)->id)->index = (int)i;
+    if ((int) i != core->self)
+      take_member (core, PL_HOST (core->config, i)->id)->index = (int) i;
 }
 
 static void
--- a/core/core_report.c
+++ b/core/core_report.c
@@ -24,17 +24,17 @@
   for (int i = 0; i < PL_REFUSAL_COUNT; i++)
     if (counts->refused[i] > 0)
       json_object_set_new (refused, pl_refusals[i].name,
-                           json_integer ((json_int_t)counts->refused[i]));
+                           json_integer ((json_int_t) counts->refused[i]));
   for (int i = 0; i < PL_HISTOGRAM_BUCKETS; i++)
     if (counts->latency.buckets[i] > 0)
       json_array_append_new (buckets,
-                             json_pack ("[i,I]", i, (json_int_t)counts->latency.buckets[i]));
-  json = json_pack ("{s:I,s:I,s:o,s:I,s:I,s:I,s:I,s:o}", "asked", (json_int_t)counts->asked,
-                    "served", (json_int_t)counts->served, "refused", refused, "p50_us",
-                    (json_int_t)pl_histogram_quantile (&counts->latency, 0.5), "p99_us",
-                    (json_int_t)pl_histogram_quantile (&counts->latency, 0.99), "max_us",
-                    (json_int_t)counts->latency.max_us, "sum_us",
-                    (json_int_t)counts->latency.sum_us, "buckets", buckets);
+                             json_pack ("[i,I]", i, (json_int_t) counts->latency.buckets[i]));
+  json = json_pack ("{s:I,s:I,s:o,s:I,s:I,s:I,s:I,s:o}", "asked", (json_int_t) counts->asked,
+                    "served", (json_int_t) counts->served, "refused", refused, "p50_us",
+                    (json_int_t) pl_histogram_quantile (&counts->latency, 0.5), "p99_us",
+                    (json_int_t) pl_histogram_quantile (&counts->latency, 0.99), "max_us",
+                    (json_int_t) counts->latency.max_us, "sum_us",
+                    (json_int_t) counts->latency.sum_us, "buckets", buckets);
   return json;
 }
 
@@ -91,14 +91,14 @@
         {
           const struct server_state *server = g_ptr_array_index (core->server_order, j);
 
-          if (PL_SERVER (core->config, server->index)->service != (int)i)
+          if (PL_SERVER (core->config, server->index)->service != (int) i)
             continue;
           in_flight += server->in_flight;
           slots += PL_SERVER (core->config, server->index)->slots;
         }
       json_object_set_new (services, PL_SERVICE (core->config, i)->name,
                            json_pack ("{s:i,s:i,s:i}", "in_flight", in_flight, "free",
-                                      servers_free_slots (core, (int)i), "slots", slots));
+                                      servers_free_slots (core, (int) i), "slots", slots));
     }
   return services;
 }
@@ -116,8 +116,8 @@
       json_object_set_new (servers, config->name,
                            json_pack ("{s:i,s:b,s:b,s:b,s:I,s:I}", "in_flight", server->in_flight,
                                       "down", server->down, "leaving", server->leaving, "draining",
-                                      config->draining, "served", (json_int_t)server->served,
-                                      "drain_us", (json_int_t)server->drain_us));
+                                      config->draining, "served", (json_int_t) server->served,
+                                      "drain_us", (json_int_t) server->drain_us));
     }
   return servers;
 }
@@ -131,10 +131,10 @@
     {
       const struct pl_host_config *host = PL_HOST (core->config, i);
       const struct member *member = g_hash_table_lookup (core->members, &host->id);
-      bool is_self = (int)i == core->self;
+      bool is_self = (int) i == core->self;
       bool is_live = is_self || (member != NULL && peers_is_live (core, member));
-      json_int_t version = is_self          ? (json_int_t)pl_core_version (core)
-                           : member != NULL ? (json_int_t)member->heartbeat.version
+      json_int_t version = is_self          ? (json_int_t) pl_core_version (core)
+                           : member != NULL ? (json_int_t) member->heartbeat.version
                                             : 0;
 
       json_object_set_new (members, host->name,
@@ -160,8 +160,8 @@
       if (link->index != PL_NONE)
         json_object_set_new (
             links, PL_LINK (core->config, link->index)->name,
-            json_pack ("{s:I,s:I}", "bytes", (json_int_t)link->bytes, "bytes_per_second",
-                       (json_int_t)PL_LINK (core->config, link->index)->bytes_per_second));
+            json_pack ("{s:I,s:I}", "bytes", (json_int_t) link->bytes, "bytes_per_second",
+                       (json_int_t) PL_LINK (core->config, link->index)->bytes_per_second));
     }
   return links;
 }
@@ -170,11 +170,12 @@
 pl_core_report (struct pl_core *core, int64_t now_us)
 {
   json_int_t store_age_us = core->store_read_at_us < 0 ? -1 : now_us - core->store_read_at_us;
-  json_t *report = json_pack ("{s:s,s:I,s:I,s:I,s:b,s:b,s:i,s:i}", "host", core->name, "version",
-                              (json_int_t)pl_core_version (core), "lowest_version",
-                              (json_int_t)peers_lowest_version (core), "store_age_us", store_age_us,
-                              "holds_name", core->slot_held, "stopping", core->stopping, "waiting",
-                              core->waiting_count, "active", core->active_count);
+  json_t *report
+      = json_pack ("{s:s,s:I,s:I,s:I,s:b,s:b,s:i,s:i}", "host", core->name, "version",
+                   (json_int_t) pl_core_version (core), "lowest_version",
+                   (json_int_t) peers_lowest_version (core), "store_age_us", store_age_us,
+                   "holds_name", core->slot_held, "stopping", core->stopping, "waiting",
+                   core->waiting_count, "active", core->active_count);
 
   if (core->self != PL_NONE)
     {
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -202,7 +202,7 @@
   refusal = check_arrival (core, request);
   if (refusal >= 0)
     {
-      requests_refuse (core, request, (enum pl_refusal)refusal);
+      requests_refuse (core, request, (enum pl_refusal) refusal);
       return;
     }
   if (request->event.deadline_us > core->now_us + request->route.deadline_us)
@@ -276,7 +276,7 @@
   request->route.service = PL_NONE;
   for (guint i = 0; i < core->config->services->len; i++)
     if (PL_SERVICE (core->config, i)->id == request->service)
-      request->route.service = (int)i;
+      request->route.service = (int) i;
   return request->route.service != PL_NONE;
 }
 
@@ -333,7 +333,7 @@
   if (refusal >= 0)
     {
       dequeue (core, request);
-      requests_refuse (core, request, (enum pl_refusal)refusal);
+      requests_refuse (core, request, (enum pl_refusal) refusal);
       return START_DONE;
     }
   if (core->now_us < request->not_before_us)
@@ -671,7 +671,7 @@
     return;
   if (request->state == REQUEST_WAITING)
     dequeue (core, request);
-  requests_refuse (core, request, (enum pl_refusal)refusal);
+  requests_refuse (core, request, (enum pl_refusal) refusal);
 }
 
 static void
@@ -707,6 +707,6 @@
   GList *all = g_hash_table_get_values (core->requests);
 
   for (guint i = 0; i < core->account_order->len; i++)
-    g_queue_clear (&((struct account_state *)g_ptr_array_index (core->account_order, i))->waiting);
+    g_queue_clear (&((struct account_state *) g_ptr_array_index (core->account_order, i))->waiting);
   g_list_free_full (all, g_free);
 }
--- a/core/core_servers.c
+++ b/core/core_servers.c
@@ -35,7 +35,7 @@
   if ((server->index + core->sharing_rank) % hosts < slots % hosts)
     limit++;
   if (warm_us < WARM_UP_US && limit > 1)
-    limit = 1 + (int)((limit - 1) * warm_us / WARM_UP_US);
+    limit = 1 + (int) ((limit - 1) * warm_us / WARM_UP_US);
   return limit;
 }
 
@@ -67,7 +67,7 @@
 static int64_t
 server_score (const struct pl_core *core, const struct server_state *server, int limit)
 {
-  return (int64_t)(server->in_flight + 1) * 1000 / limit
+  return (int64_t) (server->in_flight + 1) * 1000 / limit
          + MIN (server->reported_load, 100) * 10 / server_config (core, server)->slots;
 }
 
@@ -259,7 +259,7 @@
       if (host->domain != PL_HOST (core->config, core->self)->domain)
         continue;
       member = g_hash_table_lookup (core->members, &host->id);
-      if ((int)i != core->self && (member == NULL || !peers_is_live (core, member)))
+      if ((int) i != core->self && (member == NULL || !peers_is_live (core, member)))
         continue;
       hosts++;
       if (host->id < core->id)
@@ -298,11 +298,11 @@
 
   g_hash_table_iter_init (&iter, core->servers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((struct server_state *)value)->index = PL_NONE;
+    ((struct server_state *) value)->index = PL_NONE;
   g_ptr_array_set_size (core->server_order, 0);
   for (guint i = 0; core->self != PL_NONE && i < core->config->servers->len; i++)
     if (PL_SERVER (core->config, i)->domain == PL_HOST (core->config, core->self)->domain)
-      g_ptr_array_add (core->server_order, take_server (core, (int)i, is_first));
+      g_ptr_array_add (core->server_order, take_server (core, (int) i, is_first));
   refresh_sharing (core);
 }
 
--- a/core/core_steering.c
+++ b/core/core_steering.c
@@ -76,11 +76,11 @@
       bool same_region;
       int score;
 
-      if (member == NULL || (int)i == core->self || !is_usable (core, member)
+      if (member == NULL || (int) i == core->self || !is_usable (core, member)
           || PL_HOST (core->config, i)->domain == PL_HOST (core->config, core->self)->domain
           || member->forwarded >= forward_limit (core, member))
         continue;
-      same_region = region_of (core, (int)i) == region_of (core, core->self);
+      same_region = region_of (core, (int) i) == region_of (core, core->self);
       if (!same_region && patient)
         continue;
       score = free_slots_of (member, request->service, request->route.service);
@@ -152,7 +152,7 @@
         pl_budget_give_back (&request->links[0]->budget, request->link_bytes[0] * PL_MICRO,
                              core->now_us);
       else
-        request->links[0]->bytes += (uint64_t)request->link_bytes[0];
+        request->links[0]->bytes += (uint64_t) request->link_bytes[0];
     }
   if (request->links[1] != NULL)
     {
@@ -163,7 +163,7 @@
         pl_budget_charge (&request->links[1]->budget, over * PL_MICRO, core->now_us);
       else
         pl_budget_give_back (&request->links[1]->budget, -over * PL_MICRO, core->now_us);
-      request->links[1]->bytes += (uint64_t)used;
+      request->links[1]->bytes += (uint64_t) used;
     }
   request->links[0] = NULL;
   request->links[1] = NULL;
--- a/core/lookup.c
+++ b/core/lookup.c
@@ -70,7 +70,7 @@
   for (guint i = 0; i < config->hosts->len; i++)
     {
       struct candidate candidate
-          = {(int)i, distance (config, domain, (int)i), options->headroom[i]};
+          = {(int) i, distance (config, domain, (int) i), options->headroom[i]};
 
       if (candidate.headroom > 0)
         g_array_append_val (candidates, candidate);
@@ -89,8 +89,8 @@
   lookup->blocks = options->blocks;
   lookup->own_domain = options->own_domain;
   lookup->ttl_us = options->ttl_us;
-  lookup->order_count = (int)options->config->domains->len;
-  lookup->orders = g_new0 (struct pl_lookup_order, (gsize)lookup->order_count + 1);
+  lookup->order_count = (int) options->config->domains->len;
+  lookup->orders = g_new0 (struct pl_lookup_order, (gsize) lookup->order_count + 1);
   for (int domain = 0; domain < lookup->order_count; domain++)
     make_order (options, domain, &lookup->orders[domain]);
   return lookup;
@@ -126,7 +126,7 @@
       const struct pl_host_config *host;
 
       if (i < order->first_count)
-        at = (int)(((uint32_t)i + salt) % (uint32_t)order->first_count);
+        at = (int) (((uint32_t) i + salt) % (uint32_t) order->first_count);
       host = PL_HOST (lookup->config, order->hosts[at]);
       answer->addresses[answer->count] = host->caller_address;
       answer->names[answer->count] = host->name;
--- a/core/release.c
+++ b/core/release.c
@@ -135,10 +135,10 @@
   if (is_withdrawal)
     {
       if (node->type != YAML_SCALAR_NODE
-          || !pl_schema_text_is_valid (PL_FIELD_NAME, (const char *)node->data.scalar.value))
+          || !pl_schema_text_is_valid (PL_FIELD_NAME, (const char *) node->data.scalar.value))
         pl_findings_add (findings, place, "a name is expected here");
       else
-        add_change (changes, action, kind->name, (const char *)node->data.scalar.value,
+        add_change (changes, action, kind->name, (const char *) node->data.scalar.value,
                     json_object (), json_object (), place);
       return;
     }
@@ -174,7 +174,7 @@
       const struct pl_kind *kind = NULL;
 
       if (key->type == YAML_SCALAR_NODE)
-        kind = find_kind ((const char *)key->data.scalar.value);
+        kind = find_kind ((const char *) key->data.scalar.value);
       if (kind == NULL)
         {
           pl_findings_add (findings, pl_schema_place (key), "unknown kind");
@@ -204,8 +204,8 @@
   {
     const char *kind = json_string_value (json_object_get (change, "kind"));
     const char *name = json_string_value (json_object_get (change, "name"));
-    struct pl_place place = {(int)json_integer_value (json_object_get (change, "line")),
-                             (int)json_integer_value (json_object_get (change, "column"))};
+    struct pl_place place = {(int) json_integer_value (json_object_get (change, "line")),
+                             (int) json_integer_value (json_object_get (change, "column"))};
 
     if (!g_hash_table_add (seen, g_strdup_printf ("%s/%s", kind, name)))
       pl_findings_add (findings, place, "'%s' of '%s' stands twice in this release", name, kind);
@@ -267,8 +267,8 @@
   const char *name = json_string_value (json_object_get (change, "name"));
   json_t *fields = json_object_get (change, "fields");
   json_t *known = json_object_get (entries, name);
-  struct pl_place place = {(int)json_integer_value (json_object_get (change, "line")),
-                           (int)json_integer_value (json_object_get (change, "column"))};
+  struct pl_place place = {(int) json_integer_value (json_object_get (change, "line")),
+                           (int) json_integer_value (json_object_get (change, "column"))};
 
   if (strcmp (action, "added") == 0)
     {
@@ -308,8 +308,8 @@
     if (strcmp (json_string_value (json_object_get (change, "kind")), kind) != 0
         || strcmp (json_string_value (json_object_get (change, "name")), name) != 0)
       continue;
-    place.line = (int)json_integer_value (json_object_get (change, "line"));
-    place.column = (int)json_integer_value (json_object_get (change, "column"));
+    place.line = (int) json_integer_value (json_object_get (change, "line"));
+    place.column = (int) json_integer_value (json_object_get (change, "column"));
     mark = json_object_get (json_object_get (change, "places"), field);
     if (mark != NULL)
       json_unpack (mark, "[i,i]", &place.line, &place.column);
@@ -356,7 +356,7 @@
   {
     const char *hash = json_string_value (json_object_get (key, "hash"));
 
-    if (!g_hash_table_add (seen, (gpointer)hash))
+    if (!g_hash_table_add (seen, (gpointer) hash))
       pl_findings_add (findings, place_of (release, "keys", name, "hash"),
                        "the hash of key '%s' belongs to another key too", name);
   }
--- a/core/schema.c
+++ b/core/schema.c
@@ -18,7 +18,7 @@
 struct pl_place
 pl_schema_place (const yaml_node_t *node)
 {
-  struct pl_place place = {(int)node->start_mark.line + 1, (int)node->start_mark.column + 1};
+  struct pl_place place = {(int) node->start_mark.line + 1, (int) node->start_mark.column + 1};
 
   return place;
 }
@@ -43,9 +43,9 @@
   char *end;
   long port;
 
-  if (colon == NULL || colon == text || (size_t)(colon - text) >= sizeof host)
+  if (colon == NULL || colon == text || (size_t) (colon - text) >= sizeof host)
     return false;
-  memcpy (host, text, (size_t)(colon - text));
+  memcpy (host, text, (size_t) (colon - text));
   port = strtol (colon + 1, &end, 10);
   return colon[1] >= '0' && colon[1] <= '9' && *end == '\0' && port >= 0 && port <= 65535
          && inet_pton (AF_INET, host, &address) == 1;
@@ -60,9 +60,9 @@
   char *end;
   long bits;
 
-  if (slash == NULL || (size_t)(slash - text) >= sizeof host)
+  if (slash == NULL || (size_t) (slash - text) >= sizeof host)
     return false;
-  memcpy (host, text, (size_t)(slash - text));
+  memcpy (host, text, (size_t) (slash - text));
   bits = strtol (slash + 1, &end, 10);
   return slash[1] >= '0' && slash[1] <= '9' && *end == '\0' && bits >= 0 && bits <= 32
          && inet_pton (AF_INET, host, &address) == 1;
@@ -71,7 +71,7 @@
 static bool
 text_is_printable (const char *text)
 {
-  for (const unsigned char *c = (const unsigned char *)text; *c != '\0'; c++)
+  for (const unsigned char *c = (const unsigned char *) text; *c != '\0'; c++)
     if (*c < 0x20 || *c == 0x7f)
       return false;
   return true;
@@ -119,7 +119,7 @@
 static json_t *
 read_number (const struct pl_field *field, yaml_node_t *node, struct pl_findings *findings)
 {
-  const char *text = (const char *)node->data.scalar.value;
+  const char *text = (const char *) node->data.scalar.value;
   char *end;
   long long number;
 
@@ -154,11 +154,11 @@
       yaml_node_t *value = yaml_document_get_node (document, *item);
 
       if (value->type != YAML_SCALAR_NODE
-          || !text_is_printable ((const char *)value->data.scalar.value))
+          || !text_is_printable ((const char *) value->data.scalar.value))
         pl_findings_add (findings, pl_schema_place (value), "'%s' must hold plain texts",
                          field->name);
       else
-        json_array_append_new (list, json_string ((const char *)value->data.scalar.value));
+        json_array_append_new (list, json_string ((const char *) value->data.scalar.value));
     }
   return list;
 }
@@ -178,7 +178,7 @@
                        type_name (field->type));
       return NULL;
     }
-  text = (const char *)node->data.scalar.value;
+  text = (const char *) node->data.scalar.value;
   if (field->type == PL_FIELD_NUMBER)
     return read_number (field, node, findings);
   if (field->type == PL_FIELD_BOOL && strcmp (text, "true") == 0)
@@ -239,14 +239,14 @@
           pl_findings_add (findings, pl_schema_place (key), "a field name must be a plain text");
           continue;
         }
-      field = find_field (fields, (const char *)key->data.scalar.value);
+      field = find_field (fields, (const char *) key->data.scalar.value);
       if (field == NULL)
         {
           pl_findings_add (findings, pl_schema_place (key), "unknown field '%.64s'",
-                           (const char *)key->data.scalar.value);
+                           (const char *) key->data.scalar.value);
           continue;
         }
-      if (!g_hash_table_add (seen, (gpointer)field->name))
+      if (!g_hash_table_add (seen, (gpointer) field->name))
         {
           pl_findings_add (findings, pl_schema_place (key), "field '%s' stands twice", field->name);
           continue;
@@ -301,7 +301,7 @@
     {
       yaml_node_t *name = yaml_document_get_node (document, pair->key);
 
-      if (name->type == YAML_SCALAR_NODE && strcmp ((char *)name->data.scalar.value, key) == 0)
+      if (name->type == YAML_SCALAR_NODE && strcmp ((char *) name->data.scalar.value, key) == 0)
         return yaml_document_get_node (document, pair->value);
     }
   return NULL;
@@ -317,21 +317,21 @@
   int result = 0;
 
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text, length);
+  yaml_parser_set_input_string (&parser, (const unsigned char *) text, length);
   while (!done)
     {
       struct pl_place place;
 
       if (!yaml_parser_parse (&parser, &event))
         {
-          place = (struct pl_place){(int)parser.problem_mark.line + 1,
-                                    (int)parser.problem_mark.column + 1};
+          place = (struct pl_place){(int) parser.problem_mark.line + 1,
+                                    (int) parser.problem_mark.column + 1};
           pl_findings_add (findings, place, "not YAML: %s",
                            parser.problem != NULL ? parser.problem : "unreadable text");
           result = PL_ERR_INVALID;
           break;
         }
-      place = (struct pl_place){(int)event.start_mark.line + 1, (int)event.start_mark.column + 1};
+      place = (struct pl_place){(int) event.start_mark.line + 1, (int) event.start_mark.column + 1};
       if (event.type == YAML_ALIAS_EVENT)
         {
           pl_findings_add (findings, place, "aliases are not allowed");
@@ -356,7 +356,7 @@
   if (result < 0)
     return result;
   yaml_parser_initialize (&parser);
-  yaml_parser_set_input_string (&parser, (const unsigned char *)text, length);
+  yaml_parser_set_input_string (&parser, (const unsigned char *) text, length);
   if (!yaml_parser_load (&parser, document))
     {
       pl_findings_add (findings, whole, "not YAML");
--- a/include/internal/exchange.h
+++ b/include/internal/exchange.h
@@ -11,11 +11,11 @@
 #include <microhttpd.h>
 
 /* A body of at most this many bytes is held whole and can be sent again. */
-#define PL_BODY_HELD_MAX ((size_t)64 << 10)
+#define PL_BODY_HELD_MAX ((size_t) 64 << 10)
 /* What a streamed body may have waiting in memory, each way. */
-#define PL_BODY_WINDOW ((size_t)256 << 10)
+#define PL_BODY_WINDOW ((size_t) 256 << 10)
 /* An answer is passed on only when it is whole or longer than this. */
-#define PL_ANSWER_HELD_MAX ((size_t)64 << 10)
+#define PL_ANSWER_HELD_MAX ((size_t) 64 << 10)
 
 struct pl_pipe
 {
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -148,9 +148,9 @@
     result = PL_HTTP_PAUSE;
   else
     {
-      exchange->answer_seen += (int64_t)length;
+      exchange->answer_seen += (int64_t) length;
       /* After the caller has gone, an answer that is kept is still read to its end. */
-      if (!exchange->caller_done || exchange->answer_seen <= (int64_t)PL_ANSWER_HELD_MAX)
+      if (!exchange->caller_done || exchange->answer_seen <= (int64_t) PL_ANSWER_HELD_MAX)
         pl_pipe_add (&exchange->answer, bytes, length);
       if (!exchange->answer_open && !is_refusal (attempt)
           && pl_pipe_waiting (&exchange->answer) > PL_ANSWER_HELD_MAX)
@@ -301,7 +301,7 @@
     exchange->body.taken = 0;
   options.method = exchange->method;
   options.url = url;
-  options.headers = (const char *const *)headers->pdata;
+  options.headers = (const char *const *) headers->pdata;
   options.body_length = exchange->body_length;
   options.timeout_us = effect->u.send_request.deadline_us - pl_clock_now_us ();
   /* libcurl repeats a request on its own when a kept connection fails, so what may run only once
@@ -330,7 +330,7 @@
   event.u.probe.server = probe->server;
   event.u.probe.answered = json != NULL;
   event.u.probe.leaving = json_is_true (json_object_get (json, "leaving"));
-  event.u.probe.load = (int)json_integer_value (json_object_get (json, "load"));
+  event.u.probe.load = (int) json_integer_value (json_object_get (json, "load"));
   probe->entry->options.post (probe->entry->options.data, &event);
   json_decref (json);
   g_free (probe);
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -22,11 +22,11 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#define CONNECTION_MEMORY ((size_t)64 << 10)
+#define CONNECTION_MEMORY ((size_t) 64 << 10)
 #define CONNECTION_LIMIT 8192u
 #define CONNECTION_TIMEOUT_S 120u
 #define CALLER_THREADS 2u
-#define ANSWER_BLOCK ((size_t)64 << 10)
+#define ANSWER_BLOCK ((size_t) 64 << 10)
 #define DEADLINE_DEFAULT_MS 60000
 #define DEADLINE_MAX_MS 3600000
 #define LOOKUP_PATH "/pomelolatch/lookup"
@@ -59,7 +59,7 @@
 {
   struct head *head = data;
 
-  (void)kind;
+  (void) kind;
   if (value == NULL)
     value = "";
   if (g_ascii_strcasecmp (name, "Authorization") == 0)
@@ -107,7 +107,7 @@
 {
   struct head *head = data;
 
-  (void)kind;
+  (void) kind;
   if (value != NULL && pl_key_header_may_pass (name, value, head->key))
     g_ptr_array_add (head->exchange->headers, g_strdup_printf ("%s: %s", name, value));
   return MHD_YES;
@@ -157,7 +157,7 @@
   event->body_bytes = MAX (exchange->body_length, 0);
   if (head->operation != NULL && head->operation[0] != '\0')
     {
-      crypto_generichash (hash, sizeof hash, (const uint8_t *)head->operation,
+      crypto_generichash (hash, sizeof hash, (const uint8_t *) head->operation,
                           strlen (head->operation), NULL, 0);
       sodium_bin2hex (event->operation, sizeof event->operation, hash, sizeof hash);
     }
@@ -214,7 +214,7 @@
   MHD_get_connection_values (connection, MHD_HEADER_KIND, copy_header, &head);
   fill_event (exchange, &head, port->forwarded);
   exchange->streamed
-      = exchange->body_length < 0 || exchange->body_length > (int64_t)PL_BODY_HELD_MAX;
+      = exchange->body_length < 0 || exchange->body_length > (int64_t) PL_BODY_HELD_MAX;
   return true;
 }
 
@@ -245,7 +245,7 @@
         submit (entry, exchange);
       part = MIN (length, PL_BODY_WINDOW - MIN (waiting, PL_BODY_WINDOW));
     }
-  exchange->body_seen += (int64_t)part;
+  exchange->body_seen += (int64_t) part;
   if (exchange->body_seen > entry->options.body_max)
     {
       exchange->body.ended = true;
@@ -269,9 +269,9 @@
   struct pl_exchange *exchange = data;
   ssize_t result;
 
-  (void)position;
+  (void) position;
   g_mutex_lock (&exchange->lock);
-  result = (ssize_t)pl_pipe_take (&exchange->answer, bytes, length, false);
+  result = (ssize_t) pl_pipe_take (&exchange->answer, bytes, length, false);
   if (result > 0 && exchange->call != NULL)
     pl_http_call_wake (exchange->call);
   if (result == 0 && exchange->answer_cut)
@@ -307,7 +307,7 @@
   if (exchange->answer.ended && !exchange->answer_cut)
     size = pl_pipe_waiting (&exchange->answer);
   else if (exchange->answer_length >= 0)
-    size = (uint64_t)exchange->answer_length;
+    size = (uint64_t) exchange->answer_length;
   if (may_have_body (exchange))
     response = MHD_create_response_from_callback (size, ANSWER_BLOCK, read_answer,
                                                   pl_exchange_ref (exchange), release_exchange);
@@ -317,11 +317,11 @@
     {
       const char *line = g_ptr_array_index (exchange->answer_headers, i);
       const char *colon = strchr (line, ':');
-      g_autofree char *name = g_strndup (line, (gsize)(colon - line));
+      g_autofree char *name = g_strndup (line, (gsize) (colon - line));
 
       MHD_add_response_header (response, name, colon + 1 + strspn (colon + 1, " "));
     }
-  result = MHD_queue_response (connection, (unsigned)exchange->status, response);
+  result = MHD_queue_response (connection, (unsigned) exchange->status, response);
   MHD_destroy_response (response);
   return result;
 }
@@ -332,8 +332,8 @@
   const char *client = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "client");
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  struct in_addr address = ((const struct sockaddr_in *)info->client_addr)->sin_addr;
-  uint32_t salt = (uint32_t)ck_pr_faa_64 (&entry->next_id, 1);
+  struct in_addr address = ((const struct sockaddr_in *) info->client_addr)->sin_addr;
+  uint32_t salt = (uint32_t) ck_pr_faa_64 (&entry->next_id, 1);
   struct pl_lookup_answer answer = {0};
   const struct pl_lookup *lookup;
   GString *text = g_string_sized_new (LOOKUP_TEXT_MAX);
@@ -388,7 +388,7 @@
   struct pl_exchange *exchange = *context;
   enum MHD_Result result = MHD_YES;
 
-  (void)version;
+  (void) version;
   g_mutex_lock (&exchange->lock);
   if (!exchange->begun)
     {
@@ -412,7 +412,7 @@
   struct port *port = data;
   struct pl_exchange *exchange = pl_exchange_new (ck_pr_faa_64 (&port->entry->next_id, 1) + 1);
 
-  (void)connection;
+  (void) connection;
   exchange->raw_target = g_strdup (target);
   return exchange;
 }
@@ -435,8 +435,8 @@
   struct pl_http_call *call = NULL;
   bool open;
 
-  (void)connection;
-  (void)code;
+  (void) connection;
+  (void) code;
   if (exchange == NULL)
     return;
   g_mutex_lock (&exchange->lock);
--- a/modules/clock.c
+++ b/modules/clock.c
@@ -10,5 +10,5 @@
   struct timespec now;
 
   clock_gettime (CLOCK_BOOTTIME, &now);
-  return (int64_t)now.tv_sec * 1000000 + now.tv_nsec / 1000;
+  return (int64_t) now.tv_sec * 1000000 + now.tv_nsec / 1000;
 }
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -50,7 +50,7 @@
   g_autofree char *joined = g_strjoin ("\n", method, target, account, deadline, NULL);
   uint8_t mac[crypto_auth_BYTES];
 
-  crypto_auth (mac, (uint8_t *)joined, strlen (joined), entry->options.secret);
+  crypto_auth (mac, (uint8_t *) joined, strlen (joined), entry->options.secret);
   sodium_bin2hex (text, crypto_auth_BYTES * 2 + 1, mac, sizeof mac);
 }
 
@@ -86,7 +86,7 @@
     }
   pl_pipe_add (&exchange->answer, text, strlen (text));
   exchange->answer.ended = true;
-  exchange->answer_length = (int64_t)strlen (text);
+  exchange->answer_length = (int64_t) strlen (text);
   exchange->answer_open = true;
 }
 
@@ -119,7 +119,7 @@
   add_header (exchange, "Pomelolatch-Replayed", "true");
   pl_pipe_add (&exchange->answer, answer, strlen (answer));
   exchange->answer.ended = true;
-  exchange->answer_length = (int64_t)strlen (answer);
+  exchange->answer_length = (int64_t) strlen (answer);
   exchange->answer_open = true;
   pl_exchange_resume (exchange);
 }
@@ -210,7 +210,7 @@
   entry->options = *options;
   g_mutex_init (&entry->lock);
   entry->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                            (GDestroyNotify)pl_exchange_unref);
+                                            (GDestroyNotify) pl_exchange_unref);
   entry->cut = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   pthread_create (&entry->watcher, NULL, watch_thread, entry);
   entry->callers = pl_callers_start (entry, options->caller_address, false);
@@ -226,7 +226,7 @@
 GPtrArray *
 pl_entry_list (struct pl_entry *entry)
 {
-  GPtrArray *all = g_ptr_array_new_with_free_func ((GDestroyNotify)pl_exchange_unref);
+  GPtrArray *all = g_ptr_array_new_with_free_func ((GDestroyNotify) pl_exchange_unref);
   GHashTableIter iter;
   gpointer value;
 
--- a/modules/exchange.c
+++ b/modules/exchange.c
@@ -75,7 +75,7 @@
 void
 pl_pipe_add (struct pl_pipe *pipe, const void *bytes, size_t length)
 {
-  g_byte_array_append (pipe->bytes, bytes, (guint)length);
+  g_byte_array_append (pipe->bytes, bytes, (guint) length);
 }
 
 size_t
@@ -92,7 +92,7 @@
     }
   else if (!keep && pipe->taken > PL_BODY_WINDOW)
     {
-      g_byte_array_remove_range (pipe->bytes, 0, (guint)pipe->taken);
+      g_byte_array_remove_range (pipe->bytes, 0, (guint) pipe->taken);
       pipe->taken = 0;
     }
   return part;
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -114,7 +114,7 @@
   curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
   if (code != CURLE_OK)
     end = call->answered ? PL_HTTP_CUT : sent > 0 ? PL_HTTP_NO_ANSWER : PL_HTTP_NOT_SENT;
-  call->handler->done (call->data, end, (int)status);
+  call->handler->done (call->data, end, (int) status);
   pl_http_call_unref (call);
 }
 
@@ -179,7 +179,7 @@
 
       if (message->msg != CURLMSG_DONE)
         continue;
-      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **)&call);
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, (char **) &call);
       finish_call (call, message->data.result);
     }
 }
@@ -283,7 +283,7 @@
     }
   curl_easy_setopt (call->easy, CURLOPT_UPLOAD, 1L);
   if (options->body_length >= 0)
-    curl_easy_setopt (call->easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t)options->body_length);
+    curl_easy_setopt (call->easy, CURLOPT_INFILESIZE_LARGE, (curl_off_t) options->body_length);
 }
 
 struct pl_http_call *
@@ -313,14 +313,14 @@
   curl_easy_setopt (call->easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (call->easy, CURLOPT_PROXY, "");
   curl_easy_setopt (call->easy, CURLOPT_PROTOCOLS_STR, "http");
-  curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (call->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPALIVE, 1L);
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
   curl_easy_setopt (call->easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_LIFE_S);
   curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
-                    (long)MAX (options->timeout_us / 1000, INT64_C (1)));
+                    (long) MAX (options->timeout_us / 1000, INT64_C (1)));
   if (options->fresh_connection)
     {
       curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
@@ -340,7 +340,7 @@
   void *data;
 };
 
-#define FETCH_ANSWER_MAX ((size_t)64 << 20)
+#define FETCH_ANSWER_MAX ((size_t) 64 << 20)
 
 static size_t
 fetch_write (void *data, const char *bytes, size_t length)
@@ -349,7 +349,7 @@
 
   if (fetch->answer->len + length > FETCH_ANSWER_MAX)
     return 0;
-  g_string_append_len (fetch->answer, bytes, (gssize)length);
+  g_string_append_len (fetch->answer, bytes, (gssize) length);
   return length;
 }
 
@@ -397,6 +397,6 @@
   fetch->body_length = strlen (fetch->body);
   fetch->done = done;
   fetch->data = data;
-  options.body_length = (int64_t)fetch->body_length;
+  options.body_length = (int64_t) fetch->body_length;
   pl_http_call_unref (pl_http_client_start (client, &options));
 }
--- a/modules/keys.c
+++ b/modules/keys.c
@@ -36,7 +36,7 @@
 void
 pl_key_hash (const char *key, size_t length, uint8_t hash[PL_KEY_HASH_BYTES])
 {
-  crypto_generichash (hash, PL_KEY_HASH_BYTES, (const uint8_t *)key, length, NULL, 0);
+  crypto_generichash (hash, PL_KEY_HASH_BYTES, (const uint8_t *) key, length, NULL, 0);
 }
 
 void
@@ -68,7 +68,7 @@
 {
   const char *query = strchr (target, '?');
   GString *out
-      = g_string_new_len (target, query != NULL ? query - target : (gssize)strlen (target));
+      = g_string_new_len (target, query != NULL ? query - target : (gssize) strlen (target));
   g_auto (GStrv) parameters = g_strsplit (query != NULL ? query + 1 : "", "&", -1);
   g_autofree char *plain = NULL;
   char joint = '?';
--- a/modules/log.c
+++ b/modules/log.c
@@ -36,7 +36,7 @@
 int
 pl_log_parse_level (const char *text)
 {
-  for (int i = 0; i < (int)G_N_ELEMENTS (level_names); i++)
+  for (int i = 0; i < (int) G_N_ELEMENTS (level_names); i++)
     if (strcmp (level_names[i], text) == 0)
       return i;
   return PL_ERR_INVALID;
@@ -90,7 +90,7 @@
   left_out = count_repeat (event, now_us / G_USEC_PER_SEC);
   if (left_out >= 0)
     {
-      line = json_pack ("{s:f,s:s,s:s,s:s}", "time", (double)now_us / G_USEC_PER_SEC, "level",
+      line = json_pack ("{s:f,s:s,s:s,s:s}", "time", (double) now_us / G_USEC_PER_SEC, "level",
                         level_names[level], "name", log_name, "event", event);
       if (left_out > 0)
         json_object_set_new (line, "left_out", json_integer (left_out));
--- a/modules/loop.c
+++ b/modules/loop.c
@@ -117,9 +117,9 @@
   item->event.now_us = pl_clock_now_us ();
   pl_core_step (loop->options.core, &item->event, effects);
   if (item->event.type == PL_EVENT_OUTCOME)
-    g_free ((char *)item->event.u.outcome.answer);
+    g_free ((char *) item->event.u.outcome.answer);
   if (item->event.type == PL_EVENT_LEAVING_LIST)
-    g_free ((uint64_t *)item->event.u.leaving.servers);
+    g_free ((uint64_t *) item->event.u.leaving.servers);
   if (item->event.type == PL_EVENT_STORE)
     {
       json_decref (item->event.u.store.releases);
--- a/modules/metrics.c
+++ b/modules/metrics.c
@@ -24,7 +24,7 @@
   json_array_foreach (json_object_get (counts, "buckets"), i, value)
   {
     struct pl_histogram edge = {0};
-    int bucket = (int)json_integer_value (json_array_get (value, 0));
+    int bucket = (int) json_integer_value (json_array_get (value, 0));
 
     if (bucket < 0 || bucket >= PL_HISTOGRAM_BUCKETS)
       continue;
@@ -33,13 +33,13 @@
     edge.max_us = INT64_MAX;
     cumulated += json_integer_value (json_array_get (value, 1));
     g_string_append_printf (out, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"%.6f\"} %lld\n",
-                            label, name, (double)pl_histogram_quantile (&edge, 1.0) / 1e6,
+                            label, name, (double) pl_histogram_quantile (&edge, 1.0) / 1e6,
                             cumulated);
   }
   g_string_append_printf (out, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"+Inf\"} %lld\n",
                           label, name, cumulated);
   g_string_append_printf (out, "pomelolatch_latency_seconds_sum{%s=\"%s\"} %.6f\n", label, name,
-                          (double)json_integer_value (json_object_get (counts, "sum_us")) / 1e6);
+                          (double) json_integer_value (json_object_get (counts, "sum_us")) / 1e6);
   g_string_append_printf (out, "pomelolatch_latency_seconds_count{%s=\"%s\"} %lld\n", label, name,
                           cumulated);
 }
--- a/modules/net.c
+++ b/modules/net.c
@@ -23,10 +23,10 @@
 
   if (!pl_schema_text_is_valid (PL_FIELD_ADDRESS, text))
     return PL_ERR_INVALID;
-  memcpy (host, text, (size_t)(colon - text));
+  memcpy (host, text, (size_t) (colon - text));
   memset (address, 0, sizeof *address);
   address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)atoi (colon + 1));
+  address->sin_port = htons ((uint16_t) atoi (colon + 1));
   inet_pton (AF_INET, host, &address->sin_addr);
   return PL_OK;
 }
@@ -40,7 +40,7 @@
   if (fd < 0)
     return -1;
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-  if (bind (fd, (const struct sockaddr *)address, sizeof *address) < 0 || listen (fd, BACKLOG) < 0)
+  if (bind (fd, (const struct sockaddr *) address, sizeof *address) < 0 || listen (fd, BACKLOG) < 0)
     {
       close (fd);
       return -1;
@@ -59,7 +59,7 @@
 
   if (fd < 0)
     return -1;
-  if (connect (fd, (const struct sockaddr *)address, sizeof *address) < 0
+  if (connect (fd, (const struct sockaddr *) address, sizeof *address) < 0
       && (errno != EINPROGRESS || poll (&ready, 1, limit_ms) != 1))
     goto fail;
   getsockopt (fd, SOL_SOCKET, SO_ERROR, &error, &length);
--- a/modules/operator_http.c
+++ b/modules/operator_http.c
@@ -16,7 +16,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RELEASE_MAX ((size_t)16 << 20)
+#define RELEASE_MAX ((size_t) 16 << 20)
 #define RELEASE_WAIT_US (10 * G_TIME_SPAN_SECOND)
 
 struct pl_operators
@@ -39,7 +39,7 @@
 send_text (struct MHD_Connection *connection, unsigned status, const char *type, const char *text)
 {
   struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+      = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result result;
 
   MHD_add_response_header (response, "Content-Type", type);
@@ -77,7 +77,7 @@
   uint64_t ticket = effect->u.released.ticket;
   json_t *answer
       = json_pack ("{s:s,s:i,s:I}", "result", pl_error_name (effect->u.released.result), "code",
-                   effect->u.released.result, "version", (json_int_t)effect->u.released.version);
+                   effect->u.released.result, "version", (json_int_t) effect->u.released.version);
 
   if (effect->u.released.findings != NULL)
     json_object_set (answer, "findings", effect->u.released.findings);
@@ -160,7 +160,7 @@
                         PL_ERR_INVALID, "version", 0, "findings", pl_findings_to_json (findings));
   pl_findings_free (findings);
   return send_json (connection,
-                    status_of_code ((int)json_integer_value (json_object_get (answer, "code"))),
+                    status_of_code ((int) json_integer_value (json_object_get (answer, "code"))),
                     answer);
 }
 
@@ -211,7 +211,7 @@
   struct pl_operators *operators = data;
   struct upload *upload = *context;
 
-  (void)version;
+  (void) version;
   if (upload == NULL)
     {
       upload = g_new0 (struct upload, 1);
@@ -223,7 +223,7 @@
     {
       upload->too_large = upload->too_large || upload->text->len + *upload_size > RELEASE_MAX;
       if (!upload->too_large)
-        g_string_append_len (upload->text, upload_data, (gssize)*upload_size);
+        g_string_append_len (upload->text, upload_data, (gssize) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -246,9 +246,9 @@
 {
   struct upload *upload = *context;
 
-  (void)data;
-  (void)connection;
-  (void)code;
+  (void) data;
+  (void) connection;
+  (void) code;
   if (upload == NULL)
     return;
   g_string_free (upload->text, TRUE);
@@ -266,7 +266,7 @@
   g_mutex_init (&operators->lock);
   g_cond_init (&operators->answered);
   operators->answers
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify)json_decref);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, (GDestroyNotify) json_decref);
   if (pl_net_parse (options->address, &address) == 0)
     fd = pl_net_listen (&address);
   if (fd >= 0)
--- a/modules/peer_codec.c
+++ b/modules/peer_codec.c
@@ -12,7 +12,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define ENCODE_ROOM_FIXED ((size_t)128 << 10)
+#define ENCODE_ROOM_FIXED ((size_t) 128 << 10)
 
 G_STATIC_ASSERT (PEER_SERVICES_MAX == PL_SERVICES_MAX);
 G_STATIC_ASSERT (PEER_ITEMS_MAX == PL_LOAN_ITEMS_MAX);
@@ -30,7 +30,7 @@
 {
   to->asked_us = from->asked_us;
   to->nonce = from->nonce;
-  to->items.items_len = (u_int)from->count;
+  to->items.items_len = (u_int) from->count;
   to->items.items_val = items;
   for (int i = 0; i < from->count; i++)
     items[i] = (struct peer_loan_item){from->items[i].budget, from->items[i].number,
@@ -44,7 +44,7 @@
   to->config_version = from->version;
   to->store_age_us = from->store_age_us;
   to->leaving = from->leaving;
-  to->services.services_len = (u_int)from->service_count;
+  to->services.services_len = (u_int) from->service_count;
   to->services.services_val = loads;
   for (int i = 0; i < from->service_count; i++)
     loads[i] = (struct peer_load){from->services[i].service, from->services[i].free_slots,
@@ -56,7 +56,7 @@
 {
   struct peer_message *to = &scratch->messages[at];
 
-  to->type = (int)from->type;
+  to->type = (int) from->type;
   switch (from->type)
     {
     case PL_MESSAGE_HEARTBEAT:
@@ -88,7 +88,7 @@
 pl_peer_encode (const struct pl_message *messages, int count, size_t *length)
 {
   struct scratch *scratch = g_new0 (struct scratch, 1);
-  struct peer_batch batch = {{(u_int)count, scratch->messages}};
+  struct peer_batch batch = {{(u_int) count, scratch->messages}};
   size_t room = ENCODE_ROOM_FIXED;
   char *bytes;
   XDR xdrs;
@@ -101,7 +101,7 @@
         room += strlen (messages[i].u.document.text) + 16;
     }
   bytes = g_malloc (room);
-  xdrmem_create (&xdrs, bytes, (u_int)room, XDR_ENCODE);
+  xdrmem_create (&xdrs, bytes, (u_int) room, XDR_ENCODE);
   if (xdr_peer_batch (&xdrs, &batch))
     *length = xdr_getpos (&xdrs);
   else
@@ -116,7 +116,7 @@
 {
   to->asked_us = from->asked_us;
   to->nonce = from->nonce;
-  to->count = (int32_t)MIN (from->items.items_len, (u_int)PL_LOAN_ITEMS_MAX);
+  to->count = (int32_t) MIN (from->items.items_len, (u_int) PL_LOAN_ITEMS_MAX);
   for (int i = 0; i < to->count; i++)
     {
       const struct peer_loan_item *item = &from->items.items_val[i];
@@ -131,7 +131,7 @@
   to->version = from->config_version;
   to->store_age_us = from->store_age_us;
   to->leaving = from->leaving;
-  to->service_count = (int32_t)MIN (from->services.services_len, (u_int)PL_SERVICES_MAX);
+  to->service_count = (int32_t) MIN (from->services.services_len, (u_int) PL_SERVICES_MAX);
   for (int i = 0; i < to->service_count; i++)
     {
       const struct peer_load *load = &from->services.services_val[i];
@@ -143,7 +143,7 @@
 static void
 message_from_wire (const struct peer_message *from, struct pl_message *to)
 {
-  to->type = (enum pl_message_type)from->type;
+  to->type = (enum pl_message_type) from->type;
   switch (to->type)
     {
     case PL_MESSAGE_HEARTBEAT:
@@ -177,7 +177,7 @@
   XDR xdrs;
   bool decoded;
 
-  xdrmem_create (&xdrs, (char *)bytes, (u_int)length, XDR_DECODE);
+  xdrmem_create (&xdrs, (char *) bytes, (u_int) length, XDR_DECODE);
   decoded = xdr_peer_batch (&xdrs, &batch) && xdr_getpos (&xdrs) == length;
   xdr_destroy (&xdrs);
   for (u_int i = 0; decoded && i < batch.messages.messages_len; i++)
@@ -188,6 +188,6 @@
       message.from = from;
       on_message (data, &message);
     }
-  xdr_free ((xdrproc_t)xdr_peer_batch, &batch);
+  xdr_free ((xdrproc_t) xdr_peer_batch, &batch);
   return decoded ? PL_OK : PL_ERR_INVALID;
 }
--- a/modules/peer_rpc.c
+++ b/modules/peer_rpc.c
@@ -84,12 +84,12 @@
   uint64_t numbers[3] = {envelope->nonce, envelope->started_us, envelope->sequence};
 
   crypto_auth_hmacsha512256_init (&state, peers->options.secret, PL_PEER_SECRET_BYTES);
-  crypto_auth_hmacsha512256_update (&state, (uint8_t *)envelope->sender,
+  crypto_auth_hmacsha512256_update (&state, (uint8_t *) envelope->sender,
                                     strlen (envelope->sender) + 1);
-  crypto_auth_hmacsha512256_update (&state, (uint8_t *)envelope->address,
+  crypto_auth_hmacsha512256_update (&state, (uint8_t *) envelope->address,
                                     strlen (envelope->address) + 1);
-  crypto_auth_hmacsha512256_update (&state, (uint8_t *)numbers, sizeof numbers);
-  crypto_auth_hmacsha512256_update (&state, (uint8_t *)envelope->body.body_val,
+  crypto_auth_hmacsha512256_update (&state, (uint8_t *) numbers, sizeof numbers);
+  crypto_auth_hmacsha512256_update (&state, (uint8_t *) envelope->body.body_val,
                                     envelope->body.body_len);
   crypto_auth_hmacsha512256_final (&state, mac);
 }
@@ -172,15 +172,15 @@
   if (body == NULL)
     return PL_ERR_INVALID;
   envelope.sender = peers->name;
-  envelope.address = (char *)peers->options.listen;
+  envelope.address = (char *) peers->options.listen;
   envelope.nonce = peers->options.nonce;
   envelope.started_us = peers->started_us;
   envelope.sequence = ck_pr_faa_64 (&peers->sequence, 1) + 1;
   envelope.body.body_val = body;
-  envelope.body.body_len = (u_int)length;
-  compute_mac (peers, &envelope, (uint8_t *)envelope.mac);
-  status = clnt_call (client, PEER_DELIVER, (xdrproc_t)xdr_peer_envelope, (char *)&envelope,
-                      (xdrproc_t)xdr_int, (char *)&accepted, limit);
+  envelope.body.body_len = (u_int) length;
+  compute_mac (peers, &envelope, (uint8_t *) envelope.mac);
+  status = clnt_call (client, PEER_DELIVER, (xdrproc_t) xdr_peer_envelope, (char *) &envelope,
+                      (xdrproc_t) xdr_int, (char *) &accepted, limit);
   ck_pr_add_64 (&peers->bytes_sent, length + 160);
   g_free (body);
   return status == RPC_SUCCESS ? PL_OK : PL_ERR_UNAVAILABLE;
@@ -335,7 +335,7 @@
 
   if (request->rq_proc == NULLPROC)
     {
-      svc_sendreply (transport, (xdrproc_t)(void *)xdr_void, NULL);
+      svc_sendreply (transport, (xdrproc_t) (void *) xdr_void, NULL);
       return;
     }
   if (request->rq_proc != PEER_DELIVER)
@@ -343,7 +343,7 @@
       svcerr_noproc (transport);
       return;
     }
-  if (!svc_getargs (transport, (xdrproc_t)xdr_peer_envelope, (char *)&envelope))
+  if (!svc_getargs (transport, (xdrproc_t) xdr_peer_envelope, (char *) &envelope))
     {
       svcerr_decode (transport);
       return;
@@ -353,8 +353,8 @@
   if (peer != NULL)
     accepted = pl_peer_decode (envelope.body.body_val, envelope.body.body_len, peer->id,
                                peers->options.on_message, peers->options.data);
-  svc_sendreply (transport, (xdrproc_t)xdr_int, (char *)&accepted);
-  svc_freeargs (transport, (xdrproc_t)xdr_peer_envelope, (char *)&envelope);
+  svc_sendreply (transport, (xdrproc_t) xdr_int, (char *) &accepted);
+  svc_freeargs (transport, (xdrproc_t) xdr_peer_envelope, (char *) &envelope);
 }
 
 static void *
@@ -362,11 +362,12 @@
 {
   struct pl_peers *peers = data;
 
-  while (!ck_pr_load_8 ((uint8_t *)&peers->stopping))
+  while (!ck_pr_load_8 ((uint8_t *) &peers->stopping))
     {
       int count = svc_max_pollfd;
-      g_autofree struct pollfd *fds = g_memdup2 (svc_pollfd, (gsize)count * sizeof (struct pollfd));
-      int ready = poll (fds, (nfds_t)count, LOOP_MS);
+      g_autofree struct pollfd *fds
+          = g_memdup2 (svc_pollfd, (gsize) count * sizeof (struct pollfd));
+      int ready = poll (fds, (nfds_t) count, LOOP_MS);
 
       if (ready > 0)
         svc_getreq_poll (fds, ready);
@@ -383,7 +384,7 @@
 
   peers->options = *options;
   g_strlcpy (peers->name, options->name, sizeof peers->name);
-  peers->started_us = (uint64_t)g_get_real_time ();
+  peers->started_us = (uint64_t) g_get_real_time ();
   g_mutex_init (&peers->lock);
   peers->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   peers->listener = -1;
@@ -430,7 +431,7 @@
 
   if (peers == NULL)
     return;
-  ck_pr_store_8 ((uint8_t *)&peers->stopping, 1);
+  ck_pr_store_8 ((uint8_t *) &peers->stopping, 1);
   pthread_join (peers->thread, NULL);
   svc_unreg (PEER_PROGRAM, PEER_VERSION);
   svc_destroy (peers->transport);
--- a/modules/snapshot.c
+++ b/modules/snapshot.c
@@ -58,7 +58,7 @@
 static void
 free_retired (ck_epoch_entry_t *entry)
 {
-  struct retired *retired = (struct retired *)entry;
+  struct retired *retired = (struct retired *) entry;
 
   pl_lookup_free (retired->lookup);
   g_free (retired);
--- a/modules/store_http.c
+++ b/modules/store_http.c
@@ -114,7 +114,7 @@
       if (release == NULL)
         break;
       json_array_append_new (event->releases,
-                             json_pack ("{s:I,s:O}", "version", (json_int_t)version, "release",
+                             json_pack ("{s:I,s:O}", "version", (json_int_t) version, "release",
                                         json_object_get (release, "release")));
     }
 }
@@ -153,7 +153,7 @@
       event.u.store.version
           = json_integer_value (json_object_get (row_value (rows, "head"), "version"));
       event.u.store.slot_nonce
-          = (uint64_t)json_integer_value (json_object_get (row_value (rows, slot_key), "nonce"));
+          = (uint64_t) json_integer_value (json_object_get (row_value (rows, slot_key), "nonce"));
       event.u.store.confirmed_version = lowest_confirmed (rows);
       read_releases (call, rows, &event.u.store);
     }
@@ -177,7 +177,7 @@
 put_op (const char *key, int64_t if_version, json_t *value)
 {
   return json_pack ("{s:s,s:s,s:I,s:o}", "op", "put", "key", key, "if_version",
-                    (json_int_t)if_version, "value", value);
+                    (json_int_t) if_version, "value", value);
 }
 
 static void
@@ -186,7 +186,7 @@
   struct store_call *call = data;
   struct pl_event event = new_event (call, result_of (end, status));
 
-  (void)text;
+  (void) text;
   event.u.store.version = call->request.version + 1;
   answer (call, &event);
 }
@@ -203,19 +203,19 @@
 
   json_array_append_new (
       ops, put_op ("head", request->version,
-                   json_pack ("{s:I,s:s}", "version", (json_int_t)version, "id", request->id)));
+                   json_pack ("{s:I,s:s}", "version", (json_int_t) version, "id", request->id)));
   json_array_append_new (ops,
                          put_op (key, 0,
                                  json_pack ("{s:s,s:o,s:I}", "id", request->id, "release",
                                             json_loads (request->text, 0, NULL), "time",
-                                            (json_int_t)(g_get_real_time () / G_USEC_PER_SEC))));
+                                            (json_int_t) (g_get_real_time () / G_USEC_PER_SEC))));
   json_array_append_new (ops, put_op (id_key, 0,
-                                      json_pack ("{s:I,s:s}", "version", (json_int_t)version,
+                                      json_pack ("{s:I,s:s}", "version", (json_int_t) version,
                                                  "digest", request->digest)));
   json_array_append_new (ops,
                          put_op ("snapshot", -1,
-                                 json_pack ("{s:I,s:o}", "version", (json_int_t)version, "document",
-                                            json_loads (request->document, 0, NULL))));
+                                 json_pack ("{s:I,s:o}", "version", (json_int_t) version,
+                                            "document", json_loads (request->document, 0, NULL))));
   send_call (call, "/transaction", json_pack ("{s:b,s:o}", "each", 0, "ops", ops), commit_done);
 }
 
@@ -252,8 +252,8 @@
 {
   json_t *value = json_object_get (result, "value");
   bool ours
-      = (uint64_t)json_integer_value (json_object_get (value, "nonce")) == call->request.nonce
-        && (uint64_t)json_integer_value (json_object_get (value, "request")) == claim->request;
+      = (uint64_t) json_integer_value (json_object_get (value, "nonce")) == call->request.nonce
+        && (uint64_t) json_integer_value (json_object_get (value, "request")) == claim->request;
   const char *state = json_string_value (json_object_get (value, "state"));
 
   if (json_is_true (json_object_get (result, "ok")))
@@ -263,7 +263,7 @@
   else if (strcmp (state, "done") == 0)
     {
       claim->state = PL_CLAIM_DONE;
-      claim->status = (int)json_integer_value (json_object_get (value, "status"));
+      claim->status = (int) json_integer_value (json_object_get (value, "status"));
       claim->answer = g_strdup (json_string_value (json_object_get (value, "answer")));
     }
   else
@@ -288,7 +288,7 @@
       memcpy (claim->row, call->request.claims[i].row, sizeof claim->row);
       claim->state = PL_CLAIM_UNKNOWN;
       if (results != NULL)
-        read_claim (call, json_array_get (results, (size_t)i), claim);
+        read_claim (call, json_array_get (results, (size_t) i), claim);
     }
   json_decref (json);
   answer (call, &event);
@@ -297,8 +297,8 @@
 static json_t *
 claim_value (const struct store_call *call, int at)
 {
-  return json_pack ("{s:s,s:I,s:I}", "state", "claimed", "nonce", (json_int_t)call->request.nonce,
-                    "request", (json_int_t)call->request.claims[at].request);
+  return json_pack ("{s:s,s:I,s:I}", "state", "claimed", "nonce", (json_int_t) call->request.nonce,
+                    "request", (json_int_t) call->request.claims[at].request);
 }
 
 static void
@@ -321,7 +321,7 @@
   int result = result_of (end, status);
   struct pl_event event = new_event (call, result);
 
-  (void)text;
+  (void) text;
   if (result < 0 && --call->tries_left > 0)
     call_finish (call);
   else
@@ -347,7 +347,7 @@
   struct store_call *call = data;
   struct pl_event event = new_event (call, result_of (end, status));
 
-  (void)text;
+  (void) text;
   event.u.store.slot_nonce = call->request.nonce;
   event.u.store.slot_incarnation = call->slot_incarnation;
   event.u.store.taken_over = call->slot_taken_over;
@@ -366,7 +366,7 @@
   json_t *value = json_object_get (row, "value");
   int64_t row_version = json_integer_value (json_object_get (row, "version"));
   bool ours
-      = (uint64_t)json_integer_value (json_object_get (value, "nonce")) == call->request.nonce;
+      = (uint64_t) json_integer_value (json_object_get (value, "nonce")) == call->request.nonce;
   json_t *op;
 
   if (json == NULL)
@@ -375,13 +375,13 @@
       return;
     }
   call->slot_incarnation
-      = (uint64_t)json_integer_value (json_object_get (value, "incarnation")) + (ours ? 0 : 1);
+      = (uint64_t) json_integer_value (json_object_get (value, "incarnation")) + (ours ? 0 : 1);
   call->slot_taken_over
       = value != NULL && !ours && !json_is_true (json_object_get (value, "released"));
   op = put_op (key, row_version,
-               json_pack ("{s:I,s:I,s:I,s:b}", "nonce", (json_int_t)call->request.nonce,
-                          "incarnation", (json_int_t)call->slot_incarnation, "version",
-                          (json_int_t)call->request.version, "released",
+               json_pack ("{s:I,s:I,s:I,s:b}", "nonce", (json_int_t) call->request.nonce,
+                          "incarnation", (json_int_t) call->slot_incarnation, "version",
+                          (json_int_t) call->request.version, "released",
                           call->request.release_slot));
   json_decref (json);
   send_call (call, "/transaction", json_pack ("{s:b,s:[o]}", "each", 0, "ops", op), slot_written);
@@ -521,6 +521,6 @@
 {
   if (store == NULL)
     return;
-  g_free ((char *)store->options.address);
+  g_free ((char *) store->options.address);
   g_free (store);
 }
--- a/objects/error.c
+++ b/objects/error.c
@@ -22,7 +22,7 @@
 {
   size_t count = sizeof error_names / sizeof error_names[0];
 
-  if (error > 0 || (size_t)-error >= count)
+  if (error > 0 || (size_t) -error >= count)
     return "unknown-error";
   return error_names[-error];
 }
--- a/objects/histogram.c
+++ b/objects/histogram.c
@@ -14,9 +14,9 @@
   unsigned index;
 
   if (value < sub_count)
-    return (unsigned)value;
-  shift = 63u - (unsigned)__builtin_clzll (value) - PL_HISTOGRAM_SUB_BITS;
-  index = (shift << PL_HISTOGRAM_SUB_BITS) + (unsigned)(value >> shift);
+    return (unsigned) value;
+  shift = 63u - (unsigned) __builtin_clzll (value) - PL_HISTOGRAM_SUB_BITS;
+  index = (shift << PL_HISTOGRAM_SUB_BITS) + (unsigned) (value >> shift);
   return index < PL_HISTOGRAM_BUCKETS ? index : PL_HISTOGRAM_BUCKETS - 1;
 }
 
@@ -28,10 +28,10 @@
   uint64_t base;
 
   if (index < 2 * sub_count)
-    return (int64_t)index;
+    return (int64_t) index;
   shift = (index >> PL_HISTOGRAM_SUB_BITS) - 1;
   base = (index & (sub_count - 1)) + sub_count;
-  return (int64_t)(((base + 1) << shift) - 1);
+  return (int64_t) (((base + 1) << shift) - 1);
 }
 
 void
@@ -39,9 +39,9 @@
 {
   if (value_us < 0)
     value_us = 0;
-  histogram->buckets[bucket_of ((uint64_t)value_us)]++;
+  histogram->buckets[bucket_of ((uint64_t) value_us)]++;
   histogram->count++;
-  histogram->sum_us += (uint64_t)value_us;
+  histogram->sum_us += (uint64_t) value_us;
   if (value_us > histogram->max_us)
     histogram->max_us = value_us;
 }
@@ -60,7 +60,7 @@
 int64_t
 pl_histogram_quantile (const struct pl_histogram *histogram, double fraction)
 {
-  double wanted = fraction * (double)histogram->count;
+  double wanted = fraction * (double) histogram->count;
   uint64_t seen = 0;
 
   if (histogram->count == 0)
@@ -68,7 +68,7 @@
   for (unsigned i = 0; i < PL_HISTOGRAM_BUCKETS; i++)
     {
       seen += histogram->buckets[i];
-      if ((double)seen >= wanted && seen > 0)
+      if ((double) seen >= wanted && seen > 0)
         return bucket_upper_edge (i) < histogram->max_us ? bucket_upper_edge (i)
                                                          : histogram->max_us;
     }
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -103,7 +103,7 @@
     return;
   /* An address that was named before is as good as one from the settings. */
   if (cache->count > 0 && turn % 2 == 0)
-    address = cache->hosts[turn / 2 % (guint)cache->count];
+    address = cache->hosts[turn / 2 % (guint) cache->count];
   cache->asking = true;
   asker = g_new0 (struct attempt, 1);
   asker->callers = callers;
@@ -131,7 +131,7 @@
   if (cache->count > 0)
     {
       /* Callers of a site share the load between the first two hosts that they were given. */
-      int at = (attempt->host + (int)(attempt->number % 2)) % cache->count;
+      int at = (attempt->host + (int) (attempt->number % 2)) % cache->count;
 
       g_strlcpy (attempt->address, cache->hosts[at], sizeof attempt->address);
     }
@@ -157,7 +157,7 @@
            "\"outcome\":\"%s\",\"reason\":\"%s\",\"whole\":%s}\n",
            attempt->number, account->name, attempt->route->path,
            attempt->route->unrepeatable ? "true" : "false", attempt->sends, attempt->address,
-           attempt->sent_us, pl_clock_now_us (), status, (int)end, attempt->outcome,
+           attempt->sent_us, pl_clock_now_us (), status, (int) end, attempt->outcome,
            attempt->reason, whole ? "true" : "false");
   g_mutex_unlock (&callers->lock);
 }
@@ -196,7 +196,7 @@
 {
   struct attempt *attempt = data;
 
-  g_string_append_len (attempt->answer, bytes, (gssize)length);
+  g_string_append_len (attempt->answer, bytes, (gssize) length);
   return length;
 }
 
@@ -204,10 +204,10 @@
 on_read (void *data, char *bytes, size_t length)
 {
   struct attempt *attempt = data;
-  size_t part = (size_t)MIN ((int64_t)length, attempt->body_left);
+  size_t part = (size_t) MIN ((int64_t) length, attempt->body_left);
 
   memset (bytes, 'p', part);
-  attempt->body_left -= (int64_t)part;
+  attempt->body_left -= (int64_t) part;
   return part;
 }
 
@@ -219,7 +219,7 @@
       = g_strdup_printf ("tag=%lu received=%ld ", attempt->number, attempt->route->body_bytes);
 
   return g_str_has_prefix (attempt->answer->str, start)
-         && (int64_t)attempt->answer->len == attempt->route->answer_bytes;
+         && (int64_t) attempt->answer->len == attempt->route->answer_bytes;
 }
 
 static gboolean
--- a/programs/load/faults.c
+++ b/programs/load/faults.c
@@ -27,7 +27,7 @@
 {
   struct apply *apply = data;
 
-  g_string_append_len (apply->answer, bytes, (gssize)length);
+  g_string_append_len (apply->answer, bytes, (gssize) length);
   return length;
 }
 
@@ -73,7 +73,7 @@
   apply->answer = g_string_new (NULL);
   if (!g_file_get_contents (file, &apply->body, &apply->length, NULL))
     fprintf (stderr, "can not read %s\n", file);
-  options.body_length = (int64_t)apply->length;
+  options.body_length = (int64_t) apply->length;
   pl_http_call_unref (pl_http_client_start (client, &options));
 }
 
@@ -91,7 +91,7 @@
       fault->done = true;
       if (fault->process != NULL)
         {
-          pid = (pid_t)json_integer_value (json_object_get (processes, fault->process));
+          pid = (pid_t) json_integer_value (json_object_get (processes, fault->process));
           if (pid <= 1 || kill (pid, fault->signal) < 0)
             fprintf (stderr, "can not signal %s\n", fault->process);
         }
--- a/programs/load/plan.c
+++ b/programs/load/plan.c
@@ -68,9 +68,9 @@
   {
     struct load_account account
         = {pl_settings_text (entry, "name", ""), pl_settings_text (entry, "key", ""),
-           (double)pl_settings_number (entry, "rate", 1),
-           (double)pl_settings_number (entry, "burst", 1),
-           (double)pl_settings_number (entry, "offered", 0)};
+           (double) pl_settings_number (entry, "rate", 1),
+           (double) pl_settings_number (entry, "burst", 1),
+           (double) pl_settings_number (entry, "offered", 0)};
 
     g_array_append_val (plan->accounts, account);
   }
@@ -86,7 +86,7 @@
   {
     struct load_route route = {pl_settings_text (entry, "path", "/"),
                                pl_settings_text (entry, "method", "GET"),
-                               (int)pl_settings_number (entry, "weight", 1),
+                               (int) pl_settings_number (entry, "weight", 1),
                                json_is_true (json_object_get (entry, "unrepeatable")),
                                pl_settings_number (entry, "body_bytes", 0),
                                pl_settings_number (entry, "answer_bytes", 2048),
@@ -108,7 +108,7 @@
     struct load_fault fault = {pl_settings_number (entry, "at_ms", 0) * 1000,
                                pl_settings_text (entry, "post", NULL),
                                pl_settings_text (entry, "process", NULL),
-                               (int)pl_settings_number (entry, "signal", 15),
+                               (int) pl_settings_number (entry, "signal", 15),
                                pl_settings_text (entry, "release", NULL),
                                false};
 
@@ -128,7 +128,7 @@
   plan->operator_address = pl_settings_text (json, "operator", NULL);
   plan->operator_key = pl_settings_text (json, "operator_key", "");
   plan->duration_us = pl_settings_number (json, "milliseconds", 1) * 1000;
-  plan->seed = (uint32_t)pl_settings_number (json, "seed", 1);
+  plan->seed = (uint32_t) pl_settings_number (json, "seed", 1);
   plan->resend = json_is_true (json_object_get (json, "resend"));
   plan->accounts = g_array_new (FALSE, TRUE, sizeof (struct load_account));
   plan->routes = g_array_new (FALSE, TRUE, sizeof (struct load_route));
--- a/programs/load/tally.c
+++ b/programs/load/tally.c
@@ -24,7 +24,7 @@
       tally->filled_at_us = now_us;
     }
   tally->offered++;
-  tally->tokens += rate * (double)(now_us - tally->filled_at_us) / 1e6;
+  tally->tokens += rate * (double) (now_us - tally->filled_at_us) / 1e6;
   tally->tokens = MIN (tally->tokens, tally->account->burst);
   tally->filled_at_us = now_us;
   if (tally->tokens < 1.0)
@@ -67,7 +67,7 @@
 static double
 part (uint64_t count, uint64_t whole)
 {
-  return whole > 0 ? (double)count / (double)whole : 1.0;
+  return whole > 0 ? (double) count / (double) whole : 1.0;
 }
 
 void
@@ -90,9 +90,9 @@
 
       fprintf (out, "%-14s %8lu %8lu %8lu %8lu %8lu %9.1f %8.1f %8.1f ", tally->account->name,
                tally->offered, tally->inside, tally->served, tally->refused_inside, tally->wrong,
-               (double)tally->served / seconds,
-               (double)pl_histogram_quantile (&tally->latency, 0.5) / 1e3,
-               (double)pl_histogram_quantile (&tally->latency, 0.99) / 1e3);
+               (double) tally->served / seconds,
+               (double) pl_histogram_quantile (&tally->latency, 0.5) / 1e3,
+               (double) pl_histogram_quantile (&tally->latency, 0.99) / 1e3);
       for (int j = 0; j < LOAD_REASONS_MAX && tally->reasons[j] != NULL; j++)
         fprintf (out, " %s:%lu", tally->reasons[j], tally->reason_counts[j]);
       fprintf (out, "\n");
@@ -107,10 +107,10 @@
   fprintf (out,
            "all: served %.1f/s, refused inside rate %.4f%%, worst-served account %.4f of the "
            "mean, wrong answers %lu, p50 %.1f ms, p99 %.1f ms\n",
-           (double)served / seconds, 100.0 * part (refused, inside) * (inside > 0),
+           (double) served / seconds, 100.0 * part (refused, inside) * (inside > 0),
            sum > 0 ? worst / (sum / count) : 1.0, wrong,
-           (double)pl_histogram_quantile (&all, 0.5) / 1e3,
-           (double)pl_histogram_quantile (&all, 0.99) / 1e3);
+           (double) pl_histogram_quantile (&all, 0.5) / 1e3,
+           (double) pl_histogram_quantile (&all, 0.99) / 1e3);
 }
 
 void
@@ -139,7 +139,7 @@
 plot_y (int64_t latency_us)
 {
   double height = PLOT_HEIGHT - 2 * PLOT_MARGIN;
-  double decades = log10 (MAX ((double)latency_us, 100.0) / 100.0);
+  double decades = log10 (MAX ((double) latency_us, 100.0) / 100.0);
 
   return PLOT_HEIGHT - PLOT_MARGIN - height * MIN (decades / 6.0, 1.0);
 }
@@ -178,7 +178,7 @@
   plot_axes (cairo);
   for (guint i = 0; i < count; i++)
     {
-      double hue = (double)i / count;
+      double hue = (double) i / count;
 
       cairo_set_source_rgb (cairo, fabs (cos (hue * 6)) * 0.8, fabs (sin (hue * 5)) * 0.7,
                             fabs (cos (hue * 3 + 1)) * 0.9);
--- a/programs/operator/call.c
+++ b/programs/operator/call.c
@@ -9,7 +9,7 @@
 static size_t
 collect (char *bytes, size_t size, size_t count, void *data)
 {
-  g_string_append_len (data, bytes, (gssize)(size * count));
+  g_string_append_len (data, bytes, (gssize) (size * count));
   return size * count;
 }
 
@@ -37,7 +37,7 @@
   curl_easy_setopt (easy, CURLOPT_WRITEDATA, answer);
   if (body != NULL)
     {
-      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long)length);
+      curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE, (long) length);
       curl_easy_setopt (easy, CURLOPT_POSTFIELDS, body);
     }
   code = curl_easy_perform (easy);
--- a/programs/operator/layout.c
+++ b/programs/operator/layout.c
@@ -168,7 +168,7 @@
   if (!json_is_number (value))
     return g_strdup ("-");
   return g_strdup_printf (
-      "%.*f", decimals != NULL ? (int)json_integer_value (decimals) : DECIMALS_DEFAULT,
+      "%.*f", decimals != NULL ? (int) json_integer_value (decimals) : DECIMALS_DEFAULT,
       json_number_value (value) * find_unit (text_of (column, "unit", "none"))->factor);
 }
 
@@ -176,7 +176,7 @@
 print_cell (const struct layout *layout, size_t at, const char *text, bool is_text)
 {
   const json_t *column = json_array_get (layout->columns, at);
-  int width = (int)json_integer_value (json_object_get (column, "width"));
+  int width = (int) json_integer_value (json_object_get (column, "width"));
   const char *separator = text_of (layout->head, "separator", " ");
 
   if (strcmp (text_of (layout->head, "format", "table"), "csv") == 0)
@@ -195,8 +195,8 @@
 static int
 compare_rows (gconstpointer a, gconstpointer b, gpointer data)
 {
-  const json_t *x = json_object_get (*(json_t *const *)a, data);
-  const json_t *y = json_object_get (*(json_t *const *)b, data);
+  const json_t *x = json_object_get (*(json_t *const *) a, data);
+  const json_t *y = json_object_get (*(json_t *const *) b, data);
 
   if (json_is_string (x) && json_is_string (y))
     return strcmp (json_string_value (x), json_string_value (y));
@@ -217,7 +217,7 @@
 
   json_object_foreach (summary, name, row) g_ptr_array_add (rows, row);
   g_ptr_array_sort_with_data (rows, compare_rows,
-                              (gpointer)text_of (layout->head, "order", "name"));
+                              (gpointer) text_of (layout->head, "order", "name"));
   if (title[0] != '\0' && strcmp (text_of (layout->head, "format", "table"), "csv") != 0)
     printf ("%s\n", title);
   json_array_foreach (layout->columns, at, column)
--- a/programs/operator/summary.c
+++ b/programs/operator/summary.c
@@ -109,10 +109,10 @@
 
     if (bucket < 0 || bucket >= PL_HISTOGRAM_BUCKETS)
       continue;
-    traffic->latency.buckets[bucket] += (uint64_t)count;
-    traffic->latency.count += (uint64_t)count;
+    traffic->latency.buckets[bucket] += (uint64_t) count;
+    traffic->latency.count += (uint64_t) count;
   }
-  traffic->latency.sum_us += (uint64_t)json_integer_value (json_object_get (entry, "sum_us"));
+  traffic->latency.sum_us += (uint64_t) json_integer_value (json_object_get (entry, "sum_us"));
   traffic->latency.max_us
       = MAX (traffic->latency.max_us, json_integer_value (json_object_get (entry, "max_us")));
 }
@@ -124,7 +124,7 @@
   double rate = json_number_value (json_object_get (traffic->entry, "rate"));
   double asked_rate = traffic->seconds > 0 ? traffic->asked / traffic->seconds : 0;
   double inside = traffic->refused_inside;
-  double count = (double)traffic->latency.count;
+  double count = (double) traffic->latency.count;
 
   if (rate > 0 && asked_rate <= rate)
     inside += traffic->over_rate;
@@ -132,10 +132,10 @@
                     "asked", traffic->asked, "served", traffic->served, "refused", traffic->refused,
                     "refused_inside_rate", inside, "over_rate", traffic->over_rate, "served_part",
                     traffic->asked > 0 ? traffic->served / traffic->asked : 1.0, "p50",
-                    (double)pl_histogram_quantile (&traffic->latency, 0.5) / 1e6, "p99",
-                    (double)pl_histogram_quantile (&traffic->latency, 0.99) / 1e6, "max",
-                    (double)traffic->latency.max_us / 1e6, "mean",
-                    count > 0 ? (double)traffic->latency.sum_us / count / 1e6 : 0.0, "rate", rate,
+                    (double) pl_histogram_quantile (&traffic->latency, 0.5) / 1e6, "p99",
+                    (double) pl_histogram_quantile (&traffic->latency, 0.99) / 1e6, "max",
+                    (double) traffic->latency.max_us / 1e6, "mean",
+                    count > 0 ? (double) traffic->latency.sum_us / count / 1e6 : 0.0, "rate", rate,
                     "burst", json_number_value (json_object_get (traffic->entry, "burst")),
                     "asked_rate", asked_rate);
 }
--- a/programs/pomelolatch-load.c
+++ b/programs/pomelolatch-load.c
@@ -49,7 +49,7 @@
       served += tallies[i].served;
       offered += tallies[i].offered;
     }
-  fprintf (stderr, "\r%5.1f s  sent %lu  answered %lu  served %lu ", (double)elapsed_us / 1e6,
+  fprintf (stderr, "\r%5.1f s  sent %lu  answered %lu  served %lu ", (double) elapsed_us / 1e6,
            offered, load_callers_answered (callers), served);
 }
 
@@ -70,9 +70,9 @@
   while (elapsed_us < plan->duration_us)
     {
       for (guint i = 0; i < count; i++)
-        while (due_us[i] <= (double)elapsed_us)
+        while (due_us[i] <= (double) elapsed_us)
           {
-            load_callers_send (callers, i, start_us + (int64_t)due_us[i]);
+            load_callers_send (callers, i, start_us + (int64_t) due_us[i]);
             due_us[i] += next_gap_us (random, tallies[i].account->offered * options->scale);
           }
       load_faults_run (plan, load_callers_client (callers), processes, elapsed_us);
@@ -101,7 +101,7 @@
   if (plan == NULL)
     return 2;
   if (options->milliseconds > 0)
-    plan->duration_us = (int64_t)options->milliseconds * 1000;
+    plan->duration_us = (int64_t) options->milliseconds * 1000;
   if (options->processes != NULL)
     processes = json_load_file (options->processes, 0, NULL);
   tallies = g_new0 (struct load_tally, plan->accounts->len);
@@ -117,7 +117,7 @@
   load_callers_wait (callers, DRAIN_US);
   if (callers_options.history != NULL)
     fclose (callers_options.history);
-  load_tally_print (tallies, plan->accounts->len, (double)plan->duration_us / 1e6, stdout);
+  load_tally_print (tallies, plan->accounts->len, (double) plan->duration_us / 1e6, stdout);
   if (options->csv != NULL)
     load_tally_write_csv (tallies, plan->accounts->len,
                           options->label != NULL ? options->label : "run", options->csv);
--- a/programs/pomelolatch-standin.c
+++ b/programs/pomelolatch-standin.c
@@ -64,7 +64,7 @@
   json_t *live = json_array ();
   json_t *leaving = json_array ();
 
-  (void)data;
+  (void) data;
   for (guint i = 0; i < standin.servers->len; i++)
     {
       const struct server *server = g_ptr_array_index (standin.servers, i);
@@ -98,10 +98,10 @@
       = find_server (MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, "server"));
   bool known = false;
 
-  for (int i = 0; store != NULL && i < (int)G_N_ELEMENTS (names); i++)
+  for (int i = 0; store != NULL && i < (int) G_N_ELEMENTS (names); i++)
     if (strcmp (store, names[i]) == 0)
       {
-        standin.fault = (enum store_fault)i;
+        standin.fault = (enum store_fault) i;
         known = true;
       }
   if (server != NULL && kind != NULL)
@@ -157,7 +157,7 @@
   table_counts (standin.table, &reads, &writes);
   return send_json (
       connection, MHD_HTTP_OK,
-      json_pack ("{s:I,s:I}", "reads", (json_int_t)reads, "writes", (json_int_t)writes));
+      json_pack ("{s:I,s:I}", "reads", (json_int_t) reads, "writes", (json_int_t) writes));
 }
 
 static enum MHD_Result
@@ -166,8 +166,8 @@
 {
   GString *text = *context;
 
-  (void)data;
-  (void)version;
+  (void) data;
+  (void) version;
   if (text == NULL)
     {
       *context = g_string_new (NULL);
@@ -175,7 +175,7 @@
     }
   if (*upload_size > 0)
     {
-      g_string_append_len (text, upload_data, (gssize)*upload_size);
+      g_string_append_len (text, upload_data, (gssize) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -190,9 +190,9 @@
 on_completed (void *data, struct MHD_Connection *connection, void **context,
               enum MHD_RequestTerminationCode code)
 {
-  (void)data;
-  (void)connection;
-  (void)code;
+  (void) data;
+  (void) connection;
+  (void) code;
   if (*context != NULL)
     g_string_free (*context, TRUE);
 }
@@ -226,7 +226,7 @@
       continue;
     server = server_new (json_string_value (json_object_get (fields, "name")),
                          json_string_value (json_object_get (fields, "address")),
-                         (int)json_integer_value (json_object_get (fields, "slots")));
+                         (int) json_integer_value (json_object_get (fields, "slots")));
     if (server != NULL)
       g_ptr_array_add (standin.servers, server);
     else
@@ -272,7 +272,7 @@
                error != NULL ? error->message : "--platform IP:PORT is needed");
       return 2;
     }
-  options.seed = (uint32_t)seed;
+  options.seed = (uint32_t) seed;
   signal (SIGPIPE, SIG_IGN);
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
--- a/programs/pomelolatch.c
+++ b/programs/pomelolatch.c
@@ -129,11 +129,11 @@
       best = MAX (best, json_integer_value (json_object_get (view, "version")));
     }
     if (best < version)
-      g_hash_table_add (behind, (gpointer)json_string_value (json_object_get (member, "domain")));
+      g_hash_table_add (behind, (gpointer) json_string_value (json_object_get (member, "domain")));
   }
   g_hash_table_iter_init (&iter, behind);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    g_string_append_printf (list, "%s%s", list->len > 0 ? ", " : "", (const char *)key);
+    g_string_append_printf (list, "%s%s", list->len > 0 ? ", " : "", (const char *) key);
   g_hash_table_destroy (behind);
   return g_string_free (list, FALSE);
 }
@@ -155,13 +155,13 @@
       behind = domains_behind (reports, version);
       result = behind[0] == '\0' ? OPERATOR_OK : OPERATOR_WAITING;
       if (result == OPERATOR_OK)
-        printf ("version %lld: in force everywhere\n", (long long)version);
+        printf ("version %lld: in force everywhere\n", (long long) version);
       else
-        printf ("version %lld: recorded, waiting for %s\n", (long long)version, behind);
+        printf ("version %lld: recorded, waiting for %s\n", (long long) version, behind);
       json_array_foreach (reports, i, report)
           printf ("  %-20s version %lld in force here\n",
                   json_string_value (json_object_get (report, "host")),
-                  (long long)json_integer_value (json_object_get (report, "version")));
+                  (long long) json_integer_value (json_object_get (report, "version")));
     }
   else
     fprintf (stderr, "pomelolatch: no entry host answers\n");
@@ -172,7 +172,7 @@
 static enum operator_exit
 wait_everywhere (const struct operator_settings *settings, json_int_t version)
 {
-  gint64 until = g_get_monotonic_time () + (gint64)option_wait_s * G_USEC_PER_SEC;
+  gint64 until = g_get_monotonic_time () + (gint64) option_wait_s * G_USEC_PER_SEC;
 
   while (g_get_monotonic_time () < until)
     {
@@ -213,7 +213,7 @@
     case 200:
       result = OPERATOR_OK;
       printf (check_only ? "no findings against version %lld\n" : "recorded as version %lld\n",
-              (long long)version);
+              (long long) version);
       break;
     case 422:
       result = OPERATOR_FINDINGS;
@@ -224,7 +224,7 @@
       break;
     case 409:
       fprintf (stderr, "pomelolatch: version %lld has the same id and another content\n",
-               (long long)version);
+               (long long) version);
       result = OPERATOR_CONFLICT;
       break;
     case -1:
@@ -266,7 +266,7 @@
     g_autofree char *text = g_date_time_format_iso8601 (time);
 
     printf ("%6lld  %s  %-40s %zu changes\n",
-            (long long)json_integer_value (json_object_get (release, "version")), text,
+            (long long) json_integer_value (json_object_get (release, "version")), text,
             json_string_value (json_object_get (release, "id")),
             json_array_size (json_object_get (release, "changes")));
   }
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -27,7 +27,7 @@
 #include <string.h>
 
 #define HOST_LIST_PERIOD_S 1
-#define BODY_MAX_DEFAULT ((int64_t)256 << 20)
+#define BODY_MAX_DEFAULT ((int64_t) 256 << 20)
 
 static const struct pl_field settings_fields[] = {
     {"name", PL_FIELD_NAME, true, 0, 0, NULL},
@@ -86,7 +86,7 @@
   uint64_t own = pl_id_of ("entry_hosts", pl_settings_text (host->settings, "name", ""));
 
   pl_log (PL_LOG_INFO, "configuration-in-force",
-          json_pack ("{s:I}", "version", (json_int_t)config->version));
+          json_pack ("{s:I}", "version", (json_int_t) config->version));
   for (guint i = 0; i < config->hosts->len; i++)
     if (PL_HOST (config, i)->id != own)
       pl_peers_set_address (host->peers, PL_HOST (config, i)->id,
@@ -185,7 +185,7 @@
   json_t *report = pl_loop_report (host->loop);
 
   json_object_set_new (report, "peer_bytes_sent",
-                       json_integer ((json_int_t)pl_peers_bytes_sent (host->peers)));
+                       json_integer ((json_int_t) pl_peers_bytes_sent (host->peers)));
   return report;
 }
 
@@ -241,7 +241,7 @@
   struct pl_core_options options = {
       .name = pl_settings_text (settings, "name", ""),
       .nonce = nonce,
-      .switches = (unsigned)pl_settings_number (settings, "switches", 0),
+      .switches = (unsigned) pl_settings_number (settings, "switches", 0),
       .now_us = pl_clock_now_us (),
       .heartbeat_us = pl_settings_number (settings, "heartbeat_ms", 0) * 1000,
       .store_poll_us = pl_settings_number (settings, "store_poll_ms", 0) * 1000,
@@ -368,6 +368,6 @@
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
-  pl_log_set ((enum pl_log_level)level, pl_settings_text (settings, "name", ""));
+  pl_log_set ((enum pl_log_level) level, pl_settings_text (settings, "name", ""));
   return run (settings);
 }
--- a/programs/standin/journal.c
+++ b/programs/standin/journal.c
@@ -73,8 +73,8 @@
         {
           const struct run *run = &g_array_index (runs, struct run, i);
 
-          json_array_append_new (
-              run_list, json_pack ("[I,s,s]", (json_int_t)run->time_us, run->account, run->server));
+          json_array_append_new (run_list, json_pack ("[I,s,s]", (json_int_t) run->time_us,
+                                                      run->account, run->server));
         }
     }
   g_mutex_unlock (&journal_lock);
--- a/programs/standin/scheduler.c
+++ b/programs/standin/scheduler.c
@@ -20,14 +20,14 @@
   const struct entry *x = a;
   const struct entry *y = b;
 
-  (void)data;
+  (void) data;
   return (x->due_us > y->due_us) - (x->due_us < y->due_us);
 }
 
 static void *
 scheduler_thread (void *data)
 {
-  (void)data;
+  (void) data;
   g_mutex_lock (&scheduler_lock);
   for (;;)
     {
--- a/programs/standin/servers.c
+++ b/programs/standin/servers.c
@@ -101,13 +101,14 @@
 static int64_t
 think_time_us (const struct server *server, const char *think)
 {
-  int64_t mean_us = think != NULL ? atoll (think) * 1000 : (int64_t)servers_options.think_ms * 1000;
+  int64_t mean_us
+      = think != NULL ? atoll (think) * 1000 : (int64_t) servers_options.think_ms * 1000;
   double factor;
 
   g_mutex_lock (&servers_lock);
   factor = g_rand_double_range (servers_random, 0.5, 1.5);
   g_mutex_unlock (&servers_lock);
-  return (int64_t)((double)mean_us * factor) * (server->slow ? 10 : 1);
+  return (int64_t) ((double) mean_us * factor) * (server->slow ? 10 : 1);
 }
 
 static void
@@ -264,10 +265,10 @@
 static enum MHD_Result
 scan_for_key (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
 {
-  (void)kind;
-  (void)name;
+  (void) kind;
+  (void) name;
   if (value != NULL && strstr (value, STANDIN_KEY_MARK) != NULL)
-    *(bool *)data = true;
+    *(bool *) data = true;
   return MHD_YES;
 }
 
@@ -285,11 +286,11 @@
 send_answer (struct work *work, unsigned status, const char *text, size_t cut_at)
 {
   struct MHD_Response *response
-      = MHD_create_response_from_buffer (strlen (text), (void *)text, MHD_RESPMEM_MUST_COPY);
+      = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_MUST_COPY);
   const char *number = header (work->connection, "Pomelolatch-Request");
   enum MHD_Result result;
 
-  (void)cut_at;
+  (void) cut_at;
   if (number != NULL)
     MHD_add_response_header (response, "Pomelolatch-Request", number);
   if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
@@ -308,7 +309,7 @@
     return MHD_CONTENT_READER_END_WITH_ERROR;
   length = MIN (length, half - position);
   memset (bytes, 'c', length);
-  return (ssize_t)length;
+  return (ssize_t) length;
 }
 
 static enum MHD_Result
@@ -328,7 +329,7 @@
   const char *bytes = argument (work->connection, "bytes");
   const char *tag = argument (work->connection, "tag");
   const char *fault = argument (work->connection, "fault");
-  size_t length = bytes != NULL ? (size_t)atoll (bytes) : (size_t)servers_options.answer_bytes;
+  size_t length = bytes != NULL ? (size_t) atoll (bytes) : (size_t) servers_options.answer_bytes;
   GString *text = g_string_new (NULL);
   enum MHD_Result result;
 
@@ -372,7 +373,7 @@
       crash (server);
       return MHD_NO;
     }
-  if (server->running + (int)server->queued.length >= server->slots * QUEUE_FACTOR)
+  if (server->running + (int) server->queued.length >= server->slots * QUEUE_FACTOR)
     {
       work->state = WORK_SHED;
       return send_answer (work, MHD_HTTP_SERVICE_UNAVAILABLE, "shed\n", 0);
@@ -406,8 +407,8 @@
   struct work *work = *context;
   enum MHD_Result result = MHD_YES;
 
-  (void)method;
-  (void)version;
+  (void) method;
+  (void) version;
   g_mutex_lock (&server->lock);
   work->connection = connection;
   if (!work->begun)
@@ -417,7 +418,7 @@
     }
   else if (*upload_size > 0)
     {
-      (void)upload;
+      (void) upload;
       work->received += *upload_size;
       *upload_size = 0;
     }
@@ -446,7 +447,7 @@
   struct server *server = data;
   struct work *work = *context;
 
-  (void)connection;
+  (void) connection;
   if (work == NULL)
     return;
   g_mutex_lock (&server->lock);
--- a/programs/standin/table.c
+++ b/programs/standin/table.c
@@ -29,7 +29,7 @@
 static int
 compare_keys (gconstpointer a, gconstpointer b, gpointer data)
 {
-  (void)data;
+  (void) data;
   return strcmp (a, b);
 }
 
@@ -58,7 +58,7 @@
   if (row != NULL && row->value != NULL)
     json_object_set_new (
         rows, key,
-        json_pack ("{s:I,s:O}", "version", (json_int_t)row->version, "value", row->value));
+        json_pack ("{s:I,s:O}", "version", (json_int_t) row->version, "value", row->value));
 }
 
 static void
@@ -94,7 +94,7 @@
   json_array_foreach (json_object_get (body, "ranges"), i, item)
       read_range (table, rows, json_string_value (json_object_get (item, "from")),
                   json_string_value (json_object_get (item, "to")),
-                  (int)json_integer_value (json_object_get (item, "limit")));
+                  (int) json_integer_value (json_object_get (item, "limit")));
   g_mutex_unlock (&table->lock);
   *status = MHD_HTTP_OK;
   return json_pack ("{s:o}", "rows", rows);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -199,7 +199,7 @@
 
   if (!fleet->options->trace)
     return;
-  printf ("%10.3f ms  ", (double)fleet->now_us / 1e3);
+  printf ("%10.3f ms  ", (double) fleet->now_us / 1e3);
   va_start (args, format);
   vprintf (format, args);
   va_end (args);
@@ -212,7 +212,7 @@
   const struct item *x = a;
   const struct item *y = b;
 
-  (void)data;
+  (void) data;
   if (x->at_us != y->at_us)
     return x->at_us < y->at_us ? -1 : 1;
   return x->order < y->order ? -1 : x->order > y->order;
@@ -256,13 +256,13 @@
 /* ---- the oracle ---- */
 
 static void
-oracle_spend (struct fleet *fleet, int account, int64_t decided_us)
+oracle_spend (struct fleet *fleet, int account)
 {
   double *tokens = &fleet->tokens[account];
 
-  *tokens
-      += (double)account_rates[account] * (double)(decided_us - fleet->filled_us[account]) / 1e6;
-  fleet->filled_us[account] = MAX (fleet->filled_us[account], decided_us);
+  *tokens += (double) account_rates[account] * (double) (fleet->now_us - fleet->filled_us[account])
+             / 1e6;
+  fleet->filled_us[account] = fleet->now_us;
   *tokens = MIN (*tokens, account_bursts[account]) - 1.0;
   if (*tokens < -0.001)
     violate (fleet, "account %d got more than its rate and burst: %.3f tokens", account, *tokens);
@@ -271,7 +271,7 @@
 static void
 oracle_run (struct fleet *fleet, struct call *call, int server, int64_t decided_us)
 {
-  struct call *origin = call->origin >= 0 ? call_at (fleet, (uint64_t)call->origin) : call;
+  struct call *origin = call->origin >= 0 ? call_at (fleet, (uint64_t) call->origin) : call;
 
   if (origin->operation >= 0)
     trace (fleet, "operation %d runs at server %d, request of process %d", origin->operation,
@@ -286,10 +286,10 @@
     violate (fleet, "operation %d ran twice", origin->operation);
   if (origin->account == 0 && fleet->withdrawn_us >= 0 && is_calm (fleet, fleet->withdrawn_us))
     violate (fleet, "ran for a key withdrawn %.1f s before",
-             (double)(decided_us - fleet->withdrawn_us) / 1e6);
+             (double) (decided_us - fleet->withdrawn_us) / 1e6);
   if (server == 0 && fleet->drained_us >= 0 && is_calm (fleet, fleet->drained_us))
     violate (fleet, "ran at a server drained %.1f s before",
-             (double)(decided_us - fleet->drained_us) / 1e6);
+             (double) (decided_us - fleet->drained_us) / 1e6);
 }
 
 static void
@@ -324,13 +324,14 @@
 }
 
 static void
-oracle_link (struct fleet *fleet, int direction, int64_t bytes, int64_t decided_us)
+oracle_link (struct fleet *fleet, int direction, int64_t bytes)
 {
   double *tokens = &fleet->link_tokens[direction];
 
-  *tokens += (double)LINK_BYTES * (double)(decided_us - fleet->link_filled_us[direction]) / 1e6;
-  fleet->link_filled_us[direction] = MAX (fleet->link_filled_us[direction], decided_us);
-  *tokens = MIN (*tokens, LINK_BYTES) - (double)bytes;
+  *tokens
+      += (double) LINK_BYTES * (double) (fleet->now_us - fleet->link_filled_us[direction]) / 1e6;
+  fleet->link_filled_us[direction] = fleet->now_us;
+  *tokens = MIN (*tokens, LINK_BYTES) - (double) bytes;
   if (*tokens < -1.0)
     violate (fleet, "link %d is over its cap by %.0f bytes", direction, -*tokens);
 }
@@ -361,13 +362,13 @@
   event->releases = json_array ();
   if (request->version == 0 && fleet->head > 0)
     event->snapshot
-        = json_pack ("{s:I,s:O}", "version", (json_int_t)fleet->head, "document", fleet->document);
+        = json_pack ("{s:I,s:O}", "version", (json_int_t) fleet->head, "document", fleet->document);
   else
     for (int64_t version = request->version + 1; version <= fleet->head; version++)
       json_array_append_new (
           event->releases,
-          json_pack ("{s:I,s:O}", "version", (json_int_t)version, "release",
-                     (json_t *)g_ptr_array_index (fleet->releases, (guint)version - 1)));
+          json_pack ("{s:I,s:O}", "version", (json_int_t) version, "release",
+                     (json_t *) g_ptr_array_index (fleet->releases, (guint) version - 1)));
 }
 
 static int
@@ -742,14 +743,13 @@
 }
 
 static void
-forward (struct fleet *fleet, int process, const struct pl_effect *effect, int64_t decided_us)
+forward (struct fleet *fleet, int process, const struct pl_effect *effect)
 {
   int from = fleet->processes[process].host;
   int to = host_by_id (effect->u.send_request.target);
   struct call *origin = call_at (fleet, effect->request);
   struct call call = *origin;
   struct pl_event *event;
-  int region = host_domains[from] / 2;
 
   if (!is_reachable (fleet, from, to) || fleet->current[to] < 0)
     {
@@ -757,10 +757,8 @@
       return;
     }
   fleet->result->forwards++;
-  if (region != host_domains[to] / 2)
-    oracle_link (fleet, region, 2000 + 1024, decided_us);
   call.process = fleet->current[to];
-  call.origin = (int)effect->request;
+  call.origin = (int) effect->request;
   call.origin_attempt = effect->attempt;
   call.runs = 0;
   event = schedule_event (fleet, delay_between (fleet, from, to), fleet->current[to],
@@ -782,13 +780,13 @@
 static void
 answer_origin (struct fleet *fleet, struct call *call, enum pl_outcome outcome)
 {
-  struct call *origin = call_at (fleet, (uint64_t)call->origin);
+  struct call *origin = call_at (fleet, (uint64_t) call->origin);
   int from = fleet->processes[call->process].host;
   int to = fleet->processes[origin->process].host;
 
   if (!is_reachable (fleet, from, to))
     outcome = PL_OUTCOME_BROKEN;
-  post_outcome (fleet, delay_between (fleet, from, to), origin->process, (uint64_t)call->origin,
+  post_outcome (fleet, delay_between (fleet, from, to), origin->process, (uint64_t) call->origin,
                 call->origin_attempt, outcome);
 }
 
@@ -864,7 +862,7 @@
 run_arrival (struct fleet *fleet)
 {
   double rate = 150 * fleet->options->load * (fleet->flood_host >= 0 ? 3 : 1);
-  int64_t gap_us = (int64_t)(2.0 * draw (fleet) / rate * 1e6);
+  int64_t gap_us = (int64_t) (2.0 * draw (fleet) / rate * 1e6);
 
   if (fleet->now_us > fleet->arrivals_end_us)
     return;
@@ -884,7 +882,7 @@
     return;
   process->host = host;
   process->alive = true;
-  process->nonce = 1000 + (uint64_t)fleet->process_count;
+  process->nonce = 1000 + (uint64_t) fleet->process_count;
   process->offset_us = draw_int (fleet, 1000 * SECOND);
   options.name = host_names[host];
   options.nonce = process->nonce;
@@ -933,7 +931,7 @@
       dispatch (fleet, at, effect, decided_us);
       break;
     case PL_EFFECT_FORWARD:
-      forward (fleet, at, effect, decided_us);
+      forward (fleet, at, effect);
       break;
     case PL_EFFECT_REFUSE:
       call = call_at (fleet, effect->request);
@@ -968,10 +966,12 @@
     }
 }
 
-/* Dispatches that the step decided on spend tokens at the moment of the decision. */
+/* What the step decided on spends tokens and bytes at the moment of the decision. */
 static void
-oracle_decisions (struct fleet *fleet, const struct pl_effects *effects)
+oracle_decisions (struct fleet *fleet, int process, const struct pl_effects *effects)
 {
+  int region = host_domains[fleet->processes[process].host] / 2;
+
   for (int i = 0; i < effects->count; i++)
     {
       const struct pl_effect *effect = &effects->items[i];
@@ -980,8 +980,11 @@
       if (effect->type != PL_EFFECT_DISPATCH && effect->type != PL_EFFECT_FORWARD)
         continue;
       call = call_at (fleet, effect->request);
+      if (effect->type == PL_EFFECT_FORWARD
+          && host_domains[host_by_id (effect->u.send_request.target)] / 2 != region)
+        oracle_link (fleet, region, 2000 + 1024);
       if (call->origin < 0 && call->account >= 0 && effect->attempt == 1)
-        oracle_spend (fleet, call->account, fleet->now_us);
+        oracle_spend (fleet, call->account);
     }
 }
 
@@ -1009,7 +1012,7 @@
   if (version < process->version)
     violate (fleet, "the version in force fell from %ld to %ld", process->version, version);
   process->version = version;
-  oracle_decisions (fleet, &effects);
+  oracle_decisions (fleet, at, &effects);
   stands_still = fleet->active_faults > 0 && effects.count > 0 && draw (fleet) < 0.0005;
   for (int i = 0; i < effects.count; i++)
     {
@@ -1072,7 +1075,7 @@
   else if (fleet->current[host] >= 0)
     {
       event = schedule_event (fleet, MS, fleet->current[host], PL_EVENT_RELEASE);
-      event->u.release.ticket = (uint64_t)++fleet->release_number;
+      event->u.release.ticket = (uint64_t) ++fleet->release_number;
       event->u.release.release = release;
     }
   pl_findings_free (findings);
@@ -1202,7 +1205,7 @@
   int64_t until_us = fleet->now_us + fault->length_us;
 
   fleet->active_faults++;
-  trace (fleet, "fault %d on %d begins", (int)fault->kind, fault->subject);
+  trace (fleet, "fault %d on %d begins", (int) fault->kind, fault->subject);
   switch (fault->kind)
     {
     case FLEET_PAUSE:
@@ -1255,7 +1258,7 @@
 {
   int host = fault->subject % HOSTS;
 
-  trace (fleet, "fault %d on %d ends", (int)fault->kind, fault->subject);
+  trace (fleet, "fault %d on %d ends", (int) fault->kind, fault->subject);
   switch (fault->kind)
     {
     case FLEET_KILL:
@@ -1403,7 +1406,7 @@
   fleet->random = g_rand_new_with_seed (options->seed);
   fleet->queue = g_sequence_new (NULL);
   fleet->calls = g_array_new (FALSE, TRUE, sizeof (struct call));
-  fleet->releases = g_ptr_array_new_with_free_func ((GDestroyNotify)json_decref);
+  fleet->releases = g_ptr_array_new_with_free_func ((GDestroyNotify) json_decref);
   fleet->release_ids = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->claims = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   fleet->crasher_victims = g_hash_table_new (NULL, NULL);
@@ -1468,7 +1471,7 @@
   if (result->servers_lost_to_crasher > 2 && (options->switches & PL_SWITCH_NO_QUARANTINE) != 0)
     violate (fleet, "one request cost %" G_GUINT64_FORMAT " servers",
              result->servers_lost_to_crasher);
-  result->operations = (uint64_t)fleet->operation_count;
+  result->operations = (uint64_t) fleet->operation_count;
   tear_down (fleet);
 }
 
@@ -1482,11 +1485,11 @@
     {
       struct fleet_fault *fault = &options->faults[i];
 
-      fault->kind = (enum fleet_fault_kind)g_rand_int_range (random, 0, FLEET_KINDS);
+      fault->kind = (enum fleet_fault_kind) g_rand_int_range (random, 0, FLEET_KINDS);
       fault->subject = g_rand_int_range (random, 0, 1000);
       fault->length_us = g_rand_int_range (random, 100, 6000) * MS;
       fault->at_us
-          = (int64_t)(g_rand_double (random) * (double)(options->length_us - fault->length_us));
+          = (int64_t) (g_rand_double (random) * (double) (options->length_us - fault->length_us));
       /* The list of hosts changes once at the most: names are not reused while in use. */
       for (int j = 0; j < i; j++)
         if (fault->kind == FLEET_RESIZE && options->faults[j].kind == FLEET_RESIZE)
@@ -1509,7 +1512,7 @@
           struct fleet_result other;
 
           memmove (&fewer.faults[i], &fewer.faults[i + 1],
-                   (size_t)(fewer.fault_count - i - 1) * sizeof fewer.faults[0]);
+                   (size_t) (fewer.fault_count - i - 1) * sizeof fewer.faults[0]);
           fewer.fault_count--;
           fleet_run (&fewer, &other);
           if (other.violation[0] == '\0')
@@ -1531,9 +1534,9 @@
 
   printf ("seed %u: %s at %.3f s\n", options->seed,
           result->violation[0] != '\0' ? result->violation : "no violation",
-          (double)result->violated_at_us / 1e6);
+          (double) result->violated_at_us / 1e6);
   for (int i = 0; i < options->fault_count; i++)
     printf ("  %-10s subject %d from %.3f s for %.3f s\n", names[options->faults[i].kind],
-            options->faults[i].subject, (double)options->faults[i].at_us / 1e6,
-            (double)options->faults[i].length_us / 1e6);
+            options->faults[i].subject, (double) options->faults[i].at_us / 1e6,
+            (double) options->faults[i].length_us / 1e6);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -28,7 +28,7 @@
 
 START_TEST (random_faults_break_no_promise)
 {
-  struct fleet_options options = make_options ((uint32_t)_i, 0);
+  struct fleet_options options = make_options ((uint32_t) _i, 0);
   struct fleet_result result;
 
   fleet_run (&options, &result);
@@ -127,7 +127,7 @@
   tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, random_faults_break_no_promise, 1, 25);
   tcase_add_loop_test (tcase, a_switched_off_mechanism_is_caught, 0,
-                       (int)G_N_ELEMENTS (broken_cases));
+                       (int) G_N_ELEMENTS (broken_cases));
   suite_add_tcase (suite, tcase);
   runner = srunner_create (suite);
   srunner_run_all (runner, CK_NORMAL);
@@ -157,7 +157,7 @@
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, NULL) || sodium_init () < 0)
     return 2;
-  if (broken >= 0 && broken < (int)G_N_ELEMENTS (broken_cases))
+  if (broken >= 0 && broken < (int) G_N_ELEMENTS (broken_cases))
     {
       struct fleet_result result;
 
@@ -171,7 +171,7 @@
   for (int i = 0; i < runs; i++)
     {
       struct fleet_options options
-          = {.seed = (uint32_t)(seed + i), .length_us = LENGTH_US, .load = 1.0};
+          = {.seed = (uint32_t) (seed + i), .length_us = LENGTH_US, .load = 1.0};
       struct fleet_result result;
 
       fleet_draw_faults (&options, faults);
