Slow accounts: give unused loans back, forecast without peaks, smaller floor

Cause: refusals inside the rate fell on accounts of a few requests a second. Their buckets hold a token or two a host. (1) One arrival in a 100 ms window read as a rate of 10/s, so hosts kept back more than they had and lent nothing. (2) Loans that were not needed lapsed and their tokens were lost. (3) An eighth of each bucket was never lendable.

Change: the forecast moves a quarter of the way each window, up as down; a loan near its end that is not needed goes back, once by its number; the floor is 1/32 (the mint itself is never lent, which is the floor that lasts); the reserve for own callers is 100 ms; a request may wait 1 s for tokens.

--- a/core/budget.c
+++ b/core/budget.c
@@ -22,9 +22,10 @@
  *    or late grant adds nothing, and a word of "spent" meant for an earlier
  *    incarnation closes nothing of a later one.
  *
- * A part's mint is never lent away in advance, and at least an eighth of the
- * bucket is not lendable at all: this is the floor that a host cut off from
- * all others keeps.
+ * A part's mint is never lent away in advance, and a part of the bucket is not
+ * lendable at all: this is the floor that a host cut off from all others keeps.
+ * A loan that the borrower turns out not to need goes back before it ends;
+ * otherwise its tokens would be lost, which slow accounts feel most.
  */
 #include "pomelolatch/budget.h"
 #include "pomelolatch/error.h"
@@ -33,11 +34,12 @@
 #include <string.h>
 
 #define US_PER_S INT64_C (1000000)
-#define FLOOR_DIVISOR 8
 #define INCARNATION_SHIFT 32
 #define DEMAND_WINDOW_US INT64_C (100000)
 /* A lender keeps back what its own callers will want for this long. */
-#define RESERVE_US INT64_C (200000)
+#define RESERVE_US INT64_C (100000)
+/* A loan with less time left than this, and no use in sight, is given back. */
+#define GIVE_UP_US INT64_C (400000)
 
 static int64_t
 min64 (int64_t a, int64_t b)
@@ -179,7 +181,8 @@
   budget->demand_seen += amount;
 }
 
-/* A new peak counts at once, a lull is believed slowly: a quarter each window. */
+/* A quarter of the way to what the last window saw: one arrival in a window of a slow account is
+ * chance and must not look like a rate.  What waits is told apart, by the backlog. */
 static void
 update_demand (struct pl_budget *budget, int64_t now_us)
 {
@@ -189,10 +192,7 @@
   if (span < DEMAND_WINDOW_US)
     return;
   seen = (int64_t) ((__int128) budget->demand_seen * US_PER_S / span);
-  if (seen > budget->demand)
-    budget->demand = seen;
-  else
-    budget->demand -= (budget->demand - seen) / 4;
+  budget->demand += (seen - budget->demand) / 4;
   budget->demand_seen = 0;
   budget->demand_at_us = now_us;
 }
@@ -217,12 +217,51 @@
       budget->lent[i].amount = 0;
 }
 
+/* A loan is given up when it is about to end and the rest covers what is forecast. */
+uint64_t
+pl_budget_give_up (struct pl_budget *budget, int64_t horizon_us, int64_t now_us, uint64_t *number,
+                   int64_t *amount)
+{
+  int64_t need = amount_over (budget->demand, horizon_us) + budget->backlog;
+  int64_t spare = pl_budget_balance (budget, now_us) - need;
+
+  for (int i = 0; i < budget->borrowed_count; i++)
+    {
+      struct pl_loan loan = budget->borrowed[i];
+
+      if (loan.ends_us - now_us > GIVE_UP_US || loan.amount > spare)
+        continue;
+      budget->borrowed[i] = budget->borrowed[--budget->borrowed_count];
+      *number = loan.number;
+      *amount = loan.amount;
+      return loan.peer;
+    }
+  return 0;
+}
+
+void
+pl_budget_take_back (struct pl_budget *budget, uint64_t peer, uint64_t number, int64_t amount,
+                     int64_t now_us)
+{
+  settle (budget, now_us);
+  for (int i = 0; i < budget->lent_count; i++)
+    {
+      struct pl_loan *loan = &budget->lent[i];
+
+      if (loan->peer != peer || loan->number != number || amount <= 0)
+        continue;
+      budget->own += min64 (amount, loan->amount);
+      loan->amount = 0;
+    }
+  settle (budget, now_us);
+}
+
 /* What could be lent at once: not the reserve for own callers, not the floor. */
 static int64_t
 surplus_now (struct pl_budget *budget, int64_t now_us)
 {
   int64_t lent = sum_of (budget->lent, budget->lent_count);
-  int64_t lendable = budget->burst - budget->burst / FLOOR_DIVISOR - lent;
+  int64_t lendable = budget->burst - budget->burst / PL_BUDGET_FLOOR_DIVISOR - lent;
   int64_t reserve;
   int64_t spare;
 
--- a/core/core_budgets.c
+++ b/core/core_budgets.c
@@ -189,6 +189,9 @@
 
       if (budget == NULL || item->amount < 0)
         continue;
+      if (item->returned_number != 0)
+        pl_budget_take_back (budget, message->from, item->returned_number, item->returned_amount,
+                             core->now_us);
       grant = pl_budget_lend (budget, message->from, item->amount, item->number, core->now_us);
       *answer = (struct pl_loan_item){item->budget, grant.number, grant.amount, grant.surplus};
       reply.u.loans.count++;
@@ -279,6 +282,30 @@
     }
 }
 
+/* Adds to the lender's message what is given back of its loans. */
+static void
+give_up_for (struct pl_core *core, struct lender_list *lenders, uint64_t id,
+             struct pl_budget *budget)
+{
+  uint64_t number;
+  int64_t amount;
+  uint64_t peer;
+
+  while ((peer = pl_budget_give_up (budget, ASK_HORIZON_US, core->now_us, &number, &amount)) != 0)
+    for (int i = 0; i < lenders->count; i++)
+      {
+        struct pl_loan_message *ask;
+
+        if (lenders->members[i]->id != peer)
+          continue;
+        ask = &message_for (core, lenders, i)->u.loans;
+        if (ask->count < PL_LOAN_ITEMS_MAX)
+          ask->items[ask->count++] = (struct pl_loan_item){
+              id, 0, 0, 0, number, amount,
+          };
+      }
+}
+
 static void
 find_lenders (struct pl_core *core, struct lender_list *lenders)
 {
@@ -324,6 +351,8 @@
       want = pl_budget_want (&account->budget, ASK_HORIZON_US, core->now_us);
       if (want > 0)
         ask_for (core, &lenders, account->id, &account->budget, NULL, want);
+      else
+        give_up_for (core, &lenders, account->id, &account->budget);
     }
   g_hash_table_iter_init (&iter, core->links);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -333,6 +362,8 @@
 
       if (want > 0 && budgets_link_eligible (core, link, core->self))
         ask_for (core, &lenders, link->id, &link->budget, link, want);
+      else
+        give_up_for (core, &lenders, link->id, &link->budget);
     }
   for (int i = 0; i < lenders.count; i++)
     if (lenders.messages[i] != NULL)
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -20,7 +20,7 @@
 #define SCAN_MAX 16      /* requests looked at in one account's turn */
 #define ATTEMPTS_MAX 6
 #define SWEEP_PERIOD_US (20 * PL_US_PER_MS)
-#define TOKEN_WAIT_US (600 * PL_US_PER_MS)
+#define TOKEN_WAIT_US (1000 * PL_US_PER_MS)
 #define PLACE_WAIT_US (3 * PL_US_PER_S)
 #define FORWARDED_WAIT_US (60 * PL_US_PER_MS)
 #define CLAIM_WAIT_US (3 * PL_US_PER_S)
--- a/include/pomelolatch/budget.h
+++ b/include/pomelolatch/budget.h
@@ -17,6 +17,8 @@
 /* A lender counts a loan as open for this long after granting it: the term and a margin for
  * clocks that run at different rates. */
 #define PL_LOAN_OPEN_US INT64_C (1200000)
+/* One part in so many of a bucket is never lent. */
+#define PL_BUDGET_FLOOR_DIVISOR 32
 #define PL_LOANS_MAX 32
 #define PL_LENDERS_MAX 64
 
@@ -87,6 +89,16 @@
 /* Returns how many micro-tokens to borrow now for the coming HORIZON_US, or 0. */
 int64_t pl_budget_want (struct pl_budget *budget, int64_t horizon_us, int64_t now_us);
 
+/* As borrower: gives up a loan that will not be needed before it ends.  Returns the peer that lent
+ * it, with its number and amount stored, or 0 when there is none to give up. */
+uint64_t pl_budget_give_up (struct pl_budget *budget, int64_t horizon_us, int64_t now_us,
+                            uint64_t *number, int64_t *amount);
+
+/* As lender: takes back AMOUNT of the loan NUMBER of PEER.  A loan that is closed already, or was
+ * taken back before, adds nothing. */
+void pl_budget_take_back (struct pl_budget *budget, uint64_t peer, uint64_t number, int64_t amount,
+                          int64_t now_us);
+
 /* As lender: closes the loans of PEER up to ACKED, grants at most AMOUNT from what is not needed
  * here, and returns the grant; its amount may be 0. */
 struct pl_grant pl_budget_lend (struct pl_budget *budget, uint64_t peer, int64_t amount,
--- a/include/pomelolatch/event.h
+++ b/include/pomelolatch/event.h
@@ -126,7 +126,9 @@
   uint64_t budget;
   uint64_t number; /* ask: highest number that is spent; grant: of this grant */
   int64_t amount;
-  int64_t surplus;
+  int64_t surplus;          /* grant */
+  uint64_t returned_number; /* ask: a loan given back, or 0 */
+  int64_t returned_amount;
 };
 
 struct pl_loan_message
--- a/modules/peer.x
+++ b/modules/peer.x
@@ -24,6 +24,8 @@
   unsigned hyper number;
   hyper amount;
   hyper surplus;
+  unsigned hyper returned_number;
+  hyper returned_amount;
 };
 
 struct peer_loans {
--- a/modules/peer_codec.c
+++ b/modules/peer_codec.c
@@ -33,8 +33,10 @@
   to->items.items_len = (u_int) from->count;
   to->items.items_val = items;
   for (int i = 0; i < from->count; i++)
-    items[i] = (struct peer_loan_item){from->items[i].budget, from->items[i].number,
-                                       from->items[i].amount, from->items[i].surplus};
+    items[i] = (struct peer_loan_item){
+        from->items[i].budget,  from->items[i].number,          from->items[i].amount,
+        from->items[i].surplus, from->items[i].returned_number, from->items[i].returned_amount,
+    };
 }
 
 static void
@@ -121,7 +123,10 @@
     {
       const struct peer_loan_item *item = &from->items.items_val[i];
 
-      to->items[i] = (struct pl_loan_item){item->budget, item->number, item->amount, item->surplus};
+      to->items[i] = (struct pl_loan_item){
+          item->budget,  item->number,          item->amount,
+          item->surplus, item->returned_number, item->returned_amount,
+      };
     }
 }
 
--- a/modules/peer_xdr.c
+++ b/modules/peer_xdr.c
@@ -49,6 +49,10 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->surplus))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->returned_number))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->returned_amount))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/modules/peer_xdr.h
+++ b/modules/peer_xdr.h
@@ -42,6 +42,8 @@
 	u_quad_t number;
 	quad_t amount;
 	quad_t surplus;
+	u_quad_t returned_number;
+	quad_t returned_amount;
 };
 typedef struct peer_loan_item peer_loan_item;
 
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -17,6 +17,7 @@
 #include "pomelolatch/error.h"
 #include "pomelolatch/release.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -104,6 +105,8 @@
   bool said_not_run;
   bool is_crasher;
   bool is_last; /* of the calm time: must be served */
+  bool inside;  /* came within its account's rate and burst */
+  int64_t sent_us;
 };
 
 struct operation
@@ -157,6 +160,8 @@
   /* the oracle */
   double tokens[ACCOUNTS];
   int64_t filled_us[ACCOUNTS];
+  double steady_tokens[ACCOUNTS];
+  int64_t steady_filled_us[ACCOUNTS];
   double link_tokens[2];
   int64_t link_filled_us[2];
   int64_t withdrawn_us; /* when the key of account 0 was withdrawn; -1: it is not */
@@ -280,6 +285,11 @@
   origin->runs++;
   if (call != origin)
     call->runs++;
+  if (origin->runs == 1 && origin->sent_us > 0)
+    {
+      fleet->result->waited_us += fleet->now_us - origin->sent_us;
+      fleet->result->served_of[origin->account]++;
+    }
   if (origin->said_not_run)
     violate (fleet, "a request ran after a refusal had said that it did not");
   if (origin->operation >= 0 && ++fleet->operations[origin->operation].runs > 1)
@@ -302,6 +312,7 @@
            call->operation, call->process, pl_refusals[effect->u.refuse.refusal].name,
            effect->u.refuse.attempt_ran ? "unknown" : "not run",
            effect->u.refuse.operation_ran ? "unknown" : "not run");
+  fleet->result->refused_inside += call->inside;
   if (effect->u.refuse.operation_ran)
     fleet->result->refused_unknown++;
   else
@@ -858,6 +869,41 @@
   send_request (fleet, host, &call);
 }
 
+/* One arrival of an account that keeps to a part of its rate, and whether one bucket for the whole
+ * fleet would have had a token for it. */
+static void
+draw_steady_request (struct fleet *fleet)
+{
+  struct call call = {.origin = -1, .operation = -1, .sent_us = fleet->now_us};
+  int at = draw_int (fleet, account_rates[0] + account_rates[1] + account_rates[2]);
+  double *tokens;
+
+  while (at >= account_rates[call.account])
+    at -= account_rates[call.account++];
+  tokens = &fleet->steady_tokens[call.account];
+  *tokens += (double) account_rates[call.account]
+             * (double) (fleet->now_us - fleet->steady_filled_us[call.account]) / 1e6;
+  *tokens = MIN (*tokens, account_bursts[call.account]);
+  fleet->steady_filled_us[call.account] = fleet->now_us;
+  call.inside = *tokens >= 1.0;
+  if (call.inside)
+    *tokens -= 1.0;
+  fleet->result->inside += call.inside;
+  send_request (fleet, fleet->options->one_host ? 0 : draw_int (fleet, SPARE_HOST), &call);
+}
+
+static void
+run_steady_arrival (struct fleet *fleet)
+{
+  double rate
+      = fleet->options->account_part * (account_rates[0] + account_rates[1] + account_rates[2]);
+
+  if (fleet->now_us > fleet->arrivals_end_us)
+    return;
+  draw_steady_request (fleet);
+  schedule (fleet, (int64_t) (-log (1.0 - draw (fleet)) / rate * 1e6) + 1, ITEM_ARRIVAL);
+}
+
 static void
 run_arrival (struct fleet *fleet)
 {
@@ -1326,7 +1372,10 @@
       end_fault (fleet, item->fault);
       break;
     case ITEM_ARRIVAL:
-      run_arrival (fleet);
+      if (fleet->options->account_part > 0)
+        run_steady_arrival (fleet);
+      else
+        run_arrival (fleet);
       break;
     case ITEM_RUN_END:
       run_run_end (fleet, &item->run);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -45,7 +45,9 @@
   int fault_count;
   struct fleet_fault faults[FLEET_FAULTS_MAX];
   bool trace;
-  double load; /* 1: about what the servers can take */
+  double load;         /* 1: about what the servers can take */
+  double account_part; /* not 0: every account sends this part of its rate, and nothing else */
+  bool one_host;       /* with it: all of it arrives at one host */
 };
 
 struct fleet_result
@@ -59,6 +61,10 @@
   uint64_t operations;
   uint64_t refused_not_run;
   uint64_t refused_unknown;
+  uint64_t inside; /* arrivals within the account's rate and burst, with account_part */
+  uint64_t refused_inside;
+  uint64_t served_of[3]; /* by account */
+  int64_t waited_us;     /* by those served, from arrival to the decision to run, in all */
   uint64_t loans;
   uint64_t forwards;
   uint64_t messages;
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -114,12 +114,45 @@
 }
 END_TEST
 
+START_TEST (a_loan_given_back_counts_once)
+{
+  int64_t now = 2 * SECOND;
+  uint64_t number = 0;
+  int64_t amount = 0;
+  struct pl_grant grant = pl_budget_lend (&lender, 7, 5 * PL_MICRO, 0, now);
+
+  pl_budget_receive (&borrower, 9, &grant, now, now);
+  ck_assert_uint_eq (pl_budget_give_up (&borrower, 0, now, &number, &amount), 0);
+  now += PL_LOAN_TERM_US - 1;
+  ck_assert_uint_eq (pl_budget_give_up (&borrower, 0, now, &number, &amount), 9);
+  ck_assert_int_eq (pl_budget_balance (&borrower, now), 0);
+  pl_budget_take_back (&lender, 7, number, amount, now);
+  pl_budget_take_back (&lender, 7, number, amount, now);
+  ck_assert_int_eq (pl_budget_balance (&lender, now), 20 * PL_MICRO);
+}
+END_TEST
+
+START_TEST (a_loan_given_back_after_it_lapsed_adds_nothing)
+{
+  int64_t now = 2 * SECOND;
+  int64_t until;
+  struct pl_grant grant = pl_budget_lend (&lender, 7, 5 * PL_MICRO, 0, now);
+
+  now += PL_LOAN_OPEN_US;
+  pl_budget_take (&lender, 15 * PL_MICRO, now, &until);
+  int64_t before = pl_budget_balance (&lender, now);
+
+  pl_budget_take_back (&lender, 7, grant.number, grant.amount, now);
+  ck_assert_int_eq (pl_budget_balance (&lender, now), before);
+}
+END_TEST
+
 START_TEST (what_is_lent_leaves_the_floor)
 {
   int64_t now = 100 * SECOND;
   struct pl_grant grant = pl_budget_lend (&lender, 7, 1000 * PL_MICRO, 0, now);
 
-  ck_assert_int_eq (grant.amount, 20 * PL_MICRO - 20 * PL_MICRO / 8);
+  ck_assert_int_eq (grant.amount, 20 * PL_MICRO - 20 * PL_MICRO / PL_BUDGET_FLOOR_DIVISOR);
 }
 END_TEST
 
@@ -140,6 +173,8 @@
   tcase_add_test (tcase, the_borrower_stops_before_the_lender_counts_the_loan_as_over);
   tcase_add_test (tcase, a_late_grant_is_worth_nothing);
   tcase_add_test (tcase, a_word_of_spent_for_an_earlier_incarnation_closes_nothing);
+  tcase_add_test (tcase, a_loan_given_back_counts_once);
+  tcase_add_test (tcase, a_loan_given_back_after_it_lapsed_adds_nothing);
   tcase_add_test (tcase, what_is_lent_leaves_the_floor);
   suite_add_tcase (suite, tcase);
   runner = srunner_create (suite);
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -136,6 +136,29 @@
   return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
 
+/* Prints how budgets fare without faults; a measurement, not a test. */
+static int
+run_steady (uint32_t seed, double part, bool one_host, unsigned switches)
+{
+  struct fleet_options options = {.seed = seed,
+                                  .length_us = 200 * SECOND,
+                                  .switches = switches,
+                                  .account_part = part,
+                                  .one_host = one_host};
+  struct fleet_result result;
+
+  fleet_run (&options, &result);
+  printf ("%s part %.2f%s switches %d: requests %lu inside %lu refused inside %.4f%% "
+          "served/s %.2f %.2f %.2f mean wait %.1f ms messages/s %.1f loans/s %.1f\n",
+          result.violation, part, one_host ? " at one host" : "", (int) switches, result.requests,
+          result.inside, 100.0 * (double) result.refused_inside / (double) result.inside,
+          (double) result.served_of[0] / 200, (double) result.served_of[1] / 200,
+          (double) result.served_of[2] / 200,
+          (double) result.waited_us / 1e3 / (double) result.served, (double) result.messages / 200,
+          (double) result.loans / 200);
+  return EXIT_SUCCESS;
+}
+
 int
 main (int argc, char **argv)
 {
@@ -143,12 +166,19 @@
   int runs = 1;
   int faults = FAULTS;
   int broken = -1;
+  int steady = 0;
+  int switches = 0;
+  gboolean one_host = FALSE;
   gboolean with_trace = FALSE;
   GOptionEntry entries[] = {
       {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "First seed of a long run", "N"},
       {"runs", 0, 0, G_OPTION_ARG_INT, &runs, "How many seeds", "N"},
       {"faults", 0, 0, G_OPTION_ARG_INT, &faults, "Faults in each", "N"},
       {"broken", 0, 0, G_OPTION_ARG_INT, &broken, "Run one case with its switch", "N"},
+      {"steady", 0, 0, G_OPTION_ARG_INT, &steady,
+       "Measure with every account at this percentage of its rate", "N"},
+      {"one-host", 0, 0, G_OPTION_ARG_NONE, &one_host, "With --steady: all at one host", NULL},
+      {"switches", 0, 0, G_OPTION_ARG_INT, &switches, "With --steady: mechanisms off", "N"},
       {"trace", 0, 0, G_OPTION_ARG_NONE, &with_trace, "Print what happens", NULL},
       {NULL},
   };
@@ -157,6 +187,8 @@
   g_option_context_add_main_entries (context, entries, NULL);
   if (!g_option_context_parse (context, &argc, &argv, NULL) || sodium_init () < 0)
     return 2;
+  if (steady > 0)
+    return run_steady ((uint32_t) MAX (seed, 1), steady / 100.0, one_host, (unsigned) switches);
   if (broken >= 0 && broken < (int) G_N_ELEMENTS (broken_cases))
     {
       struct fleet_result result;
