--- a/Makefile
+++ b/Makefile
@@ -60,7 +60,7 @@
 
 $(BUILD)/tests/test_fuzz: $(BUILD)/tests/fleet.o
 
-tests: $(TESTS)
+tests: $(TESTS) $(HISTORY)
 
 bench: $(BENCHES) all
 	tools/bench
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -142,7 +142,7 @@
 }
 
 static void
-write_history (struct attempt *attempt, int status, enum pl_http_end end, bool whole)
+write_history (struct attempt *attempt, int status, enum pl_http_end end, bool right)
 {
   struct load_callers *callers = attempt->callers;
   const struct load_account *account
@@ -154,11 +154,11 @@
   fprintf (callers->options.history,
            "{\"number\":%lu,\"account\":\"%s\",\"path\":\"%s\",\"unrepeatable\":%s,\"send\":%d,"
            "\"host\":\"%s\",\"sent_us\":%ld,\"done_us\":%ld,\"status\":%d,\"end\":%d,"
-           "\"outcome\":\"%s\",\"reason\":\"%s\",\"whole\":%s}\n",
+           "\"outcome\":\"%s\",\"reason\":\"%s\",\"right\":%s}\n",
            attempt->number, account->name, attempt->route->path,
            attempt->route->unrepeatable ? "true" : "false", attempt->sends, attempt->address,
            attempt->sent_us, pl_clock_now_us (), status, (int) end, attempt->outcome,
-           attempt->reason, whole ? "true" : "false");
+           attempt->reason, right ? "true" : "false");
   g_mutex_unlock (&callers->lock);
 }
 
@@ -244,7 +244,7 @@
                    || (not_run && status == 503 && strcmp (attempt->reason, "stopping") == 0);
   bool unknown = !served && !elsewhere && !not_run;
 
-  write_history (attempt, status, end, whole);
+  write_history (attempt, status, end, served && !wrong);
   if (attempt->sends < RESENDS_MAX
       && (elsewhere
           || (unknown && attempt->callers->options.plan->resend && attempt->route->fault == NULL)))
--- /dev/null
+++ b/tests/system/common.sh
@@ -0,0 +1,50 @@
+# Shared by the system tests: a deployment on loopback, ended at exit whatever happens.
+set -uo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+build=${BUILD:-build}
+work=$(mktemp -d)
+name=maumee
+operators="$build/pomelolatch -s settings/$name/operators.yaml"
+platform=$(sed -n 's/^platform: //p' settings/$name/load.yaml)
+
+finish () {
+  local status=$?
+  tools/deployment stop "$work" || status=1
+  if [ $status -ne 0 ]; then tail -n 5 "$work"/*.log; fi
+  rm -rf "$work"
+  exit $status
+}
+
+start () {
+  tools/deployment start $name "$work" "${1:-10}" "${2:-0}"
+  trap finish EXIT
+  $operators -w 10 release apply settings/$name/release-1.yaml > "$work/apply.out"
+}
+
+fail () { echo "FAILED: $*"; exit 1; }
+
+fault () { curl -s -o /dev/null -X POST "http://$platform/fault?$1"; }
+
+# until_true SECONDS COMMAND...: waits on a condition, with a bound
+until_true () {
+  local limit=$(($1 * 20))
+  shift
+  for ((i = 0; i < limit; i++)); do
+    if "$@" > /dev/null 2>&1; then return 0; fi
+    sleep 0.05
+  done
+  return 1
+}
+
+# load MILLISECONDS [FAULT-LINES]: callers with the deployment's plan and a fault script
+load () {
+  { sed "s/^milliseconds: .*/milliseconds: $1/" settings/$name/load.yaml
+    if [ -n "${2:-}" ]; then printf 'faults:\n%s\n' "$2"; fi; } > "$work/plan.yaml"
+  "$build/pomelolatch-load" -q -p "$work/plan.yaml" --history "$work/history.json" \
+    --processes "$work/processes.json"
+}
+
+check_history () {
+  curl -s "http://$platform/journal" > "$work/journal.json"
+  "$build/tests/history" "$work/history.json" "$work/journal.json" settings/$name/release-1.yaml
+}
