--- a/core/blocks.c
+++ b/core/blocks.c
@@ -64,6 +64,14 @@
   return block->bits == 0 ? 0 : block->address & (UINT32_MAX << (32 - block->bits));
 }
 
+void
+pl_blocks_sort (struct pl_block_config *blocks, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    blocks[i].address = block_start (&blocks[i]);
+  qsort (blocks, count, sizeof *blocks, compare_blocks);
+}
+
 static struct page *
 page_new (const struct range *ranges, uint32_t count)
 {
@@ -81,6 +89,13 @@
   return page;
 }
 
+static struct page *
+page_ref (struct page *page)
+{
+  g_atomic_int_inc (&page->references);
+  return page;
+}
+
 static void
 page_unref (struct page *page)
 {
@@ -172,29 +187,19 @@
 
   for (size_t i = 0; i < count; i++)
     if (blocks[i].bits > PAGE_BITS)
-      {
-        inner[kept] = blocks[i];
-        inner[kept].address = block_start (&blocks[i]);
-        kept++;
-      }
+      inner[kept++] = blocks[i];
   *inner_count = kept;
   return inner;
 }
 
 static bool
-touches_page (const struct pl_block_config *touched, size_t count, uint32_t page)
+is_uniform (const struct page *page, uint16_t domain)
 {
-  for (size_t i = 0; i < count; i++)
-    if (block_start (&touched[i]) >> PAGE_BITS <= page
-        && page <= block_end (&touched[i]) >> PAGE_BITS)
-      return true;
-  return false;
+  return page->count == 1 && page->domains[0] == domain;
 }
 
-/* Builds all pages, or with OLD only those that TOUCHED reaches. */
-static struct pl_blocks *
-build (const struct pl_blocks *old, struct pl_block_config *blocks, size_t count,
-       const struct pl_block_config *touched, size_t touched_count)
+struct pl_blocks *
+pl_blocks_new (const struct pl_block_config *blocks, size_t count)
 {
   struct pl_blocks *table = g_new0 (struct pl_blocks, 1);
   GArray *ranges = g_array_new (FALSE, FALSE, sizeof (struct range));
@@ -204,25 +209,15 @@
   size_t at = 0;
 
   table->references = 1;
-  qsort (inner, inner_count, sizeof *inner, compare_blocks);
+  pl_blocks_sort (inner, inner_count);
   for (uint32_t page = 0; page < PAGE_COUNT; page++)
     {
       size_t from = at;
 
       while (at < inner_count && inner[at].address >> PAGE_BITS == page)
         at++;
-      if (old != NULL && !touches_page (touched, touched_count, page))
-        {
-          table->pages[page] = old->pages[page];
-          g_atomic_int_inc (&table->pages[page]->references);
-        }
-      else if (from == at && page > 0 && outer[page] == outer[page - 1]
-               && table->pages[page - 1]->count == 1
-               && table->pages[page - 1]->domains[0] == outer[page])
-        {
-          table->pages[page] = table->pages[page - 1];
-          g_atomic_int_inc (&table->pages[page]->references);
-        }
+      if (from == at && page > 0 && is_uniform (table->pages[page - 1], outer[page]))
+        table->pages[page] = page_ref (table->pages[page - 1]);
       else
         table->pages[page] = build_page (page, inner + from, at - from, outer[page], ranges);
     }
@@ -232,17 +227,84 @@
   return table;
 }
 
-struct pl_blocks *
-pl_blocks_new (struct pl_block_config *blocks, size_t count)
+/* Returns the first of the sorted BLOCKS that is not before (ADDRESS, BITS). */
+static size_t
+lower_bound (const struct pl_block_config *blocks, size_t count, uint32_t address, uint8_t bits)
+{
+  const struct pl_block_config wanted = { address, bits, 0 };
+  size_t low = 0;
+
+  while (count > 0)
+    {
+      size_t half = count / 2;
+
+      if (compare_blocks (&blocks[low + half], &wanted) < 0)
+        {
+          low += half + 1;
+          count -= half + 1;
+        }
+      else
+        count = half;
+    }
+  return low;
+}
+
+/* Returns the domain of the longest block that covers all of PAGE. */
+static uint16_t
+find_outer (const struct pl_block_config *blocks, size_t count, uint32_t page)
 {
-  return build (NULL, blocks, count, NULL, 0);
+  for (int bits = PAGE_BITS; bits >= 0; bits--)
+    {
+      struct pl_block_config wanted = { page << PAGE_BITS, (uint8_t) bits, 0 };
+      size_t at;
+
+      wanted.address = block_start (&wanted);
+      at = lower_bound (blocks, count, wanted.address, wanted.bits);
+      if (at < count && compare_blocks (&blocks[at], &wanted) == 0)
+        return blocks[at].domain;
+    }
+  return DOMAIN_NONE;
+}
+
+static struct page *
+rebuild_page (const struct pl_block_config *blocks, size_t count, uint32_t page, GArray *ranges)
+{
+  size_t from = lower_bound (blocks, count, page << PAGE_BITS, PAGE_BITS + 1);
+  size_t to = from;
+  struct pl_block_config *inner;
+  struct page *built;
+  size_t kept = 0;
+
+  while (to < count && blocks[to].address >> PAGE_BITS == page)
+    to++;
+  inner = g_new (struct pl_block_config, to - from + 1);
+  for (size_t i = from; i < to; i++)
+    if (blocks[i].bits > PAGE_BITS)
+      inner[kept++] = blocks[i];
+  built = build_page (page, inner, kept, find_outer (blocks, count, page), ranges);
+  g_free (inner);
+  return built;
 }
 
 struct pl_blocks *
-pl_blocks_update (const struct pl_blocks *table, struct pl_block_config *all, size_t all_count,
-                  const struct pl_block_config *touched, size_t touched_count)
+pl_blocks_update (const struct pl_blocks *table, const struct pl_block_config *all,
+                  size_t all_count, const struct pl_block_config *touched, size_t touched_count)
 {
-  return build (table, all, all_count, touched, touched_count);
+  struct pl_blocks *next = g_new0 (struct pl_blocks, 1);
+  GArray *ranges = g_array_new (FALSE, FALSE, sizeof (struct range));
+
+  next->references = 1;
+  for (uint32_t page = 0; page < PAGE_COUNT; page++)
+    next->pages[page] = page_ref (table->pages[page]);
+  for (size_t i = 0; i < touched_count; i++)
+    for (uint32_t page = block_start (&touched[i]) >> PAGE_BITS;
+         page <= block_end (&touched[i]) >> PAGE_BITS; page++)
+      {
+        page_unref (next->pages[page]);
+        next->pages[page] = rebuild_page (all, all_count, page, ranges);
+      }
+  g_array_free (ranges, TRUE);
+  return next;
 }
 
 struct pl_blocks *
--- a/include/pomelolatch/blocks.h
+++ b/include/pomelolatch/blocks.h
@@ -13,15 +13,18 @@
 
 struct pl_blocks;
 
-/* Builds a table from COUNT blocks, which are sorted in place; a longer prefix wins.  Returns a
- * table that the caller ends with pl_blocks_unref(). */
-struct pl_blocks *pl_blocks_new (struct pl_block_config *blocks, size_t count);
-
-/* Returns a new table in which every page touched by BEFORE or AFTER (COUNT sorted blocks each as
- * in pl_blocks_new()) is rebuilt from ALL, and all other pages are shared with TABLE. */
-struct pl_blocks *pl_blocks_update (const struct pl_blocks *table, struct pl_block_config *all,
-                                    size_t all_count, const struct pl_block_config *touched,
-                                    size_t touched_count);
+/* Builds a table from COUNT blocks in any order; a longer prefix wins.  Returns a table that the
+ * caller ends with pl_blocks_unref(). */
+struct pl_blocks *pl_blocks_new (const struct pl_block_config *blocks, size_t count);
+
+/* Puts blocks into the order that pl_blocks_update() wants, and clears their host bits. */
+void pl_blocks_sort (struct pl_block_config *blocks, size_t count);
+
+/* Returns a new table for ALL, which is sorted and differs from what TABLE was made of by blocks
+ * within those of TOUCHED only.  Pages that TOUCHED does not reach are shared with TABLE. */
+struct pl_blocks *pl_blocks_update (const struct pl_blocks *table,
+                                    const struct pl_block_config *all, size_t all_count,
+                                    const struct pl_block_config *touched, size_t touched_count);
 struct pl_blocks *pl_blocks_ref (struct pl_blocks *table);
 void pl_blocks_unref (struct pl_blocks *table);
 
