--- a/include/internal/exchange.h
+++ b/include/internal/exchange.h
@@ -31,6 +31,7 @@
   uint64_t id;
   struct MHD_Connection *connection; /* until the caller's side has let go */
   bool suspended;
+  bool is_lookup;
   bool begun;     /* the headers have been looked at */
   bool submitted; /* the reducer knows of it */
   bool caller_done;
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -395,12 +395,16 @@
   g_mutex_lock (&exchange->lock);
   if (!exchange->begun)
     {
+      /* libmicrohttpd closes a connection that is answered at this first call. */
       exchange->begun = true;
-      if (!port->forwarded && strcmp (url, LOOKUP_PATH) == 0)
-        result = answer_lookup (port->entry, connection);
-      else if (!begin (port, exchange, connection, method))
+      exchange->is_lookup = !port->forwarded && strcmp (url, LOOKUP_PATH) == 0;
+      if (!exchange->is_lookup && !begin (port, exchange, connection, method))
         result = queue_answer (port->entry, exchange, connection);
     }
+  else if (exchange->is_lookup && *upload_size > 0)
+    *upload_size = 0;
+  else if (exchange->is_lookup)
+    result = answer_lookup (port->entry, connection);
   else if (*upload_size > 0)
     *upload_size -= take_body (port->entry, exchange, upload, *upload_size);
   else
