--- a/Makefile
+++ b/Makefile
@@ -68,6 +68,12 @@
 check: all tests
 	tools/run-tests
 
+# Wants clang and its runtime (libclang-rt-14-dev); not part of CI.
+fuzz:
+	@mkdir -p $(BUILD)
+	clang $(CPPFLAGS) -std=c11 -g -O1 -fsanitize=fuzzer,address,undefined $(PKG_CFLAGS) -o $(BUILD)/fuzz_parsers \
+	  tests/fuzz_parsers.c $(LIB_SOURCES) modules/keys.c modules/peer_codec.c modules/peer_xdr.c $(EDGE_LIBS) $(LIB_LIBS)
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -87,6 +93,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests bench check format lint tidy generate clean
+.PHONY: all tests bench check fuzz format lint tidy generate clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
