One concern a file: attempts apart from queues; fetch by options; one test runner

Cause: core_requests.c had grown to 729 lines, five tests repeated their runner, the load tool repeated a fetch, addresses and prefixes were parsed twice.

--- a/core/core.c
+++ b/core/core.c
@@ -280,13 +280,13 @@
       requests_on_arrival (core, &event->u.request);
       break;
     case PL_EVENT_CALLER_GONE:
-      requests_on_caller_gone (core, event->u.progress.request);
+      attempts_on_caller_gone (core, event->u.progress.request);
       break;
     case PL_EVENT_PROGRESS:
-      requests_on_progress (core, event->u.progress.request, event->u.progress.attempt);
+      attempts_on_progress (core, event->u.progress.request, event->u.progress.attempt);
       break;
     case PL_EVENT_OUTCOME:
-      requests_on_outcome (core, &event->u.outcome);
+      attempts_on_outcome (core, &event->u.outcome);
       break;
     case PL_EVENT_PROBE:
       servers_on_probe (core, &event->u.probe);
--- /dev/null
+++ b/core/core_attempts.c
@@ -0,0 +1,226 @@
+/* Attempts: a request is sent to a server or another entry host, and something becomes of it.
+ *
+ * Invariants:
+ *
+ *  - each attempt ends by exactly one outcome event, cancelled or not;
+ *  - may_have_run is set before the attempt is an effect, and cleared only by an
+ *    outcome that says for certain that it did not run.
+ *
+ * What certainly did not run is tried again for as long as it might have waited;
+ * what may have run only where the route allows it, a few times, within the retry
+ * budget.
+ */
+#include "internal/core_state.h"
+
+#include <assert.h>
+
+#define ATTEMPTS_MAX 6
+#define RETRY_PAUSE_US (100 * PL_US_PER_MS)
+
+static void
+fill_send (struct pl_core *core, struct request *request, struct pl_effect *effect, uint64_t target,
+           const char *address)
+{
+  request->attempt++;
+  request->attempts++;
+  request->changed_us = core->now_us;
+  request->may_have_run = true;
+  core->active_count++;
+  effect->request = request->event.request;
+  effect->attempt = request->attempt;
+  effect->valid_until_us = MIN (request->event.deadline_us, request->valid_until_us);
+  g_strlcpy (effect->u.send_request.address, address, sizeof effect->u.send_request.address);
+  g_strlcpy (effect->u.send_request.account, request->account->name,
+             sizeof effect->u.send_request.account);
+  effect->u.send_request.target = target;
+  effect->u.send_request.deadline_us = request->event.deadline_us;
+  effect->u.send_request.keep_answer = request->claimed;
+  effect->u.send_request.fresh_connection = request->attempts > 1;
+}
+
+void
+attempts_start_at_server (struct pl_core *core, struct request *request, struct server_state *server)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_DISPATCH);
+
+  request->state = REQUEST_AT_SERVER;
+  request->server = server;
+  server->in_flight++;
+  if (request->suspect)
+    server->suspects++;
+  fill_send (core, request, effect, server->id, PL_SERVER (core->config, server->index)->address);
+}
+
+void
+attempts_start_at_member (struct pl_core *core, struct request *request, struct member *member)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_FORWARD);
+
+  request->state = REQUEST_AT_MEMBER;
+  request->member = member;
+  member->used_at_us = core->now_us;
+  steering_count (member, request->route.service, 1);
+  fill_send (core, request, effect, member->id,
+             PL_HOST (core->config, member->index)->forward_address);
+}
+/* Puts the request back to the front of its queue for another attempt. */
+static void
+retry (struct pl_core *core, struct request *request)
+{
+  request->cancelled = false;
+  requests_enqueue (core, request, true);
+}
+
+/* An attempt that certainly did not run may always be made again, but one that took another's
+ * time (was shed) waits a while once the retry budget is spent. */
+static bool
+may_retry (struct pl_core *core, struct request *request, bool certain, bool costs_nothing)
+{
+  if (request->cancelled && core->now_us >= request->event.deadline_us)
+    return false;
+  if (request->caller_gone)
+    return false;
+  /* What did not run may be tried for as long as it might have waited for a place. */
+  if (certain ? core->now_us - request->arrived_us >= PL_PLACE_WAIT_US
+              : request->attempts >= ATTEMPTS_MAX)
+    return false;
+  if (!request->event.replayable || (!certain && !request->route.repeatable))
+    return false;
+  if (costs_nothing || (core->switches & PL_SWITCH_NO_RETRY_BUDGET) != 0)
+    return true;
+  if (core->retry_tokens >= 1.0)
+    core->retry_tokens -= 1.0;
+  else if (certain)
+    request->not_before_us = core->now_us + RETRY_PAUSE_US;
+  else
+    return false;
+  return true;
+}
+
+static void
+note_server_outcome (struct pl_core *core, struct request *request, enum pl_outcome outcome)
+{
+  struct server_state *server = request->server;
+  uint64_t fingerprint = request->event.fingerprint;
+
+  assert (server->in_flight > 0);
+  server->in_flight--;
+  if (request->suspect)
+    server->suspects--;
+  servers_note_outcome (core, server, outcome);
+  if (outcome == PL_OUTCOME_DONE && quarantine_note_success (&core->quarantine, fingerprint))
+    peers_tell_suspect (core, fingerprint, 0, false);
+  if ((outcome == PL_OUTCOME_BROKEN || outcome == PL_OUTCOME_TRUNCATED) && !request->cancelled
+      && quarantine_note_death (&core->quarantine, fingerprint, server->id, request->suspect,
+                                core->now_us))
+    {
+      request->told_at_us = core->now_us;
+      peers_tell_suspect (core, fingerprint, server->id, request->suspect);
+    }
+  request->failed = server;
+  request->server = NULL;
+}
+
+static void
+finish (struct pl_core *core, struct request *request, const struct pl_outcome_event *event)
+{
+  struct pl_counts *route = report_route (core, request->route_name);
+  int64_t latency = core->now_us - request->arrived_us;
+
+  if (event->outcome == PL_OUTCOME_DONE)
+    {
+      request->account->counts.served++;
+      route->served++;
+      pl_histogram_add (&request->account->counts.latency, latency);
+      pl_histogram_add (&route->latency, latency);
+      if (request->claimed)
+        operations_finish (core, request, event);
+    }
+  else
+    {
+      request->account->counts.refused[PL_REFUSAL_LOST]++;
+      route->refused[PL_REFUSAL_LOST]++;
+    }
+  requests_forget (core, request);
+}
+
+void
+attempts_on_outcome (struct pl_core *core, const struct pl_outcome_event *event)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &event->request);
+  bool certain = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED
+                 || event->outcome == PL_OUTCOME_SHED;
+  bool costs_nothing
+      = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED;
+  enum pl_refusal refusal;
+
+  if (request == NULL || request->attempt != event->attempt
+      || (request->state != REQUEST_AT_SERVER && request->state != REQUEST_AT_MEMBER))
+    return;
+  core->active_count--;
+  if (request->state == REQUEST_AT_SERVER)
+    note_server_outcome (core, request, event->outcome);
+  else
+    steering_note_outcome (core, request, event->outcome);
+  steering_settle (core, request, certain ? 0 : event->answer_bytes);
+  request->member = NULL;
+  if (event->outcome == PL_OUTCOME_DONE || event->outcome == PL_OUTCOME_TRUNCATED)
+    {
+      finish (core, request, event);
+      return;
+    }
+  request->event.replayable = request->event.replayable && !event->body_gone;
+  request->uncertain = request->uncertain || !certain;
+  request->may_have_run = request->uncertain;
+  if (event->outcome == PL_OUTCOME_EXPIRED)
+    request->paid = false;
+  if (may_retry (core, request, certain, costs_nothing))
+    {
+      retry (core, request);
+      return;
+    }
+  refusal = core->now_us >= request->event.deadline_us ? PL_REFUSAL_DEADLINE
+            : certain                                  ? PL_REFUSAL_NO_SERVER
+                                                       : PL_REFUSAL_LOST;
+  requests_refuse (core, request, refusal);
+}
+
+void
+attempts_cancel (struct pl_core *core, struct request *request)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_CANCEL);
+
+  request->cancelled = true;
+  effect->request = request->event.request;
+  effect->attempt = request->attempt;
+  effect->valid_until_us = INT64_MAX;
+}
+
+void
+attempts_on_caller_gone (struct pl_core *core, uint64_t id)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request == NULL)
+    return;
+  request->caller_gone = true;
+  if (request->state == REQUEST_WAITING)
+    {
+      requests_dequeue (core, request);
+      if (request->claimed && !request->may_have_run)
+        operations_abandon (core, request);
+      requests_forget (core, request);
+    }
+  else if ((request->state == REQUEST_AT_SERVER || request->state == REQUEST_AT_MEMBER)
+           && !request->claimed && !request->cancelled)
+    attempts_cancel (core, request);
+}
+
+void
+attempts_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt)
+{
+  struct request *request = g_hash_table_lookup (core->requests, &id);
+
+  if (request != NULL && request->attempt == attempt)
+    request->changed_us = core->now_us;
+}
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -1,4 +1,4 @@
-/* The life of a request: arrival, waiting, an attempt, its outcome.
+/* The life of a request: arrival, waiting, and how it comes to start.
  *
  * A request waits in the queue of its account until it has tokens, a claim if
  * it may not be repeated, and a place to run, all at once; only then are tokens
@@ -6,9 +6,8 @@
  * Accounts take turns.  Invariants:
  *
  *  - a request is in its account's queue exactly while it is REQUEST_WAITING;
- *  - each attempt ends by exactly one outcome event, cancelled or not;
- *  - may_have_run is set before anything that could make it true is decided
- *    upon, and never cleared: a refusal reads it.
+ *  - requests_refuse() answers each request once, and reads may_have_run for
+ *    what it says of it.
  */
 #include "internal/core_state.h"
 
@@ -18,17 +17,13 @@
 #define QUEUE_MAX 64     /* requests of one account */
 #define WAITING_MAX 1024 /* requests of all accounts */
 #define SCAN_MAX 16      /* requests looked at in one account's turn */
-#define ATTEMPTS_MAX 6
 #define SWEEP_PERIOD_US (20 * PL_US_PER_MS)
 #define TOKEN_WAIT_US (1000 * PL_US_PER_MS)
-#define PLACE_WAIT_US (3 * PL_US_PER_S)
 #define FORWARDED_WAIT_US (60 * PL_US_PER_MS)
 #define CLAIM_WAIT_US (3 * PL_US_PER_S)
 /* Longer than a heartbeat period and a way between regions, so that one lost message is made up. */
 #define TELL_TIME_US (400 * PL_US_PER_MS)
 #define MEMBER_SILENCE_EXTRA_US (500 * PL_US_PER_MS)
-#define RETRY_PAUSE_US (100 * PL_US_PER_MS)
-#define RETRY_TOKENS_MAX 20.0
 #define RETRY_TOKENS_PER_REQUEST 0.1
 
 const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT] = {
@@ -47,15 +42,15 @@
     [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
 };
 
-static void
-request_free (struct pl_core *core, struct request *request)
+void
+requests_forget (struct pl_core *core, struct request *request)
 {
   g_hash_table_remove (core->requests, &request->event.request);
   g_free (request);
 }
 
-static void
-enqueue (struct pl_core *core, struct request *request, bool first)
+void
+requests_enqueue (struct pl_core *core, struct request *request, bool first)
 {
   request->state = REQUEST_WAITING;
   request->changed_us = core->now_us;
@@ -66,8 +61,8 @@
     g_queue_push_tail (&request->account->waiting, request);
 }
 
-static void
-dequeue (struct pl_core *core, struct request *request)
+void
+requests_dequeue (struct pl_core *core, struct request *request)
 {
   assert (request->state == REQUEST_WAITING);
   if (g_queue_remove (&request->account->waiting, request))
@@ -113,7 +108,7 @@
     }
   if (request->claimed && !request->may_have_run)
     operations_abandon (core, request);
-  request_free (core, request);
+  requests_forget (core, request);
 }
 
 static struct account_state *
@@ -161,7 +156,7 @@
   if (worst == NULL)
     return false;
   victim = g_queue_peek_tail (&worst->waiting);
-  dequeue (core, victim);
+  requests_dequeue (core, victim);
   requests_refuse (core, victim, PL_REFUSAL_QUEUE_FULL);
   return true;
 }
@@ -223,55 +218,8 @@
     }
   if (request->event.deadline_us > core->now_us + request->route.deadline_us)
     request->event.deadline_us = core->now_us + request->route.deadline_us;
-  core->retry_tokens = MIN (core->retry_tokens + RETRY_TOKENS_PER_REQUEST, RETRY_TOKENS_MAX);
-  enqueue (core, request, false);
-}
-
-static void
-fill_send (struct pl_core *core, struct request *request, struct pl_effect *effect, uint64_t target,
-           const char *address)
-{
-  request->attempt++;
-  request->attempts++;
-  request->changed_us = core->now_us;
-  request->may_have_run = true;
-  core->active_count++;
-  effect->request = request->event.request;
-  effect->attempt = request->attempt;
-  effect->valid_until_us = MIN (request->event.deadline_us, request->valid_until_us);
-  g_strlcpy (effect->u.send_request.address, address, sizeof effect->u.send_request.address);
-  g_strlcpy (effect->u.send_request.account, request->account->name,
-             sizeof effect->u.send_request.account);
-  effect->u.send_request.target = target;
-  effect->u.send_request.deadline_us = request->event.deadline_us;
-  effect->u.send_request.keep_answer = request->claimed;
-  effect->u.send_request.fresh_connection = request->attempts > 1;
-}
-
-static void
-start_at_server (struct pl_core *core, struct request *request, struct server_state *server)
-{
-  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_DISPATCH);
-
-  request->state = REQUEST_AT_SERVER;
-  request->server = server;
-  server->in_flight++;
-  if (request->suspect)
-    server->suspects++;
-  fill_send (core, request, effect, server->id, PL_SERVER (core->config, server->index)->address);
-}
-
-static void
-start_at_member (struct pl_core *core, struct request *request, struct member *member)
-{
-  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_FORWARD);
-
-  request->state = REQUEST_AT_MEMBER;
-  request->member = member;
-  member->used_at_us = core->now_us;
-  steering_count (member, request->route.service, 1);
-  fill_send (core, request, effect, member->id,
-             PL_HOST (core->config, member->index)->forward_address);
+  core->retry_tokens = MIN (core->retry_tokens + RETRY_TOKENS_PER_REQUEST, PL_RETRY_TOKENS_MAX);
+  requests_enqueue (core, request, false);
 }
 
 enum start_result
@@ -348,7 +296,7 @@
 
   if (refusal >= 0)
     {
-      dequeue (core, request);
+      requests_dequeue (core, request);
       requests_refuse (core, request, (enum pl_refusal) refusal);
       return START_DONE;
     }
@@ -363,7 +311,7 @@
     return START_NO_PLACE;
   if (needs_claim (core, request))
     {
-      dequeue (core, request);
+      requests_dequeue (core, request);
       operations_claim (core, request);
       return START_DONE;
     }
@@ -374,11 +322,11 @@
       steering_settle (core, request, -1);
       return START_NO_TOKENS;
     }
-  dequeue (core, request);
+  requests_dequeue (core, request);
   if (server != NULL)
-    start_at_server (core, request, server);
+    attempts_start_at_server (core, request, server);
   else
-    start_at_member (core, request, member);
+    attempts_start_at_member (core, request, member);
   return START_DONE;
 }
 
@@ -431,168 +379,6 @@
     }
 }
 
-/* Puts the request back to the front of its queue for another attempt. */
-static void
-retry (struct pl_core *core, struct request *request)
-{
-  request->cancelled = false;
-  enqueue (core, request, true);
-}
-
-/* An attempt that certainly did not run may always be made again, but one that took another's
- * time (was shed) waits a while once the retry budget is spent. */
-static bool
-may_retry (struct pl_core *core, struct request *request, bool certain, bool costs_nothing)
-{
-  if (request->cancelled && core->now_us >= request->event.deadline_us)
-    return false;
-  if (request->caller_gone)
-    return false;
-  /* What did not run may be tried for as long as it might have waited for a place. */
-  if (certain ? core->now_us - request->arrived_us >= PLACE_WAIT_US
-              : request->attempts >= ATTEMPTS_MAX)
-    return false;
-  if (!request->event.replayable || (!certain && !request->route.repeatable))
-    return false;
-  if (costs_nothing || (core->switches & PL_SWITCH_NO_RETRY_BUDGET) != 0)
-    return true;
-  if (core->retry_tokens >= 1.0)
-    core->retry_tokens -= 1.0;
-  else if (certain)
-    request->not_before_us = core->now_us + RETRY_PAUSE_US;
-  else
-    return false;
-  return true;
-}
-
-static void
-note_server_outcome (struct pl_core *core, struct request *request, enum pl_outcome outcome)
-{
-  struct server_state *server = request->server;
-  uint64_t fingerprint = request->event.fingerprint;
-
-  assert (server->in_flight > 0);
-  server->in_flight--;
-  if (request->suspect)
-    server->suspects--;
-  servers_note_outcome (core, server, outcome);
-  if (outcome == PL_OUTCOME_DONE && quarantine_note_success (&core->quarantine, fingerprint))
-    peers_tell_suspect (core, fingerprint, 0, false);
-  if ((outcome == PL_OUTCOME_BROKEN || outcome == PL_OUTCOME_TRUNCATED) && !request->cancelled
-      && quarantine_note_death (&core->quarantine, fingerprint, server->id, request->suspect,
-                                core->now_us))
-    {
-      request->told_at_us = core->now_us;
-      peers_tell_suspect (core, fingerprint, server->id, request->suspect);
-    }
-  request->failed = server;
-  request->server = NULL;
-}
-
-static void
-finish (struct pl_core *core, struct request *request, const struct pl_outcome_event *event)
-{
-  struct pl_counts *route = report_route (core, request->route_name);
-  int64_t latency = core->now_us - request->arrived_us;
-
-  if (event->outcome == PL_OUTCOME_DONE)
-    {
-      request->account->counts.served++;
-      route->served++;
-      pl_histogram_add (&request->account->counts.latency, latency);
-      pl_histogram_add (&route->latency, latency);
-      if (request->claimed)
-        operations_finish (core, request, event);
-    }
-  else
-    {
-      request->account->counts.refused[PL_REFUSAL_LOST]++;
-      route->refused[PL_REFUSAL_LOST]++;
-    }
-  request_free (core, request);
-}
-
-void
-requests_on_outcome (struct pl_core *core, const struct pl_outcome_event *event)
-{
-  struct request *request = g_hash_table_lookup (core->requests, &event->request);
-  bool certain = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED
-                 || event->outcome == PL_OUTCOME_SHED;
-  bool costs_nothing
-      = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED;
-  enum pl_refusal refusal;
-
-  if (request == NULL || request->attempt != event->attempt
-      || (request->state != REQUEST_AT_SERVER && request->state != REQUEST_AT_MEMBER))
-    return;
-  core->active_count--;
-  if (request->state == REQUEST_AT_SERVER)
-    note_server_outcome (core, request, event->outcome);
-  else
-    steering_note_outcome (core, request, event->outcome);
-  steering_settle (core, request, certain ? 0 : event->answer_bytes);
-  request->member = NULL;
-  if (event->outcome == PL_OUTCOME_DONE || event->outcome == PL_OUTCOME_TRUNCATED)
-    {
-      finish (core, request, event);
-      return;
-    }
-  request->event.replayable = request->event.replayable && !event->body_gone;
-  request->uncertain = request->uncertain || !certain;
-  request->may_have_run = request->uncertain;
-  if (event->outcome == PL_OUTCOME_EXPIRED)
-    request->paid = false;
-  if (may_retry (core, request, certain, costs_nothing))
-    {
-      retry (core, request);
-      return;
-    }
-  refusal = core->now_us >= request->event.deadline_us ? PL_REFUSAL_DEADLINE
-            : certain                                  ? PL_REFUSAL_NO_SERVER
-                                                       : PL_REFUSAL_LOST;
-  requests_refuse (core, request, refusal);
-}
-
-static void
-cancel (struct pl_core *core, struct request *request)
-{
-  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_CANCEL);
-
-  request->cancelled = true;
-  effect->request = request->event.request;
-  effect->attempt = request->attempt;
-  effect->valid_until_us = INT64_MAX;
-}
-
-void
-requests_on_caller_gone (struct pl_core *core, uint64_t id)
-{
-  struct request *request = g_hash_table_lookup (core->requests, &id);
-
-  if (request == NULL)
-    return;
-  request->caller_gone = true;
-  if (request->state == REQUEST_WAITING)
-    {
-      dequeue (core, request);
-      if (request->claimed && !request->may_have_run)
-        operations_abandon (core, request);
-      request_free (core, request);
-    }
-  else if ((request->state == REQUEST_AT_SERVER || request->state == REQUEST_AT_MEMBER)
-           && !request->claimed && !request->cancelled)
-    cancel (core, request);
-}
-
-void
-requests_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt)
-{
-  struct request *request = g_hash_table_lookup (core->requests, &id);
-
-  if (request != NULL && request->attempt == attempt)
-    request->changed_us = core->now_us;
-}
-
 void
 requests_on_claims (struct pl_core *core, struct pl_store_event *event)
 {
@@ -617,10 +403,10 @@
           if (request->caller_gone)
             {
               operations_abandon (core, request);
-              request_free (core, request);
+              requests_forget (core, request);
             }
           else
-            enqueue (core, request, true);
+            requests_enqueue (core, request, true);
           break;
         case PL_CLAIM_DONE:
           effect = core_add_effect (core, PL_EFFECT_REPLAY);
@@ -628,7 +414,7 @@
           effect->valid_until_us = INT64_MAX;
           effect->u.replay.status = claim->status;
           effect->u.replay.answer = g_steal_pointer (&claim->answer);
-          request_free (core, request);
+          requests_forget (core, request);
           break;
         case PL_CLAIM_TAKEN:
           requests_refuse (core, request, PL_REFUSAL_REPEATED);
@@ -659,7 +445,7 @@
     return waited > FORWARDED_WAIT_US ? PL_REFUSAL_NO_SERVER : -1;
   if (lacks_tokens)
     return waited > TOKEN_WAIT_US ? PL_REFUSAL_OVER_RATE : -1;
-  return core->now_us - request->arrived_us > PLACE_WAIT_US ? PL_REFUSAL_NO_SERVER : -1;
+  return core->now_us - request->arrived_us > PL_PLACE_WAIT_US ? PL_REFUSAL_NO_SERVER : -1;
 }
 
 static void
@@ -675,7 +461,7 @@
       if (!request->cancelled
           && (core->now_us - request->changed_us > silence
               || core->now_us >= request->event.deadline_us))
-        cancel (core, request);
+        attempts_cancel (core, request);
       return;
     }
   if (request->state == REQUEST_HELD)
@@ -687,7 +473,7 @@
   if (refusal < 0)
     return;
   if (request->state == REQUEST_WAITING)
-    dequeue (core, request);
+    requests_dequeue (core, request);
   requests_refuse (core, request, (enum pl_refusal) refusal);
 }
 
@@ -708,7 +494,7 @@
 void
 requests_start (struct pl_core *core)
 {
-  core->retry_tokens = RETRY_TOKENS_MAX;
+  core->retry_tokens = PL_RETRY_TOKENS_MAX;
   core->open_account = g_new0 (struct account_state, 1);
   core->open_account->index = PL_NONE;
   g_strlcpy (core->open_account->name, "-", sizeof core->open_account->name);
--- a/core/schema.c
+++ b/core/schema.c
@@ -14,6 +14,8 @@
 
 #define NAME_LENGTH_MAX 63
 #define HASH_DIGITS 64
+#define PORT_MAX 65535
+#define PREFIX_BITS_MAX 32
 
 struct pl_place
 pl_schema_place (const yaml_node_t *node)
@@ -34,37 +36,21 @@
          == length;
 }
 
+/* Returns whether TEXT is an IPv4 address, SEPARATOR, and a number of at most MAXIMUM. */
 static bool
-address_is_valid (const char *text)
+address_is_valid (const char *text, char separator, long maximum)
 {
-  const char *colon = strrchr (text, ':');
+  const char *at = strrchr (text, separator);
   char host[INET_ADDRSTRLEN] = "";
   struct in_addr address;
   char *end;
-  long port;
+  long number;
 
-  if (colon == NULL || colon == text || (size_t) (colon - text) >= sizeof host)
+  if (at == NULL || (size_t) (at - text) >= sizeof host)
     return false;
-  memcpy (host, text, (size_t) (colon - text));
-  port = strtol (colon + 1, &end, 10);
-  return colon[1] >= '0' && colon[1] <= '9' && *end == '\0' && port >= 0 && port <= 65535
-         && inet_pton (AF_INET, host, &address) == 1;
-}
-
-static bool
-prefix_is_valid (const char *text)
-{
-  const char *slash = strchr (text, '/');
-  char host[INET_ADDRSTRLEN] = "";
-  struct in_addr address;
-  char *end;
-  long bits;
-
-  if (slash == NULL || (size_t) (slash - text) >= sizeof host)
-    return false;
-  memcpy (host, text, (size_t) (slash - text));
-  bits = strtol (slash + 1, &end, 10);
-  return slash[1] >= '0' && slash[1] <= '9' && *end == '\0' && bits >= 0 && bits <= 32
+  memcpy (host, text, (size_t) (at - text));
+  number = strtol (at + 1, &end, 10);
+  return at[1] >= '0' && at[1] <= '9' && *end == '\0' && number <= maximum
          && inet_pton (AF_INET, host, &address) == 1;
 }
 
@@ -87,9 +73,9 @@
     case PL_FIELD_PATH:
       return text[0] == '/' && text_is_printable (text);
     case PL_FIELD_ADDRESS:
-      return address_is_valid (text);
+      return address_is_valid (text, ':', PORT_MAX);
     case PL_FIELD_PREFIX:
-      return prefix_is_valid (text);
+      return address_is_valid (text, '/', PREFIX_BITS_MAX);
     case PL_FIELD_HASH:
       return strlen (text) == HASH_DIGITS && strspn (text, "0123456789abcdef") == HASH_DIGITS;
     default:
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -16,6 +16,9 @@
 #define PL_US_PER_MS INT64_C (1000)
 #define PL_US_PER_S INT64_C (1000000)
 
+/* What has no place is refused after this long. */
+#define PL_PLACE_WAIT_US (3 * PL_US_PER_S)
+#define PL_RETRY_TOKENS_MAX 20.0
 /* A peer not heard of for this long is taken for lost. */
 #define PL_MEMBER_LOST_US (3 * PL_US_PER_S)
 /* A host that took over a name mints nothing for this long. */
@@ -205,14 +208,25 @@
 /* core_requests.c */
 void requests_start (struct pl_core *core);
 void requests_on_arrival (struct pl_core *core, const struct pl_request_event *event);
-void requests_on_caller_gone (struct pl_core *core, uint64_t id);
-void requests_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt);
-void requests_on_outcome (struct pl_core *core, const struct pl_outcome_event *event);
 void requests_on_claims (struct pl_core *core, struct pl_store_event *event);
 void requests_pump (struct pl_core *core);
 void requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal);
 void requests_free_all (struct pl_core *core);
 
+void requests_enqueue (struct pl_core *core, struct request *request, bool first);
+void requests_dequeue (struct pl_core *core, struct request *request);
+void requests_forget (struct pl_core *core, struct request *request);
+
+/* core_attempts.c */
+void attempts_start_at_server (struct pl_core *core, struct request *request,
+                               struct server_state *server);
+void attempts_start_at_member (struct pl_core *core, struct request *request,
+                               struct member *member);
+void attempts_cancel (struct pl_core *core, struct request *request);
+void attempts_on_outcome (struct pl_core *core, const struct pl_outcome_event *event);
+void attempts_on_progress (struct pl_core *core, uint64_t id, uint32_t attempt);
+void attempts_on_caller_gone (struct pl_core *core, uint64_t id);
+
 /* core_operations.c */
 void operations_claim (struct pl_core *core, struct request *request);
 void operations_flush (struct pl_core *core);
--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -68,8 +68,19 @@
  * it is called on the client's thread. */
 typedef void (*pl_http_text_function) (void *data, enum pl_http_end end, int status,
                                        const char *text);
-void pl_http_client_fetch (struct pl_http_client *client, const char *method, const char *url,
-                           const char *body, int64_t timeout_us, bool fresh_connection,
-                           pl_http_text_function done, void *data);
+struct pl_http_fetch
+{
+  const char *method;
+  const char *url;
+  const char *header; /* one more, or NULL */
+  const char *body;   /* or NULL */
+  int64_t timeout_us;
+  bool fresh_connection;
+  pl_http_text_function done;
+  void *data;
+};
+
+/* Nothing that FETCH points to but its data need outlive the call. */
+void pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *fetch);
 
 #endif
--- a/include/internal/store_http.h
+++ b/include/internal/store_http.h
@@ -29,8 +29,8 @@
 /* Asks for the list of leaving servers; it comes as an event, or not at all. */
 void pl_store_fetch_host_list (struct pl_store *store);
 
-/* Returns the releases in the store, newest last, as a JSON array that the caller owns, or NULL
- * when the store can not be read.  Waits; not for the client's thread. */
-json_t *pl_store_read_history (struct pl_store *store);
+/* Returns the releases in the store from FROM_VERSION on, newest last, as a JSON array that the
+ * caller owns, or NULL when the store can not be read.  Waits; not for the client's thread. */
+json_t *pl_store_read_history (struct pl_store *store, int64_t from_version);
 
 #endif
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -342,9 +342,12 @@
 {
   struct probe *probe = g_new0 (struct probe, 1);
   g_autofree char *url = g_strdup_printf ("http://%s/health", effect->u.send_request.address);
+  struct pl_http_fetch fetch = {
+      .method = "GET", .timeout_us = PROBE_TIMEOUT_US, .fresh_connection = true, .done = on_probed};
 
   probe->entry = entry;
   probe->server = effect->u.send_request.target;
-  pl_http_client_fetch (entry->options.client, "GET", url, NULL, PROBE_TIMEOUT_US, true, on_probed,
-                        probe);
+  fetch.url = url;
+  fetch.data = probe;
+  pl_http_client_fetch (entry->options.client, &fetch);
 }
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -378,25 +378,25 @@
 static const struct pl_http_handler fetch_handler = {NULL, fetch_write, fetch_read, fetch_done};
 
 void
-pl_http_client_fetch (struct pl_http_client *client, const char *method, const char *url,
-                      const char *body, int64_t timeout_us, bool fresh_connection,
-                      pl_http_text_function done, void *data)
+pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *wanted)
 {
   struct fetch *fetch = g_new0 (struct fetch, 1);
+  const char *headers[] = {wanted->header, NULL};
   struct pl_http_call_options options = {
-      .method = method,
-      .url = url,
-      .timeout_us = timeout_us,
-      .fresh_connection = fresh_connection,
+      .method = wanted->method,
+      .url = wanted->url,
+      .headers = headers,
+      .timeout_us = wanted->timeout_us,
+      .fresh_connection = wanted->fresh_connection,
       .handler = &fetch_handler,
       .data = fetch,
   };
 
   fetch->answer = g_string_new (NULL);
-  fetch->body = g_strdup (body != NULL ? body : "");
+  fetch->body = g_strdup (wanted->body != NULL ? wanted->body : "");
   fetch->body_length = strlen (fetch->body);
-  fetch->done = done;
-  fetch->data = data;
+  fetch->done = wanted->done;
+  fetch->data = wanted->data;
   options.body_length = (int64_t) fetch->body_length;
   pl_http_call_unref (pl_http_client_start (client, &options));
 }
--- a/modules/store_http.c
+++ b/modules/store_http.c
@@ -15,6 +15,7 @@
 #define CALL_TIMEOUT_US 1000000
 #define FINISH_TRIES 3
 #define RELEASES_PER_READ 64
+#define HISTORY_LIMIT 1000
 
 struct pl_store
 {
@@ -56,9 +57,12 @@
 {
   g_autofree char *url = g_strdup_printf ("http://%s%s", call->store->options.address, path);
   char *text = json_dumps (body, JSON_COMPACT);
+  struct pl_http_fetch fetch
+      = {.method = "POST", .timeout_us = CALL_TIMEOUT_US, .done = done, .data = call};
 
-  pl_http_client_fetch (call->store->options.client, "POST", url, text, CALL_TIMEOUT_US, false,
-                        done, call);
+  fetch.url = url;
+  fetch.body = text;
+  pl_http_client_fetch (call->store->options.client, &fetch);
   free (text);
   json_decref (body);
 }
@@ -444,9 +448,13 @@
 pl_store_fetch_host_list (struct pl_store *store)
 {
   g_autofree char *url = g_strdup_printf ("http://%s/hosts", store->options.address);
+  struct pl_http_fetch fetch = {.method = "GET",
+                                .url = url,
+                                .timeout_us = CALL_TIMEOUT_US,
+                                .done = host_list_done,
+                                .data = store};
 
-  pl_http_client_fetch (store->options.client, "GET", url, NULL, CALL_TIMEOUT_US, false,
-                        host_list_done, store);
+  pl_http_client_fetch (store->options.client, &fetch);
 }
 
 struct history
@@ -486,17 +494,23 @@
 }
 
 json_t *
-pl_store_read_history (struct pl_store *store)
+pl_store_read_history (struct pl_store *store, int64_t from_version)
 {
   g_autofree char *url = g_strdup_printf ("http://%s/read", store->options.address);
+  g_autofree char *from = release_key (from_version);
+  g_autofree char *body = g_strdup_printf (
+      "{\"ranges\":[{\"from\":\"%s\",\"to\":\"release/~\",\"limit\":%d}]}", from, HISTORY_LIMIT);
   struct history history = {0};
+  struct pl_http_fetch fetch = {.method = "POST",
+                                .url = url,
+                                .body = body,
+                                .timeout_us = CALL_TIMEOUT_US,
+                                .done = history_done,
+                                .data = &history};
 
   g_mutex_init (&history.lock);
   g_cond_init (&history.done);
-  pl_http_client_fetch (store->options.client, "POST", url,
-                        "{\"ranges\":[{\"from\":\"release/\",\"to\":\"release/~\","
-                        "\"limit\":100,\"last\":true}]}",
-                        CALL_TIMEOUT_US, false, history_done, &history);
+  pl_http_client_fetch (store->options.client, &fetch);
   g_mutex_lock (&history.lock);
   while (!history.ended)
     g_cond_wait (&history.done, &history.lock);
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -15,8 +15,8 @@
 #define SITES 6 /* blocks 10.0.0.0/16 to 10.5.0.0/16 */
 #define HOSTS_MAX 4
 #define TIMEOUT_US 8000000
+#define LOOKUP_TIMEOUT_US 1000000
 #define RESENDS_MAX 4
-#define RESEND_PAUSE_US 400000
 
 struct route_cache
 {
@@ -98,6 +98,8 @@
       = json_string_value (json_array_get (plan->lookups, turn % json_array_size (plan->lookups)));
   g_autofree char *url = NULL;
   struct attempt *asker;
+  struct pl_http_fetch fetch
+      = {.method = "GET", .timeout_us = LOOKUP_TIMEOUT_US, .done = on_lookup};
 
   if (cache->asking || pl_clock_now_us () < cache->valid_until_us)
     return;
@@ -110,7 +112,9 @@
   asker->site = site;
   url = g_strdup_printf ("http://%s/pomelolatch/lookup?client=10.%d.0.%u", address, site,
                          turn % 250 + 1);
-  pl_http_client_fetch (callers->client, "GET", url, NULL, 1000000, false, on_lookup, asker);
+  fetch.url = url;
+  fetch.data = asker;
+  pl_http_client_fetch (callers->client, &fetch);
 }
 
 static bool
@@ -221,14 +225,12 @@
          && (int64_t) attempt->answer->len == attempt->route->answer_bytes;
 }
 
-static gboolean
-resend_later (struct attempt *attempt)
+static void
+resend (struct attempt *attempt)
 {
   attempt->sends++;
   attempt->host++;
-  g_usleep (0);
   send_attempt (attempt);
-  return FALSE;
 }
 
 static void
@@ -248,7 +250,7 @@
       && (elsewhere
           || (unknown && attempt->callers->options.plan->resend && attempt->route->fault == NULL)))
     {
-      resend_later (attempt);
+      resend (attempt);
       return;
     }
   if (served)
--- a/programs/load/faults.c
+++ b/programs/load/faults.c
@@ -14,67 +14,27 @@
     fprintf (stderr, "fault at %ld ms: status %d %s\n", fault->at_us / 1000, status, text);
 }
 
-struct apply
-{
-  GString *answer;
-  char *body;
-  size_t length;
-  size_t read;
-};
-
-static size_t
-apply_write (void *data, const char *bytes, size_t length)
-{
-  struct apply *apply = data;
-
-  g_string_append_len (apply->answer, bytes, (gssize) length);
-  return length;
-}
-
-static size_t
-apply_read (void *data, char *bytes, size_t length)
-{
-  struct apply *apply = data;
-  size_t part = MIN (length, apply->length - apply->read);
-
-  memcpy (bytes, apply->body + apply->read, part);
-  apply->read += part;
-  return part;
-}
-
 static void
-apply_done (void *data, enum pl_http_end end, int status)
+on_released (void *data, enum pl_http_end end, int status, const char *text)
 {
-  struct apply *apply = data;
-
+  (void) data;
   if (end != PL_HTTP_WHOLE || status != 200)
-    fprintf (stderr, "release: status %d %s\n", status, apply->answer->str);
-  g_string_free (apply->answer, TRUE);
-  g_free (apply->body);
-  g_free (apply);
+    fprintf (stderr, "release: status %d %s\n", status, text);
 }
 
-static const struct pl_http_handler apply_handler = {NULL, apply_write, apply_read, apply_done};
-
 static void
 post_release (const struct load_plan *plan, struct pl_http_client *client, const char *file)
 {
-  struct apply *apply = g_new0 (struct apply, 1);
   g_autofree char *url = g_strdup_printf ("http://%s/release", plan->operator_address);
   g_autofree char *key = g_strdup_printf ("Authorization: Bearer %s", plan->operator_key);
-  const char *headers[] = {key, NULL};
-  struct pl_http_call_options options = {.method = "POST",
-                                         .url = url,
-                                         .headers = headers,
-                                         .timeout_us = 15000000,
-                                         .handler = &apply_handler,
-                                         .data = apply};
+  g_autofree char *text = NULL;
+  struct pl_http_fetch fetch
+      = {.method = "POST", .url = url, .header = key, .timeout_us = 15000000, .done = on_released};
 
-  apply->answer = g_string_new (NULL);
-  if (!g_file_get_contents (file, &apply->body, &apply->length, NULL))
+  if (!g_file_get_contents (file, &text, NULL, NULL))
     fprintf (stderr, "can not read %s\n", file);
-  options.body_length = (int64_t) apply->length;
-  pl_http_call_unref (pl_http_client_start (client, &options));
+  fetch.body = text;
+  pl_http_client_fetch (client, &fetch);
 }
 
 void
@@ -99,7 +59,14 @@
         {
           g_autofree char *url = g_strdup_printf ("http://%s", fault->post);
 
-          pl_http_client_fetch (client, "POST", url, "", 5000000, true, on_posted, fault);
+          struct pl_http_fetch fetch = {.method = "POST",
+                                        .url = url,
+                                        .timeout_us = 5000000,
+                                        .fresh_connection = true,
+                                        .done = on_posted,
+                                        .data = fault};
+
+          pl_http_client_fetch (client, &fetch);
         }
       if (fault->release != NULL && plan->operator_address != NULL)
         post_release (plan, client, fault->release);
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -27,6 +27,7 @@
 #include <string.h>
 
 #define HOST_LIST_PERIOD_S 1
+#define HISTORY_SHOWN 100 /* releases */
 #define BODY_MAX_DEFAULT ((int64_t) 256 << 20)
 
 static const struct pl_field settings_fields[] = {
@@ -203,8 +204,11 @@
 read_history (void *data)
 {
   struct host *host = data;
+  json_t *report = pl_loop_report (host->loop);
+  json_int_t version = json_integer_value (json_object_get (report, "version"));
 
-  return pl_store_read_history (host->store);
+  json_decref (report);
+  return pl_store_read_history (host->store, MAX (version - HISTORY_SHOWN, 0));
 }
 
 static gboolean
--- a/tests/test_blocks.c
+++ b/tests/test_blocks.c
@@ -1,7 +1,7 @@
 /* The table of client blocks against a linear search for the longest prefix. */
 #include "pomelolatch/blocks.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdlib.h>
 
 #define BLOCKS 3000
@@ -128,19 +128,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("blocks");
-  TCase *tcase = tcase_create ("blocks");
-  SRunner *runner;
-  int failed;
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "blocks");
 
-  tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, a_table_finds_the_longest_prefix, 1, 5);
   tcase_add_loop_test (tcase, an_updated_table_equals_a_new_one, 1, 5);
   tcase_add_test (tcase, an_empty_table_finds_nothing);
-  suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -1,8 +1,8 @@
 /* Budgets: the bucket itself, loans, and the sum over hosts under lost, late and doubled grants. */
 #include "pomelolatch/budget.h"
 #include "pomelolatch/error.h"
+#include "suite.h"
 
-#include <check.h>
 #include <stdlib.h>
 
 #define SECOND INT64_C (1000000)
@@ -159,10 +159,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("budget");
-  TCase *tcase = tcase_create ("budget");
-  SRunner *runner;
-  int failed;
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "budget");
 
   tcase_add_checked_fixture (tcase, set_up, NULL);
   tcase_add_test (tcase, bucket_starts_empty_and_fills_to_its_burst);
@@ -176,10 +174,5 @@
   tcase_add_test (tcase, a_loan_given_back_counts_once);
   tcase_add_test (tcase, a_loan_given_back_after_it_lapsed_adds_nothing);
   tcase_add_test (tcase, what_is_lent_leaves_the_floor);
-  suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -4,8 +4,8 @@
  * With --seed and --runs it goes on for longer; a failing run is shrunk.
  */
 #include "fleet.h"
+#include "suite.h"
 
-#include <check.h>
 #include <glib.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -174,23 +174,15 @@
 static int
 run_suite (void)
 {
-  Suite *suite = suite_create ("fuzz");
-  TCase *tcase = tcase_create ("fleet");
-  SRunner *runner;
-  int failed;
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "fuzz");
 
-  tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, random_faults_break_no_promise, 1, 25);
   tcase_add_loop_test (tcase, a_switched_off_mechanism_is_caught, 0,
                        (int) G_N_ELEMENTS (broken_cases));
   tcase_add_test (tcase, loans_let_the_rate_through_at_one_host);
   tcase_add_test (tcase, few_are_refused_inside_their_rate);
-  suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
 
 /* Prints how budgets fare without faults; a measurement, not a test. */
--- a/tests/test_loans.c
+++ b/tests/test_loans.c
@@ -7,8 +7,8 @@
  */
 #include "pomelolatch/budget.h"
 #include "pomelolatch/error.h"
+#include "suite.h"
 
-#include <check.h>
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -271,17 +271,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("loans");
-  TCase *tcase = tcase_create ("loans");
-  SRunner *runner;
-  int failed;
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "loans");
 
-  tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, no_host_ever_has_a_token_too_many, 0, 24);
-  suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
--- a/tests/test_release.c
+++ b/tests/test_release.c
@@ -5,8 +5,8 @@
 #include "pomelolatch/core.h"
 #include "pomelolatch/error.h"
 #include "pomelolatch/release.h"
+#include "suite.h"
 
-#include <check.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
@@ -254,14 +254,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("release");
-  TCase *tcase = tcase_create ("release");
-  SRunner *runner;
-  int failed;
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "release");
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
-  tcase_set_timeout (tcase, 0);
   tcase_add_loop_test (tcase, findings_have_their_place, 0, (int) G_N_ELEMENTS (finding_cases));
   tcase_add_test (tcase, a_release_changes_a_copy);
   tcase_add_test (tcase, what_is_used_can_not_be_withdrawn);
@@ -270,10 +267,5 @@
   tcase_add_test (tcase, messages_survive_the_wire_and_damage_is_refused_whole);
   tcase_add_test (tcase, an_older_snapshot_is_not_taken);
   tcase_add_test (tcase, without_a_configuration_an_operation_is_unknown);
-  suite_add_tcase (suite, tcase);
-  runner = srunner_create (suite);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return suite_run (suite);
 }
