A dispatch is sent within half a second of being decided, or decided anew

Cause: read as a newcomer: an effect paid from a host's own tokens was valid until the request's deadline. A process that stood still between deciding and sending (up to 2 s unnoticed) could send it on top of what it had minted since.

Change: dispatches and forwards live 500 ms; an expired one is paid for again. Unused fields removed; the fuzzer frees what is left in its queue.

--- a/core/core_attempts.c
+++ b/core/core_attempts.c
@@ -15,6 +15,9 @@
 #include <assert.h>
 
 #define ATTEMPTS_MAX 6
+/* A process that stood still between deciding and sending has minted anew meanwhile: what it paid
+ * then may not run on top of that. */
+#define SEND_LIFE_US (500 * PL_US_PER_MS)
 #define RETRY_PAUSE_US (100 * PL_US_PER_MS)
 
 static void
@@ -29,6 +32,7 @@
   effect->request = request->event.request;
   effect->attempt = request->attempt;
   effect->valid_until_us = MIN (request->event.deadline_us, request->valid_until_us);
+  effect->valid_until_us = MIN (effect->valid_until_us, core->now_us + SEND_LIFE_US);
   g_strlcpy (effect->u.send_request.address, address, sizeof effect->u.send_request.address);
   g_strlcpy (effect->u.send_request.account, request->account->name,
              sizeof effect->u.send_request.account);
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -69,7 +69,6 @@
   int index; /* in the configuration, or PL_NONE */
   bool heard;
   int64_t heard_at_us;
-  int64_t stopped_asking_us;
   struct pl_heartbeat heartbeat;
   int forwarded;                     /* in flight towards it */
   int by_service[PL_SERVICES_MAX];   /* the same, by service */
@@ -149,7 +148,6 @@
   unsigned switches;
   struct pl_core_options options;
   int64_t now_us;
-  int64_t last_step_us;
   struct pl_effects *effects; /* of the step under way */
   struct pl_timers timers;
 
--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -36,7 +36,7 @@
 /* For tests and cuts on purpose: forwards to PEER fail while CUT. */
 void pl_entry_cut (struct pl_entry *entry, uint64_t peer, bool cut);
 
-/* Sends refusals and answers of the entry in one way.  Used by entry.c and caller_http.c. */
+/* Shared by entry.c, caller_http.c and attempts.c. */
 struct pl_entry
 {
   struct pl_entry_options options;
--- a/programs/standin/servers.c
+++ b/programs/standin/servers.c
@@ -286,14 +286,13 @@
 }
 
 static enum MHD_Result
-send_answer (struct work *work, unsigned status, const char *text, size_t cut_at)
+send_answer (struct work *work, unsigned status, const char *text)
 {
   struct MHD_Response *response
       = MHD_create_response_from_buffer (strlen (text), (void *) text, MHD_RESPMEM_MUST_COPY);
   const char *number = header (work->connection, "Pomelolatch-Request");
   enum MHD_Result result;
 
-  (void) cut_at;
   if (number != NULL)
     MHD_add_response_header (response, "Pomelolatch-Request", number);
   if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
@@ -346,7 +345,7 @@
   while (text->len + 1 < length)
     g_string_append_c (text, 'x');
   g_string_append_c (text, '\n');
-  result = send_answer (work, MHD_HTTP_OK, text->str, 0);
+  result = send_answer (work, MHD_HTTP_OK, text->str);
   g_string_free (text, TRUE);
   return result;
 }
@@ -360,7 +359,7 @@
     return MHD_NO;
   g_snprintf (text, sizeof text, "{\"load\":%d,\"leaving\":%s}\n",
               server->lying ? 0 : server->running, server->leaving ? "true" : "false");
-  return send_answer (work, MHD_HTTP_OK, text, 0);
+  return send_answer (work, MHD_HTTP_OK, text);
 }
 
 /* Takes the work in: runs it, queues it, or sheds it. */
@@ -380,7 +379,7 @@
       || server->running + (int) server->queued.length >= server->slots * QUEUE_FACTOR)
     {
       work->state = WORK_SHED;
-      return send_answer (work, MHD_HTTP_SERVICE_UNAVAILABLE, "shed\n", 0);
+      return send_answer (work, MHD_HTTP_SERVICE_UNAVAILABLE, "shed\n");
     }
   work->suspended = true;
   MHD_suspend_connection (work->connection);
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -657,8 +657,7 @@
       return;
     }
   if (call->is_crasher)
-    trace (fleet, "the killing request goes to server %d from process %d, suspect or not", at,
-           process);
+    trace (fleet, "the killing request goes to server %d from process %d", at, process);
   if (!fleet->is_quiet && draw (fleet) < 0.01)
     {
       post_outcome (fleet, 2 * MS, process, effect->request, effect->attempt, PL_OUTCOME_SHED);
@@ -1368,6 +1367,12 @@
 
   if (item->type == ITEM_EVENT && item->event.type == PL_EVENT_MESSAGE)
     pl_message_clear (&item->event.u.message);
+  if (item->type == ITEM_EVENT && item->event.type == PL_EVENT_STORE)
+    {
+      json_decref (item->event.u.store.releases);
+      json_decref (item->event.u.store.snapshot);
+      g_free (item->event.u.store.claims);
+    }
   g_free (item);
 }
 
