--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -80,7 +80,7 @@
   void *data;
 };
 
-/* Nothing that FETCH points to but its data need outlive the call. */
-void pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *fetch);
+/* Nothing that WANTED points to but its data need outlive the call. */
+void pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *wanted);
 
 #endif
--- a/tests/fleet.c
+++ b/tests/fleet.c
@@ -888,7 +888,7 @@
   int at = draw_int (fleet, account_rates[0] + account_rates[1] + account_rates[2]);
   double *tokens;
 
-  while (at >= account_rates[call.account])
+  while (call.account < ACCOUNTS - 1 && at >= account_rates[call.account])
     at -= account_rates[call.account++];
   tokens = &fleet->steady_tokens[call.account];
   *tokens += (double) account_rates[call.account]
--- a/tests/fuzz_parsers.c
+++ b/tests/fuzz_parsers.c
@@ -7,6 +7,8 @@
 
 #include <string.h>
 
+/* The name is libFuzzer's. */
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
 
 static void
@@ -54,6 +56,7 @@
 }
 
 int
+/* NOLINTNEXTLINE(readability-identifier-naming) */
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   char *text;
