A caller that goes away ends its attempt

Cause: when a waiting caller closed, the exchange left the table before the reducer's cancellation came, which then found nothing to cancel; the backend server worked on. Found by a new end-to-end check.

Change: an exchange stays in the table while an attempt is under way.

Seen: test_end_to_end.sh fails without the change and passes with it.

--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -214,6 +214,7 @@
   struct attempt *attempt = data;
   struct pl_exchange *exchange = attempt->exchange;
   struct pl_outcome_event event = {.request = exchange->id, .attempt = attempt->number};
+  bool caller_done;
 
   g_mutex_lock (&exchange->lock);
   event.outcome = outcome_of (attempt, end);
@@ -241,8 +242,11 @@
   g_clear_pointer (&exchange->call, pl_http_call_unref);
   if (exchange->answer_open)
     pl_exchange_resume (exchange);
+  caller_done = exchange->caller_done;
   g_mutex_unlock (&exchange->lock);
   post_outcome (attempt->entry, &event);
+  if (caller_done)
+    pl_entry_remove (attempt->entry, exchange->id);
   pl_exchange_unref (exchange);
   g_free (attempt);
 }
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -464,7 +464,9 @@
   g_mutex_unlock (&exchange->lock);
   if (open)
     tell_caller_gone (port->entry, exchange->id);
-  pl_entry_remove (port->entry, exchange->id);
+  /* While an attempt is under way the reducer must find the exchange to cancel it. */
+  if (call == NULL)
+    pl_entry_remove (port->entry, exchange->id);
   pl_exchange_unref (exchange);
   *context = NULL;
 }
--- a/programs/standin/servers.c
+++ b/programs/standin/servers.c
@@ -2,7 +2,7 @@
  *
  * What a request's target says: bytes=N sets the length of the answer,
  * think_ms=N the time, tag=T is echoed, fault=crash kills the server and all it
- * runs, fault=cut ends the answer in its middle.
+ * runs, fault=cut and fault=cut-chunked end the answer in its middle.
  *
  * A crash closes the listening socket and every connection without an answer;
  * the server comes back two seconds later.
@@ -315,10 +315,10 @@
 }
 
 static enum MHD_Result
-send_cut_answer (struct work *work, size_t length)
+send_cut_answer (struct work *work, size_t length, bool chunked)
 {
   struct MHD_Response *response = MHD_create_response_from_callback (
-      length, 65536, read_cut_answer, GSIZE_TO_POINTER (length), NULL);
+      chunked ? MHD_SIZE_UNKNOWN : length, 65536, read_cut_answer, GSIZE_TO_POINTER (length), NULL);
   enum MHD_Result result = MHD_queue_response (work->connection, MHD_HTTP_OK, response);
 
   MHD_destroy_response (response);
@@ -335,10 +335,10 @@
   GString *text = g_string_new (NULL);
   enum MHD_Result result;
 
-  if (fault != NULL && strcmp (fault, "cut") == 0)
+  if (fault != NULL && g_str_has_prefix (fault, "cut"))
     {
       g_string_free (text, TRUE);
-      return send_cut_answer (work, length);
+      return send_cut_answer (work, length, strcmp (fault, "cut-chunked") == 0);
     }
   g_string_printf (text, "tag=%s received=%" G_GUINT64_FORMAT " server=%s\n",
                    tag != NULL ? tag : "", work->received, work->server->name);
--- a/tests/system/test_end_to_end.sh
+++ b/tests/system/test_end_to_end.sh
@@ -21,8 +21,9 @@
 expect "served" "$(status_of -H "X-Api-Key: $key" "http://$host/stock/1?tag=a1&bytes=500")" 200
 grep -q '^tag=a1 ' "$work/answer" || fail "not this request's answer"
 expect "length" "$(wc -c < "$work/answer")" 500
-status_of -H "Authorization: Bearer $key" -H "Cookie: k=$key" -H "User-Agent: $key" \
-  -H "X-Custom: $key" -H "Accept: $key" "http://$host/stock?api_key=$key&tag=a2&KEY=$key" > /dev/null
+expect "keys in odd places" "$(status_of -H "Authorization: Bearer $key" -H "Cookie: k=$key" \
+  -H "User-Agent: $key" -H "X-Custom: $key" -H "Accept: $key" \
+  "http://$host/stock?api_key=$key&tag=a2&KEY=$key")" 200
 expect "key in the target" "$(status_of -H "X-Api-Key: $key" "http://$host/stock/$key")" 400
 expect "encoded key in the target" \
   "$(status_of -H "X-Api-Key: $key" "http://$host/stock/plk%5Fmaumee_lakeshops")" 400
@@ -41,10 +42,18 @@
 # A cut answer is no success: long ones break the connection, short ones are refused.
 curl -s -o /dev/null -H "X-Api-Key: $key" "http://$host/stock?fault=cut&bytes=3000000"
 expect "curl's word for a partial file" $? 18
+curl -s -o /dev/null -H "X-Api-Key: $key" "http://$host/stock?fault=cut-chunked&bytes=3000000&n=2" \
+  && fail "a chunked answer that was cut looks whole"
 # Having broken at two servers it counts as a request that kills servers.
 expect "short cut answer" "$(status_of -H "X-Api-Key: $key" "http://$host/stock?fault=cut&bytes=2000")" 422
 grep -qi '^Pomelolatch-Outcome: unknown' "$work/head" || fail "a cut answer's outcome is unknown"
 
+# A caller that goes away is noticed, and the server is told by its connection's end.
+before=$(journal cancelled)
+curl -s -m 0.4 -o /dev/null -H "X-Api-Key: $key" "http://$host/stock?think_ms=1200&bytes=8000000"
+until_true 4 sh -c "[ \$(curl -s http://$platform/journal | grep -o '\"cancelled\":[0-9]*' | cut -d: -f2) -gt $before ]" \
+  || fail "a caller's going does not reach the server"
+
 # Large bodies stream both ways.
 head -c 3000000 /dev/zero > "$work/photo"
 expect "upload" "$(status_of -X PUT -H "X-Api-Key: $key" --data-binary @"$work/photo" \
