One way to make a store call; what is certain follows from what cost nothing

Cause: read once more: core_operations.c and core_control.c each built a store effect, and the outcome's two flags listed the same outcomes twice.

Change: core_add_store_effect() in core.c; claims now carry a ticket too, which nothing waits for. Behaviour is meant to stay as it is.

--- a/core/core.c
+++ b/core/core.c
@@ -37,6 +37,19 @@
   return effect;
 }
 
+struct pl_store_request *
+core_add_store_effect (struct pl_core *core, enum pl_store_call call)
+{
+  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_STORE);
+
+  effect->u.store = g_new0 (struct pl_store_request, 1);
+  effect->u.store->call = call;
+  effect->u.store->ticket = ++core->next_ticket;
+  effect->u.store->nonce = core->nonce;
+  effect->u.store->version = pl_core_version (core);
+  return effect->u.store;
+}
+
 void
 pl_message_clear (struct pl_message *message)
 {
--- a/core/core_attempts.c
+++ b/core/core_attempts.c
@@ -71,6 +71,7 @@
   fill_send (core, request, effect, member->id,
              PL_HOST (core->config, member->index)->forward_address);
 }
+
 /* Puts the request back to the front of its queue for another attempt. */
 static void
 retry (struct pl_core *core, struct request *request)
@@ -156,10 +157,9 @@
 attempts_on_outcome (struct pl_core *core, const struct pl_outcome_event *event)
 {
   struct request *request = g_hash_table_lookup (core->requests, &event->request);
-  bool certain = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED
-                 || event->outcome == PL_OUTCOME_SHED;
   bool costs_nothing
       = event->outcome == PL_OUTCOME_NOT_SENT || event->outcome == PL_OUTCOME_EXPIRED;
+  bool certain = costs_nothing || event->outcome == PL_OUTCOME_SHED;
   enum pl_refusal refusal;
 
   if (request == NULL || request->attempt != event->attempt
--- a/core/core_control.c
+++ b/core/core_control.c
@@ -22,30 +22,17 @@
 #define CONFIRM_POLL_US (100 * PL_US_PER_MS)
 #define LOG_KEPT 256 /* releases kept to bring peers up to date */
 
-static struct pl_store_request *
-add_store_effect (struct pl_core *core, enum pl_store_call call)
-{
-  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_STORE);
-
-  effect->u.store = g_new0 (struct pl_store_request, 1);
-  effect->u.store->call = call;
-  effect->u.store->ticket = ++core->next_ticket;
-  effect->u.store->nonce = core->nonce;
-  effect->u.store->version = pl_core_version (core);
-  return effect->u.store;
-}
-
 static void
 ask_slot (struct pl_core *core)
 {
   core->slot_asked = true;
-  g_strlcpy (add_store_effect (core, PL_STORE_SLOT)->id, core->name, PL_ID_CHARS);
+  g_strlcpy (core_add_store_effect (core, PL_STORE_SLOT)->id, core->name, PL_ID_CHARS);
 }
 
 void
 control_release_slot (struct pl_core *core)
 {
-  struct pl_store_request *store = add_store_effect (core, PL_STORE_SLOT);
+  struct pl_store_request *store = core_add_store_effect (core, PL_STORE_SLOT);
 
   core->slot_released = true;
   core->slot_held = false;
@@ -281,7 +268,7 @@
 static void
 find_release (struct pl_core *core, struct pending_release *pending, enum release_phase phase)
 {
-  struct pl_store_request *store = add_store_effect (core, PL_STORE_FIND);
+  struct pl_store_request *store = core_add_store_effect (core, PL_STORE_FIND);
 
   pending->phase = phase;
   pending->store_ticket = store->ticket;
@@ -319,7 +306,7 @@
       return;
     }
   pl_findings_free (findings);
-  store = add_store_effect (core, PL_STORE_COMMIT);
+  store = core_add_store_effect (core, PL_STORE_COMMIT);
   json = pl_release_to_json (pending->release);
   store->version = version - 1;
   store->text = json_dumps (json, JSON_COMPACT);
@@ -516,7 +503,7 @@
 
   if (!core->head_open && core->now_us >= core->head_due_us)
     {
-      struct pl_store_request *store = add_store_effect (core, PL_STORE_HEAD);
+      struct pl_store_request *store = core_add_store_effect (core, PL_STORE_HEAD);
 
       g_strlcpy (store->id, core->name, sizeof store->id);
       core->head_open = true;
--- a/core/core_operations.c
+++ b/core/core_operations.c
@@ -28,17 +28,6 @@
   g_queue_push_tail (&core->claims, g_memdup2 (&request->event.request, sizeof (uint64_t)));
 }
 
-static struct pl_store_request *
-add_store_effect (struct pl_core *core, enum pl_store_call call)
-{
-  struct pl_effect *effect = core_add_effect (core, PL_EFFECT_STORE);
-
-  effect->u.store = g_new0 (struct pl_store_request, 1);
-  effect->u.store->call = call;
-  effect->u.store->nonce = core->nonce;
-  return effect->u.store;
-}
-
 void
 operations_flush (struct pl_core *core)
 {
@@ -46,7 +35,7 @@
 
   if (core->claim_open || core->claims.length == 0 || core->now_us < core->claim_retry_us)
     return;
-  store = add_store_effect (core, PL_STORE_CLAIM);
+  store = core_add_store_effect (core, PL_STORE_CLAIM);
   while (core->claims.length > 0 && store->claim_count < PL_CLAIMS_MAX)
     {
       g_autofree uint64_t *id = g_queue_pop_head (&core->claims);
@@ -69,7 +58,7 @@
 operations_finish (struct pl_core *core, const struct request *request,
                    const struct pl_outcome_event *event)
 {
-  struct pl_store_request *store = add_store_effect (core, PL_STORE_FINISH);
+  struct pl_store_request *store = core_add_store_effect (core, PL_STORE_FINISH);
   json_t *row
       = json_pack ("{s:s,s:I,s:I,s:i,s:s%}", "state", "done", "nonce", (json_int_t) core->nonce,
                    "request", (json_int_t) request->event.request, "status", event->status,
@@ -90,7 +79,7 @@
 void
 operations_abandon_row (struct pl_core *core, uint64_t request, const char *row)
 {
-  struct pl_store_request *store = add_store_effect (core, PL_STORE_ABANDON);
+  struct pl_store_request *store = core_add_store_effect (core, PL_STORE_ABANDON);
 
   store->claim_count = 1;
   store->claims[0].request = request;
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -200,6 +200,8 @@
 
 /* core.c */
 struct pl_effect *core_add_effect (struct pl_core *core, enum pl_effect_type type);
+/* Returns the call's request, owned by the effect, with a ticket of its own. */
+struct pl_store_request *core_add_store_effect (struct pl_core *core, enum pl_store_call call);
 void core_publish_lookup (struct pl_core *core);
 bool core_is_fresh (const struct pl_core *core, const struct pl_route_config *route);
 
