--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 CHECK_LIBS := $(shell pkg-config --libs check)
 
 LIB_SOURCES := $(wildcard objects/*.c core/*.c)
-EDGE_SOURCES := $(wildcard modules/*.c)
+EDGE_SOURCES := $(wildcard modules/*.c platform/*.c)
 GENERATED := modules/peer_xdr.c
 PROGRAMS := $(patsubst programs/%.c,$(BUILD)/%,$(wildcard programs/*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
--- /dev/null
+++ b/core/placement.c
@@ -0,0 +1,488 @@
+/* The choice of a server.
+ *
+ * A server that handled an object lately does the same work in a third of the
+ * time, and one that did not misses the latency objective even when idle.  So the
+ * object decides: all entry hosts rank the servers for it by rendezvous hashing
+ * and arrive at the same few without talking.  A busy first choice is given up for
+ * the second only when waiting there costs more than the warm cache saves, and
+ * the overflow always goes to the same next one, which gets warm once.
+ *
+ * Nearness weighs in by the size of the request: a photograph costs more to carry
+ * to another domain than a cold server costs in time, a look-up costs next to
+ * nothing.
+ *
+ * Load is what this host has in flight plus what the server last said that others
+ * have, which fades since it gets stale.
+ */
+#include "internal/placement.h"
+#include "internal/membership.h"
+#include "internal/routing.h"
+
+#include <math.h>
+#include <string.h>
+
+#define REPORT_HALF_LIFE_US 250000.0
+#define LATENCY_SMOOTHING 0.1
+#define FAILURE_SMOOTHING 0.15
+/* A server that fails more than this is only used when there is no other. */
+#define FAILURE_LIMIT 0.35
+#define FAILING_RETRY_US INT64_C (1000000)
+/* Slower than its fellows by more than this counts as having fewer slots. */
+#define SLOW_FACTOR 2.5
+#define DOWN_FIRST_US INT64_C (500000)
+#define DOWN_LAST_US INT64_C (4000000)
+/* How much of a warm server's queue may be used before the next one is tried: in slots. */
+#define QUEUE_FIRST 1.0
+#define QUEUE_DEEP 2.2
+#define RANKED_MAX 4
+/* Of the rate that a cold server bears. */
+#define COLD_PART_USED 0.9
+#define GONE_KEPT_US INT64_C (5000000)
+/* Weights in the ranking: nearness pulls an object to this domain or region. */
+#define NEAR_WEIGHT_SMALL 1.0
+#define REGION_WEIGHT_LARGE 1e3
+#define DOMAIN_WEIGHT_LARGE 1e6
+
+struct ranked
+{
+  struct pl_backend *backend;
+  double cost; /* lower is better */
+};
+
+static void
+free_service (gpointer data)
+{
+  struct pl_placement_service *service = data;
+
+  g_ptr_array_free (service->backends, TRUE);
+  g_free (service);
+}
+
+void
+pl_placement_init (struct pl_placement *placement, const char *domain, int region)
+{
+  placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  placement->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  placement->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_strlcpy (placement->domain, domain, sizeof placement->domain);
+  placement->region = region;
+}
+
+void
+pl_placement_clear (struct pl_placement *placement)
+{
+  g_hash_table_destroy (placement->services);
+  g_hash_table_destroy (placement->backends);
+  g_hash_table_destroy (placement->evacuated);
+}
+
+static struct pl_placement_service *
+take_service (struct pl_placement *placement, const char *name)
+{
+  struct pl_placement_service *service = g_hash_table_lookup (placement->services, name);
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (struct pl_placement_service, 1);
+  g_strlcpy (service->name, name, sizeof service->name);
+  service->backends = g_ptr_array_new ();
+  g_hash_table_insert (placement->services, service->name, service);
+  return service;
+}
+
+void
+pl_placement_set_service (struct pl_placement *placement, const char *name, int64_t cold_time_us,
+                          double cold_per_second)
+{
+  struct pl_placement_service *service = take_service (placement, name);
+
+  service->cold_time_us = cold_time_us;
+  service->cold_per_second = cold_per_second;
+}
+
+struct pl_backend *
+pl_placement_find (struct pl_placement *placement, const char *id)
+{
+  return g_hash_table_lookup (placement->backends, id);
+}
+
+/* A server that starts again under its old name has lost all that was known of it. */
+static void
+restart (struct pl_backend *backend, int64_t now_us)
+{
+  backend->reported = 0;
+  backend->own_at_report = 0;
+  backend->failures = 0;
+  backend->down_until_us = 0;
+  backend->on_trial = false;
+  backend->failure_part = 0;
+  backend->latency_us = 0;
+  backend->cold_tokens = 0;
+  backend->cold_refilled_us = now_us;
+  backend->listed_us = now_us;
+}
+
+struct pl_backend *
+pl_placement_put (struct pl_placement *placement, const struct pl_server_entry *entry, int region,
+                  bool at_start, int64_t now_us)
+{
+  struct pl_backend *backend = pl_placement_find (placement, entry->id);
+  struct pl_placement_service *service = take_service (placement, entry->service);
+  bool is_new = backend == NULL || backend->entry.born != entry->born
+                || strcmp (backend->entry.address, entry->address) != 0;
+  int64_t cold_us = entry->cold_us;
+
+  if (backend != NULL && strcmp (backend->entry.service, entry->service) != 0)
+    {
+      g_ptr_array_remove (take_service (placement, backend->entry.service)->backends, backend);
+      g_ptr_array_add (service->backends, backend);
+    }
+  if (backend == NULL)
+    {
+      backend = g_new0 (struct pl_backend, 1);
+      backend->entry = *entry;
+      backend->hash = pl_id_of ("servers", entry->id);
+      g_hash_table_insert (placement->backends, backend->entry.id, backend);
+      g_ptr_array_add (service->backends, backend);
+    }
+  backend->entry = *entry;
+  backend->region = region;
+  backend->gone_us = INT64_MAX;
+  if (is_new)
+    restart (backend, now_us);
+  if (is_new && !at_start)
+    cold_us = MAX (cold_us, service->cold_time_us);
+  if (cold_us > 0)
+    backend->cold_until_us = MAX (backend->cold_until_us, now_us + cold_us);
+  return backend;
+}
+
+void
+pl_placement_drop (struct pl_placement *placement, const char *id, int64_t use_until_us)
+{
+  struct pl_backend *backend = pl_placement_find (placement, id);
+
+  if (backend != NULL)
+    backend->gone_us = MIN (backend->gone_us, use_until_us);
+}
+
+void
+pl_placement_evacuate (struct pl_placement *placement, const char *domain, bool on)
+{
+  if (on)
+    g_hash_table_add (placement->evacuated, g_strdup (domain));
+  else
+    g_hash_table_remove (placement->evacuated, domain);
+}
+
+bool
+pl_placement_is_listed (const struct pl_placement *placement, const struct pl_backend *backend,
+                        int64_t now_us)
+{
+  return !backend->entry.draining && now_us < backend->gone_us
+         && (g_hash_table_size (placement->evacuated) == 0
+             || !g_hash_table_contains (placement->evacuated, backend->entry.domain));
+}
+
+static bool
+was_tried (const struct pl_placement_wish *wish, const struct pl_backend *backend)
+{
+  for (int i = 0; i < wish->tried_count; i++)
+    if (wish->tried[i] == backend->hash)
+      return true;
+  return false;
+}
+
+static bool
+is_eligible (const struct pl_placement *placement, const struct pl_placement_wish *wish,
+             const struct pl_backend *backend, int64_t now_us)
+{
+  if (!pl_placement_is_listed (placement, backend, now_us) || was_tried (wish, backend))
+    return false;
+  return !wish->has_homes
+         || (backend->region != PL_NONE && (wish->homes >> backend->region & 1) != 0);
+}
+
+static bool
+is_sound (const struct pl_placement_wish *wish, const struct pl_backend *backend, int64_t now_us)
+{
+  if (now_us < backend->down_until_us)
+    return false;
+  if (backend->on_trial && (wish->only_tried_and_sound || backend->in_flight > 0))
+    return false;
+  return backend->failure_part < FAILURE_LIMIT
+         || now_us - backend->picked_us > FAILING_RETRY_US;
+}
+
+static double
+load_of (const struct pl_backend *backend, int64_t now_us)
+{
+  double others = MAX (backend->reported - backend->own_at_report, 0);
+  double age = (double) (now_us - backend->reported_us) / REPORT_HALF_LIFE_US;
+
+  return backend->in_flight + (others > 0 ? others * exp2 (-age) : 0);
+}
+
+static double
+slots_of (const struct pl_placement_service *service, const struct pl_backend *backend)
+{
+  double slots = backend->slots_reported > 0 ? backend->slots_reported : backend->entry.slots;
+
+  if (service->latency_us > 0 && backend->latency_us > service->latency_us * SLOW_FACTOR)
+    slots *= service->latency_us / backend->latency_us;
+  return fmax (slots, 0.5);
+}
+
+static double
+weight_of (const struct pl_placement *placement, const struct pl_placement_wish *wish,
+           const struct pl_backend *backend)
+{
+  double weight = fmax (backend->entry.slots, 1);
+
+  if (wish->is_large && strcmp (backend->entry.domain, placement->domain) == 0)
+    return weight * DOMAIN_WEIGHT_LARGE;
+  if (wish->is_large && backend->region == placement->region)
+    return weight * REGION_WEIGHT_LARGE;
+  return weight * NEAR_WEIGHT_SMALL;
+}
+
+/* Weighted rendezvous hashing: the lowest cost wins, each server in proportion to its weight. */
+static double
+cost_of (const struct pl_placement *placement, const struct pl_placement_wish *wish,
+         const struct pl_backend *backend)
+{
+  double unit = ((double) (pl_hash_pair (wish->object, backend->hash) >> 11) + 1) / 0x1p53;
+
+  return -log (unit) / weight_of (placement, wish, backend);
+}
+
+/* Keeps the RANKED_MAX cheapest in rising order.  Returns the new count. */
+static int
+insert_ranked (struct ranked *ranked, int count, struct pl_backend *backend, double cost)
+{
+  int at = count;
+
+  while (at > 0 && ranked[at - 1].cost > cost)
+    at--;
+  if (at == RANKED_MAX)
+    return count;
+  count = MIN (count + 1, RANKED_MAX);
+  memmove (&ranked[at + 1], &ranked[at], sizeof *ranked * (size_t) (count - 1 - at));
+  ranked[at] = (struct ranked){backend, cost};
+  return count;
+}
+
+/* Takes a token of a cold server; all hosts together stay below what it bears. */
+static bool
+take_cold_token (const struct pl_placement_service *service, struct pl_backend *backend,
+                 double share, int64_t now_us)
+{
+  double rate = service->cold_per_second * COLD_PART_USED * share;
+  double seconds = (double) (now_us - backend->cold_refilled_us) / 1e6;
+
+  if (now_us >= backend->cold_until_us)
+    return true;
+  backend->cold_tokens = fmin (backend->cold_tokens + seconds * rate, 1.0);
+  backend->cold_refilled_us = now_us;
+  if (backend->cold_tokens < 1)
+    return false;
+  backend->cold_tokens -= 1;
+  return true;
+}
+
+/* Returns the ranked server with room for QUEUE more than its slots, among the first TOP. */
+static struct pl_backend *
+first_with_room (const struct pl_placement_service *service, const struct ranked *ranked, int top,
+                 double queue, int64_t now_us)
+{
+  for (int i = 0; i < top; i++)
+    {
+      const struct pl_backend *backend = ranked[i].backend;
+
+      if (load_of (backend, now_us) + 1 <= slots_of (service, backend) * queue)
+        return ranked[i].backend;
+    }
+  return NULL;
+}
+
+struct scan
+{
+  struct ranked ranked[RANKED_MAX];
+  int ranked_count;
+  struct pl_backend *idlest;
+  double idlest_load; /* in slots */
+  int listed;
+};
+
+static void
+scan_servers (struct pl_placement *placement, struct pl_placement_service *service,
+              const struct pl_placement_wish *wish, struct scan *scan,
+              pl_cold_share cold_share, void *data, int64_t now_us)
+{
+  for (guint i = 0; i < service->backends->len; i++)
+    {
+      struct pl_backend *backend = g_ptr_array_index (service->backends, i);
+      double load;
+
+      if (!is_eligible (placement, wish, backend, now_us))
+        continue;
+      scan->listed++;
+      if (!is_sound (wish, backend, now_us))
+        continue;
+      if (now_us < backend->cold_until_us
+          && (cold_share (data, backend->hash, service->cold_per_second) <= 0 || backend->in_flight > 0))
+        continue;
+      if (wish->object != 0)
+        scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
+                                            cost_of (placement, wish, backend));
+      load = (load_of (backend, now_us) + 1) / slots_of (service, backend);
+      if (backend->region != placement->region)
+        load += 0.25;
+      if (scan->idlest == NULL || load < scan->idlest_load)
+        {
+          scan->idlest = backend;
+          scan->idlest_load = load;
+        }
+    }
+}
+
+enum pl_placement_verdict
+pl_placement_choose (struct pl_placement *placement, const struct pl_placement_wish *wish,
+                     pl_cold_share cold_share, void *data,
+                     struct pl_backend **chosen, int64_t now_us)
+{
+  struct pl_placement_service *service = g_hash_table_lookup (placement->services, wish->service);
+  struct scan scan = {.idlest = NULL};
+  struct pl_backend *best;
+
+  if (service == NULL)
+    return PL_PLACE_NONE;
+  scan_servers (placement, service, wish, &scan, cold_share, data, now_us);
+  if (scan.listed == 0)
+    return PL_PLACE_NONE;
+  best = first_with_room (service, scan.ranked, MIN (scan.ranked_count, 2), QUEUE_FIRST, now_us);
+  if (best == NULL)
+    best = first_with_room (service, scan.ranked, MIN (scan.ranked_count, 2), QUEUE_DEEP, now_us);
+  if (best == NULL && scan.idlest != NULL && scan.idlest_load <= QUEUE_FIRST + 0.25)
+    best = scan.idlest;
+  if (best == NULL)
+    best = first_with_room (service, scan.ranked, scan.ranked_count, QUEUE_DEEP, now_us);
+  if (best == NULL
+      || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second), now_us))
+    return PL_PLACE_FULL;
+  best->in_flight++;
+  best->picked_us = now_us;
+  *chosen = best;
+  return PL_PLACED;
+}
+
+void
+pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend, bool failed,
+                          int64_t latency_us, int64_t now_us)
+{
+  struct pl_placement_service *service = take_service (placement, backend->entry.service);
+
+  (void) now_us;
+  backend->failures = 0;
+  backend->on_trial = false;
+  backend->failure_part += FAILURE_SMOOTHING * ((failed ? 1.0 : 0.0) - backend->failure_part);
+  if (failed || latency_us <= 0)
+    return;
+  backend->served++;
+  backend->latency_us += backend->latency_us == 0
+                             ? (double) latency_us
+                             : LATENCY_SMOOTHING * ((double) latency_us - backend->latency_us);
+  service->latency_us += service->latency_us == 0
+                             ? (double) latency_us
+                             : LATENCY_SMOOTHING / 4 * ((double) latency_us - service->latency_us);
+}
+
+/* It said so itself, whatever was known of its load. */
+void
+pl_placement_note_full (struct pl_backend *backend, int64_t now_us)
+{
+  int slots = MAX (backend->entry.slots, 1);
+
+  backend->reported = MAX (backend->reported, slots * 3);
+  backend->own_at_report = backend->in_flight;
+  backend->reported_us = now_us;
+  backend->failure_part += FAILURE_SMOOTHING / 2 * (1.0 - backend->failure_part);
+}
+
+void
+pl_placement_note_broken (struct pl_backend *backend, bool not_reached, int64_t now_us)
+{
+  int64_t pause_us = DOWN_FIRST_US << MIN (backend->failures, 3);
+
+  backend->failures++;
+  backend->failure_part += FAILURE_SMOOTHING * (1.0 - backend->failure_part);
+  /* One lost connection tells little; two in a row, or a server that can not be reached, do. */
+  if (!not_reached && backend->failures < 2)
+    return;
+  backend->down_until_us = now_us + MIN (pause_us, DOWN_LAST_US);
+  backend->on_trial = true;
+}
+
+void
+pl_placement_note_load (struct pl_backend *backend, int running, int waiting, int slots,
+                        int64_t now_us)
+{
+  backend->reported = running + waiting;
+  backend->own_at_report = backend->in_flight;
+  backend->reported_us = now_us;
+  backend->slots_reported = slots;
+}
+
+void
+pl_placement_note_probe (struct pl_backend *backend, bool well, int64_t cold_us, int64_t now_us)
+{
+  backend->probe_open = false;
+  if (!well)
+    {
+      pl_placement_note_broken (backend, true, now_us);
+      return;
+    }
+  backend->on_trial = false;
+  backend->failures = 0;
+  backend->down_until_us = 0;
+  if (cold_us > 0)
+    backend->cold_until_us = MAX (backend->cold_until_us, now_us + cold_us);
+}
+
+struct pl_backend *
+pl_placement_to_probe (struct pl_placement *placement, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placement->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct pl_backend *backend = value;
+
+      if (backend->on_trial && !backend->probe_open && backend->in_flight == 0
+          && now_us >= backend->down_until_us
+          && pl_placement_is_listed (placement, backend, now_us))
+        return backend;
+    }
+  return NULL;
+}
+
+void
+pl_placement_expire (struct pl_placement *placement, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, placement->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct pl_backend *backend = value;
+
+      if (backend->gone_us > now_us - GONE_KEPT_US || backend->in_flight > 0
+          || backend->probe_open)
+        continue;
+      g_ptr_array_remove (take_service (placement, backend->entry.service)->backends, backend);
+      g_hash_table_iter_remove (&iter);
+    }
+}
--- /dev/null
+++ b/core/router.c
@@ -0,0 +1,425 @@
+/* The router's entry: one event in, effects out.
+ *
+ * The parts keep their state in struct pl_router.  A step notes the time, applies
+ * the event, runs what is due, and ends by placing what waits, since any event may
+ * have made room.  due_us is lowered by whoever needs to be called at a time, and
+ * set anew by the timers of each step.
+ */
+#include "internal/router_state.h"
+
+#include <string.h>
+
+#define SLOW_PERIOD_US (250 * MS_US)
+
+struct pl_router_effect *
+router_add_effect (struct pl_router *router, enum pl_router_effect_type type)
+{
+  struct pl_router_effects *effects = router->effects;
+  struct pl_router_effect *effect;
+
+  if (effects->count == effects->room)
+    {
+      effects->room = effects->room == 0 ? 32 : effects->room * 2;
+      effects->items = g_renew (struct pl_router_effect, effects->items, effects->room);
+    }
+  effect = &effects->items[effects->count++];
+  memset (effect, 0, sizeof *effect);
+  effect->type = type;
+  return effect;
+}
+
+void
+pl_router_effects_clear (struct pl_router_effects *effects)
+{
+  for (int i = 0; i < effects->count; i++)
+    {
+      struct pl_router_effect *effect = &effects->items[i];
+
+      if (effect->type == PL_ROUTER_TELL)
+        g_free (effect->u.tell.beacon);
+      if (effect->type == PL_ROUTER_NOTE)
+        json_decref (effect->u.note.fields);
+    }
+  effects->count = 0;
+}
+
+void
+pl_router_effects_free (struct pl_router_effects *effects)
+{
+  pl_router_effects_clear (effects);
+  g_clear_pointer (&effects->items, g_free);
+  effects->room = 0;
+}
+
+void
+router_note (struct pl_router *router, enum pl_note_level level, const char *event,
+             json_t *fields)
+{
+  struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_NOTE);
+
+  effect->u.note.level = level;
+  effect->u.note.event = event;
+  effect->u.note.fields = fields;
+}
+
+int
+pl_router_region (struct pl_router *router, const char *name)
+{
+  for (guint i = 0; i < router->region_names->len; i++)
+    if (strcmp (g_ptr_array_index (router->region_names, i), name) == 0)
+      return (int) i;
+  if (router->region_names->len == PL_ROUTING_REGIONS_MAX)
+    return PL_NONE;
+  g_ptr_array_add (router->region_names, g_strdup (name));
+  return (int) router->region_names->len - 1;
+}
+
+int
+router_region (const struct pl_router *router, const char *domain)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (router->domain_regions, domain)) - 1;
+}
+
+struct router_route *
+router_take_route (struct pl_router *router, const char *name)
+{
+  struct router_route *route = g_hash_table_lookup (router->routes, name);
+
+  if (route != NULL)
+    return route;
+  route = g_new0 (struct router_route, 1);
+  g_strlcpy (route->name, name, sizeof route->name);
+  g_hash_table_insert (router->routes, route->name, route);
+  return route;
+}
+
+static void
+free_account (gpointer data)
+{
+  struct router_account *account = data;
+
+  pl_quota_clear (&account->quota);
+  g_free (account);
+}
+
+struct router_account *
+router_take_account (struct pl_router *router, const struct pl_account_rule *rule)
+{
+  struct router_account *account = g_hash_table_lookup (router->accounts, &rule->id);
+
+  if (account != NULL)
+    return account;
+  account = g_new0 (struct router_account, 1);
+  account->id = rule->id;
+  g_strlcpy (account->name, rule->name, sizeof account->name);
+  pl_quota_init (&account->quota, router->now_us);
+  g_hash_table_insert (router->accounts, &account->id, account);
+  return account;
+}
+
+static void
+free_row (gpointer data)
+{
+  struct held_row *row = data;
+
+  g_free (row->key);
+  g_free (row->value);
+  g_free (row);
+}
+
+static void
+learn_domains (struct pl_router *router, const char *const *domains)
+{
+  for (; domains != NULL && *domains != NULL; domains++)
+    {
+      g_auto (GStrv) pair = g_strsplit (*domains, "=", 2);
+
+      if (pair[0] != NULL && pair[1] != NULL)
+        g_hash_table_insert (router->domain_regions, g_strdup (pair[0]),
+                             GINT_TO_POINTER (pl_router_region (router, pair[1]) + 1));
+    }
+}
+
+struct pl_router *
+pl_router_new (const struct pl_router_options *options)
+{
+  struct pl_router *router = g_new0 (struct pl_router, 1);
+  int region;
+
+  router->options = *options;
+  router->now_us = options->now_us;
+  router->store_trouble_us = -1;
+  router->region_names = g_ptr_array_new_with_free_func (g_free);
+  router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  router->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_account);
+  router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  router->retries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  router->waiting = g_ptr_array_new ();
+  for (int i = 0; i < PL_TABLES_MAX; i++)
+    router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
+  learn_domains (router, options->domains);
+  region = router_region (router, options->domain);
+  pl_placement_init (&router->placement, options->domain, region);
+  pl_membership_init (&router->membership, options->name, options->domain, region);
+  quarantine_init (&router->quarantine);
+  g_strlcpy (router->self.self.name, options->name, sizeof router->self.self.name);
+  g_strlcpy (router->self.self.peer_address, options->peer_address,
+             sizeof router->self.self.peer_address);
+  g_strlcpy (router->self.caller_address, options->caller_address,
+             sizeof router->self.caller_address);
+  g_strlcpy (router->self.relay_address, options->relay_address,
+             sizeof router->self.relay_address);
+  g_strlcpy (router->self.domain, options->domain, sizeof router->self.domain);
+  router->self.incarnation = options->incarnation;
+  router->due_us = options->now_us;
+  return router;
+}
+
+void
+pl_router_free (struct pl_router *router)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (router == NULL)
+    return;
+  g_hash_table_iter_init (&iter, router->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_free (value);
+  g_hash_table_destroy (router->calls);
+  g_ptr_array_free (router->waiting, TRUE);
+  for (int i = 0; i < PL_TABLES_MAX; i++)
+    g_hash_table_destroy (router->held[i].rows);
+  quarantine_free (&router->quarantine);
+  pl_membership_clear (&router->membership);
+  pl_placement_clear (&router->placement);
+  g_hash_table_destroy (router->retries);
+  g_hash_table_destroy (router->routes);
+  g_hash_table_destroy (router->accounts);
+  g_hash_table_destroy (router->domain_regions);
+  g_ptr_array_free (router->region_names, TRUE);
+  pl_routing_unref (router->routing);
+  g_free (router);
+}
+
+static void
+probe_servers (struct pl_router *router)
+{
+  struct pl_backend *backend;
+
+  while ((backend = pl_placement_to_probe (&router->placement, router->now_us)) != NULL)
+    {
+      struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_PROBE);
+      int service = router->routing != NULL
+                        ? pl_routing_find_service (router->routing, backend->entry.service)
+                        : PL_NONE;
+
+      backend->probe_open = true;
+      g_strlcpy (effect->u.probe.server, backend->entry.id, sizeof effect->u.probe.server);
+      g_strlcpy (effect->u.probe.address, backend->entry.address,
+                 sizeof effect->u.probe.address);
+      g_strlcpy (effect->u.probe.path,
+                 service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path
+                                    : "/",
+                 sizeof effect->u.probe.path);
+    }
+}
+
+static void
+run_slow_timer (struct pl_router *router)
+{
+  if (router->now_us < router->slow_due_us)
+    return;
+  router->slow_due_us = router->now_us + SLOW_PERIOD_US;
+  probe_servers (router);
+  pl_placement_expire (&router->placement, router->now_us);
+  pl_membership_expire (&router->membership, router->now_us);
+  quarantine_expire (&router->quarantine, router->now_us);
+}
+
+/* Callers hold on to addresses for a while, so a stopping host goes on taking requests, then only
+ * finishes what it has. */
+static void
+run_stop_timer (struct pl_router *router)
+{
+  int64_t stopped_for_us = router->now_us - router->stopping_us;
+  bool is_idle = g_hash_table_size (router->calls) == 0;
+
+  if (!router->stopping || router->stopped)
+    return;
+  if (!router->unlistened && stopped_for_us >= router->options.grace_us * 6 / 10)
+    {
+      router->unlistened = true;
+      router_add_effect (router, PL_ROUTER_UNLISTEN);
+    }
+  if (router->unlistened
+      && (is_idle || stopped_for_us >= router->options.grace_us * 95 / 100))
+    {
+      router->stopped = true;
+      router_add_effect (router, PL_ROUTER_STOPPED);
+    }
+  router->due_us = MIN (router->due_us, router->now_us + 50 * MS_US);
+}
+
+static void
+begin_stop (struct pl_router *router)
+{
+  if (router->stopping)
+    return;
+  router->stopping = true;
+  router->stopping_us = router->now_us;
+  router_add_effect (router, PL_ROUTER_CLOSING);
+  router->tell_soon = true;
+}
+
+static void
+on_probed (struct pl_router *router, const struct pl_router_event *event)
+{
+  struct pl_backend *backend = pl_placement_find (&router->placement, event->u.probed.server);
+
+  if (backend == NULL)
+    return;
+  pl_placement_note_probe (backend, event->u.probed.well, event->u.probed.cold_us,
+                           router->now_us);
+  router_note (router, PL_NOTE_BELIEF, "server-probed",
+               json_pack ("{s:s,s:b,s:I}", "server", backend->entry.id, "well",
+                          event->u.probed.well, "cold_us",
+                          (json_int_t) event->u.probed.cold_us));
+}
+
+static void
+apply (struct pl_router *router, const struct pl_router_event *event)
+{
+  switch (event->type)
+    {
+    case PL_ROUTER_TICK:
+      break;
+    case PL_ROUTER_CALL:
+      calls_on_arrival (router, &event->u.call);
+      break;
+    case PL_ROUTER_CALLER_GONE:
+      calls_on_caller_gone (router, event->u.request);
+      break;
+    case PL_ROUTER_ATTEMPT:
+      calls_on_attempt (router, &event->u.attempt);
+      break;
+    case PL_ROUTER_PROBED:
+      on_probed (router, event);
+      break;
+    case PL_ROUTER_BEACON:
+      fleet_on_beacon (router, event->u.beacon);
+      break;
+    case PL_ROUTER_ROWS:
+      news_on_rows (router, &event->u.rows);
+      break;
+    case PL_ROUTER_STORE_FAILED:
+    case PL_ROUTER_STORE_WELL:
+      news_on_store_state (router, event->type == PL_ROUTER_STORE_WELL);
+      break;
+    case PL_ROUTER_RELAY_DONE:
+      router->fetching = false;
+      break;
+    case PL_ROUTER_STOP:
+      begin_stop (router);
+      break;
+    }
+}
+
+void
+pl_router_step (struct pl_router *router, const struct pl_router_event *event,
+                struct pl_router_effects *effects)
+{
+  router->effects = effects;
+  router->now_us = MAX (router->now_us, event->now_us);
+  apply (router, event);
+  if (router->now_us >= router->due_us || router->tell_soon)
+    {
+      router->due_us = router->now_us + SLOW_PERIOD_US;
+      run_slow_timer (router);
+      news_run_timers (router);
+      fleet_run_timers (router);
+      calls_run_timers (router);
+      run_stop_timer (router);
+    }
+  calls_pump (router);
+  router->effects = NULL;
+}
+
+int64_t
+pl_router_due_us (const struct pl_router *router)
+{
+  return router->due_us;
+}
+
+bool
+pl_router_is_ready (const struct pl_router *router)
+{
+  return router->routing != NULL && !router->stopping;
+}
+
+int
+pl_router_name_hosts (const struct pl_router *router, const char *domain, const char *region,
+                      const char **addresses, int room, int64_t now_us)
+{
+  int region_index = router_region (router, domain);
+  const char *self = pl_router_is_ready (router) ? router->options.caller_address : NULL;
+
+  for (guint i = 0; region != NULL && region_index == PL_NONE && i < router->region_names->len;
+       i++)
+    if (strcmp (g_ptr_array_index (router->region_names, i), region) == 0)
+      region_index = (int) i;
+  return pl_membership_name_hosts (&router->membership, domain, region_index, self, addresses,
+                                   room, now_us);
+}
+
+static void
+put_counts (GString *text, const char *kind, const char *name, const struct router_counts *counts)
+{
+  static const double quantiles[] = {0.5, 0.9, 0.99};
+
+  g_string_append_printf (text, "pomelolatch_requests_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          kind, name, counts->asked);
+  g_string_append_printf (text, "pomelolatch_served_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                          kind, name, counts->served);
+  for (int i = 0; i < ROUTER_REFUSALS; i++)
+    if (counts->refused[i] > 0)
+      g_string_append_printf (
+          text, "pomelolatch_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
+          kind, name, router_refusal_names[i], counts->refused[i]);
+  for (size_t i = 0; counts->latency.count > 0 && i < G_N_ELEMENTS (quantiles); i++)
+    g_string_append_printf (text, "pomelolatch_latency_us{%s=\"%s\",quantile=\"%g\"} %" G_GINT64_FORMAT "\n",
+                            kind, name, quantiles[i],
+                            pl_histogram_quantile (&counts->latency, quantiles[i]));
+}
+
+void
+pl_router_metrics (const struct pl_router *router, GString *text)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_string_append_printf (text, "pomelolatch_configuration_version %" G_GINT64_FORMAT "\n",
+                          router->routing != NULL ? router->routing->version : 0);
+  g_string_append_printf (text, "pomelolatch_store_lost %d\n", router->store_lost);
+  g_string_append_printf (text, "pomelolatch_open_requests %u\n",
+                          g_hash_table_size (router->calls));
+  g_string_append_printf (text, "pomelolatch_waiting_requests %u\n", router->waiting->len);
+  g_string_append_printf (text, "pomelolatch_live_hosts %d\n",
+                          pl_membership_live_count (&router->membership, router->now_us));
+  g_hash_table_iter_init (&iter, router->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct router_account *account = value;
+
+      put_counts (text, "account", account->name, &account->counts);
+    }
+  g_hash_table_iter_init (&iter, router->routes);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct router_route *route = value;
+
+      if (route->counts.asked > 0)
+        put_counts (text, "route", route->name, &route->counts);
+    }
+}
--- /dev/null
+++ b/core/router_calls.c
@@ -0,0 +1,599 @@
+/* The life of a request: checked, placed or made to wait, repeated or refused.
+ *
+ * What is known to fail is refused at once, with the time after which coming back
+ * makes sense.  What has no place waits briefly: an eighth of its latency objective
+ * costs the caller nothing, while a longer wait that ends in a refusal costs it the
+ * time in which another try might have succeeded.
+ *
+ * The queue is ordered by priority; within one priority those that come back after
+ * a refusal go before the new, then the oldest.
+ *
+ * Invariants: a call is in the queue exactly while it is CALL_WAITING; a backend's
+ * in_flight counts the calls that are CALL_AT_SERVER there; each call is answered
+ * once, by delivery or refusal, and says "not run" only when it was sent nowhere or
+ * each server it was sent to said so.
+ */
+#include "internal/router_state.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define PATIENCE_DEFAULT_US (30 * S_US)
+/* Answers must reach the caller before it gives up. */
+#define ANSWER_MARGIN_US (15 * MS_US)
+/* Waiting up to this part of the objective is free for the caller. */
+#define WAIT_PART 8
+#define WAIT_MIN_US (10 * MS_US)
+/* A request with less left than this is not worth sending. */
+#define USEFUL_TIME_US (20 * MS_US)
+#define WAITING_MAX 512
+/* A caller whose patience is shorter than usual by this has spent some on an earlier try. */
+#define RETURNING_PART 0.97
+#define LARGE_BODY_BYTES 16384
+/* Of the fleet's budget for repeats; the rest covers what hosts can not see of each other. */
+#define RETRY_PART 0.7
+#define RETRY_AFTER_FULL_US (150 * MS_US)
+#define RETRY_AFTER_NO_SERVER_US (400 * MS_US)
+#define RETRY_AFTER_NO_ROUTING_US (300 * MS_US)
+#define RETRY_AFTER_MAX_US S_US
+/* Entry hosts that share a cold server's rate: each holds at most one token, so the number bounds
+ * what they can send at once. */
+#define COLD_OWNERS_PART 0.5
+
+const char *const router_refusal_names[ROUTER_REFUSALS] = {
+    [ROUTER_NO_ROUTING] = "no-configuration", [ROUTER_STALE] = "cut-off",
+    [ROUTER_NO_ROUTE] = "no-route",           [ROUTER_NO_KEY] = "no-key",
+    [ROUTER_QUARANTINED] = "quarantined",     [ROUTER_OVER_RATE] = "over-rate",
+    [ROUTER_NO_SERVER] = "no-server",         [ROUTER_FULL] = "servers-full",
+    [ROUTER_TRIED_ALL] = "servers-refused",   [ROUTER_LATE] = "no-answer-in-time",
+    [ROUTER_NO_TIME] = "no-time-left",        [ROUTER_LOST] = "answer-lost",
+    [ROUTER_MISLEADING] = "failed",
+};
+
+/* Status of a refusal that nothing has run for, and of one where it may have. */
+static const int refusal_status[ROUTER_REFUSALS][2] = {
+    [ROUTER_NO_ROUTING] = {503, 503},  [ROUTER_STALE] = {503, 503},
+    [ROUTER_NO_ROUTE] = {404, 404},    [ROUTER_NO_KEY] = {401, 401},
+    [ROUTER_QUARANTINED] = {503, 502}, [ROUTER_OVER_RATE] = {429, 502},
+    [ROUTER_NO_SERVER] = {503, 502},   [ROUTER_FULL] = {503, 502},
+    [ROUTER_TRIED_ALL] = {503, 502},   [ROUTER_LATE] = {504, 504},
+    [ROUTER_NO_TIME] = {503, 504},     [ROUTER_LOST] = {502, 502},
+    [ROUTER_MISLEADING] = {502, 502},
+};
+
+static void
+note_call (struct pl_router *router, const struct call *call, const char *event,
+           const char *outcome, int status)
+{
+  json_t *fields = json_pack (
+      "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I}", "request", call->label, "outcome", outcome, "route",
+      call->route != NULL ? call->route->name : "", "account",
+      call->account != NULL ? call->account->name : "", "status", status, "attempts",
+      call->attempts, "after_us", (json_int_t) (router->now_us - call->arrived_us), "version",
+      (json_int_t) (router->routing != NULL ? router->routing->version : 0));
+
+  if (call->backend != NULL)
+    json_object_set_new (fields, "server", json_string (call->backend->entry.id));
+  router_note (router, PL_NOTE_REQUEST, event, fields);
+}
+
+static void
+leave_queue (struct pl_router *router, struct call *call)
+{
+  if (call->state == CALL_WAITING)
+    g_ptr_array_remove (router->waiting, call);
+}
+
+static void
+forget (struct pl_router *router, struct call *call)
+{
+  g_hash_table_remove (router->calls, &call->id);
+  g_free (call);
+}
+
+static void
+count_refusal (const struct call *call, enum router_refusal refusal)
+{
+  if (call->account != NULL)
+    call->account->counts.refused[refusal]++;
+  if (call->route != NULL)
+    call->route->counts.refused[refusal]++;
+}
+
+/* Answers and forgets CALL, which must be in no queue and at no server. */
+static void
+refuse (struct pl_router *router, struct call *call, enum router_refusal refusal,
+        int64_t retry_after_us)
+{
+  struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_REFUSE);
+  int status = refusal_status[refusal][call->ran ? 1 : 0];
+
+  effect->request = call->id;
+  effect->u.refuse.status = status;
+  effect->u.refuse.reason = router_refusal_names[refusal];
+  effect->u.refuse.retry_after_us = MIN (retry_after_us, RETRY_AFTER_MAX_US);
+  count_refusal (call, refusal);
+  if (call->account != NULL && call->attempts == 0 && refusal != ROUTER_OVER_RATE)
+    pl_quota_give_back (&call->account->quota);
+  note_call (router, call, "refused", router_refusal_names[refusal], status);
+  forget (router, call);
+}
+
+static int
+waiting_order (const struct call *a, const struct call *b)
+{
+  if (a->priority != b->priority)
+    return a->priority < b->priority ? -1 : 1;
+  if (a->is_returning != b->is_returning)
+    return a->is_returning ? -1 : 1;
+  return a->arrived_us < b->arrived_us ? -1 : 1;
+}
+
+static void
+enqueue (struct pl_router *router, struct call *call)
+{
+  guint at = router->waiting->len;
+
+  while (at > 0 && waiting_order (call, g_ptr_array_index (router->waiting, at - 1)) < 0)
+    at--;
+  call->state = CALL_WAITING;
+  g_ptr_array_insert (router->waiting, (gint) at, call);
+  router->due_us = MIN (router->due_us, call->wait_until_us);
+}
+
+static struct router_retries *
+take_retries (struct pl_router *router, const char *service)
+{
+  struct router_retries *retries = g_hash_table_lookup (router->retries, service);
+
+  if (retries == NULL)
+    {
+      retries = g_new0 (struct router_retries, 1);
+      retries->tokens = 1;
+      g_hash_table_insert (router->retries, g_strdup (service), retries);
+    }
+  return retries;
+}
+
+/* A request for the service came: it earns the part of a repeat. */
+static void
+earn_retry (struct pl_router *router, const char *service)
+{
+  int hosts = pl_membership_live_count (&router->membership, router->now_us);
+  double most = MAX (router->options.retry_slack * RETRY_PART / hosts, 1.0);
+  struct router_retries *retries = take_retries (router, service);
+
+  retries->tokens
+      = MIN (retries->tokens + router->options.retry_ratio * RETRY_PART, most);
+}
+
+static bool
+take_retry (struct pl_router *router, const char *service)
+{
+  struct router_retries *retries = take_retries (router, service);
+
+  if (retries->tokens < 1)
+    return false;
+  retries->tokens -= 1;
+  return true;
+}
+
+/* Smooth weighted round robin: each part's share comes out exactly, evenly spread. */
+static const char *
+choose_part (struct router_route *state, const struct pl_route_rule *rule)
+{
+  double total = 0;
+  int best = 0;
+
+  if (rule->part_count == 1)
+    return rule->parts[0].service_name;
+  for (int i = 0; i < rule->part_count; i++)
+    {
+      state->credit[i] += rule->parts[i].weight;
+      total += rule->parts[i].weight;
+      if (state->credit[i] > state->credit[best])
+        best = i;
+    }
+  state->credit[best] -= total;
+  return rule->parts[best].service_name;
+}
+
+static double
+cold_share (void *data, uint64_t server, double cold_per_second)
+{
+  struct pl_router *router = data;
+  int owners = pl_membership_live_count (&router->membership, router->now_us);
+
+  owners = MAX (1, MIN (owners, (int) (cold_per_second * COLD_OWNERS_PART)));
+  if (!pl_membership_owns (&router->membership, server, PL_NONE, owners, router->now_us))
+    return 0;
+  return 1.0 / owners;
+}
+
+static void
+send_to (struct pl_router *router, struct call *call, struct pl_backend *backend)
+{
+  struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_SEND);
+
+  call->state = CALL_AT_SERVER;
+  call->backend = backend;
+  call->sent_us = router->now_us;
+  call->attempts++;
+  call->attempt++;
+  if (call->tried_count < PL_TRIED_MAX)
+    call->tried[call->tried_count++] = backend->hash;
+  effect->request = call->id;
+  effect->attempt = call->attempt;
+  g_strlcpy (effect->u.send.server, backend->entry.id, sizeof effect->u.send.server);
+  g_strlcpy (effect->u.send.address, backend->entry.address, sizeof effect->u.send.address);
+  if (call->account != NULL)
+    g_strlcpy (effect->u.send.account, call->account->name, sizeof effect->u.send.account);
+  effect->u.send.time_us = call->ends_us - router->now_us;
+  effect->u.send.once = !call->repeatable;
+  router->due_us = MIN (router->due_us, call->ends_us);
+  note_call (router, call, "sent", "placed", 0);
+}
+
+static enum pl_placement_verdict
+place (struct pl_router *router, struct call *call)
+{
+  struct pl_placement_wish wish = {
+      .service = call->service,
+      .object = call->sticky ? call->object : 0,
+      .is_large = call->body_bytes >= LARGE_BODY_BYTES,
+      .only_tried_and_sound = !call->repeatable,
+      .has_homes = call->has_homes,
+      .homes = call->homes,
+      .tried = call->tried,
+      .tried_count = call->tried_count,
+  };
+  struct pl_backend *backend = NULL;
+  enum pl_placement_verdict verdict = pl_placement_choose (
+      &router->placement, &wish, cold_share, router, &backend, router->now_us);
+
+  if (verdict == PL_PLACED)
+    send_to (router, call, backend);
+  return verdict;
+}
+
+/* Returns the refusal that CALL meets on arrival, or -1; sets what there is to know of it. */
+static int
+check (struct pl_router *router, struct call *call, const struct pl_call_event *event)
+{
+  int index;
+  const struct pl_route_rule *route;
+  const struct pl_account_rule *account = NULL;
+
+  if (router->routing == NULL)
+    return ROUTER_NO_ROUTING;
+  index = pl_routing_find_route (router->routing, event->host, event->path);
+  if (index == PL_NONE)
+    return news_is_stale (router) ? ROUTER_STALE : ROUTER_NO_ROUTE;
+  route = PL_RULE_ROUTE (router->routing, index);
+  call->route = router_take_route (router, route->name);
+  call->route->counts.asked++;
+  index = event->has_key ? pl_routing_find_account (router->routing, event->key_hash) : PL_NONE;
+  if (index != PL_NONE)
+    account = PL_RULE_ACCOUNT (router->routing, index);
+  if (account == NULL && !route->open)
+    return news_is_stale (router) ? ROUTER_STALE : ROUTER_NO_KEY;
+  call->repeatable = route->repeatable;
+  call->sticky = route->sticky;
+  call->has_homes = route->has_homes;
+  call->homes = route->has_homes ? route->homes : UINT32_MAX;
+  call->priority = route->priority;
+  call->attempts_max = MAX (route->attempts, 1);
+  call->objective_us = route->objective_us;
+  call->ends_us = MIN (call->ends_us, router->now_us + route->timeout_us);
+  if (account != NULL)
+    {
+      call->account = router_take_account (router, account);
+      call->account->counts.asked++;
+      call->has_homes = call->has_homes || account->has_homes;
+      call->homes &= account->has_homes ? account->homes : UINT32_MAX;
+      call->priority = account->priority != PL_NONE ? account->priority : call->priority;
+    }
+  if (quarantine_judge (&router->quarantine, call->fingerprint) == QUARANTINE_CONVICTED)
+    return ROUTER_QUARANTINED;
+  if (call->account != NULL
+      && !pl_quota_take (&call->account->quota,
+                         pl_membership_silent_part (&router->membership, router->now_us),
+                         router->now_us))
+    return ROUTER_OVER_RATE;
+  g_strlcpy (call->service, choose_part (call->route, route), sizeof call->service);
+  return -1;
+}
+
+static void
+judge_patience (struct call *call, int64_t patience_us)
+{
+  struct router_route *route = call->route;
+
+  if (route == NULL || patience_us <= 0)
+    return;
+  route->longest_patience_us = MAX (route->longest_patience_us, patience_us);
+  call->is_returning
+      = (double) patience_us < (double) route->longest_patience_us * RETURNING_PART;
+}
+
+static int64_t
+retry_after (const struct call *call, enum router_refusal refusal)
+{
+  switch (refusal)
+    {
+    case ROUTER_NO_ROUTING:
+    case ROUTER_STALE:
+      return RETRY_AFTER_NO_ROUTING_US;
+    case ROUTER_OVER_RATE:
+      return MAX (pl_quota_wait_us (&call->account->quota), 100 * MS_US);
+    case ROUTER_NO_SERVER:
+      return RETRY_AFTER_NO_SERVER_US;
+    case ROUTER_FULL:
+    case ROUTER_TRIED_ALL:
+      return RETRY_AFTER_FULL_US;
+    default:
+      return 0;
+    }
+}
+
+void
+calls_on_arrival (struct pl_router *router, const struct pl_call_event *event)
+{
+  struct call *call = g_new0 (struct call, 1);
+  int64_t patience_us = event->patience_us > 0 ? event->patience_us : PATIENCE_DEFAULT_US;
+  int refusal;
+
+  call->id = event->request;
+  g_strlcpy (call->label, event->label, sizeof call->label);
+  call->object = event->object;
+  call->fingerprint = event->fingerprint;
+  call->body_bytes = event->body_bytes;
+  call->arrived_us = router->now_us;
+  call->ends_us = router->now_us + MAX (patience_us - ANSWER_MARGIN_US, patience_us / 2);
+  g_hash_table_insert (router->calls, &call->id, call);
+  refusal = check (router, call, event);
+  judge_patience (call, event->patience_us);
+  if (refusal >= 0)
+    {
+      refuse (router, call, (enum router_refusal) refusal,
+              retry_after (call, (enum router_refusal) refusal));
+      return;
+    }
+  earn_retry (router, call->service);
+  call->wait_until_us
+      = MIN (router->now_us + MAX (call->objective_us / WAIT_PART, WAIT_MIN_US), call->ends_us);
+  enqueue (router, call);
+}
+
+/* Places what can be placed, in order.  A service without room is passed over for what stands
+ * behind in its queue. */
+void
+calls_pump (struct pl_router *router)
+{
+  const char *full[16];
+  int full_count = 0;
+  guint i = 0;
+
+  while (i < router->waiting->len)
+    {
+      struct call *call = g_ptr_array_index (router->waiting, i);
+      enum pl_placement_verdict verdict;
+      bool skip = false;
+
+      for (int f = 0; f < full_count; f++)
+        skip = skip || (strcmp (full[f], call->service) == 0 && !call->has_homes);
+      verdict = skip ? PL_PLACE_FULL : place (router, call);
+      if (verdict == PL_PLACED)
+        g_ptr_array_remove_index (router->waiting, i);
+      else if (verdict == PL_PLACE_NONE)
+        {
+          g_ptr_array_remove_index (router->waiting, i);
+          refuse (router, call, call->attempts > 0 ? ROUTER_TRIED_ALL : ROUTER_NO_SERVER,
+                  RETRY_AFTER_NO_SERVER_US);
+        }
+      else
+        {
+          if (!skip && full_count < (int) G_N_ELEMENTS (full))
+            full[full_count++] = call->service;
+          i++;
+        }
+    }
+}
+
+/* The backend is done with CALL, one way or another. */
+static void
+leave_backend (struct pl_router *router, struct call *call)
+{
+  assert (call->backend != NULL && call->backend->in_flight > 0);
+  (void) router;
+  call->backend->in_flight--;
+}
+
+/* Sends CALL to another server when it may run again and somebody may pay for it. */
+static bool
+try_again (struct pl_router *router, struct call *call)
+{
+  if ((call->ran && !call->repeatable) || call->attempts >= call->attempts_max
+      || call->ends_us - router->now_us < USEFUL_TIME_US
+      || quarantine_judge (&router->quarantine, call->fingerprint) == QUARANTINE_CONVICTED
+      || !take_retry (router, call->service))
+    return false;
+  call->backend = NULL;
+  call->wait_until_us
+      = MIN (router->now_us + MAX (call->objective_us / WAIT_PART, WAIT_MIN_US), call->ends_us);
+  enqueue (router, call);
+  return true;
+}
+
+static void
+deliver (struct pl_router *router, struct call *call, int status)
+{
+  int64_t latency_us = router->now_us - call->arrived_us;
+
+  router_add_effect (router, PL_ROUTER_DELIVER)->request = call->id;
+  if (call->account != NULL)
+    {
+      call->account->counts.served += status < 400;
+      pl_histogram_add (&call->account->counts.latency, latency_us);
+    }
+  call->route->counts.served += status < 400;
+  pl_histogram_add (&call->route->counts.latency, latency_us);
+  note_call (router, call, "answered", "delivered", status);
+  forget (router, call);
+}
+
+/* These statuses promise that the request did not run, which a server's answer without that word
+ * does not. */
+static bool
+status_promises (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static void
+on_answer (struct pl_router *router, struct call *call, int status)
+{
+  bool failed = status >= 500;
+
+  pl_placement_note_answer (&router->placement, call->backend, failed,
+                            router->now_us - call->sent_us, router->now_us);
+  call->ran = true;
+  if (status < 500)
+    quarantine_note_success (&router->quarantine, call->fingerprint);
+  if (failed && call->repeatable && try_again (router, call))
+    return;
+  if (status_promises (status))
+    refuse (router, call, ROUTER_MISLEADING, 0);
+  else
+    deliver (router, call, status);
+}
+
+static void
+on_broken (struct pl_router *router, struct call *call)
+{
+  struct pl_backend *backend = call->backend;
+
+  call->ran = true;
+  pl_placement_note_broken (backend, false, router->now_us);
+  fleet_note_suspect (router, call->fingerprint, backend->hash, backend->in_flight == 0);
+  if (!try_again (router, call))
+    refuse (router, call, ROUTER_LOST, 0);
+}
+
+static void
+note_load (struct pl_router *router, const struct call *call,
+           const struct pl_attempt_event *event)
+{
+  if (event->has_load)
+    pl_placement_note_load (call->backend, event->running, event->waiting, event->slots,
+                            router->now_us);
+}
+
+void
+calls_on_attempt (struct pl_router *router, const struct pl_attempt_event *event)
+{
+  struct call *call = g_hash_table_lookup (router->calls, &event->request);
+
+  if (call == NULL || call->state != CALL_AT_SERVER || call->attempt != event->attempt)
+    return;
+  leave_backend (router, call);
+  note_load (router, call, event);
+  if (event->end != PL_ATTEMPT_ANSWERED)
+    note_call (router, call, "attempt-failed",
+               event->end == PL_ATTEMPT_NOT_RUN     ? "not-run"
+               : event->end == PL_ATTEMPT_NOT_SENT  ? "not-sent"
+               : event->end == PL_ATTEMPT_MISPLACED ? "other-server"
+                                                    : "broken",
+               event->status);
+  switch (event->end)
+    {
+    case PL_ATTEMPT_ANSWERED:
+      on_answer (router, call, event->status);
+      return;
+    case PL_ATTEMPT_BROKEN:
+      on_broken (router, call);
+      return;
+    case PL_ATTEMPT_NOT_RUN:
+      pl_placement_note_full (call->backend, router->now_us);
+      break;
+    case PL_ATTEMPT_NOT_SENT:
+      pl_placement_note_broken (call->backend, true, router->now_us);
+      break;
+    case PL_ATTEMPT_MISPLACED:
+      pl_placement_drop (&router->placement, call->backend->entry.id, router->now_us);
+      break;
+    }
+  if (!try_again (router, call))
+    refuse (router, call, ROUTER_TRIED_ALL, RETRY_AFTER_FULL_US);
+}
+
+static void
+cancel (struct pl_router *router, struct call *call)
+{
+  struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_CANCEL);
+
+  effect->request = call->id;
+  effect->attempt = call->attempt;
+  leave_backend (router, call);
+}
+
+/* Work that may run again is broken off; what runs once and has been sent is left to run, since
+ * its caller will want to find it done. */
+void
+calls_on_caller_gone (struct pl_router *router, uint64_t id)
+{
+  struct call *call = g_hash_table_lookup (router->calls, &id);
+
+  if (call == NULL || (call->state == CALL_AT_SERVER && !call->repeatable))
+    return;
+  note_call (router, call, "caller-gone", "cancelled", 0);
+  if (call->state == CALL_AT_SERVER)
+    cancel (router, call);
+  leave_queue (router, call);
+  forget (router, call);
+}
+
+/* The server had the time that there was; it may be slow or silent. */
+static void
+end_late (struct pl_router *router, struct call *call)
+{
+  cancel (router, call);
+  call->ran = true;
+  pl_placement_note_answer (&router->placement, call->backend, true, 0, router->now_us);
+  refuse (router, call, ROUTER_LATE, 0);
+}
+
+void
+calls_run_timers (struct pl_router *router)
+{
+  g_autoptr (GPtrArray) ended = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct call *call = value;
+      int64_t due_us = call->state == CALL_WAITING ? call->wait_until_us : call->ends_us;
+
+      if (due_us <= router->now_us)
+        g_ptr_array_add (ended, call);
+      else
+        router->due_us = MIN (router->due_us, due_us);
+    }
+  for (guint i = 0; i < ended->len; i++)
+    {
+      struct call *call = g_ptr_array_index (ended, i);
+
+      if (call->state == CALL_AT_SERVER)
+        end_late (router, call);
+      else
+        {
+          bool out_of_time = call->ends_us <= router->now_us;
+
+          leave_queue (router, call);
+          refuse (router, call, out_of_time ? ROUTER_NO_TIME : ROUTER_FULL,
+                  out_of_time ? 0 : RETRY_AFTER_FULL_US);
+        }
+    }
+}
--- /dev/null
+++ b/core/router_news.c
@@ -0,0 +1,378 @@
+/* What the platform's store says, directly or through a peer.
+ *
+ * Rows are held as they came, with the version that the store gave each, so that a
+ * peer that can not reach the store gets them from here; a row is applied when its
+ * version is higher than the one held.  Configurations only rise.
+ *
+ * When the store was away, entries of servers may have lapsed though the servers
+ * live.  They come back with the servers' next report, so what is missing then is
+ * used for a little longer.
+ */
+#include "internal/router_state.h"
+
+#include <string.h>
+
+/* A server registers again within two seconds of the store's return. */
+#define LAPSE_GRACE_US (2500 * MS_US)
+/* Trouble of the store this long ago still explains missing entries. */
+#define LAPSE_LOOK_BACK_US (6 * S_US)
+/* A server that leaves goes on for two seconds; several entries that vanish at once may be a lapse
+ * nobody saw, which this much waiting tells apart. */
+#define MASS_GRACE_US (1200 * MS_US)
+#define MASS_COUNT 3
+#define FETCH_PAUSE_US (150 * MS_US)
+/* How long a host that reads the store itself waits for its own news before it asks a peer. */
+#define FETCH_PATIENCE_US (300 * MS_US)
+#define TOMBSTONES_MAX 2000
+
+int64_t
+pl_router_held (const struct pl_router *router, enum pl_table table)
+{
+  return router->held[table].version;
+}
+
+int64_t
+pl_router_rows_after (const struct pl_router *router, enum pl_table table, int64_t after,
+                      bool *is_whole, pl_row_visitor visit, void *data)
+{
+  const struct held_table *held = &router->held[table];
+  GHashTableIter iter;
+  gpointer value;
+
+  *is_whole = after < held->whole_from;
+  g_hash_table_iter_init (&iter, held->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct held_row *row = value;
+      struct pl_row shown = {row->key, row->value, row->length, row->version};
+
+      if (*is_whole ? row->value != NULL : row->version > after)
+        visit (data, table, &shown);
+    }
+  return held->version;
+}
+
+/* Nobody that is heard from has seen the store for a while, so routes and keys may be news that
+ * did not arrive. */
+bool
+news_is_stale (const struct pl_router *router)
+{
+  if (!router->store_lost)
+    return false;
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+
+      if (pl_member_is_live (member, router->now_us) && member->watching && !member->store_lost)
+        return false;
+    }
+  return true;
+}
+
+static void
+adopt_accounts (struct pl_router *router)
+{
+  const struct pl_routing *routing = router->routing;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct router_account *) value)->listed = false;
+  for (guint i = 0; i < routing->accounts->len; i++)
+    {
+      const struct pl_account_rule *rule = PL_RULE_ACCOUNT (routing, i);
+      struct router_account *account = router_take_account (router, rule);
+
+      account->listed = true;
+      pl_quota_limit (&account->quota, rule->rate, rule->burst, router->now_us);
+    }
+}
+
+static void
+adopt_routing (struct pl_router *router, struct pl_routing *routing)
+{
+  if (router->routing != NULL && routing->version <= router->routing->version)
+    return;
+  pl_routing_unref (router->routing);
+  router->routing = pl_routing_ref (routing);
+  adopt_accounts (router);
+  for (guint i = 0; i < routing->services->len; i++)
+    {
+      const struct pl_service_rule *rule = PL_RULE_SERVICE (routing, i);
+
+      pl_placement_set_service (&router->placement, rule->name, rule->cold_time_us,
+                                rule->cold_per_second);
+    }
+  router_add_effect (router, PL_ROUTER_LIMITS)->u.limits = routing->limits;
+  router->tell_soon = true;
+  router_note (router, PL_NOTE_BELIEF, "configuration-adopted",
+               json_pack ("{s:I,s:i,s:i,s:i}", "version", (json_int_t) routing->version, "routes",
+                          (int) routing->routes->len, "services", (int) routing->services->len,
+                          "accounts", (int) routing->accounts->len));
+}
+
+static bool
+store_was_away (const struct pl_router *router)
+{
+  return router->store_lost
+         || (router->store_trouble_us >= 0
+             && router->now_us - router->store_trouble_us < LAPSE_LOOK_BACK_US);
+}
+
+static int64_t
+use_until (const struct pl_router *router, int gone_count)
+{
+  if (store_was_away (router))
+    return router->now_us + LAPSE_GRACE_US;
+  if (gone_count >= MASS_COUNT)
+    return router->now_us + MASS_GRACE_US;
+  return router->now_us;
+}
+
+static void
+apply_server (struct pl_router *router, const struct pl_news *news, bool gone, bool at_start,
+              int gone_count)
+{
+  int64_t until_us = use_until (router, gone_count);
+  const struct pl_backend *before = pl_placement_find (&router->placement, news->server.id);
+  bool was_draining = before != NULL && before->entry.draining;
+
+  if (gone)
+    {
+      if (was_draining)
+        until_us = router->now_us;
+      pl_placement_drop (&router->placement, news->server.id, until_us);
+      router_note (router, PL_NOTE_BELIEF, "server-gone",
+                   json_pack ("{s:s,s:I}", "server", news->server.id, "used_for_us",
+                              (json_int_t) (until_us - router->now_us)));
+      return;
+    }
+  pl_placement_put (&router->placement, &news->server,
+                    router_region (router, news->server.domain), at_start, router->now_us);
+  router_note (router, PL_NOTE_BELIEF, "server-listed",
+               json_pack ("{s:s,s:s,s:s,s:b,s:I}", "server", news->server.id, "service",
+                          news->server.service, "domain", news->server.domain, "draining",
+                          news->server.draining, "cold_us", (json_int_t) news->server.cold_us));
+}
+
+static void
+log_findings (struct pl_router *router, const char *key, const struct pl_findings *findings)
+{
+  router_note (router, PL_NOTE_TROUBLE, "row-rejected",
+               json_pack ("{s:s,s:o}", "row", key, "findings", pl_findings_to_json (findings)));
+}
+
+static void
+apply_row (struct pl_router *router, enum pl_table table, const struct pl_row *row, bool at_start,
+           int gone_count)
+{
+  struct pl_findings *findings = pl_findings_new (row->key);
+  struct pl_news news = {.type = PL_NEWS_NONE};
+  int result = router->options.decode (router->options.decode_data, table, row->key, row->value,
+                                       row->length, &news, findings);
+
+  if (result < 0)
+    log_findings (router, row->key, findings);
+  pl_findings_free (findings);
+  switch (news.type)
+    {
+    case PL_NEWS_NONE:
+      break;
+    case PL_NEWS_ROUTING:
+      if (row->value != NULL)
+        adopt_routing (router, news.routing);
+      pl_routing_unref (news.routing);
+      break;
+    case PL_NEWS_EVACUATION:
+      pl_placement_evacuate (&router->placement, news.domain, row->value != NULL);
+      router_note (router, PL_NOTE_BELIEF, "evacuation",
+                   json_pack ("{s:s,s:b}", "domain", news.domain, "on", row->value != NULL));
+      break;
+    case PL_NEWS_SERVER:
+      apply_server (router, &news, row->value == NULL, at_start, gone_count);
+      break;
+    }
+}
+
+static bool
+hold_row (struct held_table *held, const struct pl_row *row)
+{
+  struct held_row *mine = g_hash_table_lookup (held->rows, row->key);
+
+  if (mine != NULL && mine->version >= row->version)
+    return false;
+  if (mine == NULL)
+    {
+      mine = g_new0 (struct held_row, 1);
+      mine->key = g_strdup (row->key);
+      g_hash_table_insert (held->rows, mine->key, mine);
+    }
+  g_free (mine->value);
+  mine->value = row->value != NULL ? g_memdup2 (row->value, row->length + 1) : NULL;
+  mine->length = row->length;
+  mine->version = row->version;
+  return true;
+}
+
+static int
+count_gone (const struct pl_rows_event *event)
+{
+  int gone = 0;
+
+  for (int i = 0; i < event->count; i++)
+    gone += event->rows[i].value == NULL;
+  return gone;
+}
+
+/* Returns the keys that are held here and missing from the whole table EVENT. */
+static GPtrArray *
+find_missing (const struct held_table *held, const struct pl_rows_event *event)
+{
+  GPtrArray *missing = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GHashTable) present = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTableIter iter;
+  gpointer value;
+
+  for (int i = 0; i < event->count; i++)
+    g_hash_table_add (present, (gpointer) event->rows[i].key);
+  g_hash_table_iter_init (&iter, held->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct held_row *row = value;
+
+      if (row->value != NULL && row->version <= event->version
+          && !g_hash_table_contains (present, row->key))
+        g_ptr_array_add (missing, g_strdup (row->key));
+    }
+  return missing;
+}
+
+static void
+drop_missing (struct pl_router *router, const struct pl_rows_event *event, bool at_start)
+{
+  struct held_table *held = &router->held[event->table];
+  g_autoptr (GPtrArray) missing = find_missing (held, event);
+
+  for (guint i = 0; i < missing->len; i++)
+    {
+      struct pl_row row = {.key = g_ptr_array_index (missing, i), .version = event->version};
+
+      if (hold_row (held, &row))
+        apply_row (router, event->table, &row, at_start, (int) missing->len);
+    }
+}
+
+static void
+forget_tombstones (struct held_table *held)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (g_hash_table_size (held->rows) < TOMBSTONES_MAX)
+    return;
+  g_hash_table_iter_init (&iter, held->rows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct held_row *) value)->value == NULL)
+      g_hash_table_iter_remove (&iter);
+  held->whole_from = held->version;
+}
+
+void
+news_on_rows (struct pl_router *router, const struct pl_rows_event *event)
+{
+  struct held_table *held = &router->held[event->table];
+  bool at_start = held->version == 0;
+  int gone_count = count_gone (event);
+
+  for (int i = 0; i < event->count; i++)
+    if (hold_row (held, &event->rows[i]))
+      apply_row (router, event->table, &event->rows[i], at_start, gone_count);
+  if (event->is_whole)
+    drop_missing (router, event, at_start);
+  if (at_start)
+    held->whole_from = event->version;
+  if (event->version > held->version)
+    {
+      held->version = event->version;
+      router->tell_soon = router->tell_soon || event->count > 0;
+    }
+  forget_tombstones (held);
+}
+
+void
+news_on_store_state (struct pl_router *router, bool well)
+{
+  if (router->store_lost || !well)
+    router->store_trouble_us = router->now_us;
+  if (router->store_lost == !well)
+    return;
+  router->store_lost = !well;
+  router->tell_soon = true;
+  router_note (router, PL_NOTE_TROUBLE, well ? "store-regained" : "store-lost",
+               json_pack ("{s:I,s:I}", "held_control",
+                          (json_int_t) router->held[PL_TABLE_CONTROL].version, "held_servers",
+                          (json_int_t) router->held[PL_TABLE_SERVERS].version));
+}
+
+/* Returns a live peer that holds more than this host, or NULL. */
+static const struct pl_member *
+find_better (const struct pl_router *router)
+{
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+
+      if (!pl_member_is_live (member, router->now_us) || member->relay_address[0] == '\0')
+        continue;
+      for (int t = 0; t < PL_TABLES_MAX; t++)
+        if (member->held[t] > router->held[t].version)
+          return member;
+    }
+  return NULL;
+}
+
+static void
+fetch_from_peer (struct pl_router *router)
+{
+  const struct pl_member *member = find_better (router);
+  struct pl_router_effect *effect;
+
+  if (member == NULL)
+    {
+      router->fetch_after_us = 0;
+      return;
+    }
+  if (router->fetch_after_us == 0)
+    router->fetch_after_us
+        = router->now_us + (router->watching && !router->store_lost ? FETCH_PATIENCE_US : 0);
+  if (router->fetching || router->now_us < router->fetch_after_us)
+    {
+      router->due_us = MIN (router->due_us, MAX (router->fetch_after_us, router->now_us + MS_US));
+      return;
+    }
+  router->fetching = true;
+  router->fetch_after_us = router->now_us + FETCH_PAUSE_US;
+  effect = router_add_effect (router, PL_ROUTER_FETCH);
+  g_strlcpy (effect->u.fetch.address, member->relay_address, sizeof effect->u.fetch.address);
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    effect->u.fetch.held[t] = router->held[t].version;
+}
+
+static void
+choose_watching (struct pl_router *router)
+{
+  bool wanted = !router->stopping;
+
+  if (wanted == router->watching)
+    return;
+  router->watching = wanted;
+  router_add_effect (router, PL_ROUTER_WATCH)->u.watch = wanted;
+}
+
+void
+news_run_timers (struct pl_router *router)
+{
+  choose_watching (router);
+  fetch_from_peer (router);
+}
--- /dev/null
+++ b/core/routing.c
@@ -0,0 +1,200 @@
+/* Look-up of a request's route and account.
+ *
+ * Routes are grouped by host name; within a host the longest prefix that begins
+ * the path wins, so the group is kept in falling order of prefix length and the
+ * first match is the answer.  Keys are kept as hashes only.
+ */
+#include "internal/routing.h"
+#include "internal/keys.h"
+#include "pomelolatch/error.h"
+
+#include <string.h>
+
+static guint
+hash_of_key (gconstpointer key)
+{
+  guint value;
+
+  memcpy (&value, key, sizeof value);
+  return value;
+}
+
+static gboolean
+keys_equal (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, PL_KEY_HASH_BYTES) == 0;
+}
+
+static void
+free_group (gpointer group)
+{
+  g_array_free (group, TRUE);
+}
+
+struct pl_routing *
+pl_routing_new (int64_t version)
+{
+  struct pl_routing *routing = g_new0 (struct pl_routing, 1);
+
+  routing->references = 1;
+  routing->version = version;
+  routing->texts = g_string_chunk_new (4096);
+  routing->routes = g_array_new (FALSE, FALSE, sizeof (struct pl_route_rule));
+  routing->services = g_array_new (FALSE, FALSE, sizeof (struct pl_service_rule));
+  routing->accounts = g_array_new (FALSE, FALSE, sizeof (struct pl_account_rule));
+  routing->keys = g_hash_table_new_full (hash_of_key, keys_equal, g_free, NULL);
+  routing->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_group);
+  return routing;
+}
+
+struct pl_routing *
+pl_routing_ref (struct pl_routing *routing)
+{
+  routing->references++;
+  return routing;
+}
+
+void
+pl_routing_unref (struct pl_routing *routing)
+{
+  if (routing == NULL || --routing->references > 0)
+    return;
+  g_hash_table_destroy (routing->hosts);
+  g_hash_table_destroy (routing->keys);
+  g_array_free (routing->accounts, TRUE);
+  g_array_free (routing->services, TRUE);
+  g_array_free (routing->routes, TRUE);
+  g_string_chunk_free (routing->texts);
+  g_free (routing);
+}
+
+static const char *
+keep (struct pl_routing *routing, const char *text)
+{
+  return g_string_chunk_insert_const (routing->texts, text != NULL ? text : "");
+}
+
+void
+pl_routing_add_route (struct pl_routing *routing, const struct pl_route_rule *route)
+{
+  struct pl_route_rule copy = *route;
+
+  copy.name = keep (routing, route->name);
+  copy.host = keep (routing, route->host);
+  copy.prefix = keep (routing, route->prefix);
+  for (int i = 0; i < copy.part_count; i++)
+    copy.parts[i].service_name = keep (routing, route->parts[i].service_name);
+  g_array_append_val (routing->routes, copy);
+}
+
+void
+pl_routing_add_service (struct pl_routing *routing, const struct pl_service_rule *service)
+{
+  struct pl_service_rule copy = *service;
+
+  copy.name = keep (routing, service->name);
+  copy.health_path = keep (routing, service->health_path);
+  g_array_append_val (routing->services, copy);
+}
+
+void
+pl_routing_add_account (struct pl_routing *routing, const struct pl_account_rule *account,
+                        const char *const *keys)
+{
+  struct pl_account_rule copy = *account;
+
+  copy.name = keep (routing, account->name);
+  copy.id = pl_id_of ("accounts", account->name);
+  g_array_append_val (routing->accounts, copy);
+  for (; keys != NULL && *keys != NULL; keys++)
+    {
+      uint8_t *hash = g_malloc (PL_KEY_HASH_BYTES);
+
+      pl_key_hash (*keys, strlen (*keys), hash);
+      g_hash_table_insert (routing->keys, hash, GINT_TO_POINTER ((int) routing->accounts->len));
+    }
+}
+
+static gint
+by_longest_prefix (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct pl_routing *routing = data;
+  size_t length_a = strlen (PL_RULE_ROUTE (routing, *(const int *) a)->prefix);
+  size_t length_b = strlen (PL_RULE_ROUTE (routing, *(const int *) b)->prefix);
+
+  return (length_a < length_b) - (length_a > length_b);
+}
+
+static void
+resolve_parts (struct pl_routing *routing, struct pl_route_rule *route,
+               struct pl_findings *findings)
+{
+  const struct pl_place whole = {0, 0};
+
+  for (int i = 0; i < route->part_count; i++)
+    {
+      route->parts[i].service = pl_routing_find_service (routing, route->parts[i].service_name);
+      if (route->parts[i].service == PL_NONE)
+        pl_findings_add (findings, whole, "route '%s': there is no service '%s'", route->name,
+                         route->parts[i].service_name);
+    }
+  if (route->part_count == 0)
+    pl_findings_add (findings, whole, "route '%s' names no service", route->name);
+}
+
+int
+pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings)
+{
+  guint before = pl_findings_count (findings);
+  GHashTableIter iter;
+  gpointer group;
+
+  for (guint i = 0; i < routing->routes->len; i++)
+    {
+      struct pl_route_rule *route = PL_RULE_ROUTE (routing, i);
+      int index = (int) i;
+
+      resolve_parts (routing, route, findings);
+      group = g_hash_table_lookup (routing->hosts, route->host);
+      if (group == NULL)
+        {
+          group = g_array_new (FALSE, FALSE, sizeof (int));
+          g_hash_table_insert (routing->hosts, (gpointer) route->host, group);
+        }
+      g_array_append_val ((GArray *) group, index);
+    }
+  g_hash_table_iter_init (&iter, routing->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &group))
+    g_array_sort_with_data (group, by_longest_prefix, routing);
+  return pl_findings_count (findings) == before ? PL_OK : PL_ERR_INVALID;
+}
+
+int
+pl_routing_find_route (const struct pl_routing *routing, const char *host, const char *path)
+{
+  const GArray *group = g_hash_table_lookup (routing->hosts, host);
+
+  for (guint i = 0; group != NULL && i < group->len; i++)
+    {
+      int index = g_array_index (group, int, i);
+
+      if (g_str_has_prefix (path, PL_RULE_ROUTE (routing, index)->prefix))
+        return index;
+    }
+  return PL_NONE;
+}
+
+int
+pl_routing_find_service (const struct pl_routing *routing, const char *name)
+{
+  for (guint i = 0; i < routing->services->len; i++)
+    if (strcmp (PL_RULE_SERVICE (routing, i)->name, name) == 0)
+      return (int) i;
+  return PL_NONE;
+}
+
+int
+pl_routing_find_account (const struct pl_routing *routing, const uint8_t *key_hash)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (routing->keys, key_hash)) - 1;
+}
--- /dev/null
+++ b/include/internal/beacon_socket.h
@@ -0,0 +1,35 @@
+/* beacon_socket.h - beacons as datagrams, in XDR.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_BEACON_SOCKET_H
+#define POMELOLATCH_BEACON_SOCKET_H
+
+#include "internal/membership.h"
+#include "internal/reactor.h"
+
+#include <stddef.h>
+
+#define PL_BEACON_BYTES_MAX 4096
+
+/* Returns the number of bytes written, or PL_ERR_FULL. */
+int pl_beacon_encode (const struct pl_beacon *beacon, char *bytes, size_t room);
+
+/* Returns 0 or PL_ERR_INVALID; BYTES may be anything. */
+int pl_beacon_decode (const char *bytes, size_t length, struct pl_beacon *beacon);
+
+struct pl_beacon_socket;
+struct pl_beacon_socket_options
+{
+  const char *address;
+  struct pl_reactor *reactor;
+  void (*on_beacon) (void *data, const struct pl_beacon *beacon);
+  void *data;
+};
+
+/* Returns a socket that lasts as long as the process, or NULL. */
+struct pl_beacon_socket *pl_beacon_socket_open (const struct pl_beacon_socket_options *options);
+void pl_beacon_socket_send (struct pl_beacon_socket *socket, const char *address,
+                            const struct pl_beacon *beacon);
+
+#endif
--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -1,4 +1,4 @@
-/* http_client.h - HTTP calls on one thread, streamed both ways.
+/* http_client.h - HTTP calls on one thread or on a reactor, streamed both ways.
  *
  * API tier: private.
  */
@@ -29,8 +29,9 @@
 /* All functions are called on the client's thread; any but done may be NULL. */
 struct pl_http_handler
 {
-  /* One header line of the answer, with its line end; status line included. */
-  void (*header) (void *data, const char *line, size_t length);
+  /* One header line of the answer, with its line end; status line included.  Returns false to
+   * break off: the connection is then not used again. */
+  bool (*header) (void *data, const char *line, size_t length);
   /* Bytes of the answer.  Returns LENGTH, PL_HTTP_PAUSE, or another number to break off. */
   size_t (*write) (void *data, const char *bytes, size_t length);
   /* Fills at most LENGTH bytes of the request body.  Returns their number, 0 at the end, or
@@ -47,7 +48,10 @@
   const char *const *headers; /* "Name: value", NULL-ended */
   int64_t body_length;        /* -1: chunked; 0: none */
   int64_t timeout_us;
-  bool fresh_connection; /* neither use nor keep a kept connection */
+  bool fresh_connection;      /* neither use nor keep a kept connection */
+  bool send_once;             /* never sent again by itself, also when a kept connection was dead */
+  int64_t connect_timeout_us; /* 0: the default */
+  int idle_limit_s;           /* a connection idle for longer is not used again; 0: the default */
   const struct pl_http_handler *handler;
   void *data;
 };
@@ -57,6 +61,11 @@
 struct pl_http_client *pl_http_client_new (const char *name);
 void pl_http_client_free (struct pl_http_client *client);
 
+/* Returns a client that runs on REACTOR, which must outlive it; its functions then belong to the
+ * reactor's thread. */
+struct pl_reactor;
+struct pl_http_client *pl_http_client_new_on (struct pl_reactor *reactor);
+
 /* Starts a call.  Returns a reference that the caller ends with pl_http_call_unref(). */
 struct pl_http_call *pl_http_client_start (struct pl_http_client *client,
                                            const struct pl_http_call_options *options);
--- /dev/null
+++ b/include/internal/membership.h
@@ -0,0 +1,130 @@
+/* membership.h - which entry hosts there are, and what each last said of itself.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_MEMBERSHIP_H
+#define POMELOLATCH_MEMBERSHIP_H
+
+#include "pomelolatch/event.h"
+
+#define PL_TABLES_MAX 2
+#define PL_BEACON_NAME_CHARS 64
+#define PL_BEACON_ACCOUNTS_MAX 96
+#define PL_BEACON_CONTACTS_MAX 6
+#define PL_BEACON_SUSPECTS_MAX 8
+
+/* Where a host is reached. */
+struct pl_contact
+{
+  char name[PL_BEACON_NAME_CHARS];
+  char peer_address[PL_ADDRESS_CHARS]; /* datagrams */
+};
+
+struct pl_beacon_account
+{
+  uint64_t account;
+  uint64_t admitted;
+};
+
+struct pl_beacon_suspect
+{
+  uint64_t fingerprint;
+  uint64_t server; /* whose end it was at; 0: an earlier suspicion is withdrawn */
+  bool convicted;
+};
+
+/* What entry hosts tell each other, in one datagram. */
+struct pl_beacon
+{
+  struct pl_contact self;
+  char caller_address[PL_ADDRESS_CHARS];
+  char relay_address[PL_ADDRESS_CHARS]; /* serves the rows that this host holds */
+  char domain[PL_BEACON_NAME_CHARS];
+  uint64_t incarnation; /* rises with each start of the process */
+  bool ready;           /* takes callers */
+  bool leaving;
+  bool watching;           /* reads the platform's store itself */
+  bool store_lost;         /* tries to, and fails */
+  int64_t store_trouble_us; /* how long ago the store last failed it; -1: never */
+  int64_t held[PL_TABLES_MAX]; /* version of each watched table */
+  int account_count;
+  struct pl_beacon_account accounts[PL_BEACON_ACCOUNTS_MAX];
+  int contact_count;
+  struct pl_contact contacts[PL_BEACON_CONTACTS_MAX];
+  int suspect_count;
+  struct pl_beacon_suspect suspects[PL_BEACON_SUSPECTS_MAX];
+};
+
+struct pl_member
+{
+  uint64_t id;
+  struct pl_contact contact;
+  char caller_address[PL_ADDRESS_CHARS];
+  char relay_address[PL_ADDRESS_CHARS];
+  char domain[PL_BEACON_NAME_CHARS];
+  int region;
+  uint64_t incarnation;
+  bool heard; /* a beacon came; else only its address is known */
+  bool ready;
+  bool leaving;
+  bool watching;
+  bool store_lost;
+  int64_t heard_us;
+  int64_t known_us; /* since when its address is known */
+  int64_t held[PL_TABLES_MAX];
+};
+
+struct pl_membership
+{
+  GHashTable *members; /* id -> struct pl_member */
+  GPtrArray *order;    /* the same, in the order in which they came */
+  uint64_t self;
+  char self_domain[PL_BEACON_NAME_CHARS];
+  int self_region;
+  guint contact_turn;
+};
+
+void pl_membership_init (struct pl_membership *membership, const char *self_name,
+                         const char *domain, int region);
+void pl_membership_clear (struct pl_membership *membership);
+
+/* Learns an address at second hand; says nothing of whether the host is up. */
+void pl_membership_add_contact (struct pl_membership *membership, const struct pl_contact *contact,
+                                int64_t now_us);
+
+/* Takes a beacon.  Returns the member, or NULL when it is from this host or from an earlier
+ * process of its host. */
+struct pl_member *pl_membership_on_beacon (struct pl_membership *membership,
+                                           const struct pl_beacon *beacon, int region,
+                                           int64_t now_us);
+
+bool pl_member_is_live (const struct pl_member *member, int64_t now_us);
+
+/* Fills BEACON with the addresses of some members, others each time. */
+void pl_membership_fill_contacts (struct pl_membership *membership, struct pl_beacon *beacon,
+                                  int64_t now_us);
+
+/* Returns how many hosts take requests now, with this one. */
+int pl_membership_live_count (const struct pl_membership *membership, int64_t now_us);
+
+/* Returns the part of the hosts that fell silent without taking leave, 0 to 1. */
+double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
+
+/* Returns whether this host is among the COUNT hosts that KEY belongs to, of REGION (PL_NONE: of
+ * all). */
+bool pl_membership_owns (const struct pl_membership *membership, uint64_t key, int region,
+                         int count, int64_t now_us);
+
+/* Forgets hosts that have been silent for long. */
+void pl_membership_expire (struct pl_membership *membership, int64_t now_us);
+
+/* Fills ADDRESSES with at most ROOM addresses for callers in DOMAIN of REGION, the best first.
+ * SELF_ADDRESS is this host's own, or NULL when it takes no callers.  Returns their number. */
+int pl_membership_name_hosts (const struct pl_membership *membership, const char *domain,
+                              int region, const char *self_address, const char **addresses,
+                              int room, int64_t now_us);
+
+/* Mixes two hashes: equal on every host. */
+uint64_t pl_hash_pair (uint64_t a, uint64_t b);
+
+#endif
--- /dev/null
+++ b/include/internal/quota.h
@@ -0,0 +1,45 @@
+/* quota.h - an account's rate over all entry hosts, from what each host tells of its own.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_QUOTA_H
+#define POMELOLATCH_QUOTA_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+struct pl_quota
+{
+  double rate;  /* requests a second over the fleet; 0: no limit */
+  double burst; /* requests */
+  double tokens;
+  int64_t refilled_us;
+  uint64_t admitted;  /* here, since the start */
+  GHashTable *others; /* peer id -> struct pl_quota_peer */
+};
+
+void pl_quota_init (struct pl_quota *quota, int64_t now_us);
+void pl_quota_clear (struct pl_quota *quota);
+
+/* Puts new limits in force.  Tokens saved beyond the new burst are dropped. */
+void pl_quota_limit (struct pl_quota *quota, double rate, double burst, int64_t now_us);
+
+/* Takes a peer's word of how many requests it admitted since its start as INCARNATION. */
+void pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation,
+                       uint64_t admitted, int64_t now_us);
+
+/* Returns whether one more request may run, and counts it.  SILENT is the part of the fleet that
+ * is not heard from, 0 to 1: it may be admitting its share. */
+bool pl_quota_take (struct pl_quota *quota, double silent, int64_t now_us);
+
+/* A request that was admitted did not run. */
+void pl_quota_give_back (struct pl_quota *quota);
+
+/* Returns whether the account is so close to its limit that peers should hear of it often. */
+bool pl_quota_is_pressed (const struct pl_quota *quota);
+
+/* Returns after how long a token is there, microseconds. */
+int64_t pl_quota_wait_us (const struct pl_quota *quota);
+
+#endif
--- /dev/null
+++ b/include/internal/routing.h
@@ -0,0 +1,106 @@
+/* routing.h - routes, services and client accounts of one configuration version.
+ *
+ * API tier: private.
+ *
+ * A routing table is filled by an adapter, sealed, and never changed after that.
+ * Entries name each other by index.
+ */
+#ifndef POMELOLATCH_ROUTING_H
+#define POMELOLATCH_ROUTING_H
+
+#include "pomelolatch/config.h"
+#include "pomelolatch/findings.h"
+
+#define PL_ROUTING_PARTS_MAX 8
+#define PL_ROUTING_REGIONS_MAX 32
+
+/* One of the services that a route splits its requests over. */
+struct pl_route_part
+{
+  const char *service_name;
+  int service; /* set by pl_routing_seal() */
+  int weight;
+};
+
+struct pl_route_rule
+{
+  const char *name;
+  const char *host;
+  const char *prefix;
+  bool repeatable;     /* may run more than once */
+  bool open;           /* needs no key */
+  bool sticky;         /* a server that handled the object lately is faster */
+  bool has_homes;      /* only servers of the regions in homes may run it */
+  uint32_t homes;      /* bit per region */
+  int attempts;        /* servers that one request may be sent to, at most */
+  int priority;        /* 0 is the most urgent */
+  int64_t timeout_us;  /* longest time until the answer */
+  int64_t objective_us; /* latency objective */
+  int part_count;
+  struct pl_route_part parts[PL_ROUTING_PARTS_MAX];
+};
+
+struct pl_service_rule
+{
+  const char *name;
+  const char *health_path;
+  int64_t cold_time_us;   /* how long a server is cold after its start */
+  double cold_per_second; /* requests a cold server bears, over all entry hosts */
+  int connections_max;    /* of one server, from all entry hosts */
+};
+
+struct pl_account_rule
+{
+  const char *name;
+  uint64_t id;
+  int priority; /* PL_NONE: that of the route */
+  bool has_homes;
+  uint32_t homes;
+  double rate;  /* requests a second over all entry hosts; 0: no limit */
+  double burst; /* requests */
+};
+
+struct pl_caller_limits
+{
+  int64_t header_bytes_max;
+  int64_t body_bytes_max;
+  int64_t idle_us; /* a connection that carries nothing for so long may be closed */
+};
+
+struct pl_routing
+{
+  int references;
+  int64_t version;
+  GStringChunk *texts; /* holds all strings */
+  GArray *routes;      /* of struct pl_route_rule */
+  GArray *services;
+  GArray *accounts;
+  GHashTable *keys;  /* hash of a key -> account index + 1 */
+  GHashTable *hosts; /* host name -> GArray of route indices, longest prefix first */
+  struct pl_caller_limits limits;
+};
+
+/* Returns an empty table with one reference that the caller owns. */
+struct pl_routing *pl_routing_new (int64_t version);
+struct pl_routing *pl_routing_ref (struct pl_routing *routing);
+void pl_routing_unref (struct pl_routing *routing);
+
+/* Each copies what it is given, strings included. */
+void pl_routing_add_route (struct pl_routing *routing, const struct pl_route_rule *route);
+void pl_routing_add_service (struct pl_routing *routing, const struct pl_service_rule *service);
+void pl_routing_add_account (struct pl_routing *routing, const struct pl_account_rule *account,
+                             const char *const *keys);
+
+/* Resolves names and sorts prefixes.  Returns 0, or PL_ERR_INVALID with findings added. */
+int pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings);
+
+/* Each returns an index, or PL_NONE. */
+int pl_routing_find_route (const struct pl_routing *routing, const char *host, const char *path);
+int pl_routing_find_service (const struct pl_routing *routing, const char *name);
+int pl_routing_find_account (const struct pl_routing *routing, const uint8_t *key_hash);
+
+#define PL_RULE_ROUTE(r, i) (&g_array_index ((r)->routes, struct pl_route_rule, (i)))
+#define PL_RULE_SERVICE(r, i) (&g_array_index ((r)->services, struct pl_service_rule, (i)))
+#define PL_RULE_ACCOUNT(r, i) (&g_array_index ((r)->accounts, struct pl_account_rule, (i)))
+
+#endif
--- /dev/null
+++ b/include/internal/small_port.h
@@ -0,0 +1,28 @@
+/* small_port.h - a port on the reactor that answers short questions at once.
+ *
+ * API tier: private.
+ */
+#ifndef POMELOLATCH_SMALL_PORT_H
+#define POMELOLATCH_SMALL_PORT_H
+
+#include "internal/reactor.h"
+
+#include <glib.h>
+#include <microhttpd.h>
+
+/* Answers a GET of PATH: fills BODY and TYPE (static) and returns the status. */
+typedef int (*pl_small_port_function) (void *data, struct MHD_Connection *connection,
+                                       const char *path, GString *body, const char **type);
+
+struct pl_small_port_options
+{
+  const char *address;
+  struct pl_reactor *reactor;
+  pl_small_port_function answer;
+  void *data;
+};
+
+/* Opens a port that lasts as long as the process.  Returns 0 or PL_ERR_UNAVAILABLE. */
+int pl_small_port_open (const struct pl_small_port_options *options);
+
+#endif
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -86,7 +86,7 @@
   return false;
 }
 
-static void
+static bool
 on_header (void *data, const char *line, size_t length)
 {
   struct attempt *attempt = data;
@@ -113,6 +113,7 @@
   if (!header_stays (text) && strchr (text, ':') != NULL)
     g_ptr_array_add (exchange->answer_headers, g_strdup (text));
   g_mutex_unlock (&exchange->lock);
+  return true;
 }
 
 /* A refusal by the other side is for the reducer, not for the caller. */
--- /dev/null
+++ b/modules/beacon_socket.c
@@ -0,0 +1,190 @@
+/* Beacons on the wire.
+ *
+ * XDR by libtirpc, one function for both directions.  A datagram begins with a
+ * format number; one of another format, cut short, or with counts out of range is
+ * dropped and counted in the log.
+ */
+#include "internal/beacon_socket.h"
+#include "internal/log.h"
+#include "internal/net.h"
+#include "pomelolatch/error.h"
+
+#include <errno.h>
+#include <rpc/rpc.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BEACON_FORMAT 1
+#define DATAGRAMS_A_TURN 64
+
+struct pl_beacon_socket
+{
+  struct pl_beacon_socket_options options;
+  int fd;
+};
+
+static bool
+code_text (XDR *xdr, char *text, size_t room)
+{
+  return xdr_string (xdr, &text, (u_int) room - 1) != 0;
+}
+
+static bool
+code_u64 (XDR *xdr, uint64_t *value)
+{
+  return xdr_uint64_t (xdr, value) != 0;
+}
+
+static bool
+code_i64 (XDR *xdr, int64_t *value)
+{
+  return xdr_int64_t (xdr, value) != 0;
+}
+
+static bool
+code_bool (XDR *xdr, bool *value)
+{
+  bool_t wide = *value;
+  bool done = xdr_bool (xdr, &wide) != 0;
+
+  *value = wide != 0;
+  return done;
+}
+
+static bool
+code_count (XDR *xdr, int *count, int most)
+{
+  return xdr_int (xdr, count) != 0 && *count >= 0 && *count <= most;
+}
+
+static bool
+code_contact (XDR *xdr, struct pl_contact *contact)
+{
+  return code_text (xdr, contact->name, sizeof contact->name)
+         && code_text (xdr, contact->peer_address, sizeof contact->peer_address);
+}
+
+static bool
+code_state (XDR *xdr, struct pl_beacon *beacon)
+{
+  bool done = code_contact (xdr, &beacon->self)
+              && code_text (xdr, beacon->caller_address, sizeof beacon->caller_address)
+              && code_text (xdr, beacon->relay_address, sizeof beacon->relay_address)
+              && code_text (xdr, beacon->domain, sizeof beacon->domain)
+              && code_u64 (xdr, &beacon->incarnation) && code_bool (xdr, &beacon->ready)
+              && code_bool (xdr, &beacon->leaving) && code_bool (xdr, &beacon->watching)
+              && code_bool (xdr, &beacon->store_lost)
+              && code_i64 (xdr, &beacon->store_trouble_us);
+
+  for (int t = 0; done && t < PL_TABLES_MAX; t++)
+    done = code_i64 (xdr, &beacon->held[t]);
+  return done;
+}
+
+static bool
+code_beacon (XDR *xdr, struct pl_beacon *beacon)
+{
+  int format = BEACON_FORMAT;
+  bool done = xdr_int (xdr, &format) != 0 && format == BEACON_FORMAT && code_state (xdr, beacon)
+              && code_count (xdr, &beacon->account_count, PL_BEACON_ACCOUNTS_MAX);
+
+  for (int i = 0; done && i < beacon->account_count; i++)
+    done = code_u64 (xdr, &beacon->accounts[i].account)
+           && code_u64 (xdr, &beacon->accounts[i].admitted);
+  done = done && code_count (xdr, &beacon->contact_count, PL_BEACON_CONTACTS_MAX);
+  for (int i = 0; done && i < beacon->contact_count; i++)
+    done = code_contact (xdr, &beacon->contacts[i]);
+  done = done && code_count (xdr, &beacon->suspect_count, PL_BEACON_SUSPECTS_MAX);
+  for (int i = 0; done && i < beacon->suspect_count; i++)
+    done = code_u64 (xdr, &beacon->suspects[i].fingerprint)
+           && code_u64 (xdr, &beacon->suspects[i].server)
+           && code_bool (xdr, &beacon->suspects[i].convicted);
+  return done;
+}
+
+int
+pl_beacon_encode (const struct pl_beacon *beacon, char *bytes, size_t room)
+{
+  struct pl_beacon copy = *beacon;
+  XDR xdr;
+
+  xdrmem_create (&xdr, bytes, (u_int) room, XDR_ENCODE);
+  if (!code_beacon (&xdr, &copy))
+    return PL_ERR_FULL;
+  return (int) xdr_getpos (&xdr);
+}
+
+int
+pl_beacon_decode (const char *bytes, size_t length, struct pl_beacon *beacon)
+{
+  XDR xdr;
+
+  memset (beacon, 0, sizeof *beacon);
+  xdrmem_create (&xdr, (char *) bytes, (u_int) length, XDR_DECODE);
+  return code_beacon (&xdr, beacon) ? PL_OK : PL_ERR_INVALID;
+}
+
+static void
+on_ready (void *data, int fd, uint32_t ready)
+{
+  struct pl_beacon_socket *socket = data;
+  char bytes[PL_BEACON_BYTES_MAX];
+  struct pl_beacon beacon;
+
+  (void) ready;
+  for (int i = 0; i < DATAGRAMS_A_TURN; i++)
+    {
+      ssize_t length = recv (fd, bytes, sizeof bytes, MSG_DONTWAIT);
+
+      if (length < 0)
+        return;
+      if (pl_beacon_decode (bytes, (size_t) length, &beacon) < 0)
+        pl_log (PL_LOG_WARNING, "beacon-unreadable",
+                json_pack ("{s:i}", "bytes", (int) length));
+      else
+        socket->options.on_beacon (socket->options.data, &beacon);
+    }
+}
+
+struct pl_beacon_socket *
+pl_beacon_socket_open (const struct pl_beacon_socket_options *options)
+{
+  struct pl_beacon_socket *made = g_new0 (struct pl_beacon_socket, 1);
+  struct sockaddr_in address;
+
+  made->options = *options;
+  made->fd = socket (AF_INET, SOCK_DGRAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  if (made->fd < 0 || pl_net_parse (options->address, &address) < 0
+      || bind (made->fd, (struct sockaddr *) &address, sizeof address) < 0)
+    {
+      if (made->fd >= 0)
+        close (made->fd);
+      g_free (made);
+      return NULL;
+    }
+  pl_reactor_watch (options->reactor, made->fd, EPOLLIN, on_ready, made);
+  return made;
+}
+
+void
+pl_beacon_socket_send (struct pl_beacon_socket *socket, const char *address,
+                       const struct pl_beacon *beacon)
+{
+  char bytes[PL_BEACON_BYTES_MAX];
+  struct sockaddr_in target;
+  int length = pl_beacon_encode (beacon, bytes, sizeof bytes);
+
+  if (length < 0 || pl_net_parse (address, &target) < 0)
+    {
+      pl_log (PL_LOG_ERROR, "beacon-not-sent", json_pack ("{s:s}", "to", address));
+      return;
+    }
+  /* A datagram may be lost anyway; the next beacon follows within half a second. */
+  if (sendto (socket->fd, bytes, (size_t) length, MSG_DONTWAIT, (struct sockaddr *) &target,
+              sizeof target)
+      < 0)
+    pl_log (PL_LOG_WARNING, "beacon-not-sent",
+            json_pack ("{s:s,s:s}", "to", address, "error", g_strerror (errno)));
+}
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -1,23 +1,35 @@
-/* One libcurl multi handle on one thread.
+/* One libcurl multi handle, on a thread of its own or on a reactor.
  *
- * Other threads hand over commands (start, wake, cancel) through a locked queue
- * and wake the thread.  A call is counted by reference, one of them held by the
- * thread until done() has been called, so that no command reaches a freed call.
+ * Commands (start, wake, cancel) are queued and run by that thread, since
+ * libcurl can not be entered from its own callbacks.  A call is counted by
+ * reference, one of them held by the thread until done() has been called, so
+ * that no command reaches a freed call.
  *
  * libcurl silently sends a request again when a kept connection turns out to be
- * dead.  What must not be sent twice therefore asks for a connection of its own.
+ * dead.  CURLOPT_PREREQFUNCTION runs before each sending; a call that must be
+ * sent at most once breaks off there the second time.
  */
 #include "internal/http_client.h"
+#include "internal/clock.h"
+#include "internal/reactor.h"
 
 #include <curl/curl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
 
 #define CONNECT_TIMEOUT_MS 1000L
 #define CONNECTION_LIFE_S 60L
 #define CONNECTION_IDLE_S 20L
 #define CONNECTIONS_KEPT 1024L
 #define POLL_MS 200
+/* Keep-alive probes find a connection that went silent within about three seconds. */
+#define KEEPALIVE_IDLE_S 1L
+#define KEEPALIVE_INTERVAL_S 1L
+#define UNACKED_LIMIT_MS 2500
 
 enum command_type
 {
@@ -40,7 +52,9 @@
   struct curl_slist *headers;
   const struct pl_http_handler *handler;
   void *data;
+  bool send_once;
   bool running; /* on the thread only, as all below */
+  bool sent;
   bool answered;
   bool paused;
 };
@@ -53,6 +67,8 @@
   GQueue commands;     /* of struct command */
   GHashTable *running; /* of struct pl_http_call; on the thread only */
   bool stopping;
+  struct pl_reactor *reactor; /* NULL: a thread of its own */
+  int timer;
 };
 
 void
@@ -71,8 +87,8 @@
   struct pl_http_call *call = data;
 
   call->answered = true;
-  if (call->handler->header != NULL)
-    call->handler->header (call->data, line, size * count);
+  if (call->handler->header != NULL && !call->handler->header (call->data, line, size * count))
+    return 0;
   return size * count;
 }
 
@@ -100,20 +116,45 @@
   return result == PL_HTTP_PAUSE ? CURL_READFUNC_PAUSE : result;
 }
 
+/* The socket had the whole connection already when libcurl calls this; what follows is sending. */
+static int
+on_sending (void *data, char *remote, char *local, int remote_port, int local_port)
+{
+  struct pl_http_call *call = data;
+
+  (void) remote;
+  (void) local;
+  (void) remote_port;
+  (void) local_port;
+  if (call->sent && call->send_once)
+    return CURL_PREREQFUNC_ABORT;
+  call->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static int
+on_socket_made (void *data, curl_socket_t fd, curlsocktype purpose)
+{
+  unsigned limit_ms = UNACKED_LIMIT_MS;
+
+  (void) data;
+  (void) purpose;
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+  return CURL_SOCKOPT_OK;
+}
+
 static void
 finish_call (struct pl_http_call *call, CURLcode code)
 {
   enum pl_http_end end = PL_HTTP_WHOLE;
   long status = 0;
-  long sent = 0;
 
   call->running = false;
   curl_multi_remove_handle (call->client->multi, call->easy);
   g_hash_table_remove (call->client->running, call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  curl_easy_getinfo (call->easy, CURLINFO_REQUEST_SIZE, &sent);
   if (code != CURLE_OK)
-    end = call->answered ? PL_HTTP_CUT : sent > 0 ? PL_HTTP_NO_ANSWER : PL_HTTP_NOT_SENT;
+    end = call->answered ? PL_HTTP_CUT : call->sent ? PL_HTTP_NO_ANSWER : PL_HTTP_NOT_SENT;
   call->handler->done (call->data, end, (int) status);
   pl_http_call_unref (call);
 }
@@ -204,8 +245,8 @@
   return NULL;
 }
 
-struct pl_http_client *
-pl_http_client_new (const char *name)
+static struct pl_http_client *
+make_client (void)
 {
   struct pl_http_client *client = g_new0 (struct pl_http_client, 1);
 
@@ -214,6 +255,86 @@
   g_mutex_init (&client->lock);
   g_queue_init (&client->commands);
   client->running = g_hash_table_new (NULL, NULL);
+  return client;
+}
+
+static void
+on_reactor_fd (void *data, int fd, uint32_t ready)
+{
+  struct pl_http_client *client = data;
+  int mask = (ready & EPOLLIN ? CURL_CSELECT_IN : 0) | (ready & EPOLLOUT ? CURL_CSELECT_OUT : 0)
+             | (ready & (EPOLLERR | EPOLLHUP) ? CURL_CSELECT_ERR : 0);
+  int running;
+
+  curl_multi_socket_action (client->multi, fd, mask, &running);
+  reap (client);
+}
+
+static void
+on_reactor_timer (void *data)
+{
+  struct pl_http_client *client = data;
+  int running;
+
+  curl_multi_socket_action (client->multi, CURL_SOCKET_TIMEOUT, 0, &running);
+  reap (client);
+}
+
+static int
+on_socket_wanted (CURL *easy, curl_socket_t fd, int what, void *data, void *socket_data)
+{
+  struct pl_http_client *client = data;
+  uint32_t mask = 0;
+
+  (void) easy;
+  (void) socket_data;
+  if (what == CURL_POLL_IN || what == CURL_POLL_INOUT)
+    mask |= EPOLLIN;
+  if (what == CURL_POLL_OUT || what == CURL_POLL_INOUT)
+    mask |= EPOLLOUT;
+  pl_reactor_watch (client->reactor, fd, mask, on_reactor_fd, client);
+  return 0;
+}
+
+static int
+on_timer_wanted (CURLM *multi, long timeout_ms, void *data)
+{
+  struct pl_http_client *client = data;
+
+  (void) multi;
+  pl_reactor_arm (client->reactor, client->timer,
+                  timeout_ms < 0 ? INT64_MAX : pl_clock_now_us () + timeout_ms * INT64_C (1000));
+  return 0;
+}
+
+static void
+before_wait (void *data)
+{
+  struct pl_http_client *client = data;
+
+  run_commands (client);
+}
+
+struct pl_http_client *
+pl_http_client_new_on (struct pl_reactor *reactor)
+{
+  struct pl_http_client *client = make_client ();
+
+  client->reactor = reactor;
+  client->timer = pl_reactor_timer (reactor, on_reactor_timer, client);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETFUNCTION, on_socket_wanted);
+  curl_multi_setopt (client->multi, CURLMOPT_SOCKETDATA, client);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERFUNCTION, on_timer_wanted);
+  curl_multi_setopt (client->multi, CURLMOPT_TIMERDATA, client);
+  pl_reactor_before_wait (reactor, before_wait, client);
+  return client;
+}
+
+struct pl_http_client *
+pl_http_client_new (const char *name)
+{
+  struct pl_http_client *client = make_client ();
+
   pthread_create (&client->thread, NULL, client_thread, client);
   pthread_setname_np (client->thread, name);
   return client;
@@ -229,8 +350,11 @@
   g_mutex_lock (&client->lock);
   client->stopping = true;
   g_mutex_unlock (&client->lock);
-  curl_multi_wakeup (client->multi);
-  pthread_join (client->thread, NULL);
+  if (client->reactor == NULL)
+    {
+      curl_multi_wakeup (client->multi);
+      pthread_join (client->thread, NULL);
+    }
   while ((command = g_queue_pop_head (&client->commands)) != NULL)
     {
       if (command->type == COMMAND_START)
@@ -256,7 +380,10 @@
   g_mutex_lock (&client->lock);
   g_queue_push_tail (&client->commands, command);
   g_mutex_unlock (&client->lock);
-  curl_multi_wakeup (client->multi);
+  if (client->reactor != NULL)
+    pl_reactor_again (client->reactor);
+  else
+    curl_multi_wakeup (client->multi);
 }
 
 void
@@ -295,6 +422,7 @@
   call->client = client;
   call->handler = options->handler;
   call->data = options->data;
+  call->send_once = options->send_once;
   call->easy = curl_easy_init ();
   call->headers = curl_slist_append (call->headers, "Expect:");
   for (const char *const *header = options->headers; header != NULL && *header != NULL; header++)
@@ -316,9 +444,17 @@
   curl_easy_setopt (call->easy, CURLOPT_HTTP_VERSION, (long) CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (call->easy, CURLOPT_TCP_NODELAY, 1L);
   curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPALIVE, 1L);
-  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
+  curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
+  curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_sending);
+  curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    options->connect_timeout_us > 0 ? (long) (options->connect_timeout_us / 1000)
+                                                    : CONNECT_TIMEOUT_MS);
   curl_easy_setopt (call->easy, CURLOPT_MAXLIFETIME_CONN, CONNECTION_LIFE_S);
-  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN, CONNECTION_IDLE_S);
+  curl_easy_setopt (call->easy, CURLOPT_MAXAGE_CONN,
+                    options->idle_limit_s > 0 ? (long) options->idle_limit_s : CONNECTION_IDLE_S);
   curl_easy_setopt (call->easy, CURLOPT_TIMEOUT_MS,
                     (long) MAX (options->timeout_us / 1000, INT64_C (1)));
   if (options->fresh_connection)
--- /dev/null
+++ b/modules/reactor.c
@@ -0,0 +1,195 @@
+/* An epoll loop with a small table of timers.
+ *
+ * Entry hosts have a fraction of a core, where handing a request from thread to
+ * thread costs more than the work itself; so sockets, libcurl, libmicrohttpd and
+ * the reducer share one thread.  Nothing that runs here may block.
+ */
+#include "internal/reactor.h"
+#include "internal/clock.h"
+
+#include <assert.h>
+#include <glib.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define TIMERS_MAX 16
+#define HOOKS_MAX 8
+#define READY_MAX 64
+
+struct watch
+{
+  pl_reactor_fd_function function;
+  void *data;
+  uint32_t mask;
+};
+
+struct timer
+{
+  pl_reactor_function function;
+  void *data;
+  int64_t due_us;
+};
+
+struct hook
+{
+  pl_reactor_function function;
+  void *data;
+};
+
+struct pl_reactor
+{
+  int epoll;
+  GArray *watches; /* of struct watch, by descriptor */
+  struct timer timers[TIMERS_MAX];
+  int timer_count;
+  struct hook hooks[HOOKS_MAX];
+  int hook_count;
+  bool again;
+  bool quit;
+};
+
+struct pl_reactor *
+pl_reactor_new (void)
+{
+  struct pl_reactor *reactor = g_new0 (struct pl_reactor, 1);
+
+  reactor->epoll = epoll_create1 (EPOLL_CLOEXEC);
+  reactor->watches = g_array_new (FALSE, TRUE, sizeof (struct watch));
+  return reactor;
+}
+
+void
+pl_reactor_free (struct pl_reactor *reactor)
+{
+  if (reactor == NULL)
+    return;
+  close (reactor->epoll);
+  g_array_free (reactor->watches, TRUE);
+  g_free (reactor);
+}
+
+void
+pl_reactor_watch (struct pl_reactor *reactor, int fd, uint32_t mask,
+                  pl_reactor_fd_function function, void *data)
+{
+  struct epoll_event event = {.events = mask, .data = {.fd = fd}};
+  struct watch *watch;
+
+  if ((guint) fd >= reactor->watches->len)
+    g_array_set_size (reactor->watches, (guint) fd + 1);
+  watch = &g_array_index (reactor->watches, struct watch, fd);
+  /* A descriptor that was closed leaves the epoll set on its own: fall back to the other call. */
+  if (mask == 0)
+    epoll_ctl (reactor->epoll, EPOLL_CTL_DEL, fd, NULL);
+  else if (watch->mask == 0 || epoll_ctl (reactor->epoll, EPOLL_CTL_MOD, fd, &event) < 0)
+    if (epoll_ctl (reactor->epoll, EPOLL_CTL_ADD, fd, &event) < 0)
+      epoll_ctl (reactor->epoll, EPOLL_CTL_MOD, fd, &event);
+  watch->mask = mask;
+  watch->function = function;
+  watch->data = data;
+}
+
+int
+pl_reactor_timer (struct pl_reactor *reactor, pl_reactor_function function, void *data)
+{
+  struct timer *timer = &reactor->timers[reactor->timer_count];
+
+  assert (reactor->timer_count < TIMERS_MAX);
+  timer->function = function;
+  timer->data = data;
+  timer->due_us = INT64_MAX;
+  return reactor->timer_count++;
+}
+
+void
+pl_reactor_arm (struct pl_reactor *reactor, int timer, int64_t due_us)
+{
+  reactor->timers[timer].due_us = due_us;
+}
+
+void
+pl_reactor_before_wait (struct pl_reactor *reactor, pl_reactor_function function, void *data)
+{
+  struct hook *hook = &reactor->hooks[reactor->hook_count++];
+
+  assert (reactor->hook_count <= HOOKS_MAX);
+  hook->function = function;
+  hook->data = data;
+}
+
+void
+pl_reactor_again (struct pl_reactor *reactor)
+{
+  reactor->again = true;
+}
+
+static void
+run_timers (struct pl_reactor *reactor)
+{
+  int64_t now_us = pl_clock_now_us ();
+
+  for (int i = 0; i < reactor->timer_count; i++)
+    {
+      struct timer *timer = &reactor->timers[i];
+
+      if (timer->due_us > now_us)
+        continue;
+      timer->due_us = INT64_MAX;
+      timer->function (timer->data);
+    }
+}
+
+/* Returns how long to wait, milliseconds rounded up; -1: until a descriptor is ready. */
+static int
+wait_ms (const struct pl_reactor *reactor)
+{
+  int64_t first_us = INT64_MAX;
+  int64_t left_us;
+
+  if (reactor->again)
+    return 0;
+  for (int i = 0; i < reactor->timer_count; i++)
+    first_us = MIN (first_us, reactor->timers[i].due_us);
+  if (first_us == INT64_MAX)
+    return -1;
+  left_us = first_us - pl_clock_now_us ();
+  return left_us <= 0 ? 0 : (int) MIN ((left_us + 999) / 1000, 60000);
+}
+
+static void
+run_ready (struct pl_reactor *reactor, const struct epoll_event *events, int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      int fd = events[i].data.fd;
+      struct watch watch = g_array_index (reactor->watches, struct watch, fd);
+
+      if (watch.mask != 0)
+        watch.function (watch.data, fd, events[i].events);
+    }
+}
+
+void
+pl_reactor_run (struct pl_reactor *reactor)
+{
+  struct epoll_event events[READY_MAX];
+
+  while (!reactor->quit)
+    {
+      int count;
+
+      for (int i = 0; i < reactor->hook_count; i++)
+        reactor->hooks[i].function (reactor->hooks[i].data);
+      count = epoll_wait (reactor->epoll, events, READY_MAX, wait_ms (reactor));
+      reactor->again = false;
+      run_ready (reactor, events, count);
+      run_timers (reactor);
+    }
+}
+
+void
+pl_reactor_quit (struct pl_reactor *reactor)
+{
+  reactor->quit = true;
+  reactor->again = true;
+}
--- /dev/null
+++ b/modules/relay.c
@@ -0,0 +1,137 @@
+/* A host that can not reach the store asks a peer for what it lacks.
+ *
+ * Values are JSON texts of the platform; they travel as strings within JSON.  One
+ * that is not UTF-8 can not be read by anybody and is left out.
+ */
+#include "internal/relay.h"
+#include "internal/log.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FETCH_LIMIT_US INT64_C (1000000)
+
+static void
+add_row (void *data, enum pl_table table, const struct pl_row *row)
+{
+  json_t *rows = data;
+  json_t *value = row->value != NULL ? json_stringn (row->value, row->length) : json_null ();
+
+  (void) table;
+  if (value == NULL)
+    {
+      pl_log (PL_LOG_WARNING, "row-not-relayed", json_pack ("{s:s}", "row", row->key));
+      return;
+    }
+  json_array_append_new (rows, json_pack ("[s,o,I]", row->key, value, (json_int_t) row->version));
+}
+
+int
+pl_relay_answer (void *data, struct MHD_Connection *connection, const char *path, GString *body,
+                 const char **type)
+{
+  const struct pl_router *router = data;
+  json_t *tables = json_array ();
+  char *text;
+
+  (void) type;
+  if (strcmp (path, PL_RELAY_PATH) != 0)
+    {
+      json_decref (tables);
+      return 404;
+    }
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    {
+      char name[8];
+      const char *after;
+      json_t *rows = json_array ();
+      bool is_whole;
+      int64_t version;
+
+      g_snprintf (name, sizeof name, "t%d", t);
+      after = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+      version = pl_router_rows_after (router, (enum pl_table) t,
+                                      after != NULL ? g_ascii_strtoll (after, NULL, 10) : 0,
+                                      &is_whole, add_row, rows);
+      json_array_append_new (tables, json_pack ("{s:I,s:b,s:o}", "version", (json_int_t) version,
+                                                "whole", is_whole, "rows", rows));
+    }
+  text = json_dumps (tables, JSON_COMPACT);
+  g_string_append (body, text);
+  free (text);
+  json_decref (tables);
+  return 200;
+}
+
+struct fetch
+{
+  void (*on_rows) (void *data, const struct pl_rows_event *rows);
+  void (*done) (void *data);
+  void *data;
+};
+
+static void
+post_table (const struct fetch *fetch, enum pl_table table, const json_t *answer)
+{
+  const json_t *list = json_object_get (answer, "rows");
+  g_autofree struct pl_row *rows = g_new0 (struct pl_row, json_array_size (list) + 1);
+  struct pl_rows_event event = {
+      .table = table,
+      .from_peer = true,
+      .is_whole = json_is_true (json_object_get (answer, "whole")),
+      .version = json_integer_value (json_object_get (answer, "version")),
+      .rows = rows,
+  };
+  size_t i;
+  json_t *row;
+
+  json_array_foreach (list, i, row)
+  {
+    struct pl_row *next = &rows[event.count];
+    const json_t *value = json_array_get (row, 1);
+
+    next->key = json_string_value (json_array_get (row, 0));
+    next->value = json_string_value (value);
+    next->length = json_string_length (value);
+    next->version = json_integer_value (json_array_get (row, 2));
+    event.count += next->key != NULL;
+  }
+  if (event.version > 0)
+    fetch->on_rows (fetch->data, &event);
+}
+
+static void
+on_answer (void *data, enum pl_http_end end, int status, const char *text)
+{
+  struct fetch *fetch = data;
+  json_t *tables = end == PL_HTTP_WHOLE && status == 200 ? json_loads (text, 0, NULL) : NULL;
+
+  if (!json_is_array (tables))
+    pl_log (PL_LOG_WARNING, "relay-failed",
+            json_pack ("{s:i,s:i}", "end", (int) end, "status", status));
+  for (int t = 0; t < PL_TABLES_MAX && t < (int) json_array_size (tables); t++)
+    post_table (fetch, (enum pl_table) t, json_array_get (tables, (size_t) t));
+  fetch->done (fetch->data);
+  json_decref (tables);
+  g_free (fetch);
+}
+
+void
+pl_relay_fetch (const struct pl_relay_fetch *wanted)
+{
+  struct fetch *fetch = g_new0 (struct fetch, 1);
+  g_autofree char *url
+      = g_strdup_printf ("http://%s%s?t0=%" G_GINT64_FORMAT "&t1=%" G_GINT64_FORMAT,
+                         wanted->address, PL_RELAY_PATH, wanted->held[0], wanted->held[1]);
+  struct pl_http_fetch call = {.method = "GET",
+                               .url = url,
+                               .timeout_us = FETCH_LIMIT_US,
+                               .fresh_connection = true,
+                               .done = on_answer,
+                               .data = fetch};
+
+  fetch->on_rows = wanted->on_rows;
+  fetch->done = wanted->done;
+  fetch->data = wanted->data;
+  pl_http_client_fetch (wanted->client, &call);
+}
--- /dev/null
+++ b/programs/pomelolatch-entry.c
@@ -0,0 +1,517 @@
+/* pomelolatch-entry - an entry host whose platform keeps configuration and server list.
+ *
+ * One thread: the reactor drives the callers' port, the calls to servers and to the
+ * platform's store, the beacons and the timers, and hands each event to the router.
+ * SIGTERM begins a graceful stop; SIGHUP reads the settings again.
+ */
+#include "internal/beacon_socket.h"
+#include "internal/clock.h"
+#include "internal/front.h"
+#include "internal/log.h"
+#include "internal/reactor.h"
+#include "internal/relay.h"
+#include "internal/settings.h"
+#include "internal/small_port.h"
+#include "pomelolatch/error.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <malloc.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#define DIRECTORY_HOSTS_MAX 16
+#define DIRECTORY_TTL_DEFAULT_MS 2000
+
+static const struct pl_field settings_fields[] = {
+    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"domain", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"ready", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"directory", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"peer", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"metrics", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"store", PL_FIELD_ADDRESS, true, 0, 0, NULL},
+    {"domains", PL_FIELD_LIST, true, 0, 0, NULL},
+    {"seeds", PL_FIELD_LIST, false, 0, 0, NULL},
+    {"grace", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"retry_ratio", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"retry_slack", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"directory_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
+    {NULL},
+};
+
+struct entry
+{
+  json_t *settings;
+  const char *settings_file;
+  struct pl_reactor *reactor;
+  struct pl_http_client *traffic;
+  struct pl_http_client *control;
+  struct pl_front *front;
+  struct pl_beacon_socket *beacons;
+  struct pl_store_reader *store;
+  struct pl_router *router;
+  struct pl_regions regions;
+  GQueue events; /* of struct pl_router_event, in order */
+  struct pl_router_effects effects;
+  int timer;
+  char **domains;
+  char **seeds;
+};
+
+static int
+log_level_of (enum pl_note_level level)
+{
+  switch (level)
+    {
+    case PL_NOTE_REQUEST:
+    case PL_NOTE_BELIEF:
+      return PL_LOG_INFO;
+    case PL_NOTE_TROUBLE:
+      return PL_LOG_WARNING;
+    }
+  return PL_LOG_INFO;
+}
+
+static void post_rows (void *data, const struct pl_rows_event *rows);
+static void post_relay_done (void *data);
+
+static void
+fetch_rows (struct entry *entry, const struct pl_router_effect *effect)
+{
+  struct pl_relay_fetch fetch = {
+      .client = entry->control,
+      .address = effect->u.fetch.address,
+      .held = effect->u.fetch.held,
+      .on_rows = post_rows,
+      .done = post_relay_done,
+      .data = entry,
+  };
+
+  pl_relay_fetch (&fetch);
+}
+
+static void
+execute (struct entry *entry, struct pl_router_effect *effect)
+{
+  switch (effect->type)
+    {
+    case PL_ROUTER_TELL:
+      pl_beacon_socket_send (entry->beacons, effect->u.tell.address, effect->u.tell.beacon);
+      break;
+    case PL_ROUTER_FETCH:
+      fetch_rows (entry, effect);
+      break;
+    case PL_ROUTER_WATCH:
+      pl_platform_store.watch (entry->store, effect->u.watch);
+      break;
+    case PL_ROUTER_STOPPED:
+      pl_reactor_quit (entry->reactor);
+      break;
+    case PL_ROUTER_NOTE:
+      pl_log ((enum pl_log_level) log_level_of (effect->u.note.level), effect->u.note.event,
+              g_steal_pointer (&effect->u.note.fields));
+      break;
+    default:
+      pl_front_execute (entry->front, effect);
+      break;
+    }
+}
+
+/* Effects may bring about further events, which are queued, never run from within a step. */
+static void
+step (struct entry *entry, struct pl_router_event *event)
+{
+  event->now_us = pl_clock_now_us ();
+  pl_router_step (entry->router, event, &entry->effects);
+  for (int i = 0; i < entry->effects.count; i++)
+    execute (entry, &entry->effects.items[i]);
+  pl_router_effects_clear (&entry->effects);
+}
+
+/* Events that borrow texts are run at once; they never come from within a step. */
+static void
+post (void *data, struct pl_router_event *event)
+{
+  struct entry *entry = data;
+
+  if (event->type == PL_ROUTER_CALL)
+    {
+      step (entry, event);
+      return;
+    }
+  g_queue_push_tail (&entry->events, g_memdup2 (event, sizeof *event));
+  pl_reactor_again (entry->reactor);
+}
+
+static void
+run_events (void *data)
+{
+  struct entry *entry = data;
+  struct pl_router_event tick = {.type = PL_ROUTER_TICK};
+  struct pl_router_event *event;
+
+  while ((event = g_queue_pop_head (&entry->events)) != NULL)
+    {
+      step (entry, event);
+      g_free (event);
+    }
+  if (pl_router_due_us (entry->router) <= pl_clock_now_us ())
+    step (entry, &tick);
+  pl_reactor_arm (entry->reactor, entry->timer, pl_router_due_us (entry->router));
+}
+
+/* The timer only has to end the wait: what is due runs before the next one. */
+static void
+on_timer (void *data)
+{
+  (void) data;
+}
+
+static void
+post_rows (void *data, const struct pl_rows_event *rows)
+{
+  struct entry *entry = data;
+  struct pl_router_event event = {.type = PL_ROUTER_ROWS};
+
+  event.u.rows = *rows;
+  step (entry, &event);
+}
+
+static void
+post_relay_done (void *data)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_RELAY_DONE};
+
+  step (data, &event);
+}
+
+static void
+post_store_state (void *data, bool well)
+{
+  struct pl_router_event event
+      = {.type = well ? PL_ROUTER_STORE_WELL : PL_ROUTER_STORE_FAILED};
+
+  post (data, &event);
+}
+
+static void
+post_beacon (void *data, const struct pl_beacon *beacon)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_BEACON};
+
+  event.u.beacon = beacon;
+  step (data, &event);
+}
+
+static int
+answer_ready (void *data, struct MHD_Connection *connection, const char *path, GString *body,
+              const char **type)
+{
+  const struct entry *entry = data;
+
+  (void) connection;
+  (void) type;
+  if (strcmp (path, pl_platform_dialect.ready_path) != 0)
+    return 404;
+  g_string_append (body, "{}");
+  return pl_router_is_ready (entry->router) ? 200 : 503;
+}
+
+static int
+answer_directory (void *data, struct MHD_Connection *connection, const char *path, GString *body,
+                  const char **type)
+{
+  const struct entry *entry = data;
+  const struct pl_dialect *dialect = &pl_platform_dialect;
+  const char *domain = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
+                                                    dialect->directory_domain);
+  const char *region = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
+                                                    dialect->directory_region);
+  const char *addresses[DIRECTORY_HOSTS_MAX];
+  g_autofree char *text = NULL;
+  int count;
+
+  (void) type;
+  if (strcmp (path, dialect->directory_path) != 0)
+    return 404;
+  count = pl_router_name_hosts (entry->router, domain != NULL ? domain : "", region, addresses,
+                                DIRECTORY_HOSTS_MAX, pl_clock_now_us ());
+  if (count == 0)
+    return 503;
+  text = dialect->write_directory (
+      addresses, count,
+      pl_settings_number (entry->settings, "directory_ttl_ms", DIRECTORY_TTL_DEFAULT_MS) * 1000);
+  g_string_append (body, text);
+  return 200;
+}
+
+static int
+answer_metrics (void *data, struct MHD_Connection *connection, const char *path, GString *body,
+                const char **type)
+{
+  const struct entry *entry = data;
+
+  (void) connection;
+  (void) path;
+  *type = "text/plain";
+  pl_router_metrics (entry->router, body);
+  return 200;
+}
+
+static int
+find_region (void *data, const char *region)
+{
+  const struct entry *entry = data;
+
+  return pl_router_region (entry->router, region);
+}
+
+static char **
+list_of (const json_t *settings, const char *field)
+{
+  const json_t *list = json_object_get (settings, field);
+  char **texts = g_new0 (char *, json_array_size (list) + 1);
+  size_t i;
+  json_t *text;
+
+  json_array_foreach (list, i, text) texts[i] = g_strdup (json_string_value (text));
+  return texts;
+}
+
+/* The settings name other ports of the seeds; peers listen on the same port everywhere. */
+static char **
+seeds_of (const json_t *settings)
+{
+  char **seeds = list_of (settings, "seeds");
+  const char *port = strrchr (pl_settings_text (settings, "peer", ":0"), ':');
+
+  for (int i = 0; seeds[i] != NULL; i++)
+    {
+      char *colon = strrchr (seeds[i], ':');
+      g_autofree char *old = seeds[i];
+
+      seeds[i] = g_strdup_printf ("%.*s%s", colon != NULL ? (int) (colon - old) : (int) strlen (old),
+                                  old, port);
+    }
+  return seeds;
+}
+
+static double
+decimal_of (const json_t *settings, const char *field)
+{
+  return g_ascii_strtod (pl_settings_text (settings, field, "0"), NULL);
+}
+
+static int
+make_router (struct entry *entry)
+{
+  const json_t *settings = entry->settings;
+  struct pl_router_options options = {
+      .name = pl_settings_text (settings, "name", ""),
+      .domain = pl_settings_text (settings, "domain", ""),
+      .caller_address = pl_settings_text (settings, "caller", ""),
+      .peer_address = pl_settings_text (settings, "peer", ""),
+      .relay_address = pl_settings_text (settings, "peer", ""),
+      /* The time of day tells starts of one host apart; a step back is made up by the beacons. */
+      .incarnation = (uint64_t) g_get_real_time (),
+      .now_us = pl_clock_now_us (),
+      .retry_ratio = decimal_of (settings, "retry_ratio"),
+      .retry_slack = decimal_of (settings, "retry_slack"),
+      .decode = pl_platform_dialect.decode_row,
+      .decode_data = &entry->regions,
+  };
+
+  entry->domains = list_of (settings, "domains");
+  entry->seeds = seeds_of (settings);
+  options.domains = (const char *const *) entry->domains;
+  options.seeds = (const char *const *) entry->seeds;
+  if (!pl_platform_dialect.read_duration (pl_settings_text (settings, "grace", ""),
+                                          &options.grace_us))
+    {
+      pl_log (PL_LOG_ERROR, "bad-settings", json_pack ("{s:s}", "field", "grace"));
+      return PL_ERR_INVALID;
+    }
+  entry->regions.find = find_region;
+  entry->regions.data = entry;
+  entry->router = pl_router_new (&options);
+  return PL_OK;
+}
+
+static int
+open_ports (struct entry *entry)
+{
+  const json_t *settings = entry->settings;
+  struct pl_front_options front = {
+      .address = pl_settings_text (settings, "caller", ""),
+      .dialect = &pl_platform_dialect,
+      .reactor = entry->reactor,
+      .client = entry->traffic,
+      .post = post,
+      .data = entry,
+  };
+  struct pl_beacon_socket_options beacons = {
+      .address = pl_settings_text (settings, "peer", ""),
+      .reactor = entry->reactor,
+      .on_beacon = post_beacon,
+      .data = entry,
+  };
+  const struct pl_small_port_options ports[] = {
+      {pl_settings_text (settings, "ready", ""), entry->reactor, answer_ready, entry},
+      {pl_settings_text (settings, "directory", ""), entry->reactor, answer_directory, entry},
+      {pl_settings_text (settings, "metrics", ""), entry->reactor, answer_metrics, entry},
+      {pl_settings_text (settings, "peer", ""), entry->reactor, pl_relay_answer, entry->router},
+  };
+
+  entry->front = pl_front_new (&front);
+  entry->beacons = pl_beacon_socket_open (&beacons);
+  if (entry->front == NULL || entry->beacons == NULL)
+    {
+      pl_log (PL_LOG_ERROR, "can-not-listen",
+              json_pack ("{s:b,s:b}", "caller", entry->front != NULL, "peer",
+                         entry->beacons != NULL));
+      return PL_ERR_UNAVAILABLE;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
+    if (pl_small_port_open (&ports[i]) < 0)
+      {
+        pl_log (PL_LOG_ERROR, "can-not-listen", json_pack ("{s:s}", "address", ports[i].address));
+        return PL_ERR_UNAVAILABLE;
+      }
+  return PL_OK;
+}
+
+/* What a running process can take over from changed settings. */
+static void
+reload (struct entry *entry)
+{
+  json_t *settings = pl_settings_read (entry->settings_file, settings_fields);
+
+  if (settings == NULL)
+    {
+      pl_log (PL_LOG_ERROR, "settings-rejected", json_pack ("{s:s}", "file", entry->settings_file));
+      return;
+    }
+  /* The router and the ports hold texts of the first settings, which therefore stay. */
+  json_object_set (entry->settings, "directory_ttl_ms",
+                   json_object_get (settings, "directory_ttl_ms"));
+  json_decref (settings);
+  pl_log (PL_LOG_INFO, "settings-reloaded", NULL);
+}
+
+static void
+on_signal (void *data, int fd, uint32_t ready)
+{
+  struct entry *entry = data;
+  struct pl_router_event stop = {.type = PL_ROUTER_STOP};
+  struct signalfd_siginfo info;
+
+  (void) ready;
+  while (read (fd, &info, sizeof info) == (ssize_t) sizeof info)
+    {
+      if (info.ssi_signo == SIGHUP)
+        {
+          reload (entry);
+          continue;
+        }
+      pl_log (PL_LOG_INFO, "stopping", json_pack ("{s:i}", "signal", (int) info.ssi_signo));
+      post (entry, &stop);
+    }
+}
+
+static void
+watch_signals (struct entry *entry)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGHUP);
+  sigprocmask (SIG_BLOCK, &set, NULL);
+  pl_reactor_watch (entry->reactor, signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC), EPOLLIN,
+                    on_signal, entry);
+}
+
+static int
+run (struct entry *entry)
+{
+  struct pl_store_reader_options store = {
+      .address = pl_settings_text (entry->settings, "store", ""),
+      .on_rows = post_rows,
+      .on_state = post_store_state,
+      .data = entry,
+  };
+
+  entry->reactor = pl_reactor_new ();
+  g_queue_init (&entry->events);
+  watch_signals (entry);
+  entry->traffic = pl_http_client_new_on (entry->reactor);
+  entry->control = pl_http_client_new_on (entry->reactor);
+  entry->timer = pl_reactor_timer (entry->reactor, on_timer, entry);
+  store.client = entry->control;
+  store.reactor = entry->reactor;
+  entry->store = pl_platform_store.start (&store);
+  if (make_router (entry) < 0 || open_ports (entry) < 0)
+    return EXIT_FAILURE; /* nothing was taken over that outlives the process */
+  pl_reactor_before_wait (entry->reactor, run_events, entry);
+  pl_log (PL_LOG_INFO, "started",
+          json_pack ("{s:s}", "domain", pl_settings_text (entry->settings, "domain", "")));
+  pl_reactor_run (entry->reactor);
+  pl_log (PL_LOG_INFO, "stopped", NULL);
+  /* The kernel closes the rest: every request that was read is answered. */
+  return EXIT_SUCCESS;
+}
+
+int
+main (int argc, char **argv)
+{
+  g_autofree char *file = NULL;
+  gboolean check = FALSE;
+  GOptionEntry entries[]
+      = {{"settings", 's', 0, G_OPTION_ARG_FILENAME, &file,
+          "Settings file", "FILE"},
+         {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
+         {NULL}};
+  g_autoptr (GOptionContext) context = g_option_context_new ("- an entry host on a platform");
+  g_autoptr (GError) error = NULL;
+  struct entry entry = {0};
+  int level;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  g_option_context_set_description (
+      context, "Exit status: 0 after a graceful stop or a passed check, 1 on failure, 2 on bad\n"
+               "usage or settings.\n\nExample:\n  pomelolatch-entry --settings entry.yaml\n");
+  if (!g_option_context_parse (context, &argc, &argv, &error) || file == NULL)
+    {
+      fprintf (stderr, "pomelolatch-entry: %s\n",
+               error != NULL ? error->message : "--settings FILE is needed");
+      return 2;
+    }
+  entry.settings_file = file;
+  entry.settings = pl_settings_read (file, settings_fields);
+  if (entry.settings == NULL)
+    return 2;
+  level = pl_log_parse_level (pl_settings_text (entry.settings, "log_level", "info"));
+  if (level < 0)
+    {
+      fprintf (stderr, "%s: 'log_level' must be debug, info, warning or error\n", file);
+      return 2;
+    }
+  if (check)
+    return EXIT_SUCCESS;
+  signal (SIGPIPE, SIG_IGN);
+  mallopt (M_ARENA_MAX, 1);
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    return EXIT_FAILURE;
+  pl_log_set ((enum pl_log_level) level, pl_settings_text (entry.settings, "name", ""));
+  return run (&entry);
+}
