Leave home regions to those bound to them; queue only within the objective

Cause: the largest account may run in one region only, whose two servers were also filled by requests that could run anywhere (p50 399 ms there, 95 ms elsewhere). Change: a region is reserved when the requests bound to it need over half of its share of the servers; a server's queue is used as far as the answer still comes within the objective.

--- a/core/placement.c
+++ b/core/placement.c
@@ -31,10 +31,21 @@
 #define SLOW_FACTOR 2.5
 #define DOWN_FIRST_US INT64_C (500000)
 #define DOWN_LAST_US INT64_C (4000000)
-/* How much of a warm server's queue may be used before the next one is tried: in slots. */
-#define QUEUE_FIRST 1.0
-#define QUEUE_DEEP 2.2
-#define RANKED_MAX 4
+/* Of the latency objective that the work and the wait before it may take. */
+#define OBJECTIVE_PART 0.85
+/* Servers, in the order of the ranking, whose queue is used. */
+#define RANKED_MAX 2
+/* What another region counts as, in slots, when any idle server will do. */
+#define FAR_LOAD 0.25
+#define RESERVED_LOAD 0.4
+/* A region is left to the requests bound to it when they make up more than this part of what its
+ * share of the servers can take; it is opened again below the second. */
+#define RESERVE_ABOVE 0.5
+#define RESERVE_BELOW 0.3
+#define RESERVE_PERIOD_US INT64_C (500000)
+/* Requests that a region's part is judged by. */
+#define HOMED_MEMORY 400.0
+#define RESERVED_WEIGHT 0.02
 /* Of the rate that a cold server bears. */
 #define COLD_PART_USED 0.9
 #define GONE_KEPT_US INT64_C (5000000)
@@ -116,7 +127,7 @@
   backend->down_until_us = 0;
   backend->on_trial = false;
   backend->failure_part = 0;
-  backend->latency_us = 0;
+  backend->work_us = 0;
   backend->cold_tokens = 0;
   backend->cold_refilled_us = now_us;
   backend->listed_us = now_us;
@@ -228,17 +239,74 @@
 {
   double slots = backend->slots_reported > 0 ? backend->slots_reported : backend->entry.slots;
 
-  if (service->latency_us > 0 && backend->latency_us > service->latency_us * SLOW_FACTOR)
-    slots *= service->latency_us / backend->latency_us;
+  if (service->work_us > 0 && backend->work_us > service->work_us * SLOW_FACTOR)
+    slots *= service->work_us / backend->work_us;
   return fmax (slots, 0.5);
 }
 
+/* Some requests may run in one region only.  Where they need a good part of its servers, requests
+ * that may run anywhere keep away. */
+static void
+count_homed (struct pl_placement_service *service, const struct pl_placement_wish *wish)
+{
+  double fade = 1 - 1 / HOMED_MEMORY;
+  int homes = __builtin_popcount (wish->homes);
+
+  service->asked = service->asked * fade + 1;
+  for (int r = 0; r < PL_PLACEMENT_REGIONS_MAX; r++)
+    {
+      service->regions[r].homed *= fade;
+      if (wish->has_homes && (wish->homes >> r & 1) != 0)
+        service->regions[r].homed += 1.0 / homes;
+    }
+}
+
+static void
+judge_reservations (struct pl_placement_service *service, int64_t now_us)
+{
+  int slots = 0;
+
+  if (now_us < service->regions_due_us)
+    return;
+  service->regions_due_us = now_us + RESERVE_PERIOD_US;
+  for (int r = 0; r < PL_PLACEMENT_REGIONS_MAX; r++)
+    service->regions[r].slots = 0;
+  for (guint i = 0; i < service->backends->len; i++)
+    {
+      const struct pl_backend *backend = g_ptr_array_index (service->backends, i);
+
+      if (backend->region == PL_NONE || backend->entry.draining || now_us >= backend->gone_us)
+        continue;
+      service->regions[backend->region].slots += backend->entry.slots;
+      slots += backend->entry.slots;
+    }
+  for (int r = 0; r < PL_PLACEMENT_REGIONS_MAX; r++)
+    {
+      struct pl_placement_region *region = &service->regions[r];
+      double share = slots > 0 ? (double) region->slots / slots : 0;
+      double limit = region->reserved ? RESERVE_BELOW : RESERVE_ABOVE;
+
+      region->reserved = region->homed > service->asked * share * limit && region->slots < slots;
+    }
+}
+
+static bool
+is_reserved (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
+             const struct pl_backend *backend)
+{
+  return !wish->has_homes && backend->region != PL_NONE
+         && service->regions[backend->region].reserved;
+}
+
 static double
-weight_of (const struct pl_placement *placement, const struct pl_placement_wish *wish,
-           const struct pl_backend *backend)
+weight_of (const struct pl_placement *placement, const struct pl_placement_service *service,
+           const struct pl_placement_wish *wish, const struct pl_backend *backend)
 {
   double weight = fmax (backend->entry.slots, 1);
 
+  if (is_reserved (service, wish, backend))
+    weight *= RESERVED_WEIGHT;
+
   if (wish->is_large && strcmp (backend->entry.domain, placement->domain) == 0)
     return weight * DOMAIN_WEIGHT_LARGE;
   if (wish->is_large && backend->region == placement->region)
@@ -248,12 +316,12 @@
 
 /* Weighted rendezvous hashing: the lowest cost wins, each server in proportion to its weight. */
 static double
-cost_of (const struct pl_placement *placement, const struct pl_placement_wish *wish,
-         const struct pl_backend *backend)
+cost_of (const struct pl_placement *placement, const struct pl_placement_service *service,
+         const struct pl_placement_wish *wish, const struct pl_backend *backend)
 {
   double unit = ((double) (pl_hash_pair (wish->object, backend->hash) >> 11) + 1) / 0x1p53;
 
-  return -log (unit) / weight_of (placement, wish, backend);
+  return -log (unit) / weight_of (placement, service, wish, backend);
 }
 
 /* Keeps the RANKED_MAX cheapest in rising order.  Returns the new count. */
@@ -290,19 +358,16 @@
   return true;
 }
 
-/* Returns the ranked server with room for QUEUE more than its slots, among the first TOP. */
-static struct pl_backend *
-first_with_room (const struct pl_placement_service *service, const struct ranked *ranked, int top,
-                 double queue, int64_t now_us)
+/* Returns whether a request sent to BACKEND now is answered within the objective, or at least runs
+ * at once. */
+static bool
+has_room (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
+          const struct pl_backend *backend, int64_t now_us)
 {
-  for (int i = 0; i < top; i++)
-    {
-      const struct pl_backend *backend = ranked[i].backend;
+  double load = (load_of (backend, now_us) + 1) / slots_of (service, backend);
+  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
 
-      if (load_of (backend, now_us) + 1 <= slots_of (service, backend) * queue)
-        return ranked[i].backend;
-    }
-  return NULL;
+  return load <= 1 || work_us * load <= (double) wish->objective_us * OBJECTIVE_PART;
 }
 
 struct scan
@@ -334,10 +399,12 @@
         continue;
       if (wish->object != 0)
         scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
-                                            cost_of (placement, wish, backend));
+                                            cost_of (placement, service, wish, backend));
       load = (load_of (backend, now_us) + 1) / slots_of (service, backend);
       if (backend->region != placement->region)
-        load += 0.25;
+        load += FAR_LOAD;
+      if (is_reserved (service, wish, backend))
+        load += RESERVED_LOAD;
       if (scan->idlest == NULL || load < scan->idlest_load)
         {
           scan->idlest = backend;
@@ -353,48 +420,51 @@
 {
   struct pl_placement_service *service = g_hash_table_lookup (placement->services, wish->service);
   struct scan scan = {.idlest = NULL};
-  struct pl_backend *best;
+  struct pl_backend *best = NULL;
 
   if (service == NULL)
     return PL_PLACE_NONE;
+  judge_reservations (service, now_us);
   scan_servers (placement, service, wish, &scan, cold_share, data, now_us);
   if (scan.listed == 0)
     return PL_PLACE_NONE;
-  best = first_with_room (service, scan.ranked, MIN (scan.ranked_count, 2), QUEUE_FIRST, now_us);
-  if (best == NULL)
-    best = first_with_room (service, scan.ranked, MIN (scan.ranked_count, 2), QUEUE_DEEP, now_us);
-  if (best == NULL && scan.idlest != NULL && scan.idlest_load <= QUEUE_FIRST + 0.25)
+  for (int i = 0; i < scan.ranked_count && best == NULL; i++)
+    if (has_room (service, wish, scan.ranked[i].backend, now_us))
+      best = scan.ranked[i].backend;
+  if (best == NULL && scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
-  if (best == NULL)
-    best = first_with_room (service, scan.ranked, scan.ranked_count, QUEUE_DEEP, now_us);
   if (best == NULL
       || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second), now_us))
     return PL_PLACE_FULL;
+  count_homed (service, wish);
+  best->load_at_send = (load_of (best, now_us) + 1) / slots_of (service, best);
   best->in_flight++;
   best->picked_us = now_us;
   *chosen = best;
   return PL_PLACED;
 }
 
+static void
+smooth (double *value, double sample, double part)
+{
+  *value += *value == 0 ? sample : part * (sample - *value);
+}
+
 void
 pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend, bool failed,
-                          int64_t latency_us, int64_t now_us)
+                          int64_t latency_us, double load)
 {
   struct pl_placement_service *service = take_service (placement, backend->entry.service);
+  double work_us = (double) latency_us / fmax (load, 1);
 
-  (void) now_us;
   backend->failures = 0;
   backend->on_trial = false;
   backend->failure_part += FAILURE_SMOOTHING * ((failed ? 1.0 : 0.0) - backend->failure_part);
   if (failed || latency_us <= 0)
     return;
   backend->served++;
-  backend->latency_us += backend->latency_us == 0
-                             ? (double) latency_us
-                             : LATENCY_SMOOTHING * ((double) latency_us - backend->latency_us);
-  service->latency_us += service->latency_us == 0
-                             ? (double) latency_us
-                             : LATENCY_SMOOTHING / 4 * ((double) latency_us - service->latency_us);
+  smooth (&backend->work_us, work_us, LATENCY_SMOOTHING);
+  smooth (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
 }
 
 /* It said so itself, whatever was known of its load. */
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -218,6 +218,7 @@
   call->state = CALL_AT_SERVER;
   call->backend = backend;
   call->sent_us = router->now_us;
+  call->load_at_send = backend->load_at_send;
   call->attempts++;
   call->attempt++;
   if (call->tried_count < PL_TRIED_MAX)
@@ -241,6 +242,7 @@
       .service = call->service,
       .object = call->sticky ? call->object : 0,
       .is_large = call->body_bytes >= LARGE_BODY_BYTES,
+      .objective_us = call->objective_us,
       .only_tried_and_sound = !call->repeatable,
       .has_homes = call->has_homes,
       .homes = call->homes,
@@ -456,7 +458,7 @@
   bool failed = status >= 500;
 
   pl_placement_note_answer (&router->placement, call->backend, failed,
-                            router->now_us - call->sent_us, router->now_us);
+                            router->now_us - call->sent_us, call->load_at_send);
   call->ran = true;
   if (status < 500)
     quarantine_note_success (&router->quarantine, call->fingerprint);
@@ -559,7 +561,7 @@
 {
   cancel (router, call);
   call->ran = true;
-  pl_placement_note_answer (&router->placement, call->backend, true, 0, router->now_us);
+  pl_placement_note_answer (&router->placement, call->backend, true, 0, 1);
   refuse (router, call, ROUTER_LATE, 0);
 }
 
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -12,6 +12,7 @@
 
 #define PL_SERVER_ID_CHARS 64
 #define PL_TRIED_MAX 8
+#define PL_PLACEMENT_REGIONS_MAX 32
 
 /* What is registered of a server. */
 struct pl_server_entry
@@ -49,15 +50,27 @@
   bool probe_open;
   double failure_part; /* of the latest answers, 0 to 1 */
   int64_t picked_us;
-  double latency_us; /* smoothed; 0: none yet */
+  double work_us;       /* of one request without waiting, smoothed; 0: not known */
+  double load_at_send;  /* in slots, of the request sent last */
   uint64_t served;
 };
 
+/* What a region has to serve that may not go elsewhere. */
+struct pl_placement_region
+{
+  double homed; /* requests bound to it, of the latest */
+  int slots;
+  bool reserved; /* its servers are left to those requests */
+};
+
 struct pl_placement_service
 {
   char name[PL_ID_CHARS];
   GPtrArray *backends; /* of struct pl_backend */
-  double latency_us;   /* smoothed over all its servers; 0: none yet */
+  double work_us;      /* smoothed over all its servers; 0: none yet */
+  double asked;        /* requests, of the latest */
+  struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
+  int64_t regions_due_us; /* when the reservations are judged next */
   int64_t cold_time_us;
   double cold_per_second;
 };
@@ -77,6 +90,7 @@
   const char *service;
   uint64_t object; /* hash of the object concerned; 0: none */
   bool is_large;   /* its bytes are dear to carry far */
+  int64_t objective_us; /* a queue is used as far as the answer still comes within it */
   bool only_tried_and_sound; /* it may run once only: not where a server is on trial */
   bool has_homes;
   uint32_t homes;
@@ -123,9 +137,10 @@
 bool pl_placement_is_listed (const struct pl_placement *placement,
                              const struct pl_backend *backend, int64_t now_us);
 
-/* What became of a request sent to BACKEND; LATENCY_US 0: not known. */
+/* What became of a request sent to BACKEND; LATENCY_US 0: not known.  LOAD is the server's load in
+ * slots when it was sent. */
 void pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend,
-                               bool failed, int64_t latency_us, int64_t now_us);
+                               bool failed, int64_t latency_us, double load);
 void pl_placement_note_full (struct pl_backend *backend, int64_t now_us);
 void pl_placement_note_broken (struct pl_backend *backend, bool not_reached, int64_t now_us);
 void pl_placement_note_load (struct pl_backend *backend, int running, int waiting, int slots,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -100,6 +100,7 @@
   bool ran; /* it may have run somewhere */
   struct pl_backend *backend;
   int64_t sent_us;
+  double load_at_send; /* of the server, in slots */
 };
 
 struct held_row
