Callers that left are noticed in time; connections are bounded; lapse grace judged by the fleet

Change: one fixed period; answers end their connection above 800 open ones, a caller that has gone is not submitted; entries count as lapsed only when three quarters of the hosts saw the store fail.

--- a/core/membership.c
+++ b/core/membership.c
@@ -95,6 +95,7 @@
   member->leaving = beacon->leaving;
   member->watching = beacon->watching;
   member->store_lost = beacon->store_lost;
+  member->store_trouble_us = beacon->store_trouble_us < 0 ? -1 : now_us - beacon->store_trouble_us;
   memcpy (member->held, beacon->held, sizeof member->held);
   for (int i = 0; i < beacon->contact_count; i++)
     pl_membership_add_contact (membership, &beacon->contacts[i], now_us);
--- a/core/placement.c
+++ b/core/placement.c
@@ -221,8 +221,7 @@
     return false;
   if (backend->on_trial && (wish->only_tried_and_sound || backend->in_flight > 0))
     return false;
-  return backend->failure_part < FAILURE_LIMIT
-         || now_us - backend->picked_us > FAILING_RETRY_US;
+  return backend->failure_part < FAILURE_LIMIT || now_us - backend->picked_us > FAILING_RETRY_US;
 }
 
 static double
@@ -381,8 +380,8 @@
 
 static void
 scan_servers (struct pl_placement *placement, struct pl_placement_service *service,
-              const struct pl_placement_wish *wish, struct scan *scan,
-              pl_cold_share cold_share, void *data, int64_t now_us)
+              const struct pl_placement_wish *wish, struct scan *scan, pl_cold_share cold_share,
+              void *data, int64_t now_us)
 {
   for (guint i = 0; i < service->backends->len; i++)
     {
@@ -395,7 +394,8 @@
       if (!is_sound (wish, backend, now_us))
         continue;
       if (now_us < backend->cold_until_us
-          && (cold_share (data, backend->hash, service->cold_per_second) <= 0 || backend->in_flight > 0))
+          && (cold_share (data, backend->hash, service->cold_per_second) <= 0
+              || backend->in_flight > 0))
         continue;
       if (wish->object != 0)
         scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
@@ -415,8 +415,8 @@
 
 enum pl_placement_verdict
 pl_placement_choose (struct pl_placement *placement, const struct pl_placement_wish *wish,
-                     pl_cold_share cold_share, void *data,
-                     struct pl_backend **chosen, int64_t now_us)
+                     pl_cold_share cold_share, void *data, struct pl_backend **chosen,
+                     int64_t now_us)
 {
   struct pl_placement_service *service = g_hash_table_lookup (placement->services, wish->service);
   struct scan scan = {.idlest = NULL};
@@ -434,7 +434,8 @@
   if (best == NULL && scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
   if (best == NULL
-      || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second), now_us))
+      || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second),
+                           now_us))
     return PL_PLACE_FULL;
   count_homed (service, wish);
   best->load_at_send = (load_of (best, now_us) + 1) / slots_of (service, best);
@@ -549,8 +550,7 @@
     {
       struct pl_backend *backend = value;
 
-      if (backend->gone_us > now_us - GONE_KEPT_US || backend->in_flight > 0
-          || backend->probe_open)
+      if (backend->gone_us > now_us - GONE_KEPT_US || backend->in_flight > 0 || backend->probe_open)
         continue;
       g_ptr_array_remove (take_service (placement, backend->entry.service)->backends, backend);
       g_hash_table_iter_remove (&iter);
--- a/core/router.c
+++ b/core/router.c
@@ -10,6 +10,10 @@
 #include <string.h>
 
 #define SLOW_PERIOD_US (250 * MS_US)
+/* Of the time that a stopping process has: callers' cached addresses have run out by the first,
+ * and the second leaves time to end before the process is killed. */
+#define UNLISTEN_PERCENT 55
+#define STOP_PERCENT 90
 
 struct pl_router_effect *
 router_add_effect (struct pl_router *router, enum pl_router_effect_type type)
@@ -52,8 +56,7 @@
 }
 
 void
-router_note (struct pl_router *router, enum pl_note_level level, const char *event,
-             json_t *fields)
+router_note (struct pl_router *router, enum pl_note_level level, const char *event, json_t *fields)
 {
   struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_NOTE);
 
@@ -168,8 +171,7 @@
              sizeof router->self.self.peer_address);
   g_strlcpy (router->self.caller_address, options->caller_address,
              sizeof router->self.caller_address);
-  g_strlcpy (router->self.relay_address, options->relay_address,
-             sizeof router->self.relay_address);
+  g_strlcpy (router->self.relay_address, options->relay_address, sizeof router->self.relay_address);
   g_strlcpy (router->self.domain, options->domain, sizeof router->self.domain);
   router->self.incarnation = options->incarnation;
   router->due_us = options->now_us;
@@ -217,11 +219,9 @@
 
       backend->probe_open = true;
       g_strlcpy (effect->u.probe.server, backend->entry.id, sizeof effect->u.probe.server);
-      g_strlcpy (effect->u.probe.address, backend->entry.address,
-                 sizeof effect->u.probe.address);
+      g_strlcpy (effect->u.probe.address, backend->entry.address, sizeof effect->u.probe.address);
       g_strlcpy (effect->u.probe.path,
-                 service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path
-                                    : "/",
+                 service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path : "/",
                  sizeof effect->u.probe.path);
     }
 }
@@ -248,13 +248,13 @@
 
   if (!router->stopping || router->stopped)
     return;
-  if (!router->unlistened && stopped_for_us >= router->options.grace_us * 6 / 10)
+  if (!router->unlistened && stopped_for_us >= router->options.grace_us * UNLISTEN_PERCENT / 100)
     {
       router->unlistened = true;
       router_add_effect (router, PL_ROUTER_UNLISTEN);
     }
   if (router->unlistened
-      && (is_idle || stopped_for_us >= router->options.grace_us * 95 / 100))
+      && (is_idle || stopped_for_us >= router->options.grace_us * STOP_PERCENT / 100))
     {
       router->stopped = true;
       router_add_effect (router, PL_ROUTER_STOPPED);
@@ -280,12 +280,10 @@
 
   if (backend == NULL)
     return;
-  pl_placement_note_probe (backend, event->u.probed.well, event->u.probed.cold_us,
-                           router->now_us);
+  pl_placement_note_probe (backend, event->u.probed.well, event->u.probed.cold_us, router->now_us);
   router_note (router, PL_NOTE_BELIEF, "server-probed",
                json_pack ("{s:s,s:b,s:I}", "server", backend->entry.id, "well",
-                          event->u.probed.well, "cold_us",
-                          (json_int_t) event->u.probed.cold_us));
+                          event->u.probed.well, "cold_us", (json_int_t) event->u.probed.cold_us));
 }
 
 static void
@@ -365,12 +363,11 @@
   int region_index = router_region (router, domain);
   const char *self = pl_router_is_ready (router) ? router->options.caller_address : NULL;
 
-  for (guint i = 0; region != NULL && region_index == PL_NONE && i < router->region_names->len;
-       i++)
+  for (guint i = 0; region != NULL && region_index == PL_NONE && i < router->region_names->len; i++)
     if (strcmp (g_ptr_array_index (router->region_names, i), region) == 0)
       region_index = (int) i;
-  return pl_membership_name_hosts (&router->membership, domain, region_index, self, addresses,
-                                   room, now_us);
+  return pl_membership_name_hosts (&router->membership, domain, region_index, self, addresses, room,
+                                   now_us);
 }
 
 static void
@@ -380,17 +377,17 @@
 
   g_string_append_printf (text, "pomelolatch_requests_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
                           kind, name, counts->asked);
-  g_string_append_printf (text, "pomelolatch_served_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          kind, name, counts->served);
+  g_string_append_printf (text, "pomelolatch_served_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", kind,
+                          name, counts->served);
   for (int i = 0; i < ROUTER_REFUSALS; i++)
     if (counts->refused[i] > 0)
       g_string_append_printf (
-          text, "pomelolatch_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT "\n",
-          kind, name, router_refusal_names[i], counts->refused[i]);
+          text, "pomelolatch_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT "\n", kind,
+          name, router_refusal_names[i], counts->refused[i]);
   for (size_t i = 0; counts->latency.count > 0 && i < G_N_ELEMENTS (quantiles); i++)
-    g_string_append_printf (text, "pomelolatch_latency_us{%s=\"%s\",quantile=\"%g\"} %" G_GINT64_FORMAT "\n",
-                            kind, name, quantiles[i],
-                            pl_histogram_quantile (&counts->latency, quantiles[i]));
+    g_string_append_printf (
+        text, "pomelolatch_latency_us{%s=\"%s\",quantile=\"%g\"} %" G_GINT64_FORMAT "\n", kind,
+        name, quantiles[i], pl_histogram_quantile (&counts->latency, quantiles[i]));
 }
 
 void
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -163,8 +163,7 @@
   double most = MAX (router->options.retry_slack * RETRY_PART / hosts, 1.0);
   struct router_retries *retries = take_retries (router, service);
 
-  retries->tokens
-      = MIN (retries->tokens + router->options.retry_ratio * RETRY_PART, most);
+  retries->tokens = MIN (retries->tokens + router->options.retry_ratio * RETRY_PART, most);
 }
 
 static bool
@@ -250,8 +249,8 @@
       .tried_count = call->tried_count,
   };
   struct pl_backend *backend = NULL;
-  enum pl_placement_verdict verdict = pl_placement_choose (
-      &router->placement, &wish, cold_share, router, &backend, router->now_us);
+  enum pl_placement_verdict verdict = pl_placement_choose (&router->placement, &wish, cold_share,
+                                                           router, &backend, router->now_us);
 
   if (verdict == PL_PLACED)
     send_to (router, call, backend);
@@ -314,8 +313,7 @@
   if (route == NULL || patience_us <= 0)
     return;
   route->longest_patience_us = MAX (route->longest_patience_us, patience_us);
-  call->is_returning
-      = (double) patience_us < (double) route->longest_patience_us * RETURNING_PART;
+  call->is_returning = (double) patience_us < (double) route->longest_patience_us * RETURNING_PART;
 }
 
 static int64_t
@@ -483,8 +481,7 @@
 }
 
 static void
-note_load (struct pl_router *router, const struct call *call,
-           const struct pl_attempt_event *event)
+note_load (struct pl_router *router, const struct call *call, const struct pl_attempt_event *event)
 {
   if (event->has_load)
     pl_placement_note_load (call->backend, event->running, event->waiting, event->slots,
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -178,9 +178,8 @@
   uint64_t id = pl_id_of ("entry_hosts", beacon->self.name);
   const struct pl_member *known = g_hash_table_lookup (router->membership.members, &id);
   bool was_live = known != NULL && pl_member_is_live (known, router->now_us);
-  const struct pl_member *member
-      = pl_membership_on_beacon (&router->membership, beacon,
-                                 router_region (router, beacon->domain), router->now_us);
+  const struct pl_member *member = pl_membership_on_beacon (
+      &router->membership, beacon, router_region (router, beacon->domain), router->now_us);
 
   if (member == NULL)
     return;
@@ -188,12 +187,9 @@
     {
       router->tell_soon = true;
       router_note (router, PL_NOTE_BELIEF, "host-heard",
-                   json_pack ("{s:s,s:s,s:b}", "host", beacon->self.name, "domain",
-                              beacon->domain, "ready", beacon->ready));
+                   json_pack ("{s:s,s:s,s:b}", "host", beacon->self.name, "domain", beacon->domain,
+                              "ready", beacon->ready));
     }
-  if (beacon->store_trouble_us >= 0)
-    router->store_trouble_us
-        = MAX (router->store_trouble_us, router->now_us - beacon->store_trouble_us);
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
   for (int t = 0; t < PL_TABLES_MAX; t++)
@@ -207,8 +203,8 @@
   if (!quarantine_note_death (&router->quarantine, fingerprint, server, alone, router->now_us))
     return;
   router->tell_soon = true;
-  router_note (router, PL_NOTE_BELIEF, "request-suspected",
-               json_pack ("{s:I,s:b}", "fingerprint", (json_int_t) (fingerprint >> 1), "convicted",
-                          quarantine_judge (&router->quarantine, fingerprint)
-                              == QUARANTINE_CONVICTED));
+  router_note (
+      router, PL_NOTE_BELIEF, "request-suspected",
+      json_pack ("{s:I,s:b}", "fingerprint", (json_int_t) (fingerprint >> 1), "convicted",
+                 quarantine_judge (&router->quarantine, fingerprint) == QUARANTINE_CONVICTED));
 }
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -112,12 +112,30 @@
                           "accounts", (int) routing->accounts->len));
 }
 
+static bool
+is_recent (const struct pl_router *router, int64_t trouble_us)
+{
+  return trouble_us >= 0 && router->now_us - trouble_us < LAPSE_LOOK_BACK_US;
+}
+
+/* Whether the store was away for the fleet, not only for some hosts that it turned down: then
+ * servers could not report to it either. */
 static bool
 store_was_away (const struct pl_router *router)
 {
-  return router->store_lost
-         || (router->store_trouble_us >= 0
-             && router->now_us - router->store_trouble_us < LAPSE_LOOK_BACK_US);
+  int hosts = 1;
+  int troubled = is_recent (router, router->store_trouble_us);
+
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+
+      if (!pl_member_is_live (member, router->now_us))
+        continue;
+      hosts++;
+      troubled += is_recent (router, member->store_trouble_us);
+    }
+  return troubled * 4 >= hosts * 3;
 }
 
 static int64_t
@@ -148,8 +166,8 @@
                               (json_int_t) (until_us - router->now_us)));
       return;
     }
-  pl_placement_put (&router->placement, &news->server,
-                    router_region (router, news->server.domain), at_start, router->now_us);
+  pl_placement_put (&router->placement, &news->server, router_region (router, news->server.domain),
+                    at_start, router->now_us);
   router_note (router, PL_NOTE_BELIEF, "server-listed",
                json_pack ("{s:s,s:s,s:s,s:b,s:I}", "server", news->server.id, "service",
                           news->server.service, "domain", news->server.domain, "draining",
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -22,9 +22,9 @@
 struct pl_dialect
 {
   /* Names of header lines. */
-  const char *request_id; /* of a caller's attempt; servers echo it */
-  const char *deadline;   /* milliseconds that the sender waits */
-  const char *account;    /* to servers: whose key came with the request */
+  const char *request_id;      /* of a caller's attempt; servers echo it */
+  const char *deadline;        /* milliseconds that the sender waits */
+  const char *account;         /* to servers: whose key came with the request */
   const char *expected_server; /* to servers: the only one that may run it */
   const char *server_mark;     /* from servers: their signature on an answer */
   const char *not_run;         /* from servers: the request did not run */
--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -29,6 +29,9 @@
 /* Carries out SEND, DELIVER, REFUSE, CANCEL, PROBE, LIMITS, CLOSING and UNLISTEN. */
 void pl_front_execute (struct pl_front *front, const struct pl_router_effect *effect);
 
+/* Returns how many requests are being read, run or answered. */
+unsigned pl_front_open_calls (const struct pl_front *front);
+
 /* One caller's request with its attempt and answer; shared by front.c and front_attempts.c. */
 struct pl_front_call
 {
@@ -37,13 +40,13 @@
   struct MHD_Connection *connection;
   bool suspended;
   bool submitted;
-  bool done;       /* an answer of ours or of the server is ready to be sent */
-  bool gone;       /* the caller closed its connection */
+  bool done; /* an answer of ours or of the server is ready to be sent */
+  bool gone; /* the caller closed its connection */
   int64_t begun_us;
 
   char *method;
-  char *target; /* path and query, as sent */
-  char *label;  /* the caller's id for this request */
+  char *target;       /* path and query, as sent */
+  char *label;        /* the caller's id for this request */
   GPtrArray *headers; /* "Name: value" that go on to a server */
   bool has_key;
   uint8_t key_hash[PL_KEY_HASH_BYTES];
@@ -72,6 +75,7 @@
   bool closing;
   bool resumed; /* connections were resumed since the daemon last ran */
   int watch_timer;
+  bool watch_armed;
 };
 
 /* front_attempts.c */
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -43,9 +43,9 @@
   uint64_t incarnation; /* rises with each start of the process */
   bool ready;           /* takes callers */
   bool leaving;
-  bool watching;           /* reads the platform's store itself */
-  bool store_lost;         /* tries to, and fails */
-  int64_t store_trouble_us; /* how long ago the store last failed it; -1: never */
+  bool watching;               /* reads the platform's store itself */
+  bool store_lost;             /* tries to, and fails */
+  int64_t store_trouble_us;    /* how long ago the store last failed it; -1: never */
   int64_t held[PL_TABLES_MAX]; /* version of each watched table */
   int account_count;
   struct pl_beacon_account accounts[PL_BEACON_ACCOUNTS_MAX];
@@ -69,6 +69,7 @@
   bool leaving;
   bool watching;
   bool store_lost;
+  int64_t store_trouble_us; /* when the store last failed it; -1: never */
   int64_t heard_us;
   int64_t known_us; /* since when its address is known */
   int64_t held[PL_TABLES_MAX];
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -38,9 +38,9 @@
   double cold_tokens;
   int64_t cold_refilled_us;
   /* load */
-  int in_flight;      /* from this host */
-  int reported;       /* running and waiting there, as it last said */
-  int own_at_report;  /* in flight from this host at that time */
+  int in_flight;     /* from this host */
+  int reported;      /* running and waiting there, as it last said */
+  int own_at_report; /* in flight from this host at that time */
   int64_t reported_us;
   int slots_reported; /* 0: not told */
   /* health */
@@ -50,8 +50,8 @@
   bool probe_open;
   double failure_part; /* of the latest answers, 0 to 1 */
   int64_t picked_us;
-  double work_us;       /* of one request without waiting, smoothed; 0: not known */
-  double load_at_send;  /* in slots, of the request sent last */
+  double work_us;      /* of one request without waiting, smoothed; 0: not known */
+  double load_at_send; /* in slots, of the request sent last */
   uint64_t served;
 };
 
@@ -77,9 +77,9 @@
 
 struct pl_placement
 {
-  GHashTable *backends; /* id -> struct pl_backend */
-  GHashTable *services; /* name -> struct pl_placement_service */
-  GHashTable *evacuated; /* domain name -> itself */
+  GHashTable *backends;     /* id -> struct pl_backend */
+  GHashTable *services;     /* name -> struct pl_placement_service */
+  GHashTable *evacuated;    /* domain name -> itself */
   char domain[PL_ID_CHARS]; /* of this host */
   int region;
 };
@@ -88,9 +88,9 @@
 struct pl_placement_wish
 {
   const char *service;
-  uint64_t object; /* hash of the object concerned; 0: none */
-  bool is_large;   /* its bytes are dear to carry far */
-  int64_t objective_us; /* a queue is used as far as the answer still comes within it */
+  uint64_t object;           /* hash of the object concerned; 0: none */
+  bool is_large;             /* its bytes are dear to carry far */
+  int64_t objective_us;      /* a queue is used as far as the answer still comes within it */
   bool only_tried_and_sound; /* it may run once only: not where a server is on trial */
   bool has_homes;
   uint32_t homes;
@@ -114,8 +114,8 @@
 
 /* Takes an entry.  AT_START: it was there before this host was, so its start is not news. */
 struct pl_backend *pl_placement_put (struct pl_placement *placement,
-                                     const struct pl_server_entry *entry, int region,
-                                     bool at_start, int64_t now_us);
+                                     const struct pl_server_entry *entry, int region, bool at_start,
+                                     int64_t now_us);
 
 /* The entry ID is gone; the server is used until USE_UNTIL_US. */
 void pl_placement_drop (struct pl_placement *placement, const char *id, int64_t use_until_us);
@@ -129,13 +129,12 @@
  * Counts it as in flight when it returns PL_PLACED. */
 enum pl_placement_verdict pl_placement_choose (struct pl_placement *placement,
                                                const struct pl_placement_wish *wish,
-                                               pl_cold_share cold_share,
-                                               void *data, struct pl_backend **chosen,
-                                               int64_t now_us);
+                                               pl_cold_share cold_share, void *data,
+                                               struct pl_backend **chosen, int64_t now_us);
 
 /* Returns whether BACKEND may still be used for new requests. */
-bool pl_placement_is_listed (const struct pl_placement *placement,
-                             const struct pl_backend *backend, int64_t now_us);
+bool pl_placement_is_listed (const struct pl_placement *placement, const struct pl_backend *backend,
+                             int64_t now_us);
 
 /* What became of a request sent to BACKEND; LATENCY_US 0: not known.  LOAD is the server's load in
  * slots when it was sent. */
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -14,8 +14,8 @@
 
 /* Answers a peer that holds the versions in CONNECTION's query; a pl_small_port_function with a
  * struct pl_router as DATA. */
-int pl_relay_answer (void *data, struct MHD_Connection *connection, const char *path,
-                     GString *body, const char **type);
+int pl_relay_answer (void *data, struct MHD_Connection *connection, const char *path, GString *body,
+                     const char **type);
 
 struct pl_relay_fetch
 {
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -41,9 +41,8 @@
 
 /* Turns a row into news.  VALUE NULL: the row is gone.  Must be a pure function.  Returns 0, or
  * PL_ERR_INVALID with findings added; the row then says nothing. */
-typedef int (*pl_row_decoder) (void *data, enum pl_table table, const char *key,
-                               const char *value, size_t length, struct pl_news *news,
-                               struct pl_findings *findings);
+typedef int (*pl_row_decoder) (void *data, enum pl_table table, const char *key, const char *value,
+                               size_t length, struct pl_news *news, struct pl_findings *findings);
 
 struct pl_router_options
 {
@@ -56,9 +55,9 @@
   const char *const *seeds;   /* addresses of other hosts' peer ports, NULL-ended; may be stale */
   uint64_t incarnation;
   int64_t now_us;
-  int64_t grace_us;          /* from the order to stop until the process is ended */
-  double retry_ratio;        /* repeats a request, over the fleet */
-  double retry_slack;        /* repeats besides, over the fleet */
+  int64_t grace_us;   /* from the order to stop until the process is ended */
+  double retry_ratio; /* repeats a request, over the fleet */
+  double retry_slack; /* repeats besides, over the fleet */
   pl_row_decoder decode;
   void *decode_data;
 };
@@ -160,14 +159,14 @@
   PL_ROUTER_REFUSE,  /* an answer of our own to the caller */
   PL_ROUTER_CANCEL,  /* break the attempt off; no outcome is awaited */
   PL_ROUTER_PROBE,
-  PL_ROUTER_TELL,      /* a beacon to a peer */
-  PL_ROUTER_FETCH,     /* rows from a peer */
-  PL_ROUTER_WATCH,     /* begin or end reading the store */
-  PL_ROUTER_LIMITS,    /* what callers may send has changed */
-  PL_ROUTER_CLOSING,   /* each answer ends its connection from now on */
-  PL_ROUTER_UNLISTEN,  /* take no new connections */
-  PL_ROUTER_STOPPED,   /* the process may end */
-  PL_ROUTER_NOTE,      /* a line for the log */
+  PL_ROUTER_TELL,     /* a beacon to a peer */
+  PL_ROUTER_FETCH,    /* rows from a peer */
+  PL_ROUTER_WATCH,    /* begin or end reading the store */
+  PL_ROUTER_LIMITS,   /* what callers may send has changed */
+  PL_ROUTER_CLOSING,  /* each answer ends its connection from now on */
+  PL_ROUTER_UNLISTEN, /* take no new connections */
+  PL_ROUTER_STOPPED,  /* the process may end */
+  PL_ROUTER_NOTE,     /* a line for the log */
 };
 
 enum pl_note_level
@@ -195,7 +194,7 @@
     struct
     {
       int status;
-      const char *reason; /* static */
+      const char *reason;     /* static */
       int64_t retry_after_us; /* 0: coming back does not help */
     } refuse;
     struct
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -26,9 +26,9 @@
   ROUTER_NO_SERVER,
   ROUTER_FULL,
   ROUTER_TRIED_ALL,
-  ROUTER_LATE,      /* no answer within the time; it may have run */
-  ROUTER_NO_TIME,   /* the time ran out before it was sent */
-  ROUTER_LOST,      /* the answer was lost; it may have run */
+  ROUTER_LATE,       /* no answer within the time; it may have run */
+  ROUTER_NO_TIME,    /* the time ran out before it was sent */
+  ROUTER_LOST,       /* the answer was lost; it may have run */
   ROUTER_MISLEADING, /* the server's own status would promise what is not known */
   ROUTER_REFUSALS,
 };
@@ -139,7 +139,7 @@
   struct held_table held[PL_TABLES_MAX];
   bool watching;
   bool store_lost;
-  int64_t store_trouble_us; /* when the store last failed us or a peer; -1: never */
+  int64_t store_trouble_us; /* when the store last failed this host; -1: never */
   bool fetching;
   int64_t fetch_after_us;
   int64_t beacon_due_us;
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -27,14 +27,14 @@
   const char *name;
   const char *host;
   const char *prefix;
-  bool repeatable;     /* may run more than once */
-  bool open;           /* needs no key */
-  bool sticky;         /* a server that handled the object lately is faster */
-  bool has_homes;      /* only servers of the regions in homes may run it */
-  uint32_t homes;      /* bit per region */
-  int attempts;        /* servers that one request may be sent to, at most */
-  int priority;        /* 0 is the most urgent */
-  int64_t timeout_us;  /* longest time until the answer */
+  bool repeatable;      /* may run more than once */
+  bool open;            /* needs no key */
+  bool sticky;          /* a server that handled the object lately is faster */
+  bool has_homes;       /* only servers of the regions in homes may run it */
+  uint32_t homes;       /* bit per region */
+  int attempts;         /* servers that one request may be sent to, at most */
+  int priority;         /* 0 is the most urgent */
+  int64_t timeout_us;   /* longest time until the answer */
   int64_t objective_us; /* latency objective */
   int part_count;
   struct pl_route_part parts[PL_ROUTING_PARTS_MAX];
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -75,8 +75,7 @@
               && code_text (xdr, beacon->domain, sizeof beacon->domain)
               && code_u64 (xdr, &beacon->incarnation) && code_bool (xdr, &beacon->ready)
               && code_bool (xdr, &beacon->leaving) && code_bool (xdr, &beacon->watching)
-              && code_bool (xdr, &beacon->store_lost)
-              && code_i64 (xdr, &beacon->store_trouble_us);
+              && code_bool (xdr, &beacon->store_lost) && code_i64 (xdr, &beacon->store_trouble_us);
 
   for (int t = 0; done && t < PL_TABLES_MAX; t++)
     done = code_i64 (xdr, &beacon->held[t]);
@@ -141,8 +140,7 @@
       if (length < 0)
         return;
       if (pl_beacon_decode (bytes, (size_t) length, &beacon) < 0)
-        pl_log (PL_LOG_WARNING, "beacon-unreadable",
-                json_pack ("{s:i}", "bytes", (int) length));
+        pl_log (PL_LOG_WARNING, "beacon-unreadable", json_pack ("{s:i}", "bytes", (int) length));
       else
         socket->options.on_beacon (socket->options.data, &beacon);
     }
--- a/modules/front.c
+++ b/modules/front.c
@@ -18,8 +18,12 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-#define CONNECTION_MEMORY ((size_t) 48 << 10)
+/* Holds the longest header that callers may send, and a little more. */
+#define CONNECTION_MEMORY ((size_t) 20 << 10)
 #define CONNECTION_LIMIT 3000u
+/* With more than this open, each answer ends its connection: a flood of callers that open one for
+ * each try would use up the descriptors otherwise. */
+#define CONNECTIONS_KEPT 800u
 /* Longer than callers keep an idle connection, so that closing it never meets a request. */
 #define CONNECTION_TIMEOUT_S 60u
 #define BODY_MAX_DEFAULT ((int64_t) 64 << 20)
@@ -28,8 +32,8 @@
 
 /* Header lines that concern one connection, or that are set anew towards a server. */
 static const char *const hop_headers[] = {
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE",
-    "Trailer",    "Upgrade",    "Expect",            "Proxy-Connection", "Authorization",
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "TE", "Trailer",
+    "Upgrade",    "Expect",     "Proxy-Connection",  "Authorization",
 };
 
 static bool
@@ -142,12 +146,17 @@
   return call;
 }
 
+static unsigned
+connections_open (const struct pl_front *front)
+{
+  return MHD_get_daemon_info (front->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
+}
+
 static enum MHD_Result
 queue_answer (struct pl_front_call *call)
 {
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (call->answer->len, call->answer->data,
-                                         MHD_RESPMEM_MUST_COPY);
+  struct MHD_Response *response = MHD_create_response_from_buffer (
+      call->answer->len, call->answer->data, MHD_RESPMEM_MUST_COPY);
   enum MHD_Result result;
 
   for (guint i = 0; i < call->answer_headers->len; i++)
@@ -158,7 +167,7 @@
       *colon = '\0';
       MHD_add_response_header (response, line, g_strchug (colon + 1));
     }
-  if (call->front->closing)
+  if (call->front->closing || connections_open (call->front) > CONNECTIONS_KEPT)
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (call->connection, (unsigned) call->status, response);
   MHD_destroy_response (response);
@@ -174,9 +183,9 @@
   g_ptr_array_set_size (call->answer_headers, 0);
   g_ptr_array_add (call->answer_headers, g_strdup ("Content-Type: application/json"));
   if (call->label[0] != '\0')
-    g_ptr_array_add (call->answer_headers,
-                     g_strdup_printf ("%s: %s", call->front->options.dialect->request_id,
-                                      call->label));
+    g_ptr_array_add (
+        call->answer_headers,
+        g_strdup_printf ("%s: %s", call->front->options.dialect->request_id, call->label));
   if (retry_after_us > 0)
     g_ptr_array_add (call->answer_headers,
                      g_strdup_printf ("Retry-After: %.3f", (double) retry_after_us / 1e6));
@@ -209,6 +218,26 @@
   return XXH3_64bits_digest (&state);
 }
 
+static bool
+peer_has_closed (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+  char byte;
+  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
+static void
+arm_watch (struct pl_front *front)
+{
+  if (front->watch_armed)
+    return;
+  front->watch_armed = true;
+  pl_reactor_arm (front->options.reactor, front->watch_timer, pl_clock_now_us () + WATCH_PERIOD_US);
+}
+
 static void
 submit (struct pl_front_call *call)
 {
@@ -232,6 +261,7 @@
   call->submitted = true;
   call->suspended = true;
   MHD_suspend_connection (call->connection);
+  arm_watch (front);
   front->options.post (front->options.data, &event);
 }
 
@@ -285,8 +315,12 @@
       call->done = true;
       return queue_answer (call);
     }
-  if (!call->submitted)
-    submit (call);
+  if (call->submitted)
+    return MHD_YES;
+  /* On a busy host a request may be read long after its caller has given up. */
+  if (peer_has_closed (call->connection))
+    return MHD_NO;
+  submit (call);
   return MHD_YES;
 }
 
@@ -319,17 +353,6 @@
   *context = NULL;
 }
 
-static bool
-peer_has_closed (struct MHD_Connection *connection)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
-}
-
 static void
 watch_callers (void *data)
 {
@@ -350,8 +373,9 @@
     }
   for (guint i = 0; i < gone->len; i++)
     tell_gone (g_ptr_array_index (gone, i));
-  pl_reactor_arm (front->options.reactor, front->watch_timer,
-                  g_hash_table_size (front->calls) > 0 ? now_us + WATCH_PERIOD_US : INT64_MAX);
+  front->watch_armed = false;
+  if (g_hash_table_size (front->calls) > 0)
+    arm_watch (front);
 }
 
 static void
@@ -406,6 +430,12 @@
   return front;
 }
 
+unsigned
+pl_front_open_calls (const struct pl_front *front)
+{
+  return g_hash_table_size (front->calls);
+}
+
 void
 pl_front_execute (struct pl_front *front, const struct pl_router_effect *effect)
 {
@@ -415,11 +445,7 @@
     {
     case PL_ROUTER_SEND:
       if (call != NULL)
-        {
-          pl_front_send (front, call, effect);
-          pl_reactor_arm (front->options.reactor, front->watch_timer,
-                          pl_clock_now_us () + WATCH_PERIOD_US);
-        }
+        pl_front_send (front, call, effect);
       break;
     case PL_ROUTER_DELIVER:
       if (call != NULL)
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -12,7 +12,8 @@
 
 #define PROBE_LIMIT_US INT64_C (600000)
 #define CONNECT_LIMIT_US INT64_C (250000)
-/* Servers close connections that were idle for ten seconds or less; a request must not cross that. */
+/* Servers close connections that were idle for ten seconds or less; a request must not cross that.
+ */
 #define IDLE_LIMIT_S 3
 #define ANSWER_MAX ((size_t) 64 << 20)
 
@@ -37,8 +38,8 @@
 
 /* Header lines of an answer that are not passed on: of one connection, or set anew. */
 static const char *const kept_back[] = {
-    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
-    "Trailer",    "Upgrade",    "Date",              "Proxy-Connection",
+    "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer",
+    "Upgrade",    "Date",       "Proxy-Connection",
 };
 
 static bool
@@ -212,11 +213,10 @@
     g_ptr_array_add (headers, g_strdup ("Content-Type:"));
   g_ptr_array_add (headers, g_strdup_printf ("%s: %" G_GINT64_FORMAT, dialect->deadline,
                                              MAX (effect->u.send.time_us / 1000, 1)));
-  g_ptr_array_add (headers, g_strdup_printf ("%s: %s", dialect->expected_server,
-                                             effect->u.send.server));
+  g_ptr_array_add (headers,
+                   g_strdup_printf ("%s: %s", dialect->expected_server, effect->u.send.server));
   if (effect->u.send.account[0] != '\0')
-    g_ptr_array_add (headers,
-                     g_strdup_printf ("%s: %s", dialect->account, effect->u.send.account));
+    g_ptr_array_add (headers, g_strdup_printf ("%s: %s", dialect->account, effect->u.send.account));
   g_ptr_array_add (headers, NULL);
   return headers;
 }
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -63,6 +63,7 @@
   GQueue events; /* of struct pl_router_event, in order */
   struct pl_router_effects effects;
   int timer;
+  bool stopped; /* the router has nothing left to decide */
   char **domains;
   char **seeds;
 };
@@ -114,7 +115,7 @@
       pl_platform_store.watch (entry->store, effect->u.watch);
       break;
     case PL_ROUTER_STOPPED:
-      pl_reactor_quit (entry->reactor);
+      entry->stopped = true;
       break;
     case PL_ROUTER_NOTE:
       pl_log ((enum pl_log_level) log_level_of (effect->u.note.level), effect->u.note.event,
@@ -167,6 +168,8 @@
   if (pl_router_due_us (entry->router) <= pl_clock_now_us ())
     step (entry, &tick);
   pl_reactor_arm (entry->reactor, entry->timer, pl_router_due_us (entry->router));
+  if (entry->stopped)
+    pl_reactor_quit (entry->reactor);
 }
 
 /* The timer only has to end the wait: what is due runs before the next one. */
@@ -197,8 +200,7 @@
 static void
 post_store_state (void *data, bool well)
 {
-  struct pl_router_event event
-      = {.type = well ? PL_ROUTER_STORE_WELL : PL_ROUTER_STORE_FAILED};
+  struct pl_router_event event = {.type = well ? PL_ROUTER_STORE_WELL : PL_ROUTER_STORE_FAILED};
 
   post (data, &event);
 }
@@ -232,10 +234,10 @@
 {
   const struct entry *entry = data;
   const struct pl_dialect *dialect = &pl_platform_dialect;
-  const char *domain = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
-                                                    dialect->directory_domain);
-  const char *region = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND,
-                                                    dialect->directory_region);
+  const char *domain
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, dialect->directory_domain);
+  const char *region
+      = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, dialect->directory_region);
   const char *addresses[DIRECTORY_HOSTS_MAX];
   g_autofree char *text = NULL;
   int count;
@@ -299,8 +301,8 @@
       char *colon = strrchr (seeds[i], ':');
       g_autofree char *old = seeds[i];
 
-      seeds[i] = g_strdup_printf ("%.*s%s", colon != NULL ? (int) (colon - old) : (int) strlen (old),
-                                  old, port);
+      seeds[i] = g_strdup_printf (
+          "%.*s%s", colon != NULL ? (int) (colon - old) : (int) strlen (old), old, port);
     }
   return seeds;
 }
@@ -375,9 +377,9 @@
   entry->beacons = pl_beacon_socket_open (&beacons);
   if (entry->front == NULL || entry->beacons == NULL)
     {
-      pl_log (PL_LOG_ERROR, "can-not-listen",
-              json_pack ("{s:b,s:b}", "caller", entry->front != NULL, "peer",
-                         entry->beacons != NULL));
+      pl_log (
+          PL_LOG_ERROR, "can-not-listen",
+          json_pack ("{s:b,s:b}", "caller", entry->front != NULL, "peer", entry->beacons != NULL));
       return PL_ERR_UNAVAILABLE;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
@@ -477,8 +479,7 @@
   g_autofree char *file = NULL;
   gboolean check = FALSE;
   GOptionEntry entries[]
-      = {{"settings", 's', 0, G_OPTION_ARG_FILENAME, &file,
-          "Settings file", "FILE"},
+      = {{"settings", 's', 0, G_OPTION_ARG_FILENAME, &file, "Settings file", "FILE"},
          {"check", 0, 0, G_OPTION_ARG_NONE, &check, "Check the settings and exit", NULL},
          {NULL}};
   g_autoptr (GOptionContext) context = g_option_context_new ("- an entry host on a platform");
