An object is kept on two servers; a quota counts what is asked

An account at eight times its rate met servers-full before over-rate and took the others' room. Change: two copies an object, a third only on a server under 0.6 of its slots; queue only within the objective; refused requests use up the rate. Ruled out: strict priorities (the urgent classes suffered as well), processor time (5 %).

--- a/core/placement.c
+++ b/core/placement.c
@@ -33,8 +33,12 @@
 #define DOWN_LAST_US INT64_C (4000000)
 /* Of the latency objective that the work and the wait before it may take. */
 #define OBJECTIVE_PART 0.85
-/* Servers, in the order of the ranking, whose queue is used. */
-#define RANKED_MAX 2
+/* Servers that an object may be on.  More copies would push other objects out of the servers'
+ * memory, which makes all requests slow just when there are many. */
+#define COPIES 2
+/* One more may be had while it costs nobody anything: on a server that is less busy than this. */
+#define SPARE_LOAD 0.6
+#define RANKED_MAX 3
 /* What another region counts as, in slots, when any idle server will do. */
 #define FAR_LOAD 0.25
 #define RESERVED_LOAD 0.4
@@ -357,18 +361,55 @@
   return true;
 }
 
+/* Returns the load of BACKEND with one more request, in slots. */
+static double
+load_with_one (const struct pl_placement_service *service, const struct pl_backend *backend,
+               int64_t now_us)
+{
+  return (load_of (backend, now_us) + 1) / slots_of (service, backend);
+}
+
 /* Returns whether a request sent to BACKEND now is answered within the objective, or at least runs
  * at once. */
 static bool
 has_room (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
           const struct pl_backend *backend, int64_t now_us)
 {
-  double load = (load_of (backend, now_us) + 1) / slots_of (service, backend);
+  double load = load_with_one (service, backend, now_us);
   double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
 
   return load <= 1 || work_us * load <= (double) wish->objective_us * OBJECTIVE_PART;
 }
 
+/* The first of the ranking while it has a free slot, then the less busy of those that hold a copy,
+ * then a new copy on a server with time to spare. */
+static struct pl_backend *
+choose_ranked (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
+               const struct ranked *ranked, int count, int64_t now_us)
+{
+  struct pl_backend *best = NULL;
+  double best_load = 0;
+
+  for (int i = 0; i < count && i < COPIES; i++)
+    {
+      struct pl_backend *backend = ranked[i].backend;
+      double load = load_with_one (service, backend, now_us);
+
+      if (load <= 1)
+        return backend;
+      if (has_room (service, wish, backend, now_us) && (best == NULL || load < best_load))
+        {
+          best = backend;
+          best_load = load;
+        }
+    }
+  if (best == NULL && count > COPIES
+      && load_with_one (service, ranked[COPIES].backend, now_us) <= SPARE_LOAD)
+    best = ranked[COPIES].backend;
+  return best;
+}
+
+/* What one pass over the servers finds. */
 struct scan
 {
   struct ranked ranked[RANKED_MAX];
@@ -400,7 +441,7 @@
       if (wish->object != 0)
         scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
                                             cost_of (placement, service, wish, backend));
-      load = (load_of (backend, now_us) + 1) / slots_of (service, backend);
+      load = load_with_one (service, backend, now_us);
       if (backend->region != placement->region)
         load += FAR_LOAD;
       if (is_reserved (service, wish, backend))
@@ -428,10 +469,9 @@
   scan_servers (placement, service, wish, &scan, cold_share, data, now_us);
   if (scan.listed == 0)
     return PL_PLACE_NONE;
-  for (int i = 0; i < scan.ranked_count && best == NULL; i++)
-    if (has_room (service, wish, scan.ranked[i].backend, now_us))
-      best = scan.ranked[i].backend;
-  if (best == NULL && scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
+  if (wish->object != 0)
+    best = choose_ranked (service, wish, scan.ranked, scan.ranked_count, now_us);
+  else if (scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
   if (best == NULL
       || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second),
--- a/core/quota.c
+++ b/core/quota.c
@@ -142,15 +142,6 @@
   return true;
 }
 
-void
-pl_quota_give_back (struct pl_quota *quota)
-{
-  if (quota->rate <= 0 || quota->admitted == 0)
-    return;
-  quota->tokens += 1;
-  quota->admitted--;
-}
-
 bool
 pl_quota_is_pressed (const struct pl_quota *quota)
 {
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -8,6 +8,10 @@
  * The queue is ordered by priority; within one priority those that come back after
  * a refusal go before the new, then the oldest.
  *
+ * A request uses up its account's rate whether it runs or not.  Otherwise an account that sends
+ * many times its rate would meet no limit while servers are full, and take the room of those within
+ * theirs.
+ *
  * Invariants: a call is in the queue exactly while it is CALL_WAITING; a backend's
  * in_flight counts the calls that are CALL_AT_SERVER there; each call is answered
  * once, by delivery or refusal, and says "not run" only when it was sent nowhere or
@@ -113,8 +117,6 @@
   effect->u.refuse.reason = router_refusal_names[refusal];
   effect->u.refuse.retry_after_us = MIN (retry_after_us, RETRY_AFTER_MAX_US);
   count_refusal (call, refusal);
-  if (call->account != NULL && call->attempts == 0 && refusal != ROUTER_OVER_RATE)
-    pl_quota_give_back (&call->account->quota);
   note_call (router, call, "refused", router_refusal_names[refusal], status);
   forget (router, call);
 }
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -33,9 +33,6 @@
  * is not heard from, 0 to 1: it may be admitting its share. */
 bool pl_quota_take (struct pl_quota *quota, double silent, int64_t now_us);
 
-/* A request that was admitted did not run. */
-void pl_quota_give_back (struct pl_quota *quota);
-
 /* Returns whether the account is so close to its limit that peers should hear of it often. */
 bool pl_quota_is_pressed (const struct pl_quota *quota);
 
