One host a region reads the store; hosts tell accounts by dead reckoning; strong hosts are named

Change: the first live host of a region by rendezvous hashing watches, peers fetch rows from it; an account is told when what peers assume is off; other regions hear each second beacon; the directory names hosts of 0.4 of the strongest's capacity and up while they are not busy; the process ends when the last answer is out.

--- a/core/membership.c
+++ b/core/membership.c
@@ -13,10 +13,18 @@
 
 #include <string.h>
 
-/* Three beacons at the slow pace of 500 ms, and a little for delays. */
-#define LIVE_US INT64_C (1700000)
+/* Three beacons, and a little for delays: in this region they come every 500 ms, from others every
+ * second. */
+#define LIVE_NEAR_US INT64_C (1700000)
+#define LIVE_FAR_US INT64_C (3400000)
 /* As long as cuts between failure domains usually last; after that a silent host counts as gone. */
 #define SILENT_US INT64_C (12000000)
+#define WATCH_KEY UINT64_C (0x73746f7265)
+/* Hosts that can carry less than this part of the strongest of their domain are named only when the
+ * others are busy or too few. */
+#define STRONG_PART 0.4
+#define BUSY_PERCENT 55
+#define NAMED_MIN 2
 #define FORGET_US INT64_C (20000000)
 
 uint64_t
@@ -89,6 +97,8 @@
   g_strlcpy (member->domain, beacon->domain, sizeof member->domain);
   member->region = region;
   member->incarnation = beacon->incarnation;
+  member->capacity = beacon->capacity;
+  member->busy_percent = beacon->busy_percent;
   member->heard = true;
   member->heard_us = now_us;
   member->ready = beacon->ready;
@@ -103,15 +113,35 @@
 }
 
 bool
-pl_member_is_live (const struct pl_member *member, int64_t now_us)
+pl_member_is_live (const struct pl_membership *membership, const struct pl_member *member,
+                   int64_t now_us)
 {
-  return member->heard && now_us - member->heard_us <= LIVE_US;
+  int64_t limit_us = member->region == membership->self_region ? LIVE_NEAR_US : LIVE_FAR_US;
+
+  return member->heard && now_us - member->heard_us <= limit_us;
 }
 
 static bool
-serves (const struct pl_member *member, int64_t now_us)
+serves (const struct pl_membership *membership, const struct pl_member *member, int64_t now_us)
 {
-  return pl_member_is_live (member, now_us) && member->ready && !member->leaving;
+  return pl_member_is_live (membership, member, now_us) && member->ready && !member->leaving;
+}
+
+bool
+pl_membership_should_watch (const struct pl_membership *membership, int64_t now_us)
+{
+  uint64_t own = pl_hash_pair (WATCH_KEY, membership->self);
+
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+
+      if (pl_member_is_live (membership, member, now_us) && !member->leaving && !member->store_lost
+          && member->region == membership->self_region
+          && pl_hash_pair (WATCH_KEY, member->id) > own)
+        return false;
+    }
+  return true;
 }
 
 void
@@ -126,7 +156,7 @@
       const struct pl_member *member
           = g_ptr_array_index (membership->order, membership->contact_turn++ % count);
 
-      if (pl_member_is_live (member, now_us))
+      if (pl_member_is_live (membership, member, now_us))
         beacon->contacts[beacon->contact_count++] = member->contact;
     }
 }
@@ -137,7 +167,7 @@
   int live = 1;
 
   for (guint i = 0; i < membership->order->len; i++)
-    live += serves (g_ptr_array_index (membership->order, i), now_us);
+    live += serves (membership, g_ptr_array_index (membership->order, i), now_us);
   return live;
 }
 
@@ -154,7 +184,7 @@
       if (!member->heard || now_us - member->heard_us > SILENT_US || member->leaving)
         continue;
       all++;
-      silent += !pl_member_is_live (member, now_us);
+      silent += !pl_member_is_live (membership, member, now_us);
     }
   return (double) silent / all;
 }
@@ -172,7 +202,7 @@
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
 
-      if (serves (member, now_us) && (region == PL_NONE || member->region == region)
+      if (serves (membership, member, now_us) && (region == PL_NONE || member->region == region)
           && pl_hash_pair (key, member->id) > own)
         before++;
     }
@@ -194,22 +224,72 @@
     }
 }
 
-/* Adds the hosts of DOMAIN (NULL: of any), of REGION (PL_NONE: of any) that are not in yet. */
-static int
-add_hosts (const struct pl_membership *membership, const char *domain, int region,
-           const char *self_address, const char **addresses, int count, int room, int64_t now_us)
-{
-  if (self_address != NULL && count < room && count == 0
-      && (domain == NULL || strcmp (domain, membership->self_domain) == 0)
-      && (region == PL_NONE || region == membership->self_region))
-    addresses[count++] = self_address;
-  for (guint i = 0; i < membership->order->len && count < room; i++)
+/* Who is asked for: hosts of one domain, of one region, or all. */
+struct group
+{
+  const char *domain; /* NULL: any */
+  int region;         /* PL_NONE: any */
+  const char *self_address;
+};
+
+struct candidate
+{
+  const char *address;
+  int capacity;
+  int busy_percent;
+};
+
+static bool
+is_in (const struct group *group, const char *domain, int region)
+{
+  return (group->domain == NULL || strcmp (group->domain, domain) == 0)
+         && (group->region == PL_NONE || group->region == region);
+}
+
+static gint
+by_falling_capacity (gconstpointer a, gconstpointer b)
+{
+  return ((const struct candidate *) b)->capacity - ((const struct candidate *) a)->capacity;
+}
+
+static GArray *
+find_candidates (const struct pl_membership *membership, const struct group *group, int64_t now_us)
+{
+  GArray *found = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+  struct candidate self = {group->self_address, membership->self_capacity, 0};
+
+  if (group->self_address != NULL
+      && is_in (group, membership->self_domain, membership->self_region))
+    g_array_append_val (found, self);
+  for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      struct candidate next = {member->caller_address, member->capacity, member->busy_percent};
+
+      if (serves (membership, member, now_us) && is_in (group, member->domain, member->region))
+        g_array_append_val (found, next);
+    }
+  g_array_sort (found, by_falling_capacity);
+  return found;
+}
 
-      if (serves (member, now_us) && (domain == NULL || strcmp (domain, member->domain) == 0)
-          && (region == PL_NONE || region == member->region))
-        addresses[count++] = member->caller_address;
+/* Callers choose among the named at random, so a host that can carry little is better not named
+ * beside one that can carry much. */
+static int
+name_strongest (const GArray *found, const char **addresses, int room)
+{
+  bool busy = false;
+  int count = 0;
+
+  for (guint i = 0; i < found->len && count < room; i++)
+    {
+      const struct candidate *next = &g_array_index (found, struct candidate, i);
+      const struct candidate *first = &g_array_index (found, struct candidate, 0);
+
+      if (next->capacity < first->capacity * STRONG_PART && count >= NAMED_MIN && !busy)
+        break;
+      busy = busy || next->busy_percent > BUSY_PERCENT;
+      addresses[count++] = next->address;
     }
   return count;
 }
@@ -219,11 +299,16 @@
                           const char *self_address, const char **addresses, int room,
                           int64_t now_us)
 {
-  int count = add_hosts (membership, domain, PL_NONE, self_address, addresses, 0, room, now_us);
+  const struct group groups[] = {
+      {domain, PL_NONE, self_address}, {NULL, region, self_address}, {NULL, PL_NONE, self_address}};
+  int count = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (groups) && count == 0; i++)
+    {
+      GArray *found = find_candidates (membership, &groups[i], now_us);
 
-  if (count == 0)
-    count = add_hosts (membership, NULL, region, self_address, addresses, 0, room, now_us);
-  if (count == 0)
-    count = add_hosts (membership, NULL, PL_NONE, self_address, addresses, 0, room, now_us);
+      count = name_strongest (found, addresses, room);
+      g_array_free (found, TRUE);
+    }
   return count;
 }
--- a/core/quota.c
+++ b/core/quota.c
@@ -3,9 +3,11 @@
  * Each host refills its copy at the account's full rate and takes out what it
  * admits itself and what its peers report to have admitted.  Between two reports
  * of a peer its last rate is assumed to go on, and the next report corrects the
- * guess.  A sudden flood is let through for one report's delay and then paid back
- * as debt, so the average holds; the bucket holds less than the configured burst
- * to leave room for that.
+ * guess.  A host knows what its peers assume, and reports only when that is wrong
+ * by more than a little: an account that is used evenly costs next to no messages,
+ * a flood is told at once.  What a flood gets before its hosts have heard of each
+ * other is paid back as debt, so the average holds; the bucket holds less than the
+ * configured burst to leave room for that.
  *
  * A peer that falls silent may be dead or cut off.  Both sides of a cut refill
  * only the part of the rate that belongs to the hosts they hear, so together they
@@ -18,9 +20,15 @@
 /* Of the burst; the rest covers what peers admit before they hear of each other. */
 #define BURST_USED 0.4
 #define DEBT_SECONDS 1.0
-#define PRESSED_SECONDS 0.3
-#define GUESS_LIMIT_US INT64_C (700000)
-#define RATE_SMOOTHING 0.5
+/* Told again after this long even when nothing changed, as datagrams get lost; peers go on with a
+ * guess for somewhat longer. */
+#define TELL_PERIOD_US INT64_C (3000000)
+#define GUESS_LIMIT_US INT64_C (4500000)
+/* Over how long the own rate is smoothed. */
+#define RATE_TIME_US 600000.0
+/* What all hosts' guesses may be off by together, in seconds of the account's rate. */
+#define ERROR_SECONDS 0.25
+#define ERROR_MIN 1.5
 
 struct pl_quota_peer
 {
@@ -29,7 +37,7 @@
   int64_t reported_us;
   int64_t guessed_us; /* up to when the guess was taken out */
   double guessed;     /* taken out since the report */
-  double rate;        /* requests a second */
+  double rate;        /* requests a second, as it said */
 };
 
 static double
@@ -69,11 +77,10 @@
 
 void
 pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation, uint64_t admitted,
-                  int64_t now_us)
+                  double rate, int64_t now_us)
 {
   struct pl_quota_peer *other = g_hash_table_lookup (quota->others, &peer);
   double fresh = 0;
-  double seconds;
 
   if (other == NULL)
     {
@@ -82,6 +89,7 @@
       other->admitted = admitted;
       other->reported_us = now_us;
       other->guessed_us = now_us;
+      other->rate = rate;
       g_hash_table_insert (quota->others, g_memdup2 (&peer, sizeof peer), other);
       return;
     }
@@ -91,10 +99,9 @@
     return; /* an older report that came late */
   else
     fresh = (double) (admitted - other->admitted);
-  seconds = fmax ((double) (now_us - other->reported_us) / 1e6, 0.01);
   quota->tokens -= fresh - other->guessed;
   quota->tokens = fmax (quota->tokens, -quota->rate * DEBT_SECONDS);
-  other->rate += RATE_SMOOTHING * (fresh / seconds - other->rate);
+  other->rate = rate;
   other->incarnation = incarnation;
   other->admitted = admitted;
   other->reported_us = now_us;
@@ -123,6 +130,44 @@
     }
 }
 
+static double
+own_rate_at (const struct pl_quota *quota, int64_t now_us)
+{
+  return quota->own_rate * exp (-(double) (now_us - quota->rated_us) / RATE_TIME_US);
+}
+
+static void
+fade_rate (struct pl_quota *quota, int64_t now_us)
+{
+  quota->own_rate = own_rate_at (quota, now_us);
+  quota->rated_us = now_us;
+}
+
+bool
+pl_quota_should_tell (const struct pl_quota *quota, int hosts, int64_t now_us)
+{
+  int64_t age_us = now_us - quota->told_us;
+  double assumed = (double) quota->told + quota->told_rate * (double) age_us / 1e6;
+  double bearable = fmax (quota->rate * ERROR_SECONDS / hosts, ERROR_MIN);
+
+  if (quota->rate <= 0 || quota->admitted == 0)
+    return false;
+  if (quota->told_us == 0)
+    return true;
+  if (age_us > TELL_PERIOD_US)
+    return quota->admitted != quota->told || quota->told_rate > 0;
+  return fabs ((double) quota->admitted - assumed) > bearable;
+}
+
+void
+pl_quota_note_told (struct pl_quota *quota, int64_t now_us)
+{
+  fade_rate (quota, now_us);
+  quota->told = quota->admitted;
+  quota->told_rate = quota->own_rate;
+  quota->told_us = now_us;
+}
+
 bool
 pl_quota_take (struct pl_quota *quota, double silent, int64_t now_us)
 {
@@ -139,15 +184,11 @@
     return false;
   quota->tokens -= 1;
   quota->admitted++;
+  fade_rate (quota, now_us);
+  quota->own_rate += 1e6 / RATE_TIME_US;
   return true;
 }
 
-bool
-pl_quota_is_pressed (const struct pl_quota *quota)
-{
-  return quota->rate > 0 && quota->tokens < quota->rate * PRESSED_SECONDS;
-}
-
 int64_t
 pl_quota_wait_us (const struct pl_quota *quota)
 {
--- a/core/router.c
+++ b/core/router.c
@@ -151,6 +151,7 @@
 
   router->options = *options;
   router->now_us = options->now_us;
+  router->started_us = options->now_us;
   router->store_trouble_us = -1;
   router->region_names = g_ptr_array_new_with_free_func (g_free);
   router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -174,6 +175,8 @@
   g_strlcpy (router->self.relay_address, options->relay_address, sizeof router->self.relay_address);
   g_strlcpy (router->self.domain, options->domain, sizeof router->self.domain);
   router->self.incarnation = options->incarnation;
+  router->self.capacity = options->capacity;
+  router->membership.self_capacity = options->capacity;
   router->due_us = options->now_us;
   return router;
 }
@@ -318,6 +321,9 @@
     case PL_ROUTER_RELAY_DONE:
       router->fetching = false;
       break;
+    case PL_ROUTER_BUSY:
+      router->busy_percent = event->u.busy_percent;
+      break;
     case PL_ROUTER_STOP:
       begin_stop (router);
       break;
@@ -331,7 +337,7 @@
   router->effects = effects;
   router->now_us = MAX (router->now_us, event->now_us);
   apply (router, event);
-  if (router->now_us >= router->due_us || router->tell_soon)
+  if (router->now_us >= router->due_us || router->tell_soon || router->tell_near)
     {
       router->due_us = router->now_us + SLOW_PERIOD_US;
       run_slow_timer (router);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -1,15 +1,19 @@
 /* Beacons: what this host tells its peers, how often, and what it learns.
  *
- * The pace is slow while nothing happens, and fast while an account is close to
- * its limit, since what peers admit is guessed between beacons.  News, and leaving,
- * are told at once.
+ * Hosts of this region hear of it twice a second and others once; news, leaving, and
+ * accounts whose use is not what peers assume are told sooner.  Addresses of other
+ * hosts go along now and then only.
  */
 #include "internal/router_state.h"
 
 #include <string.h>
 
-#define BEACON_SLOW_US (500 * MS_US)
-#define BEACON_FAST_US (150 * MS_US)
+#define BEACON_PERIOD_US (500 * MS_US)
+/* Other regions get each second one. */
+#define FAR_EACH 2
+#define CONTACTS_EACH 4
+/* Accounts are looked at this often. */
+#define ACCOUNTS_PERIOD_US (150 * MS_US)
 #define SEEDS_PERIOD_US (300 * MS_US)
 #define SUSPECT_RETELL_US (2 * S_US)
 
@@ -23,10 +27,11 @@
         = (struct pl_beacon_suspect){fingerprint, server, convicted};
 }
 
-/* Accounts that admitted something since the last beacon. */
+/* Adds the accounts of whose use peers assume something wrong. */
 static void
 add_accounts (struct pl_router *router, struct pl_beacon *beacon)
 {
+  int hosts = pl_membership_live_count (&router->membership, router->now_us);
   GHashTableIter iter;
   gpointer value;
 
@@ -36,11 +41,11 @@
     {
       struct router_account *account = value;
 
-      if (account->quota.admitted == account->told)
+      if (!pl_quota_should_tell (&account->quota, hosts, router->now_us))
         continue;
-      account->told = account->quota.admitted;
-      beacon->accounts[beacon->account_count++]
-          = (struct pl_beacon_account){account->id, account->quota.admitted};
+      pl_quota_note_told (&account->quota, router->now_us);
+      beacon->accounts[beacon->account_count++] = (struct pl_beacon_account){
+          account->id, account->quota.admitted, (float) account->quota.told_rate};
     }
 }
 
@@ -56,8 +61,10 @@
       = router->store_trouble_us < 0 ? -1 : router->now_us - router->store_trouble_us;
   for (int t = 0; t < PL_TABLES_MAX; t++)
     beacon->held[t] = router->held[t].version;
+  beacon->busy_percent = router->busy_percent;
   add_accounts (router, beacon);
-  pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
+  if (router->beacon_turn++ % CONTACTS_EACH == 0)
+    pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
   quarantine_retell (&router->quarantine, SUSPECT_RETELL_US, router->now_us, add_suspect, beacon);
 }
 
@@ -77,7 +84,7 @@
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (pl_member_is_live (member, router->now_us)
+      if (pl_member_is_live (&router->membership, member, router->now_us)
           && strcmp (member->contact.peer_address, address) == 0)
         return true;
     }
@@ -92,17 +99,21 @@
       tell (router, *seed, beacon);
 }
 
-void
-fleet_tell_all (struct pl_router *router)
+/* TO_ALL: other regions too, whether it is their turn or not. */
+static void
+tell_members (struct pl_router *router, bool to_all)
 {
   struct pl_beacon beacon;
+  bool far_turn;
 
   fill_beacon (router, &beacon);
+  far_turn = to_all || beacon.account_count > 0 || router->beacon_turn % FAR_EACH == 0;
   for (guint i = 0; i < router->membership.order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      tell (router, member->contact.peer_address, &beacon);
+      if (far_turn || !member->heard || member->region == router->membership.self_region)
+        tell (router, member->contact.peer_address, &beacon);
     }
   if (router->now_us >= router->seeds_due_us)
     {
@@ -112,34 +123,37 @@
 }
 
 static bool
-is_pressed (struct pl_router *router)
+has_accounts_to_tell (const struct pl_router *router)
 {
+  int hosts = pl_membership_live_count (&router->membership, router->now_us);
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct router_account *account = value;
-
-      if (account->listed && account->quota.admitted != account->told
-          && pl_quota_is_pressed (&account->quota))
-        return true;
-    }
+    if (pl_quota_should_tell (&((struct router_account *) value)->quota, hosts, router->now_us))
+      return true;
   return false;
 }
 
 void
 fleet_run_timers (struct pl_router *router)
 {
-  if (router->now_us >= router->beacon_due_us || router->tell_soon)
+  bool accounts = false;
+
+  if (router->now_us >= router->accounts_due_us)
+    {
+      router->accounts_due_us = router->now_us + ACCOUNTS_PERIOD_US;
+      accounts = has_accounts_to_tell (router);
+    }
+  if (router->now_us >= router->beacon_due_us || router->tell_soon || router->tell_near || accounts)
     {
+      tell_members (router, router->tell_soon);
       router->tell_soon = false;
-      router->beacon_due_us
-          = router->now_us + (is_pressed (router) ? BEACON_FAST_US : BEACON_SLOW_US);
-      fleet_tell_all (router);
+      router->tell_near = false;
+      router->beacon_due_us = router->now_us + BEACON_PERIOD_US;
     }
-  router->due_us = MIN (router->due_us, router->beacon_due_us);
+  router->due_us = MIN (router->due_us, MIN (router->beacon_due_us, router->accounts_due_us));
 }
 
 static void
@@ -168,7 +182,8 @@
 
       if (account != NULL)
         pl_quota_on_peer (&account->quota, member->id, member->incarnation,
-                          beacon->accounts[i].admitted, router->now_us);
+                          beacon->accounts[i].admitted, (double) beacon->accounts[i].rate,
+                          router->now_us);
     }
 }
 
@@ -177,7 +192,7 @@
 {
   uint64_t id = pl_id_of ("entry_hosts", beacon->self.name);
   const struct pl_member *known = g_hash_table_lookup (router->membership.members, &id);
-  bool was_live = known != NULL && pl_member_is_live (known, router->now_us);
+  bool was_live = known != NULL && pl_member_is_live (&router->membership, known, router->now_us);
   const struct pl_member *member = pl_membership_on_beacon (
       &router->membership, beacon, router_region (router, beacon->domain), router->now_us);
 
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -4,6 +4,9 @@
  * peer that can not reach the store gets them from here; a row is applied when its
  * version is higher than the one held.  Configurations only rise.
  *
+ * One host a region reads the store; the others get the rows from it, told of them
+ * by its beacons.  When it is lost, or loses the store, the next takes over.
+ *
  * When the store was away, entries of servers may have lapsed though the servers
  * live.  They come back with the servers' next report, so what is missing then is
  * used for a little longer.
@@ -24,6 +27,8 @@
 /* How long a host that reads the store itself waits for its own news before it asks a peer. */
 #define FETCH_PATIENCE_US (300 * MS_US)
 #define TOMBSTONES_MAX 2000
+/* A host that starts waits so long to hear of others, one of which may read the store already. */
+#define SETTLE_US (250 * MS_US)
 
 int64_t
 pl_router_held (const struct pl_router *router, enum pl_table table)
@@ -63,7 +68,8 @@
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (pl_member_is_live (member, router->now_us) && member->watching && !member->store_lost)
+      if (pl_member_is_live (&router->membership, member, router->now_us) && member->watching
+          && !member->store_lost)
         return false;
     }
   return true;
@@ -94,6 +100,7 @@
 {
   if (router->routing != NULL && routing->version <= router->routing->version)
     return;
+  router->tell_soon = router->tell_soon || router->routing == NULL;
   pl_routing_unref (router->routing);
   router->routing = pl_routing_ref (routing);
   adopt_accounts (router);
@@ -105,7 +112,6 @@
                                 rule->cold_per_second);
     }
   router_add_effect (router, PL_ROUTER_LIMITS)->u.limits = routing->limits;
-  router->tell_soon = true;
   router_note (router, PL_NOTE_BELIEF, "configuration-adopted",
                json_pack ("{s:I,s:i,s:i,s:i}", "version", (json_int_t) routing->version, "routes",
                           (int) routing->routes->len, "services", (int) routing->services->len,
@@ -130,7 +136,7 @@
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (!pl_member_is_live (member, router->now_us))
+      if (!pl_member_is_live (&router->membership, member, router->now_us))
         continue;
       hosts++;
       troubled += is_recent (router, member->store_trouble_us);
@@ -313,7 +319,8 @@
   if (event->version > held->version)
     {
       held->version = event->version;
-      router->tell_soon = router->tell_soon || event->count > 0;
+      /* Whoever reads the store tells its region; the others only follow. */
+      router->tell_near = router->tell_near || (event->count > 0 && !event->from_peer);
     }
   forget_tombstones (held);
 }
@@ -341,7 +348,8 @@
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (!pl_member_is_live (member, router->now_us) || member->relay_address[0] == '\0')
+      if (!pl_member_is_live (&router->membership, member, router->now_us)
+          || member->relay_address[0] == '\0')
         continue;
       for (int t = 0; t < PL_TABLES_MAX; t++)
         if (member->held[t] > router->held[t].version)
@@ -380,7 +388,9 @@
 static void
 choose_watching (struct pl_router *router)
 {
-  bool wanted = !router->stopping;
+  bool settled = router->now_us - router->started_us >= SETTLE_US;
+  bool wanted = settled && !router->stopping
+                && pl_membership_should_watch (&router->membership, router->now_us);
 
   if (wanted == router->watching)
     return;
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -23,7 +23,8 @@
 struct pl_beacon_account
 {
   uint64_t account;
-  uint64_t admitted;
+  uint64_t admitted; /* requests since the start of the process */
+  float rate;        /* requests a second, of late */
 };
 
 struct pl_beacon_suspect
@@ -41,6 +42,8 @@
   char relay_address[PL_ADDRESS_CHARS]; /* serves the rows that this host holds */
   char domain[PL_BEACON_NAME_CHARS];
   uint64_t incarnation; /* rises with each start of the process */
+  int capacity;         /* how much it can carry, against other hosts */
+  int busy_percent;     /* of its share of the processor */
   bool ready;           /* takes callers */
   bool leaving;
   bool watching;               /* reads the platform's store itself */
@@ -64,6 +67,8 @@
   char domain[PL_BEACON_NAME_CHARS];
   int region;
   uint64_t incarnation;
+  int capacity;
+  int busy_percent;
   bool heard; /* a beacon came; else only its address is known */
   bool ready;
   bool leaving;
@@ -82,6 +87,7 @@
   uint64_t self;
   char self_domain[PL_BEACON_NAME_CHARS];
   int self_region;
+  int self_capacity;
   guint contact_turn;
 };
 
@@ -99,7 +105,8 @@
                                            const struct pl_beacon *beacon, int region,
                                            int64_t now_us);
 
-bool pl_member_is_live (const struct pl_member *member, int64_t now_us);
+bool pl_member_is_live (const struct pl_membership *membership, const struct pl_member *member,
+                        int64_t now_us);
 
 /* Fills BEACON with the addresses of some members, others each time. */
 void pl_membership_fill_contacts (struct pl_membership *membership, struct pl_beacon *beacon,
@@ -111,6 +118,10 @@
 /* Returns the part of the hosts that fell silent without taking leave, 0 to 1. */
 double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
 
+/* Returns whether this host should read the store for its region: the first by rendezvous hashing
+ * that is live and does not fail to. */
+bool pl_membership_should_watch (const struct pl_membership *membership, int64_t now_us);
+
 /* Returns whether this host is among the COUNT hosts that KEY belongs to, of REGION (PL_NONE: of
  * all). */
 bool pl_membership_owns (const struct pl_membership *membership, uint64_t key, int region,
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -15,7 +15,12 @@
   double burst; /* requests */
   double tokens;
   int64_t refilled_us;
-  uint64_t admitted;  /* here, since the start */
+  uint64_t admitted; /* here, since the start */
+  double own_rate;   /* admitted here, requests a second, smoothed */
+  int64_t rated_us;  /* up to when own_rate is */
+  uint64_t told;     /* admitted, as peers last heard */
+  double told_rate;
+  int64_t told_us;    /* 0: never */
   GHashTable *others; /* peer id -> struct pl_quota_peer */
 };
 
@@ -25,17 +30,22 @@
 /* Puts new limits in force.  Tokens saved beyond the new burst are dropped. */
 void pl_quota_limit (struct pl_quota *quota, double rate, double burst, int64_t now_us);
 
-/* Takes a peer's word of how many requests it admitted since its start as INCARNATION. */
+/* Takes a peer's word of how many requests it admitted since its start as INCARNATION, and at what
+ * RATE of late. */
 void pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation,
-                       uint64_t admitted, int64_t now_us);
+                       uint64_t admitted, double rate, int64_t now_us);
+
+/* Returns whether peers, who assume that this host goes on as it last told, are wrong by more than
+ * the account can bear; HOSTS share it. */
+bool pl_quota_should_tell (const struct pl_quota *quota, int hosts, int64_t now_us);
+
+/* Peers are told now. */
+void pl_quota_note_told (struct pl_quota *quota, int64_t now_us);
 
 /* Returns whether one more request may run, and counts it.  SILENT is the part of the fleet that
  * is not heard from, 0 to 1: it may be admitting its share. */
 bool pl_quota_take (struct pl_quota *quota, double silent, int64_t now_us);
 
-/* Returns whether the account is so close to its limit that peers should hear of it often. */
-bool pl_quota_is_pressed (const struct pl_quota *quota);
-
 /* Returns after how long a token is there, microseconds. */
 int64_t pl_quota_wait_us (const struct pl_quota *quota);
 
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -54,6 +54,7 @@
   const char *const *domains; /* "DOMAIN=REGION", NULL-ended */
   const char *const *seeds;   /* addresses of other hosts' peer ports, NULL-ended; may be stale */
   uint64_t incarnation;
+  int capacity; /* what this host can carry, against other hosts */
   int64_t now_us;
   int64_t grace_us;   /* from the order to stop until the process is ended */
   double retry_ratio; /* repeats a request, over the fleet */
@@ -129,6 +130,7 @@
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_WELL,
   PL_ROUTER_RELAY_DONE,
+  PL_ROUTER_BUSY, /* how much of its processor's share the process used of late */
   PL_ROUTER_STOP,
 };
 
@@ -140,6 +142,7 @@
   {
     struct pl_call_event call;
     uint64_t request; /* caller gone */
+    int busy_percent;
     struct pl_attempt_event attempt;
     struct
     {
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -47,7 +47,6 @@
   char name[PL_ID_CHARS];
   struct pl_quota quota;
   bool listed;
-  uint64_t told; /* admitted, as in the latest beacon */
   struct router_counts counts;
 };
 
@@ -142,10 +141,15 @@
   int64_t store_trouble_us; /* when the store last failed this host; -1: never */
   bool fetching;
   int64_t fetch_after_us;
+  int64_t started_us;
   int64_t beacon_due_us;
+  int64_t accounts_due_us;
+  guint beacon_turn;
+  int busy_percent;
   int64_t seeds_due_us;
   int64_t slow_due_us;
-  bool tell_soon;
+  bool tell_soon; /* a beacon to all is due */
+  bool tell_near; /* one to this region is due */
 
   GHashTable *calls;  /* id -> struct call */
   GPtrArray *waiting; /* of struct call, the first to be placed first */
@@ -183,7 +187,6 @@
 /* router_fleet.c */
 void fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon);
 void fleet_run_timers (struct pl_router *router);
-void fleet_tell_all (struct pl_router *router);
 void fleet_note_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server,
                          bool alone);
 
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -24,10 +24,16 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
+#include <time.h>
 #include <unistd.h>
 
 #define DIRECTORY_HOSTS_MAX 16
 #define DIRECTORY_TTL_DEFAULT_MS 2000
+/* Requests of a few kilobytes: a thousandth of a core goes with a fifth of a Mbit/s. */
+#define LINK_CAPACITY_PER_MBPS 5.0
+/* Of the time that a stopping process has: by then it ends, whatever is still open. */
+#define LAST_ANSWERS_PERCENT 94
+#define BUSY_PERIOD_US INT64_C (1000000)
 
 static const struct pl_field settings_fields[] = {
     {"name", PL_FIELD_NAME, true, 0, 0, NULL},
@@ -43,6 +49,8 @@
     {"grace", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"retry_ratio", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"retry_slack", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"cpu_share", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"link_mbps", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"directory_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
     {NULL},
@@ -63,7 +71,12 @@
   GQueue events; /* of struct pl_router_event, in order */
   struct pl_router_effects effects;
   int timer;
+  int busy_timer;
+  int64_t busy_since_us;
+  int64_t busy_used_us;
   bool stopped; /* the router has nothing left to decide */
+  int64_t stop_by_us;
+  int64_t grace_us;
   char **domains;
   char **seeds;
 };
@@ -168,10 +181,46 @@
   if (pl_router_due_us (entry->router) <= pl_clock_now_us ())
     step (entry, &tick);
   pl_reactor_arm (entry->reactor, entry->timer, pl_router_due_us (entry->router));
-  if (entry->stopped)
+  /* The router is done when it has decided; the last answers may still be on their way out. */
+  if (entry->stopped
+      && (pl_front_open_calls (entry->front) == 0 || pl_clock_now_us () >= entry->stop_by_us))
     pl_reactor_quit (entry->reactor);
 }
 
+static double
+decimal_of (const json_t *settings, const char *field)
+{
+  return g_ascii_strtod (pl_settings_text (settings, field, "0"), NULL);
+}
+
+/* Reads how much processor time the process has used, microseconds. */
+static int64_t
+processor_time_us (void)
+{
+  struct timespec used;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &used);
+  return (int64_t) used.tv_sec * 1000000 + used.tv_nsec / 1000;
+}
+
+static void
+measure_busy (void *data)
+{
+  struct entry *entry = data;
+  struct pl_router_event event = {.type = PL_ROUTER_BUSY};
+  int64_t now_us = pl_clock_now_us ();
+  int64_t used_us = processor_time_us ();
+  double share = MAX (decimal_of (entry->settings, "cpu_share"), 0.01);
+  double wall_us = (double) (now_us - entry->busy_since_us);
+
+  event.u.busy_percent
+      = (int) (100.0 * (double) (used_us - entry->busy_used_us) / (wall_us * share));
+  entry->busy_since_us = now_us;
+  entry->busy_used_us = used_us;
+  post (entry, &event);
+  pl_reactor_arm (entry->reactor, entry->busy_timer, now_us + BUSY_PERIOD_US);
+}
+
 /* The timer only has to end the wait: what is due runs before the next one. */
 static void
 on_timer (void *data)
@@ -307,10 +356,14 @@
   return seeds;
 }
 
-static double
-decimal_of (const json_t *settings, const char *field)
+/* Thousandths of a core, or of what the link can feed: a link of 5 Mbit/s goes with a hundredth. */
+static int
+capacity_of (const json_t *settings)
 {
-  return g_ascii_strtod (pl_settings_text (settings, field, "0"), NULL);
+  double cpu = decimal_of (settings, "cpu_share") * 1000;
+  double link = decimal_of (settings, "link_mbps") * LINK_CAPACITY_PER_MBPS;
+
+  return (int) MAX (MIN (cpu, link), 1.0);
 }
 
 static int
@@ -325,6 +378,7 @@
       .relay_address = pl_settings_text (settings, "peer", ""),
       /* The time of day tells starts of one host apart; a step back is made up by the beacons. */
       .incarnation = (uint64_t) g_get_real_time (),
+      .capacity = capacity_of (settings),
       .now_us = pl_clock_now_us (),
       .retry_ratio = decimal_of (settings, "retry_ratio"),
       .retry_slack = decimal_of (settings, "retry_slack"),
@@ -342,6 +396,7 @@
       pl_log (PL_LOG_ERROR, "bad-settings", json_pack ("{s:s}", "field", "grace"));
       return PL_ERR_INVALID;
     }
+  entry->grace_us = options.grace_us;
   entry->regions.find = find_region;
   entry->regions.data = entry;
   entry->router = pl_router_new (&options);
@@ -425,6 +480,7 @@
           continue;
         }
       pl_log (PL_LOG_INFO, "stopping", json_pack ("{s:i}", "signal", (int) info.ssi_signo));
+      entry->stop_by_us = pl_clock_now_us () + entry->grace_us * LAST_ANSWERS_PERCENT / 100;
       post (entry, &stop);
     }
 }
@@ -465,6 +521,9 @@
   if (make_router (entry) < 0 || open_ports (entry) < 0)
     return EXIT_FAILURE; /* nothing was taken over that outlives the process */
   pl_reactor_before_wait (entry->reactor, run_events, entry);
+  entry->busy_timer = pl_reactor_timer (entry->reactor, measure_busy, entry);
+  entry->busy_since_us = pl_clock_now_us ();
+  pl_reactor_arm (entry->reactor, entry->busy_timer, entry->busy_since_us + BUSY_PERIOD_US);
   pl_log (PL_LOG_INFO, "started",
           json_pack ("{s:s}", "domain", pl_settings_text (entry->settings, "domain", "")));
   pl_reactor_run (entry->reactor);
