--- a/core/membership.c
+++ b/core/membership.c
@@ -99,6 +99,7 @@
   member->incarnation = beacon->incarnation;
   member->capacity = beacon->capacity;
   member->busy_percent = beacon->busy_percent;
+  member->active = beacon->active;
   member->heard = true;
   member->heard_us = now_us;
   member->ready = beacon->ready;
@@ -171,6 +172,20 @@
   return live;
 }
 
+int
+pl_membership_active_count (const struct pl_membership *membership, int64_t now_us)
+{
+  int active = 1;
+
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+
+      active += member->active && pl_member_is_live (membership, member, now_us);
+    }
+  return active;
+}
+
 double
 pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us)
 {
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -303,6 +303,8 @@
                          pl_membership_silent_part (&router->membership, router->now_us),
                          router->now_us))
     return ROUTER_OVER_RATE;
+  if (call->account != NULL)
+    fleet_note_admitted (router, call->account);
   g_strlcpy (call->service, choose_part (call->route, route), sizeof call->service);
   return -1;
 }
@@ -351,6 +353,7 @@
   call->fingerprint = event->fingerprint;
   call->body_bytes = event->body_bytes;
   call->arrived_us = router->now_us;
+  router->asked_us = router->now_us;
   call->ends_us = router->now_us + MAX (patience_us - ANSWER_MARGIN_US, patience_us / 2);
   g_hash_table_insert (router->calls, &call->id, call);
   refusal = check (router, call, event);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -1,8 +1,8 @@
 /* Beacons: what this host tells its peers, how often, and what it learns.
  *
  * Hosts of this region hear of it twice a second and others once; news, leaving, and
- * accounts whose use is not what peers assume are told sooner.  Addresses of other
- * hosts go along now and then only.
+ * accounts of which much was admitted are told sooner.  Accounts are told only to
+ * hosts that take requests, and addresses of other hosts go along now and then.
  */
 #include "internal/router_state.h"
 
@@ -12,8 +12,10 @@
 /* Other regions get each second one. */
 #define FAR_EACH 2
 #define CONTACTS_EACH 4
-/* Accounts are looked at this often. */
-#define ACCOUNTS_PERIOD_US (150 * MS_US)
+/* Beacons that tell of accounts follow each other no faster. */
+#define ACCOUNTS_PERIOD_US (40 * MS_US)
+/* A host that took no request for so long is not active. */
+#define ACTIVE_US (4 * S_US)
 #define SEEDS_PERIOD_US (300 * MS_US)
 #define SUSPECT_RETELL_US (2 * S_US)
 
@@ -27,11 +29,11 @@
         = (struct pl_beacon_suspect){fingerprint, server, convicted};
 }
 
-/* Adds the accounts of whose use peers assume something wrong. */
+/* Adds the accounts of which peers should know more. */
 static void
 add_accounts (struct pl_router *router, struct pl_beacon *beacon)
 {
-  int hosts = pl_membership_live_count (&router->membership, router->now_us);
+  int hosts = pl_membership_active_count (&router->membership, router->now_us);
   GHashTableIter iter;
   gpointer value;
 
@@ -44,8 +46,8 @@
       if (!pl_quota_should_tell (&account->quota, hosts, router->now_us))
         continue;
       pl_quota_note_told (&account->quota, router->now_us);
-      beacon->accounts[beacon->account_count++] = (struct pl_beacon_account){
-          account->id, account->quota.admitted, (float) account->quota.told_rate};
+      beacon->accounts[beacon->account_count++]
+          = (struct pl_beacon_account){account->id, account->quota.admitted};
     }
 }
 
@@ -62,6 +64,7 @@
   for (int t = 0; t < PL_TABLES_MAX; t++)
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
+  beacon->active = router->asked_us > 0 && router->now_us - router->asked_us < ACTIVE_US;
   add_accounts (router, beacon);
   if (router->beacon_turn++ % CONTACTS_EACH == 0)
     pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
@@ -99,21 +102,29 @@
       tell (router, *seed, beacon);
 }
 
-/* TO_ALL: other regions too, whether it is their turn or not. */
+/* TO_ALL: other regions too, whether it is their turn or not.  ONLY_ACCOUNTS: only those who want
+ * to know of accounts. */
 static void
-tell_members (struct pl_router *router, bool to_all)
+tell_members (struct pl_router *router, bool to_all, bool only_accounts)
 {
   struct pl_beacon beacon;
+  struct pl_beacon short_beacon;
   bool far_turn;
 
   fill_beacon (router, &beacon);
-  far_turn = to_all || beacon.account_count > 0 || router->beacon_turn % FAR_EACH == 0;
+  short_beacon = beacon;
+  short_beacon.account_count = 0;
+  far_turn = to_all || router->beacon_turn % FAR_EACH == 0;
   for (guint i = 0; i < router->membership.order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (far_turn || !member->heard || member->region == router->membership.self_region)
+      if (member->active && beacon.account_count > 0)
         tell (router, member->contact.peer_address, &beacon);
+      else if (only_accounts)
+        continue;
+      else if (far_turn || !member->heard || member->region == router->membership.self_region)
+        tell (router, member->contact.peer_address, &short_beacon);
     }
   if (router->now_us >= router->seeds_due_us)
     {
@@ -122,38 +133,39 @@
     }
 }
 
-static bool
-has_accounts_to_tell (const struct pl_router *router)
-{
-  int hosts = pl_membership_live_count (&router->membership, router->now_us);
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, router->accounts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (pl_quota_should_tell (&((struct router_account *) value)->quota, hosts, router->now_us))
-      return true;
-  return false;
-}
-
 void
 fleet_run_timers (struct pl_router *router)
 {
-  bool accounts = false;
+  bool due = router->now_us >= router->beacon_due_us || router->tell_soon || router->tell_near;
+  bool accounts = router->tell_accounts && router->now_us >= router->accounts_due_us;
 
-  if (router->now_us >= router->accounts_due_us)
+  if (due || accounts)
     {
+      tell_members (router, router->tell_soon, !due);
+      router->tell_accounts = false;
       router->accounts_due_us = router->now_us + ACCOUNTS_PERIOD_US;
-      accounts = has_accounts_to_tell (router);
     }
-  if (router->now_us >= router->beacon_due_us || router->tell_soon || router->tell_near || accounts)
+  if (due)
     {
-      tell_members (router, router->tell_soon);
       router->tell_soon = false;
       router->tell_near = false;
       router->beacon_due_us = router->now_us + BEACON_PERIOD_US;
     }
-  router->due_us = MIN (router->due_us, MIN (router->beacon_due_us, router->accounts_due_us));
+  router->due_us = MIN (router->due_us, router->beacon_due_us);
+  if (router->tell_accounts)
+    router->due_us = MIN (router->due_us, router->accounts_due_us);
+}
+
+/* A request of ACCOUNT was admitted. */
+void
+fleet_note_admitted (struct pl_router *router, const struct router_account *account)
+{
+  int hosts = pl_membership_active_count (&router->membership, router->now_us);
+
+  if (!pl_quota_is_pressing (&account->quota, hosts))
+    return;
+  router->tell_accounts = true;
+  router->due_us = MIN (router->due_us, MAX (router->accounts_due_us, router->now_us));
 }
 
 static void
@@ -182,8 +194,7 @@
 
       if (account != NULL)
         pl_quota_on_peer (&account->quota, member->id, member->incarnation,
-                          beacon->accounts[i].admitted, (double) beacon->accounts[i].rate,
-                          router->now_us);
+                          beacon->accounts[i].admitted, router->now_us);
     }
 }
 
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -24,7 +24,6 @@
 {
   uint64_t account;
   uint64_t admitted; /* requests since the start of the process */
-  float rate;        /* requests a second, of late */
 };
 
 struct pl_beacon_suspect
@@ -44,6 +43,7 @@
   uint64_t incarnation; /* rises with each start of the process */
   int capacity;         /* how much it can carry, against other hosts */
   int busy_percent;     /* of its share of the processor */
+  bool active;          /* took requests of late, so it wants to know of accounts */
   bool ready;           /* takes callers */
   bool leaving;
   bool watching;               /* reads the platform's store itself */
@@ -69,6 +69,7 @@
   uint64_t incarnation;
   int capacity;
   int busy_percent;
+  bool active;
   bool heard; /* a beacon came; else only its address is known */
   bool ready;
   bool leaving;
@@ -115,6 +116,9 @@
 /* Returns how many hosts take requests now, with this one. */
 int pl_membership_live_count (const struct pl_membership *membership, int64_t now_us);
 
+/* Returns how many hosts took requests of late, at least one. */
+int pl_membership_active_count (const struct pl_membership *membership, int64_t now_us);
+
 /* Returns the part of the hosts that fell silent without taking leave, 0 to 1. */
 double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
 
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -15,11 +15,9 @@
   double burst; /* requests */
   double tokens;
   int64_t refilled_us;
-  uint64_t admitted; /* here, since the start */
-  double own_rate;   /* admitted here, requests a second, smoothed */
-  int64_t rated_us;  /* up to when own_rate is */
-  uint64_t told;     /* admitted, as peers last heard */
-  double told_rate;
+  double heard_part;  /* of the hosts, 0 to 1: the part of the rate that is refilled */
+  uint64_t admitted;  /* here, since the start */
+  uint64_t told;      /* admitted, as peers last heard */
   int64_t told_us;    /* 0: never */
   GHashTable *others; /* peer id -> struct pl_quota_peer */
 };
@@ -30,13 +28,14 @@
 /* Puts new limits in force.  Tokens saved beyond the new burst are dropped. */
 void pl_quota_limit (struct pl_quota *quota, double rate, double burst, int64_t now_us);
 
-/* Takes a peer's word of how many requests it admitted since its start as INCARNATION, and at what
- * RATE of late. */
+/* Takes a peer's word of how many requests it admitted since its start as INCARNATION. */
 void pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation,
-                       uint64_t admitted, double rate, int64_t now_us);
+                       uint64_t admitted, int64_t now_us);
 
-/* Returns whether peers, who assume that this host goes on as it last told, are wrong by more than
- * the account can bear; HOSTS share it. */
+/* Returns whether peers know of fewer requests than the account can bear, when HOSTS take them. */
+bool pl_quota_is_pressing (const struct pl_quota *quota, int hosts);
+
+/* Returns whether a beacon that is sent anyway should tell of the account. */
 bool pl_quota_should_tell (const struct pl_quota *quota, int hosts, int64_t now_us);
 
 /* Peers are told now. */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -150,6 +150,8 @@
   int64_t slow_due_us;
   bool tell_soon; /* a beacon to all is due */
   bool tell_near; /* one to this region is due */
+  bool tell_accounts;
+  int64_t asked_us; /* when a request came last; 0: never */
 
   GHashTable *calls;  /* id -> struct call */
   GPtrArray *waiting; /* of struct call, the first to be placed first */
@@ -187,6 +189,7 @@
 /* router_fleet.c */
 void fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon);
 void fleet_run_timers (struct pl_router *router);
+void fleet_note_admitted (struct pl_router *router, const struct router_account *account);
 void fleet_note_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server,
                          bool alone);
 
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -74,9 +74,10 @@
               && code_text (xdr, beacon->relay_address, sizeof beacon->relay_address)
               && code_text (xdr, beacon->domain, sizeof beacon->domain)
               && code_u64 (xdr, &beacon->incarnation) && xdr_int (xdr, &beacon->capacity) != 0
-              && xdr_int (xdr, &beacon->busy_percent) != 0 && code_bool (xdr, &beacon->ready)
-              && code_bool (xdr, &beacon->leaving) && code_bool (xdr, &beacon->watching)
-              && code_bool (xdr, &beacon->store_lost) && code_i64 (xdr, &beacon->store_trouble_us);
+              && xdr_int (xdr, &beacon->busy_percent) != 0 && code_bool (xdr, &beacon->active)
+              && code_bool (xdr, &beacon->ready) && code_bool (xdr, &beacon->leaving)
+              && code_bool (xdr, &beacon->watching) && code_bool (xdr, &beacon->store_lost)
+              && code_i64 (xdr, &beacon->store_trouble_us);
 
   for (int t = 0; done && t < PL_TABLES_MAX; t++)
     done = code_i64 (xdr, &beacon->held[t]);
@@ -92,8 +93,7 @@
 
   for (int i = 0; done && i < beacon->account_count; i++)
     done = code_u64 (xdr, &beacon->accounts[i].account)
-           && code_u64 (xdr, &beacon->accounts[i].admitted)
-           && xdr_float (xdr, &beacon->accounts[i].rate) != 0;
+           && code_u64 (xdr, &beacon->accounts[i].admitted);
   done = done && code_count (xdr, &beacon->contact_count, PL_BEACON_CONTACTS_MAX);
   for (int i = 0; done && i < beacon->contact_count; i++)
     done = code_contact (xdr, &beacon->contacts[i]);
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -12,9 +12,10 @@
 
 #define PROBE_LIMIT_US INT64_C (600000)
 #define CONNECT_LIMIT_US INT64_C (250000)
-/* Servers close connections that were idle for ten seconds or less; a request must not cross that.
- */
-#define IDLE_LIMIT_S 3
+/* Servers close connections that were idle for ten seconds.  A request that may run once only must
+ * not cross that; one that may be repeated can take the risk. */
+#define IDLE_LIMIT_ONCE_S 3
+#define IDLE_LIMIT_S 8
 #define ANSWER_MAX ((size_t) 64 << 20)
 
 struct pl_front_attempt
@@ -247,7 +248,7 @@
   /* The router ends an attempt in time; this only bounds what it has forgotten. */
   options.timeout_us = effect->u.send.time_us + G_USEC_PER_SEC;
   options.connect_timeout_us = CONNECT_LIMIT_US;
-  options.idle_limit_s = IDLE_LIMIT_S;
+  options.idle_limit_s = effect->u.send.once ? IDLE_LIMIT_ONCE_S : IDLE_LIMIT_S;
   options.send_once = effect->u.send.once;
   options.handler = &attempt_handler;
   options.data = attempt;
