--- a/Makefile
+++ b/Makefile
@@ -60,6 +60,8 @@
 
 $(BUILD)/tests/test_fuzz: $(BUILD)/tests/fleet.o
 
+$(BUILD)/tests/test_router $(BUILD)/tests/test_router_fuzz: $(BUILD)/tests/router_world.o
+
 tests: $(TESTS) $(HISTORY)
 
 bench: $(BENCHES) all
--- a/core/membership.c
+++ b/core/membership.c
@@ -196,10 +196,11 @@
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
 
-      if (!member->heard || now_us - member->heard_us > SILENT_US || member->leaving)
+      if (!member->heard || !member->active || member->leaving
+          || now_us - member->heard_us > SILENT_US)
         continue;
       all++;
-      silent += !pl_member_is_live (membership, member, now_us);
+      silent += now_us - member->heard_us > PL_MEMBER_SILENT_US;
     }
   return (double) silent / all;
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -378,7 +378,8 @@
   double load = load_with_one (service, backend, now_us);
   double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
 
-  return load <= 1 || work_us * load <= (double) wish->objective_us * OBJECTIVE_PART;
+  return load <= 1
+         || (work_us > 0 && work_us * load <= (double) wish->objective_us * OBJECTIVE_PART);
 }
 
 /* The first of the ranking while it has a free slot, then the less busy of those that hold a copy,
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -1,6 +1,7 @@
 /* Beacons: what this host tells its peers, how often, and what it learns.
  *
- * Hosts of this region hear of it twice a second and others once; news, leaving, and
+ * Hosts of this region, and those that take requests, hear of it twice a second and
+ * others once; news, leaving, and
  * accounts of which much was admitted are told sooner.  Accounts are told only to
  * hosts that take requests, and addresses of other hosts go along now and then.
  */
@@ -123,7 +124,8 @@
         tell (router, member->contact.peer_address, &beacon);
       else if (only_accounts)
         continue;
-      else if (far_turn || !member->heard || member->region == router->membership.self_region)
+      else if (far_turn || !member->heard || member->region == router->membership.self_region
+               || (beacon.active && member->active))
         tell (router, member->contact.peer_address, &short_beacon);
     }
   if (router->now_us >= router->seeds_due_us)
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -8,6 +8,8 @@
 #include "pomelolatch/event.h"
 
 #define PL_TABLES_MAX 2
+/* An active host that was not heard for so long, two beacons, counts as silent. */
+#define PL_MEMBER_SILENT_US INT64_C (1100000)
 #define PL_BEACON_NAME_CHARS 64
 #define PL_BEACON_ACCOUNTS_MAX 96
 #define PL_BEACON_CONTACTS_MAX 6
@@ -119,7 +121,7 @@
 /* Returns how many hosts took requests of late, at least one. */
 int pl_membership_active_count (const struct pl_membership *membership, int64_t now_us);
 
-/* Returns the part of the hosts that fell silent without taking leave, 0 to 1. */
+/* Returns the part of the active hosts that fell silent without taking leave, 0 to 1. */
 double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
 
 /* Returns whether this host should read the store for its region: the first by rendezvous hashing
--- /dev/null
+++ b/tests/router_world.c
@@ -0,0 +1,242 @@
+/* The router's surroundings for tests: takes effects down, feeds events in. */
+#include "router_world.h"
+#include "internal/keys.h"
+
+#include <assert.h>
+#include <string.h>
+
+static const char *const domains[]
+    = {"a-1=a", "a-2=a", "b-1=b", NULL};
+
+static int
+find_region (void *data, const char *region)
+{
+  struct world *world = data;
+
+  return pl_router_region (world->router, region);
+}
+
+struct world *
+world_new (void)
+{
+  struct world *world = g_new0 (struct world, 1);
+  struct pl_router_options options = {
+      .name = "host-a",
+      .domain = "a-1",
+      .caller_address = "10.0.0.1:80",
+      .peer_address = "10.0.0.1:7600",
+      .relay_address = "10.0.0.1:7600",
+      .domains = domains,
+      .incarnation = 1,
+      .capacity = 200,
+      .now_us = WORLD_SECOND,
+      .grace_us = 6 * WORLD_SECOND,
+      .retry_ratio = 0.2,
+      .retry_slack = 50,
+      .decode = pl_platform_dialect.decode_row,
+  };
+
+  world->now_us = WORLD_SECOND;
+  world->regions.find = find_region;
+  world->regions.data = world;
+  options.decode_data = &world->regions;
+  world->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  world->router = pl_router_new (&options);
+  return world;
+}
+
+void
+world_free (struct world *world)
+{
+  pl_router_free (world->router);
+  pl_router_effects_free (&world->effects);
+  g_hash_table_destroy (world->calls);
+  g_free (world);
+}
+
+static void
+take_send (struct world *world, const struct pl_router_effect *effect)
+{
+  struct world_call *call = g_hash_table_lookup (world->calls, &effect->request);
+
+  assert (call != NULL);
+  assert (!call->at_server);
+  assert (call->answers == 0);
+  call->sends++;
+  call->at_server = true;
+  call->attempt = effect->attempt;
+  call->sent_us = world->now_us;
+  call->time_us = effect->u.send.time_us;
+  call->once = effect->u.send.once;
+  g_strlcpy (call->server, effect->u.send.server, sizeof call->server);
+  g_strlcpy (call->address, effect->u.send.address, sizeof call->address);
+}
+
+static void
+take_answer (struct world *world, const struct pl_router_effect *effect)
+{
+  struct world_call *call = g_hash_table_lookup (world->calls, &effect->request);
+
+  assert (call != NULL);
+  assert (!call->at_server || call->cancelled);
+  call->answers++;
+  call->delivered = effect->type == PL_ROUTER_DELIVER;
+  if (call->delivered)
+    return;
+  call->status = effect->u.refuse.status;
+  call->retry_after_us = effect->u.refuse.retry_after_us;
+}
+
+static void
+take_effect (struct world *world, const struct pl_router_effect *effect)
+{
+  struct world_call *call;
+
+  switch (effect->type)
+    {
+    case PL_ROUTER_SEND:
+      take_send (world, effect);
+      break;
+    case PL_ROUTER_DELIVER:
+    case PL_ROUTER_REFUSE:
+      take_answer (world, effect);
+      break;
+    case PL_ROUTER_CANCEL:
+      call = g_hash_table_lookup (world->calls, &effect->request);
+      call->cancelled = true;
+      call->may_have_run = true;
+      break;
+    case PL_ROUTER_PROBE:
+      world->probes++;
+      break;
+    case PL_ROUTER_TELL:
+      world->beacons++;
+      world->last_beacon = *effect->u.tell.beacon;
+      break;
+    case PL_ROUTER_FETCH:
+      world->fetches++;
+      break;
+    case PL_ROUTER_WATCH:
+      world->watching = effect->u.watch;
+      break;
+    case PL_ROUTER_CLOSING:
+      world->closing = true;
+      break;
+    case PL_ROUTER_STOPPED:
+      world->stopped = true;
+      break;
+    case PL_ROUTER_NOTE:
+      world->troubles += effect->u.note.level == PL_NOTE_TROUBLE;
+      break;
+    case PL_ROUTER_LIMITS:
+    case PL_ROUTER_UNLISTEN:
+      break;
+    }
+}
+
+void
+world_step (struct world *world, struct pl_router_event *event)
+{
+  event->now_us = world->now_us;
+  pl_router_step (world->router, event, &world->effects);
+  for (int i = 0; i < world->effects.count; i++)
+    take_effect (world, &world->effects.items[i]);
+  pl_router_effects_clear (&world->effects);
+}
+
+void
+world_run (struct world *world, int64_t us)
+{
+  int64_t until_us = world->now_us + us;
+  struct pl_router_event tick = {.type = PL_ROUTER_TICK};
+
+  while (pl_router_due_us (world->router) < until_us)
+    {
+      world->now_us = MAX (world->now_us, pl_router_due_us (world->router));
+      world_step (world, &tick);
+    }
+  world->now_us = until_us;
+  world_step (world, &tick);
+}
+
+void
+world_row (struct world *world, enum pl_table table, const char *key, const char *value)
+{
+  struct pl_row row = {key, value, value != NULL ? strlen (value) : 0, ++world->version};
+  struct pl_router_event event = {.type = PL_ROUTER_ROWS};
+
+  event.u.rows = (struct pl_rows_event){
+      .table = table, .version = world->version, .rows = &row, .count = 1};
+  world_step (world, &event);
+}
+
+void
+world_config (struct world *world, int version, const char *extra_route)
+{
+  static const char *const form
+      = "{\"Version\":\"r%d\",\"Resources\":["
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":\"h\","
+        "\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Timeout\":\"800ms\",\"TargetLatency\":"
+        "\"200ms\",\"Priority\":2,\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"write\"},\"Spec\":{\"Host\":\"h\","
+        "\"Prefix\":\"/write/\",\"Kind\":\"non_idempotent\",\"Timeout\":\"1000ms\","
+        "\"TargetLatency\":\"200ms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},%s"
+        "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"stock\"},\"Spec\":{"
+        "\"HealthPath\":\"/health\",\"ColdStart\":\"3s\",\"ColdPerS\":14.0}},"
+        "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"shop\"},\"Spec\":{\"ApiKeys\":"
+        "[\"key-1\",\"key-2\"],\"RatePerS\":1000,\"Burst\":1000}}]}";
+  g_autofree char *text = g_strdup_printf (form, version, extra_route != NULL ? extra_route : "");
+
+  world_row (world, PL_TABLE_CONTROL, "config", text);
+}
+
+void
+world_server (struct world *world, const char *id, const char *domain, const char *state,
+              int64_t born)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"Address\":\"10.1.0.%d:80\",\"born\":%d,\"Info\":{\"Service\":\"stock\",\"Zone\":\"%s\","
+      "\"Slots\":4},\"Status\":{\"State\":\"%s\",\"Sequence\":1,\"ColdRemaining\":\"0ms\"}}",
+      (int) (g_str_hash (id) % 250) + 1, (int) born, domain, state);
+
+  world_row (world, PL_TABLE_SERVERS, id, text);
+}
+
+struct world_call *
+world_call (struct world *world, const char *path, const char *key)
+{
+  struct world_call *call = g_new0 (struct world_call, 1);
+  struct pl_router_event event = {.type = PL_ROUTER_CALL};
+
+  call->id = ++world->next_request;
+  call->repeatable = g_str_has_prefix (path, "/read/");
+  g_hash_table_insert (world->calls, &call->id, call);
+  event.u.call.request = call->id;
+  event.u.call.label = "label";
+  event.u.call.host = "h";
+  event.u.call.path = path;
+  event.u.call.patience_us = 2 * WORLD_SECOND;
+  event.u.call.object = g_str_hash (path) | 1;
+  event.u.call.fingerprint = g_str_hash (path);
+  event.u.call.has_key = key != NULL;
+  if (key != NULL)
+    pl_key_hash (key, strlen (key), event.u.call.key_hash);
+  world_step (world, &event);
+  return call;
+}
+
+void
+world_end (struct world *world, struct world_call *call, enum pl_attempt_end end, int status)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_ATTEMPT};
+
+  assert (call->at_server);
+  call->at_server = false;
+  if (end == PL_ATTEMPT_ANSWERED || end == PL_ATTEMPT_BROKEN)
+    call->may_have_run = true;
+  event.u.attempt.request = call->id;
+  event.u.attempt.attempt = call->attempt;
+  event.u.attempt.end = end;
+  event.u.attempt.status = status;
+  world_step (world, &event);
+}
--- /dev/null
+++ b/tests/test_placement.c
@@ -0,0 +1,287 @@
+/* Placement under the loads that it answers: each test replays one without I/O. */
+#include "internal/placement.h"
+#include "suite.h"
+
+#define SERVERS 16
+#define SLOTS 5
+#define OBJECTS 285
+#define MS INT64_C (1000)
+#define SECOND INT64_C (1000000)
+
+static struct pl_placement placement;
+
+static double
+whole_share (void *data, uint64_t server, double cold_per_second)
+{
+  (void) data;
+  (void) server;
+  (void) cold_per_second;
+  return 1;
+}
+
+static struct pl_server_entry
+make_entry (int number, const char *domain)
+{
+  struct pl_server_entry entry = {.slots = SLOTS, .born = 1};
+
+  g_snprintf (entry.id, sizeof entry.id, "server-%d", number);
+  g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", number + 1);
+  g_strlcpy (entry.service, "stock", sizeof entry.service);
+  g_strlcpy (entry.domain, domain, sizeof entry.domain);
+  return entry;
+}
+
+/* Half of the servers in region 0, half in region 1. */
+static void
+add_servers (int count)
+{
+  for (int i = 0; i < count; i++)
+    {
+      struct pl_server_entry entry = make_entry (i, i % 2 == 0 ? "a-1" : "b-1");
+
+      pl_placement_put (&placement, &entry, i % 2, true, 0);
+    }
+}
+
+static void
+set_up (void)
+{
+  pl_placement_init (&placement, "a-1", 0);
+  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  add_servers (SERVERS);
+}
+
+static void
+tear_down (void)
+{
+  pl_placement_clear (&placement);
+}
+
+static struct pl_placement_wish
+wish_for (uint64_t object)
+{
+  return (struct pl_placement_wish){
+      .service = "stock", .object = object, .objective_us = 200 * MS, .homes = UINT32_MAX};
+}
+
+static struct pl_backend *
+choose (const struct pl_placement_wish *wish, int64_t now_us)
+{
+  struct pl_backend *backend = NULL;
+
+  return pl_placement_choose (&placement, wish, whole_share, NULL, &backend, now_us) == PL_PLACED
+             ? backend
+             : NULL;
+}
+
+static void
+finish (struct pl_backend *backend, int64_t latency_us, int64_t now_us)
+{
+  double load = backend->load_at_send;
+
+  backend->in_flight--;
+  pl_placement_note_load (backend, backend->in_flight, 0, SLOTS, now_us);
+  pl_placement_note_answer (&placement, backend, false, latency_us, load);
+}
+
+/* The load of a heavy day: more than the servers can take cold, half of what they take warm.  When
+ * every busy first choice sent its requests to any idle server, an object came to be on six. */
+START_TEST (an_object_is_on_few_servers_when_all_are_busy)
+{
+  GHashTable *seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  struct pl_backend *open[4096];
+  int64_t ends[4096];
+  int open_count = 0;
+  uint32_t random = 1;
+  guint copies;
+
+  for (int64_t now = 0; now < 4 * SECOND; now += 2 * MS)
+    {
+      struct pl_placement_wish wish;
+      struct pl_backend *backend;
+
+      for (int i = 0; i < open_count; i++)
+        if (ends[i] <= now)
+          {
+            finish (open[i], 240 * MS, now);
+            open[i] = open[--open_count];
+            ends[i--] = ends[open_count];
+          }
+      random = random * 1103515245 + 12345;
+      wish = wish_for (1 + (random >> 16) % OBJECTS);
+      backend = choose (&wish, now);
+      if (backend == NULL)
+        continue;
+      g_hash_table_add (seen, g_strdup_printf ("%d %s", (int) wish.object, backend->entry.id));
+      open[open_count] = backend;
+      ends[open_count++] = now + 240 * MS;
+    }
+  copies = g_hash_table_size (seen);
+  ck_assert_uint_le (copies, OBJECTS * 3);
+  g_hash_table_destroy (seen);
+}
+END_TEST
+
+START_TEST (hosts_agree_on_a_server_without_talking)
+{
+  struct pl_placement other;
+  struct pl_placement_wish wish = wish_for (77);
+  struct pl_backend *here = choose (&wish, 0);
+  struct pl_backend *there = NULL;
+
+  pl_placement_init (&other, "b-1", 1);
+  for (int i = SERVERS - 1; i >= 0; i--)
+    {
+      struct pl_server_entry entry = make_entry (i, i % 2 == 0 ? "a-1" : "b-1");
+
+      pl_placement_put (&other, &entry, i % 2, true, 0);
+    }
+  pl_placement_choose (&other, &wish, whole_share, NULL, &there, 0);
+  ck_assert_str_eq (here->entry.id, there->entry.id);
+  pl_placement_clear (&other);
+}
+END_TEST
+
+START_TEST (a_queue_is_used_only_within_the_objective)
+{
+  struct pl_placement_wish wish = wish_for (5);
+  struct pl_backend *first = choose (&wish, 0);
+  int placed = 1;
+
+  /* 100 ms of work: a second round of the slots ends at 200 ms, too late. */
+  finish (first, 100 * MS, 0);
+  while (choose (&wish, 0) != NULL)
+    placed++;
+  ck_assert_int_le (first->in_flight, SLOTS * 17 / 10);
+  ck_assert_int_ge (first->in_flight, SLOTS);
+}
+END_TEST
+
+/* One account may run in region 0 only and needs all of it. */
+START_TEST (a_region_is_left_to_those_bound_to_it)
+{
+  int in_region[2] = {0, 0};
+
+  for (int64_t now = 0; now < 4 * SECOND; now += 4 * MS)
+    {
+      struct pl_placement_wish wish = wish_for (1 + (uint64_t) (now / MS) % OBJECTS);
+      struct pl_backend *backend;
+
+      wish.has_homes = now / (4 * MS) % 2 == 0;
+      wish.homes = wish.has_homes ? 1 : UINT32_MAX;
+      backend = choose (&wish, now);
+      ck_assert_ptr_nonnull (backend);
+      if (wish.has_homes)
+        ck_assert_int_eq (backend->region, 0);
+      else if (now > SECOND)
+        in_region[backend->region]++;
+      finish (backend, 50 * MS, now);
+    }
+  ck_assert_int_lt (in_region[0] * 10, in_region[1]);
+}
+END_TEST
+
+START_TEST (a_large_body_stays_near)
+{
+  for (uint64_t object = 1; object < 50; object++)
+    {
+      struct pl_placement_wish wish = wish_for (object);
+      struct pl_backend *backend;
+
+      wish.is_large = true;
+      backend = choose (&wish, 0);
+      ck_assert_str_eq (backend->entry.domain, "a-1");
+      finish (backend, 50 * MS, 0);
+    }
+}
+END_TEST
+
+START_TEST (a_cold_server_gets_no_more_than_it_bears)
+{
+  struct pl_server_entry entry = make_entry (0, "a-1");
+  int in_second = 0;
+
+  tear_down ();
+  pl_placement_init (&placement, "a-1", 0);
+  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  pl_placement_put (&placement, &entry, 0, false, 0);
+  for (int64_t now = SECOND; now < 2 * SECOND; now += MS)
+    {
+      struct pl_placement_wish wish = wish_for ((uint64_t) now);
+      struct pl_backend *backend = choose (&wish, now);
+
+      if (backend == NULL)
+        continue;
+      in_second++;
+      finish (backend, MS, now);
+    }
+  ck_assert_int_le (in_second, 14);
+  ck_assert_int_ge (in_second, 8);
+}
+END_TEST
+
+START_TEST (leaving_evacuated_and_gone_servers_are_not_used)
+{
+  struct pl_server_entry entry;
+
+  for (int i = 0; i < SERVERS; i += 2)
+    pl_placement_drop (&placement, make_entry (i, "a-1").id, i == 0 ? SECOND : 0);
+  entry = make_entry (1, "b-1");
+  entry.draining = true;
+  pl_placement_put (&placement, &entry, 1, false, 0);
+  for (uint64_t object = 1; object < 200; object++)
+    {
+      struct pl_placement_wish wish = wish_for (object);
+      struct pl_backend *backend = choose (&wish, 2 * SECOND);
+
+      ck_assert_str_eq (backend->entry.domain, "b-1");
+      ck_assert_str_ne (backend->entry.id, "server-1");
+      finish (backend, MS, 2 * SECOND);
+    }
+  pl_placement_evacuate (&placement, "b-1", true);
+  for (uint64_t object = 1; object < 20; object++)
+    {
+      struct pl_placement_wish wish = wish_for (object);
+      struct pl_backend *backend = NULL;
+
+      ck_assert_int_eq (
+          pl_placement_choose (&placement, &wish, whole_share, NULL, &backend, 2 * SECOND),
+          PL_PLACE_NONE);
+    }
+}
+END_TEST
+
+START_TEST (a_server_that_can_not_be_reached_is_tried_with_a_probe)
+{
+  struct pl_placement_wish wish = wish_for (9);
+  struct pl_backend *backend = choose (&wish, 0);
+
+  backend->in_flight--;
+  pl_placement_note_broken (backend, true, 0);
+  ck_assert_ptr_null (pl_placement_to_probe (&placement, 100 * MS));
+  ck_assert_ptr_ne (choose (&wish, 100 * MS), backend);
+  ck_assert_ptr_eq (pl_placement_to_probe (&placement, SECOND), backend);
+  wish.only_tried_and_sound = true;
+  ck_assert_ptr_ne (choose (&wish, SECOND), backend);
+  pl_placement_note_probe (backend, true, 0, SECOND);
+  ck_assert_ptr_eq (choose (&wish, SECOND), backend);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "placement");
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, an_object_is_on_few_servers_when_all_are_busy);
+  tcase_add_test (tcase, hosts_agree_on_a_server_without_talking);
+  tcase_add_test (tcase, a_queue_is_used_only_within_the_objective);
+  tcase_add_test (tcase, a_region_is_left_to_those_bound_to_it);
+  tcase_add_test (tcase, a_large_body_stays_near);
+  tcase_add_test (tcase, a_cold_server_gets_no_more_than_it_bears);
+  tcase_add_test (tcase, leaving_evacuated_and_gone_servers_are_not_used);
+  tcase_add_test (tcase, a_server_that_can_not_be_reached_is_tried_with_a_probe);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,250 @@
+/* An account's rate over a fleet: floods, cuts, restarts and lost reports in virtual time. */
+#include "internal/membership.h"
+#include "internal/quota.h"
+#include "suite.h"
+
+#define HOSTS_MAX 12
+#define MS INT64_C (1000)
+#define SECOND INT64_C (1000000)
+#define TICK (10 * MS)
+#define WINDOW_TICKS 500 /* five seconds */
+#define RUN_TICKS 3000
+/* Until each side of a cut knows that it does not hear the other. */
+#define SILENT_TICKS ((int) (PL_MEMBER_SILENT_US / TICK))
+#define REPORT_DELAY 3 /* ticks from a report to its arrival */
+
+struct report
+{
+  int to;
+  int from;
+  uint64_t incarnation;
+  uint64_t admitted;
+  int due;
+};
+
+struct fleet
+{
+  int hosts;
+  struct pl_quota quotas[HOSTS_MAX];
+  uint64_t incarnations[HOSTS_MAX];
+  GArray *reports;
+  int cut_from; /* ticks in which the first half and the second do not hear each other */
+  int cut_until;
+  int lost_percent;
+  uint32_t random;
+  int admitted[RUN_TICKS];
+  int refused;
+};
+
+static uint32_t
+draw (struct fleet *fleet)
+{
+  fleet->random = fleet->random * 1664525 + 1013904223;
+  return fleet->random >> 8;
+}
+
+static void
+start_host (struct fleet *fleet, int host, double rate, int64_t now_us)
+{
+  pl_quota_init (&fleet->quotas[host], now_us);
+  pl_quota_limit (&fleet->quotas[host], rate, rate, now_us);
+  fleet->incarnations[host]++;
+}
+
+static struct fleet *
+fleet_new (int hosts, double rate)
+{
+  struct fleet *fleet = g_new0 (struct fleet, 1);
+
+  fleet->hosts = hosts;
+  fleet->random = 1;
+  fleet->reports = g_array_new (FALSE, FALSE, sizeof (struct report));
+  for (int i = 0; i < hosts; i++)
+    start_host (fleet, i, rate, 0);
+  return fleet;
+}
+
+static void
+fleet_free (struct fleet *fleet)
+{
+  for (int i = 0; i < fleet->hosts; i++)
+    pl_quota_clear (&fleet->quotas[i]);
+  g_array_free (fleet->reports, TRUE);
+  g_free (fleet);
+}
+
+static bool
+is_cut (const struct fleet *fleet, int a, int b, int tick)
+{
+  return tick >= fleet->cut_from && tick < fleet->cut_until
+         && (a < fleet->hosts / 2) != (b < fleet->hosts / 2);
+}
+
+static void
+send_reports (struct fleet *fleet, int from, int tick)
+{
+  struct pl_quota *quota = &fleet->quotas[from];
+
+  if (!pl_quota_is_pressing (quota, fleet->hosts)
+      && (tick % 50 != 0 || !pl_quota_should_tell (quota, fleet->hosts, tick * TICK)))
+    return;
+  pl_quota_note_told (quota, tick * TICK);
+  for (int to = 0; to < fleet->hosts; to++)
+    {
+      struct report report = {to, from, fleet->incarnations[from], quota->admitted,
+                              tick + REPORT_DELAY};
+
+      if (to != from && !is_cut (fleet, from, to, tick)
+          && draw (fleet) % 100 >= (uint32_t) fleet->lost_percent)
+        g_array_append_val (fleet->reports, report);
+    }
+}
+
+static void
+deliver_reports (struct fleet *fleet, int tick)
+{
+  for (guint i = 0; i < fleet->reports->len; i++)
+    {
+      const struct report *report = &g_array_index (fleet->reports, struct report, i);
+
+      if (report->due > tick)
+        continue;
+      pl_quota_on_peer (&fleet->quotas[report->to], (uint64_t) report->from + 1,
+                        report->incarnation, report->admitted, tick * TICK);
+      g_array_remove_index_fast (fleet->reports, i--);
+    }
+}
+
+/* OFFERED: requests a second over the fleet, spread over the hosts at random. */
+static void
+run (struct fleet *fleet, int from, int until, double offered)
+{
+  double due = 0;
+
+  for (int tick = from; tick < until; tick++)
+    {
+      deliver_reports (fleet, tick);
+      for (due += offered * TICK / SECOND; due >= 1; due -= 1)
+        {
+          int host = (int) (draw (fleet) % (uint32_t) fleet->hosts);
+          double silent = is_cut (fleet, 0, fleet->hosts - 1, tick - SILENT_TICKS) ? 0.5 : 0;
+
+          if (pl_quota_take (&fleet->quotas[host], silent, tick * TICK))
+            fleet->admitted[tick]++;
+          else
+            fleet->refused++;
+        }
+      for (int host = 0; host < fleet->hosts; host++)
+        send_reports (fleet, host, tick);
+    }
+}
+
+/* The users' bound: rate and burst over any five seconds, a tenth more, and twenty. */
+static void
+check_windows (const struct fleet *fleet, double rate)
+{
+  int sum = 0;
+
+  for (int tick = 0; tick < RUN_TICKS; tick++)
+    {
+      sum += fleet->admitted[tick];
+      if (tick >= WINDOW_TICKS)
+        sum -= fleet->admitted[tick - WINDOW_TICKS];
+      ck_assert_double_le (sum, (rate * 5 + rate) * 1.1 + 20);
+    }
+}
+
+START_TEST (a_flood_stays_within_the_rate)
+{
+  static const double rates[] = {38, 121, 300};
+  double rate = rates[_i];
+  struct fleet *fleet = fleet_new (9, rate);
+
+  run (fleet, 0, 1000, rate * 0.6);
+  run (fleet, 1000, RUN_TICKS, rate * 5);
+  check_windows (fleet, rate);
+  fleet_free (fleet);
+}
+END_TEST
+
+START_TEST (even_use_is_not_refused)
+{
+  static const int hosts[] = {4, 9, 12};
+  struct fleet *fleet = fleet_new (hosts[_i], 60);
+
+  run (fleet, 0, RUN_TICKS, 60 * 0.62);
+  ck_assert_int_le (fleet->refused, 4);
+  fleet_free (fleet);
+}
+END_TEST
+
+START_TEST (both_sides_of_a_cut_stay_within_the_rate)
+{
+  struct fleet *fleet = fleet_new (8, 100);
+
+  fleet->cut_from = 1000;
+  fleet->cut_until = 2200;
+  run (fleet, 0, RUN_TICKS, 400);
+  check_windows (fleet, 100);
+  fleet_free (fleet);
+}
+END_TEST
+
+START_TEST (hosts_that_start_again_do_not_spend_the_burst_again)
+{
+  struct fleet *fleet = fleet_new (8, 100);
+
+  run (fleet, 0, 1000, 400);
+  for (int host = 0; host < 8; host++)
+    {
+      pl_quota_clear (&fleet->quotas[host]);
+      start_host (fleet, host, 100, 1000 * TICK);
+    }
+  g_array_set_size (fleet->reports, 0);
+  run (fleet, 1000, RUN_TICKS, 400);
+  check_windows (fleet, 100);
+  fleet_free (fleet);
+}
+END_TEST
+
+START_TEST (lost_reports_are_made_up_by_the_next)
+{
+  struct fleet *fleet = fleet_new (9, 100);
+
+  fleet->lost_percent = 10;
+  run (fleet, 0, RUN_TICKS, 300);
+  check_windows (fleet, 100);
+  fleet_free (fleet);
+}
+END_TEST
+
+START_TEST (an_old_report_changes_nothing)
+{
+  struct pl_quota quota = {0};
+  double before;
+
+  pl_quota_init (&quota, 0);
+  pl_quota_limit (&quota, 10, 10, 0);
+  pl_quota_on_peer (&quota, 1, 1, 5, 0);
+  pl_quota_on_peer (&quota, 1, 1, 8, 0);
+  before = quota.tokens;
+  pl_quota_on_peer (&quota, 1, 1, 6, 0);
+  ck_assert_double_eq (quota.tokens, before);
+  pl_quota_clear (&quota);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "quota");
+
+  tcase_add_loop_test (tcase, a_flood_stays_within_the_rate, 0, 3);
+  tcase_add_loop_test (tcase, even_use_is_not_refused, 0, 3);
+  tcase_add_test (tcase, both_sides_of_a_cut_stay_within_the_rate);
+  tcase_add_test (tcase, hosts_that_start_again_do_not_spend_the_burst_again);
+  tcase_add_test (tcase, lost_reports_are_made_up_by_the_next);
+  tcase_add_test (tcase, an_old_report_changes_nothing);
+  return suite_run (suite);
+}
--- /dev/null
+++ b/tests/test_router.c
@@ -0,0 +1,419 @@
+/* The router's promises, one at a time, in virtual time. */
+#include "router_world.h"
+#include "suite.h"
+
+#include <string.h>
+
+static struct world *world;
+
+static void
+set_up (void)
+{
+  world = world_new ();
+  world_config (world, 3, NULL);
+  for (int i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_server (world, id, i % 2 == 0 ? "a-1" : "b-1", "ready", 1);
+    }
+  world_run (world, 4 * WORLD_SECOND);
+}
+
+static void
+tear_down (void)
+{
+  world_free (world);
+}
+
+START_TEST (a_request_is_sent_and_its_answer_delivered)
+{
+  struct world_call *call = world_call (world, "/read/1", "key-1");
+
+  ck_assert_int_eq (call->sends, 1);
+  ck_assert (!call->once);
+  ck_assert_int_le (call->time_us, 800 * WORLD_MS);
+  world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert_int_eq (call->answers, 1);
+  ck_assert (call->delivered);
+}
+END_TEST
+
+START_TEST (unknown_routes_and_keys_are_refused)
+{
+  ck_assert_int_eq (world_call (world, "/none/1", "key-1")->status, 404);
+  ck_assert_int_eq (world_call (world, "/read/1", "key-9")->status, 401);
+  ck_assert_int_eq (world_call (world, "/read/1", NULL)->status, 401);
+}
+END_TEST
+
+START_TEST (without_a_configuration_nothing_is_denied)
+{
+  struct world *empty = world_new ();
+  struct world_call *call = world_call (empty, "/read/1", "key-1");
+
+  ck_assert_int_eq (call->status, 503);
+  ck_assert_int_gt (call->retry_after_us, 0);
+  world_free (empty);
+}
+END_TEST
+
+START_TEST (work_that_runs_once_is_not_repeated_after_a_lost_answer)
+{
+  struct world_call *call = world_call (world, "/write/1", "key-1");
+
+  ck_assert (call->once);
+  world_end (world, call, PL_ATTEMPT_BROKEN, 0);
+  ck_assert_int_eq (call->sends, 1);
+  ck_assert_int_eq (call->status, 502);
+}
+END_TEST
+
+START_TEST (work_that_did_not_run_is_sent_to_another_server)
+{
+  struct world_call *call = world_call (world, "/write/1", "key-1");
+  char first[PL_SERVER_ID_CHARS];
+
+  strcpy (first, call->server);
+  world_end (world, call, PL_ATTEMPT_NOT_RUN, 503);
+  ck_assert_int_eq (call->sends, 2);
+  ck_assert_str_ne (call->server, first);
+  world_end (world, call, PL_ATTEMPT_NOT_RUN, 503);
+  ck_assert_int_eq (call->sends, 2);
+  ck_assert_int_eq (call->status, 503);
+  ck_assert_int_gt (call->retry_after_us, 0);
+}
+END_TEST
+
+START_TEST (a_refusal_after_a_lost_answer_does_not_say_not_run)
+{
+  struct world_call *call = world_call (world, "/read/1", "key-1");
+
+  world_end (world, call, PL_ATTEMPT_BROKEN, 0);
+  ck_assert_int_eq (call->sends, 2);
+  world_end (world, call, PL_ATTEMPT_NOT_RUN, 503);
+  ck_assert_int_eq (call->status, 502);
+}
+END_TEST
+
+START_TEST (a_servers_own_503_is_not_passed_on_as_a_promise)
+{
+  struct world_call *call = world_call (world, "/write/1", "key-1");
+
+  world_end (world, call, PL_ATTEMPT_ANSWERED, 503);
+  ck_assert (!call->delivered);
+  ck_assert_int_eq (call->status, 502);
+}
+END_TEST
+
+START_TEST (a_request_is_answered_by_its_routes_timeout)
+{
+  struct world_call *call = world_call (world, "/read/1", "key-1");
+
+  world_run (world, 790 * WORLD_MS);
+  ck_assert_int_eq (call->answers, 0);
+  world_run (world, 20 * WORLD_MS);
+  ck_assert (call->cancelled);
+  ck_assert_int_eq (call->status, 504);
+}
+END_TEST
+
+START_TEST (repeatable_work_ends_with_its_caller)
+{
+  struct world_call *read = world_call (world, "/read/1", "key-1");
+  struct world_call *write = world_call (world, "/write/1", "key-1");
+  struct pl_router_event gone = {.type = PL_ROUTER_CALLER_GONE};
+
+  gone.u.request = read->id;
+  world_step (world, &gone);
+  gone.u.request = write->id;
+  world_step (world, &gone);
+  ck_assert (read->cancelled);
+  ck_assert (!write->cancelled);
+  world_end (world, write, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (write->delivered);
+}
+END_TEST
+
+START_TEST (what_has_no_room_is_refused_after_a_short_wait)
+{
+  struct world_call *last = NULL;
+
+  for (int i = 0; i < 60; i++)
+    last = world_call (world, "/read/1", "key-1");
+  ck_assert_int_eq (last->sends, 0);
+  ck_assert_int_eq (last->answers, 0);
+  world_run (world, 30 * WORLD_MS);
+  ck_assert_int_eq (last->status, 503);
+  ck_assert_int_gt (last->retry_after_us, 0);
+}
+END_TEST
+
+START_TEST (without_servers_a_request_is_refused_at_once)
+{
+  for (int i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_server (world, id, "a-1", "draining", 1);
+    }
+  ck_assert_int_eq (world_call (world, "/read/1", "key-1")->status, 503);
+}
+END_TEST
+
+START_TEST (an_evacuated_domain_gets_nothing_until_it_is_taken_back)
+{
+  world_row (world, PL_TABLE_CONTROL, "evacuate/a-1", "{}");
+  for (int i = 0; i < 20; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_call (world, path, "key-1");
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert (strcmp (call->server, "s-1") == 0 || strcmp (call->server, "s-3") == 0);
+      world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  world_row (world, PL_TABLE_CONTROL, "evacuate/a-1", NULL);
+}
+END_TEST
+
+START_TEST (an_older_configuration_changes_nothing)
+{
+  world_config (world, 2, NULL);
+  ck_assert_int_eq (pl_router_held (world->router, PL_TABLE_CONTROL), world->version);
+  world_row (world, PL_TABLE_CONTROL, "config", "{\"Version\":\"r9\",\"Resources\":[{");
+  ck_assert_int_eq (world->troubles, 1);
+  ck_assert_int_eq (world_call (world, "/read/1", "key-1")->sends, 1);
+}
+END_TEST
+
+START_TEST (a_row_that_can_not_be_read_names_no_server)
+{
+  static const char *const rows[]
+      = {"{\"Address\":7}", "not json", "[]",
+         "{\"Address\":\"10.1.0.9:80\",\"Info\":{\"Service\":\"stock\",\"Zone\":\"a-1\",\"Slots\":4},"
+         "\"Status\":{\"State\":\"resting\"}}",
+         "\xff\xfe"};
+
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    world_row (world, PL_TABLE_SERVERS, "odd", rows[i]);
+  ck_assert_int_eq (world->troubles, (int) G_N_ELEMENTS (rows));
+  ck_assert_int_eq (world_call (world, "/read/1", "key-1")->sends, 1);
+}
+END_TEST
+
+/* The trial sent requests to servers for 2.5 s after the store had turned down some hosts only. */
+START_TEST (a_server_whose_entry_is_gone_gets_nothing_more)
+{
+  struct world_call *call = world_call (world, "/read/1", "key-1");
+  char first[PL_SERVER_ID_CHARS];
+
+  strcpy (first, call->server);
+  world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+  world_row (world, PL_TABLE_SERVERS, first, NULL);
+  call = world_call (world, "/read/1", "key-1");
+  ck_assert_str_ne (call->server, first);
+}
+END_TEST
+
+START_TEST (entries_that_lapsed_with_the_store_are_used_a_little_longer)
+{
+  struct pl_router_event failed = {.type = PL_ROUTER_STORE_FAILED};
+  struct pl_router_event well = {.type = PL_ROUTER_STORE_WELL};
+
+  world_step (world, &failed);
+  world_run (world, 4 * WORLD_SECOND);
+  world_step (world, &well);
+  for (int i = 0; i < 4; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_row (world, PL_TABLE_SERVERS, id, NULL);
+    }
+  ck_assert_int_eq (world_call (world, "/read/1", "key-1")->sends, 1);
+  world_run (world, 3 * WORLD_SECOND);
+  ck_assert_int_eq (world_call (world, "/read/2", "key-1")->status, 503);
+}
+END_TEST
+
+START_TEST (a_request_that_ends_servers_is_quarantined)
+{
+  struct world_call *call = world_call (world, "/read/bad", "key-1");
+
+  world_end (world, call, PL_ATTEMPT_BROKEN, 0);
+  world_end (world, call, PL_ATTEMPT_BROKEN, 0);
+  call = world_call (world, "/read/bad", "key-1");
+  ck_assert_int_eq (call->sends, 0);
+  ck_assert_int_eq (call->status, 503);
+  ck_assert_int_eq (world_call (world, "/read/good", "key-1")->sends, 1);
+}
+END_TEST
+
+START_TEST (a_stopping_host_finishes_what_it_has)
+{
+  struct world_call *call = world_call (world, "/read/1", "key-1");
+  struct pl_router_event stop = {.type = PL_ROUTER_STOP};
+  const char *addresses[4];
+
+  ck_assert (pl_router_is_ready (world->router));
+  world_step (world, &stop);
+  ck_assert (world->closing);
+  ck_assert (!pl_router_is_ready (world->router));
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 4, world->now_us),
+                    0);
+  world_run (world, 500 * WORLD_MS);
+  ck_assert (!world->stopped);
+  world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered);
+  ck_assert_int_eq (world_call (world, "/read/2", "key-1")->sends, 1);
+  world_run (world, 6 * WORLD_SECOND);
+  ck_assert (world->stopped);
+}
+END_TEST
+
+static struct pl_beacon
+peer_beacon (const char *name, const char *domain)
+{
+  struct pl_beacon beacon = {.incarnation = 1, .ready = true, .capacity = 200, .watching = true,
+                             .store_trouble_us = -1};
+
+  g_strlcpy (beacon.self.name, name, sizeof beacon.self.name);
+  g_snprintf (beacon.self.peer_address, sizeof beacon.self.peer_address, "10.0.1.%d:7600",
+              (int) (g_str_hash (name) % 200));
+  g_snprintf (beacon.caller_address, sizeof beacon.caller_address, "10.0.1.%d:80",
+              (int) (g_str_hash (name) % 200));
+  g_strlcpy (beacon.relay_address, beacon.self.peer_address, sizeof beacon.relay_address);
+  g_strlcpy (beacon.domain, domain, sizeof beacon.domain);
+  return beacon;
+}
+
+static void
+hear (struct pl_beacon *beacon)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_BEACON};
+
+  event.u.beacon = beacon;
+  world_step (world, &event);
+}
+
+START_TEST (a_host_fetches_news_that_a_peer_holds)
+{
+  struct pl_beacon beacon = peer_beacon ("host-b", "a-2");
+
+  beacon.held[PL_TABLE_CONTROL] = world->version + 1;
+  hear (&beacon);
+  world_run (world, WORLD_SECOND);
+  ck_assert_int_ge (world->fetches, 1);
+}
+END_TEST
+
+START_TEST (one_host_a_region_reads_the_store)
+{
+  int watchers = 0;
+
+  /* Whichever of the two is first by hash, the other does not read while it hears it. */
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("peer-%d", i);
+      struct pl_beacon beacon = peer_beacon (name, "a-2");
+
+      tear_down ();
+      set_up ();
+      for (int j = 0; j < 4; j++)
+        {
+          hear (&beacon);
+          world_run (world, 500 * WORLD_MS);
+        }
+      watchers += world->watching;
+      world_run (world, 4 * WORLD_SECOND);
+      ck_assert (world->watching);
+    }
+  ck_assert_int_gt (watchers, 0);
+  ck_assert_int_lt (watchers, 8);
+}
+END_TEST
+
+START_TEST (the_directory_names_strong_hosts_of_the_callers_domain)
+{
+  struct pl_beacon weak = peer_beacon ("weak", "a-1");
+  struct pl_beacon strong = peer_beacon ("strong", "a-1");
+  struct pl_beacon far = peer_beacon ("far", "b-1");
+  const char *addresses[8];
+
+  weak.capacity = 20;
+  hear (&weak);
+  hear (&strong);
+  hear (&far);
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 8, world->now_us),
+                    2);
+  strong.leaving = true;
+  hear (&strong);
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 8, world->now_us),
+                    2);
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
+                    1);
+  ck_assert_str_eq (addresses[0], far.caller_address);
+  /* A host that fell silent is named no longer. */
+  world_run (world, 5 * WORLD_SECOND);
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
+                    1);
+  ck_assert_str_eq (addresses[0], "10.0.0.1:80");
+}
+END_TEST
+
+START_TEST (parts_of_a_split_get_their_weights)
+{
+  int parts[2] = {0, 0};
+
+  world_config (world, 4,
+                "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"other\"},\"Spec\":{"
+                "\"HealthPath\":\"/health\"}},"
+                "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"split\"},\"Spec\":{\"Host\":"
+                "\"h\",\"Prefix\":\"/read/split/\",\"Kind\":\"idempotent\",\"Timeout\":\"1s\","
+                "\"TargetLatency\":\"200ms\",\"TrafficSplit\":[{\"Service\":\"stock\",\"Weight\":"
+                "90},{\"Service\":\"other\",\"Weight\":10}],\"Attempts\":1}},");
+  for (int i = 0; i < 300; i++)
+    {
+      struct world_call *call = world_call (world, "/read/split/1", "key-1");
+
+      /* The other service has no servers: its part is refused, not moved. */
+      parts[call->sends > 0 ? 0 : 1]++;
+      if (call->sends > 0)
+        world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  ck_assert_int_eq (parts[0], 270);
+  ck_assert_int_eq (parts[1], 30);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "router");
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, a_request_is_sent_and_its_answer_delivered);
+  tcase_add_test (tcase, unknown_routes_and_keys_are_refused);
+  tcase_add_test (tcase, without_a_configuration_nothing_is_denied);
+  tcase_add_test (tcase, work_that_runs_once_is_not_repeated_after_a_lost_answer);
+  tcase_add_test (tcase, work_that_did_not_run_is_sent_to_another_server);
+  tcase_add_test (tcase, a_refusal_after_a_lost_answer_does_not_say_not_run);
+  tcase_add_test (tcase, a_servers_own_503_is_not_passed_on_as_a_promise);
+  tcase_add_test (tcase, a_request_is_answered_by_its_routes_timeout);
+  tcase_add_test (tcase, repeatable_work_ends_with_its_caller);
+  tcase_add_test (tcase, what_has_no_room_is_refused_after_a_short_wait);
+  tcase_add_test (tcase, without_servers_a_request_is_refused_at_once);
+  tcase_add_test (tcase, an_evacuated_domain_gets_nothing_until_it_is_taken_back);
+  tcase_add_test (tcase, an_older_configuration_changes_nothing);
+  tcase_add_test (tcase, a_row_that_can_not_be_read_names_no_server);
+  tcase_add_test (tcase, a_server_whose_entry_is_gone_gets_nothing_more);
+  tcase_add_test (tcase, entries_that_lapsed_with_the_store_are_used_a_little_longer);
+  tcase_add_test (tcase, a_request_that_ends_servers_is_quarantined);
+  tcase_add_test (tcase, a_stopping_host_finishes_what_it_has);
+  tcase_add_test (tcase, a_host_fetches_news_that_a_peer_holds);
+  tcase_add_test (tcase, one_host_a_region_reads_the_store);
+  tcase_add_test (tcase, the_directory_names_strong_hosts_of_the_callers_domain);
+  tcase_add_test (tcase, parts_of_a_split_get_their_weights);
+  return suite_run (suite);
+}
