Logs: bounded, written apart, with the inputs of each decision; pomelolatch explain

Cause: lines went to standard error one write each, ten a second of an event, which lost nearly all about requests, and a slow reader held the process up. Change: a writer thread takes what gathers in a bounded buffer; what is left out is counted and said; the router bounds its lines about requests before it makes them; each holds load, age, work, time left and version. explain merges the logs of many hosts around one request.

--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -40,6 +40,8 @@
 #define RETRY_AFTER_NO_SERVER_US (400 * MS_US)
 #define RETRY_AFTER_NO_ROUTING_US (300 * MS_US)
 #define RETRY_AFTER_MAX_US S_US
+/* Log lines about requests; above this one process would spend more on them than on requests. */
+#define NOTES_PER_SECOND 300
 /* Entry hosts that share a cold server's rate: each holds at most one token, so the number bounds
  * what they can send at once. */
 #define COLD_OWNERS_PART 0.5
@@ -65,19 +67,55 @@
     [ROUTER_MISLEADING] = {502, 502},
 };
 
+/* Lines of requests are bounded here already, since putting one together costs as much as the
+ * request itself. */
+static bool
+may_note (struct pl_router *router)
+{
+  int64_t second = router->now_us / S_US;
+
+  if (router->notes_second != second)
+    {
+      router->notes_second = second;
+      router->notes = 0;
+    }
+  if (router->notes >= NOTES_PER_SECOND)
+    {
+      router->notes_left_out++;
+      return false;
+    }
+  router->notes++;
+  return true;
+}
+
 static void
 note_call (struct pl_router *router, const struct call *call, const char *event,
            const char *outcome, int status)
 {
-  json_t *fields = json_pack (
-      "{s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I}", "request", call->label, "outcome", outcome, "route",
-      call->route != NULL ? call->route->name : "", "account",
-      call->account != NULL ? call->account->name : "", "status", status, "attempts",
-      call->attempts, "after_us", (json_int_t) (router->now_us - call->arrived_us), "version",
-      (json_int_t) (router->routing != NULL ? router->routing->version : 0));
+  const struct pl_backend *backend = call->backend;
+  json_t *fields;
 
-  if (call->backend != NULL)
-    json_object_set_new (fields, "server", json_string (call->backend->entry.id));
+  if (!may_note (router))
+    return;
+  fields = json_pack ("{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I}", "request", call->label,
+                      "outcome", outcome, "route", call->route != NULL ? call->route->name : "",
+                      "account", call->account != NULL ? call->account->name : "", "service",
+                      call->service, "status", status, "attempts", call->attempts, "after_us",
+                      (json_int_t) (router->now_us - call->arrived_us), "left_us",
+                      (json_int_t) (call->ends_us - router->now_us), "version",
+                      (json_int_t) (router->routing != NULL ? router->routing->version : 0));
+  if (backend != NULL)
+    json_object_update_new (
+        fields,
+        json_pack (
+            "{s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
+            backend->entry.domain, "load", call->load_at_send, "in_flight", backend->in_flight,
+            "load_age_us",
+            (json_int_t) (backend->reported_us > 0 ? router->now_us - backend->reported_us : -1),
+            "work_us", (json_int_t) backend->work_us));
+  if (router->notes_left_out > 0)
+    json_object_set_new (fields, "requests_left_out", json_integer (router->notes_left_out));
+  router->notes_left_out = 0;
   router_note (router, PL_NOTE_REQUEST, event, fields);
 }
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -156,6 +156,10 @@
   GHashTable *calls;  /* id -> struct call */
   GPtrArray *waiting; /* of struct call, the first to be placed first */
 
+  int64_t notes_second; /* lines about requests in this second */
+  int notes;
+  int notes_left_out;
+
   bool stopping;
   bool unlistened;
   bool stopped;
--- a/programs/operator/operator.h
+++ b/programs/operator/operator.h
@@ -34,6 +34,9 @@
                        const char *method, const char *path, const char *body, size_t length,
                        long *status);
 
+/* Prints what the logs FILES (NULL-ended) say of the request with the caller's id REQUEST. */
+enum operator_exit operator_explain (const char *request, char *const *files);
+
 /* One table of a report. */
 struct layout;
 /* Returns a layout, or NULL with findings added. */
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -519,7 +519,10 @@
   store.reactor = entry->reactor;
   entry->store = pl_platform_store.start (&store);
   if (make_router (entry) < 0 || open_ports (entry) < 0)
-    return EXIT_FAILURE; /* nothing was taken over that outlives the process */
+    {
+      pl_log_flush ();
+      return EXIT_FAILURE; /* nothing was taken over that outlives the process */
+    }
   pl_reactor_before_wait (entry->reactor, run_events, entry);
   entry->busy_timer = pl_reactor_timer (entry->reactor, measure_busy, entry);
   entry->busy_since_us = pl_clock_now_us ();
@@ -528,6 +531,7 @@
           json_pack ("{s:s}", "domain", pl_settings_text (entry->settings, "domain", "")));
   pl_reactor_run (entry->reactor);
   pl_log (PL_LOG_INFO, "stopped", NULL);
+  pl_log_flush ();
   /* The kernel closes the rest: every request that was read is answered. */
   return EXIT_SUCCESS;
 }
--- a/programs/pomelolatch.c
+++ b/programs/pomelolatch.c
@@ -26,6 +26,7 @@
       "  release status         which version is in force where\n"
       "  release history        what was recorded, newest last\n"
       "  report LAYOUT...       print tables as the layout files say\n"
+      "  explain ID FILE...     what the logs of entry hosts say of one request\n"
       "  key hash               read a key from standard input, print its hash\n"
       "\n"
       "Exit status:\n"
@@ -41,6 +42,7 @@
       "  pomelolatch -s operators.yaml release check withdraw-key.yaml\n"
       "  pomelolatch -s operators.yaml --wait 5 release apply withdraw-key.yaml\n"
       "  pomelolatch -s operators.yaml report layouts/accounts.yaml\n"
+      "  pomelolatch explain 9c41d07be2a35f68 host-*.log\n"
       "  printf %s \"$KEY\" | pomelolatch key hash\n";
 
 static const struct pl_field settings_fields[] = {
@@ -369,6 +371,8 @@
     }
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
+  if (argc >= 4 && strcmp (argv[1], "explain") == 0)
+    return operator_explain (argv[2], argv + 3);
   if (argc == 3 && strcmp (argv[1], "key") == 0 && strcmp (argv[2], "hash") == 0)
     return print_key_hash ();
   if (file == NULL)
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -323,7 +323,10 @@
   host.store = pl_store_new (&store);
   result = open_ports (&host, nonce);
   if (result < 0)
-    return EXIT_FAILURE; /* nothing was taken over that outlives the process */
+    {
+      pl_log_flush ();
+      return EXIT_FAILURE; /* nothing was taken over that outlives the process */
+    }
   pl_loop_start (host.loop);
   g_timeout_add_seconds (HOST_LIST_PERIOD_S, fetch_host_list, &host);
   g_unix_signal_add (SIGTERM, begin_stop, &host);
@@ -331,6 +334,7 @@
   pl_log (PL_LOG_INFO, "started", NULL);
   g_main_loop_run (host.main_loop);
   pl_log (PL_LOG_INFO, "stopped", NULL);
+  pl_log_flush ();
   /* The kernel closes the rest: every request is finished and the name is given back. */
   return EXIT_SUCCESS;
 }
