--- a/core/placement.c
+++ b/core/placement.c
@@ -36,6 +36,8 @@
 /* Servers that an object may be on.  More copies would push other objects out of the servers'
  * memory, which makes all requests slow just when there are many. */
 #define COPIES 2
+/* With fewer servers to choose from than this, one copy: two would be on all of them. */
+#define SERVERS_FOR_COPIES 4
 /* One more may be had while it costs nobody anything: on a server that is less busy than this. */
 #define SPARE_LOAD 0.6
 #define RANKED_MAX 3
@@ -361,6 +363,17 @@
   return true;
 }
 
+/* What one pass over the servers finds. */
+struct scan
+{
+  struct ranked ranked[RANKED_MAX];
+  int ranked_count;
+  struct pl_backend *idlest;
+  double idlest_load; /* in slots */
+  int listed;         /* may run it */
+  int sound;          /* of these, can be expected to answer */
+};
+
 /* Returns the load of BACKEND with one more request, in slots. */
 static double
 load_with_one (const struct pl_placement_service *service, const struct pl_backend *backend,
@@ -386,12 +399,15 @@
  * then a new copy on a server with time to spare. */
 static struct pl_backend *
 choose_ranked (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
-               const struct ranked *ranked, int count, int64_t now_us)
+               const struct scan *scan, int64_t now_us)
 {
+  const struct ranked *ranked = scan->ranked;
+  int count = scan->ranked_count;
+  int copies = scan->sound >= SERVERS_FOR_COPIES ? COPIES : 1;
   struct pl_backend *best = NULL;
   double best_load = 0;
 
-  for (int i = 0; i < count && i < COPIES; i++)
+  for (int i = 0; i < count && i < copies; i++)
     {
       struct pl_backend *backend = ranked[i].backend;
       double load = load_with_one (service, backend, now_us);
@@ -404,22 +420,12 @@
           best_load = load;
         }
     }
-  if (best == NULL && count > COPIES
-      && load_with_one (service, ranked[COPIES].backend, now_us) <= SPARE_LOAD)
-    best = ranked[COPIES].backend;
+  if (best == NULL && count > copies
+      && load_with_one (service, ranked[copies].backend, now_us) <= SPARE_LOAD)
+    best = ranked[copies].backend;
   return best;
 }
 
-/* What one pass over the servers finds. */
-struct scan
-{
-  struct ranked ranked[RANKED_MAX];
-  int ranked_count;
-  struct pl_backend *idlest;
-  double idlest_load; /* in slots */
-  int listed;
-};
-
 static void
 scan_servers (struct pl_placement *placement, struct pl_placement_service *service,
               const struct pl_placement_wish *wish, struct scan *scan, pl_cold_share cold_share,
@@ -439,6 +445,7 @@
           && (cold_share (data, backend->hash, service->cold_per_second) <= 0
               || backend->in_flight > 0))
         continue;
+      scan->sound++;
       if (wish->object != 0)
         scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
                                             cost_of (placement, service, wish, backend));
@@ -471,7 +478,7 @@
   if (scan.listed == 0)
     return PL_PLACE_NONE;
   if (wish->object != 0)
-    best = choose_ranked (service, wish, scan.ranked, scan.ranked_count, now_us);
+    best = choose_ranked (service, wish, &scan, now_us);
   else if (scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
   if (best == NULL
--- a/programs/operator/explain.c
+++ b/programs/operator/explain.c
@@ -152,9 +152,8 @@
       {
         g_autofree char *shown = json_dumps (value, JSON_ENCODE_ANY | JSON_COMPACT);
 
-        if (strcmp (name, "time") != 0 && strcmp (name, "name") != 0
-            && strcmp (name, "event") != 0 && strcmp (name, "level") != 0
-            && strcmp (name, "request") != 0)
+        if (strcmp (name, "time") != 0 && strcmp (name, "name") != 0 && strcmp (name, "event") != 0
+            && strcmp (name, "level") != 0 && strcmp (name, "request") != 0)
           printf (" %s=%s", name, shown);
       }
       putchar ('\n');
@@ -168,7 +167,8 @@
     {"servers-full", "No server that holds the object had room within the objective; not sent."},
     {"no-server", "No server of the service could be used; nothing was sent."},
     {"servers-refused", "Each server that was tried refused it or could not be reached."},
-    {"no-answer-in-time", "It was sent, and the route's timeout or the caller's patience ended it."},
+    {"no-answer-in-time",
+     "It was sent, and the route's timeout or the caller's patience ended it."},
     {"no-time-left", "Its time ran out while it waited; it was not sent."},
     {"answer-lost", "It was sent, and the connection ended without its answer: it may have run."},
     {"failed", "The server failed it with a status that would promise that it did not run."},
