Busy hosts by the time the reactor does not wait; copies by the servers that are near

Cause: the process's processor clock ran like the wall clock on the played machines, so every host counted as busy and the weak ones were named too: 74 hosts took requests, uploads took 300 to 1,400 ms on links of 10 Mbit/s, and all told each other of accounts. In a domain of two servers large bodies had two copies each, more than those keep. Change: what is missing to the reactor's waiting counts as busy (5 % seen); for large bodies the servers of the own domain decide about copies.

--- a/core/placement.c
+++ b/core/placement.c
@@ -403,7 +403,8 @@
 {
   const struct ranked *ranked = scan->ranked;
   int count = scan->ranked_count;
-  int copies = scan->sound >= SERVERS_FOR_COPIES ? COPIES : 1;
+  int choice = wish->is_large && scan->near > 0 ? scan->near : scan->sound;
+  int copies = choice >= SERVERS_FOR_COPIES ? COPIES : 1;
   struct pl_backend *best = NULL;
   double best_load = 0;
 
@@ -446,6 +447,7 @@
               || backend->in_flight > 0))
         continue;
       scan->sound++;
+      scan->near += strcmp (backend->entry.domain, placement->domain) == 0;
       if (wish->object != 0)
         scan->ranked_count = insert_ranked (scan->ranked, scan->ranked_count, backend,
                                             cost_of (placement, service, wish, backend));
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -44,7 +44,7 @@
   char domain[PL_BEACON_NAME_CHARS];
   uint64_t incarnation; /* rises with each start of the process */
   int capacity;         /* how much it can carry, against other hosts */
-  int busy_percent;     /* of its share of the processor */
+  int busy_percent;     /* of the time it was not waiting */
   bool active;          /* took requests of late, so it wants to know of accounts */
   bool ready;           /* takes callers */
   bool leaving;
--- a/include/internal/reactor.h
+++ b/include/internal/reactor.h
@@ -38,6 +38,10 @@
 /* Has the turn under way be followed by another without waiting. */
 void pl_reactor_again (struct pl_reactor *reactor);
 
+/* Returns how long the reactor has waited with nothing to do since its start, microseconds.  What
+ * is missing to the time that passed was spent working, or waiting for the processor. */
+int64_t pl_reactor_waited_us (const struct pl_reactor *reactor);
+
 /* Runs until pl_reactor_quit(). */
 void pl_reactor_run (struct pl_reactor *reactor);
 void pl_reactor_quit (struct pl_reactor *reactor);
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -130,7 +130,7 @@
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_WELL,
   PL_ROUTER_RELAY_DONE,
-  PL_ROUTER_BUSY, /* how much of its processor's share the process used of late */
+  PL_ROUTER_BUSY, /* how much of the time the process was not waiting */
   PL_ROUTER_STOP,
 };
 
--- a/modules/reactor.c
+++ b/modules/reactor.c
@@ -46,6 +46,7 @@
   int hook_count;
   bool again;
   bool quit;
+  int64_t waited_us;
 };
 
 struct pl_reactor *
@@ -176,17 +177,26 @@
 
   while (!reactor->quit)
     {
+      int64_t begun_us;
       int count;
 
       for (int i = 0; i < reactor->hook_count; i++)
         reactor->hooks[i].function (reactor->hooks[i].data);
+      begun_us = pl_clock_now_us ();
       count = epoll_wait (reactor->epoll, events, READY_MAX, wait_ms (reactor));
+      reactor->waited_us += pl_clock_now_us () - begun_us;
       reactor->again = false;
       run_ready (reactor, events, count);
       run_timers (reactor);
     }
 }
 
+int64_t
+pl_reactor_waited_us (const struct pl_reactor *reactor)
+{
+  return reactor->waited_us;
+}
+
 void
 pl_reactor_quit (struct pl_reactor *reactor)
 {
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -24,7 +24,6 @@
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/signalfd.h>
-#include <time.h>
 #include <unistd.h>
 
 #define DIRECTORY_HOSTS_MAX 16
@@ -73,7 +72,7 @@
   int timer;
   int busy_timer;
   int64_t busy_since_us;
-  int64_t busy_used_us;
+  int64_t busy_waited_us;
   bool stopped; /* the router has nothing left to decide */
   int64_t stop_by_us;
   int64_t grace_us;
@@ -193,30 +192,19 @@
   return g_ascii_strtod (pl_settings_text (settings, field, "0"), NULL);
 }
 
-/* Reads how much processor time the process has used, microseconds. */
-static int64_t
-processor_time_us (void)
-{
-  struct timespec used;
-
-  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &used);
-  return (int64_t) used.tv_sec * 1000000 + used.tv_nsec / 1000;
-}
-
 static void
 measure_busy (void *data)
 {
   struct entry *entry = data;
   struct pl_router_event event = {.type = PL_ROUTER_BUSY};
   int64_t now_us = pl_clock_now_us ();
-  int64_t used_us = processor_time_us ();
-  double share = MAX (decimal_of (entry->settings, "cpu_share"), 0.01);
-  double wall_us = (double) (now_us - entry->busy_since_us);
+  int64_t waited_us = pl_reactor_waited_us (entry->reactor);
+  double passed_us = (double) MAX (now_us - entry->busy_since_us, 1);
 
   event.u.busy_percent
-      = (int) (100.0 * (double) (used_us - entry->busy_used_us) / (wall_us * share));
+      = (int) (100 - 100 * (double) (waited_us - entry->busy_waited_us) / passed_us);
   entry->busy_since_us = now_us;
-  entry->busy_used_us = used_us;
+  entry->busy_waited_us = waited_us;
   post (entry, &event);
   pl_reactor_arm (entry->reactor, entry->busy_timer, now_us + BUSY_PERIOD_US);
 }
