--- a/core/placement.c
+++ b/core/placement.c
@@ -372,6 +372,7 @@
   double idlest_load; /* in slots */
   int listed;         /* may run it */
   int sound;          /* of these, can be expected to answer */
+  int near;           /* of these, in this domain */
 };
 
 /* Returns the load of BACKEND with one more request, in slots. */
