--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -66,7 +66,6 @@
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
   beacon->active = router->asked_us > 0 && router->now_us - router->asked_us < ACTIVE_US;
-  add_accounts (router, beacon);
   if (router->beacon_turn++ % CONTACTS_EACH == 0)
     pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
   quarantine_retell (&router->quarantine, SUSPECT_RETELL_US, router->now_us, add_suspect, beacon);
@@ -114,7 +113,7 @@
 
   fill_beacon (router, &beacon);
   short_beacon = beacon;
-  short_beacon.account_count = 0;
+  add_accounts (router, &beacon);
   far_turn = to_all || router->beacon_turn % FAR_EACH == 0;
   for (guint i = 0; i < router->membership.order->len; i++)
     {
@@ -200,20 +199,31 @@
     }
 }
 
+/* A host that has just started learns at once what this one holds. */
+static void
+greet (struct pl_router *router, const struct pl_member *member)
+{
+  struct pl_beacon beacon;
+
+  fill_beacon (router, &beacon);
+  tell (router, member->contact.peer_address, &beacon);
+}
+
 void
 fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon)
 {
   uint64_t id = pl_id_of ("entry_hosts", beacon->self.name);
   const struct pl_member *known = g_hash_table_lookup (router->membership.members, &id);
-  bool was_live = known != NULL && pl_member_is_live (&router->membership, known, router->now_us);
+  bool is_known = known != NULL && known->incarnation == beacon->incarnation
+                  && pl_member_is_live (&router->membership, known, router->now_us);
   const struct pl_member *member = pl_membership_on_beacon (
       &router->membership, beacon, router_region (router, beacon->domain), router->now_us);
 
   if (member == NULL)
     return;
-  if (!was_live)
+  if (!is_known)
     {
-      router->tell_soon = true;
+      greet (router, member);
       router_note (router, PL_NOTE_BELIEF, "host-heard",
                    json_pack ("{s:s,s:s,s:b}", "host", beacon->self.name, "domain", beacon->domain,
                               "ready", beacon->ready));
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -27,8 +27,9 @@
 /* How long a host that reads the store itself waits for its own news before it asks a peer. */
 #define FETCH_PATIENCE_US (300 * MS_US)
 #define TOMBSTONES_MAX 2000
-/* A host that starts waits so long to hear of others, one of which may read the store already. */
-#define SETTLE_US (250 * MS_US)
+/* A host that starts waits so long for the answer of a host of its region, which may read the store
+ * already; until it has a configuration it can do nothing else. */
+#define SETTLE_US (30 * MS_US)
 
 int64_t
 pl_router_held (const struct pl_router *router, enum pl_table table)
