--- a/core/membership.c
+++ b/core/membership.c
@@ -129,7 +129,7 @@
 }
 
 bool
-pl_membership_should_watch (const struct pl_membership *membership, int64_t now_us)
+pl_membership_should_watch (const struct pl_membership *membership, bool store_lost, int64_t now_us)
 {
   uint64_t own = pl_hash_pair (WATCH_KEY, membership->self);
 
@@ -139,7 +139,7 @@
 
       if (pl_member_is_live (membership, member, now_us) && !member->leaving && !member->store_lost
           && member->region == membership->self_region
-          && pl_hash_pair (WATCH_KEY, member->id) > own)
+          && (store_lost || pl_hash_pair (WATCH_KEY, member->id) > own))
         return false;
     }
   return true;
--- a/core/placement.c
+++ b/core/placement.c
@@ -531,7 +531,7 @@
   backend->failure_part += FAILURE_SMOOTHING / 2 * (1.0 - backend->failure_part);
 }
 
-void
+bool
 pl_placement_note_broken (struct pl_backend *backend, bool not_reached, int64_t now_us)
 {
   int64_t pause_us = DOWN_FIRST_US << MIN (backend->failures, 3);
@@ -540,9 +540,10 @@
   backend->failure_part += FAILURE_SMOOTHING * (1.0 - backend->failure_part);
   /* One lost connection tells little; two in a row, or a server that can not be reached, do. */
   if (!not_reached && backend->failures < 2)
-    return;
+    return false;
   backend->down_until_us = now_us + MIN (pause_us, DOWN_LAST_US);
   backend->on_trial = true;
+  return true;
 }
 
 void
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -113,6 +113,11 @@
             "load_age_us",
             (json_int_t) (backend->reported_us > 0 ? router->now_us - backend->reported_us : -1),
             "work_us", (json_int_t) backend->work_us));
+  if (status == 429)
+    json_object_update_new (fields,
+                            json_pack ("{s:f,s:f,s:f}", "tokens", call->account->quota.tokens,
+                                       "rate", call->account->quota.rate, "hosts_heard",
+                                       call->account->quota.heard_part));
   if (router->notes_left_out > 0)
     json_object_set_new (fields, "requests_left_out", json_integer (router->notes_left_out));
   router->notes_left_out = 0;
@@ -511,13 +516,24 @@
     deliver (router, call, status);
 }
 
+static void
+note_broken (struct pl_router *router, struct pl_backend *backend, bool not_reached)
+{
+  if (pl_placement_note_broken (backend, not_reached, router->now_us))
+    router_note (router, PL_NOTE_BELIEF, "server-down",
+                 json_pack ("{s:s,s:s,s:b,s:i,s:I}", "server", backend->entry.id, "domain",
+                            backend->entry.domain, "not_reached", not_reached, "failures",
+                            backend->failures, "for_us",
+                            (json_int_t) (backend->down_until_us - router->now_us)));
+}
+
 static void
 on_broken (struct pl_router *router, struct call *call)
 {
   struct pl_backend *backend = call->backend;
 
   call->ran = true;
-  pl_placement_note_broken (backend, false, router->now_us);
+  note_broken (router, backend, false);
   fleet_note_suspect (router, call->fingerprint, backend->hash, backend->in_flight == 0);
   if (!try_again (router, call))
     refuse (router, call, ROUTER_LOST, 0);
@@ -559,7 +575,7 @@
       pl_placement_note_full (call->backend, router->now_us);
       break;
     case PL_ATTEMPT_NOT_SENT:
-      pl_placement_note_broken (call->backend, true, router->now_us);
+      note_broken (router, call->backend, true);
       break;
     case PL_ATTEMPT_MISPLACED:
       pl_placement_drop (&router->placement, call->backend->entry.id, router->now_us);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -134,6 +134,23 @@
     }
 }
 
+static void
+note_silent (struct pl_router *router)
+{
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+
+      if (!member->noted_live || pl_member_is_live (&router->membership, member, router->now_us))
+        continue;
+      member->noted_live = false;
+      router_note (router, PL_NOTE_BELIEF, "host-silent",
+                   json_pack ("{s:s,s:s,s:b,s:I}", "host", member->contact.name, "domain",
+                              member->domain, "was_leaving", member->leaving, "silent_us",
+                              (json_int_t) (router->now_us - member->heard_us)));
+    }
+}
+
 void
 fleet_run_timers (struct pl_router *router)
 {
@@ -148,6 +165,7 @@
     }
   if (due)
     {
+      note_silent (router);
       router->tell_soon = false;
       router->tell_near = false;
       router->beacon_due_us = router->now_us + BEACON_PERIOD_US;
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -390,8 +390,9 @@
 choose_watching (struct pl_router *router)
 {
   bool settled = router->now_us - router->started_us >= SETTLE_US;
-  bool wanted = settled && !router->stopping
-                && pl_membership_should_watch (&router->membership, router->now_us);
+  bool wanted
+      = settled && !router->stopping
+        && pl_membership_should_watch (&router->membership, router->store_lost, router->now_us);
 
   if (wanted == router->watching)
     return;
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -72,7 +72,8 @@
   int capacity;
   int busy_percent;
   bool active;
-  bool heard; /* a beacon came; else only its address is known */
+  bool heard;      /* a beacon came; else only its address is known */
+  bool noted_live; /* as the log last said */
   bool ready;
   bool leaving;
   bool watching;
@@ -125,8 +126,9 @@
 double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
 
 /* Returns whether this host should read the store for its region: the first by rendezvous hashing
- * that is live and does not fail to. */
-bool pl_membership_should_watch (const struct pl_membership *membership, int64_t now_us);
+ * that is live and does not fail to.  STORE_LOST: this host fails to, so any other goes first. */
+bool pl_membership_should_watch (const struct pl_membership *membership, bool store_lost,
+                                 int64_t now_us);
 
 /* Returns whether this host is among the COUNT hosts that KEY belongs to, of REGION (PL_NONE: of
  * all). */
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -141,7 +141,8 @@
 void pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend,
                                bool failed, int64_t latency_us, double load);
 void pl_placement_note_full (struct pl_backend *backend, int64_t now_us);
-void pl_placement_note_broken (struct pl_backend *backend, bool not_reached, int64_t now_us);
+/* Returns whether the server now counts as down. */
+bool pl_placement_note_broken (struct pl_backend *backend, bool not_reached, int64_t now_us);
 void pl_placement_note_load (struct pl_backend *backend, int running, int waiting, int slots,
                              int64_t now_us);
 void pl_placement_note_probe (struct pl_backend *backend, bool well, int64_t cold_us,
