A fault soak: entry hosts as real processes, faults from outside, promises checked as it runs

Callers keep their connections; the ledger checks at most once, truthful refusals, whole answers, keys, quotas, drains.

Also: router switches for proofs that must fail.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 PROGRAMS := $(patsubst programs/%.c,$(BUILD)/%,$(wildcard programs/*.c))
 TESTS := $(patsubst tests/%.c,$(BUILD)/tests/%,$(wildcard tests/test_*.c))
 HISTORY := $(BUILD)/tests/history
+SOAK := $(BUILD)/tests/soak/soak
 EXAMPLES := $(patsubst examples/%.c,$(BUILD)/%,$(wildcard examples/*.c))
 BENCHES := $(patsubst tools/%.c,$(BUILD)/%,$(wildcard tools/*.c))
 
@@ -62,7 +63,9 @@
 
 $(BUILD)/tests/test_router $(BUILD)/tests/test_router_fuzz: $(BUILD)/tests/router_world.o
 
-tests: $(TESTS) $(HISTORY)
+$(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
+
+tests: $(TESTS) $(HISTORY) $(SOAK)
 
 bench: $(BENCHES) all
 	tools/bench
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -341,7 +341,7 @@
     }
   if (quarantine_judge (&router->quarantine, call->fingerprint) == QUARANTINE_CONVICTED)
     return ROUTER_QUARANTINED;
-  if (call->account != NULL
+  if (call->account != NULL && (router->options.switches & PL_ROUTER_NO_QUOTA) == 0
       && !pl_quota_take (&call->account->quota,
                          pl_membership_silent_part (&router->membership, router->now_us),
                          router->now_us))
@@ -461,7 +461,9 @@
 static bool
 try_again (struct pl_router *router, struct call *call)
 {
-  if ((call->ran && !call->repeatable) || call->attempts >= call->attempts_max
+  bool may_repeat = call->repeatable || (router->options.switches & PL_ROUTER_REPEAT_ALL) != 0;
+
+  if ((call->ran && !may_repeat) || call->attempts >= call->attempts_max
       || call->ends_us - router->now_us < USEFUL_TIME_US
       || quarantine_judge (&router->quarantine, call->fingerprint) == QUARANTINE_CONVICTED
       || !take_retry (router, call->service))
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -17,8 +17,8 @@
 
 /* A server registers again within two seconds of the store's return. */
 #define LAPSE_GRACE_US (2500 * MS_US)
-/* Trouble of the store this long ago still explains missing entries. */
-#define LAPSE_LOOK_BACK_US (6 * S_US)
+/* Trouble of the store this long ago still explains missing entries; later ones are meant. */
+#define LAPSE_LOOK_BACK_US (3 * S_US)
 /* A server that leaves goes on for two seconds; several entries that vanish at once may be a lapse
  * nobody saw, which this much waiting tells apart. */
 #define MASS_GRACE_US (1200 * MS_US)
@@ -160,9 +160,12 @@
               int gone_count)
 {
   int64_t until_us = use_until (router, gone_count);
+  bool keep = (router->options.switches & PL_ROUTER_KEEP_LEAVING) != 0;
   const struct pl_backend *before = pl_placement_find (&router->placement, news->server.id);
   bool was_draining = before != NULL && before->entry.draining;
 
+  if (keep && (gone || news->server.draining))
+    return;
   if (gone)
     {
       if (was_draining)
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -44,8 +44,17 @@
 typedef int (*pl_row_decoder) (void *data, enum pl_table table, const char *key, const char *value,
                                size_t length, struct pl_news *news, struct pl_findings *findings);
 
+/* Mechanisms that can be switched off, for proofs that must fail. */
+enum pl_router_switch
+{
+  PL_ROUTER_REPEAT_ALL = 1 << 0,   /* unsafe: what may run once only is sent again too */
+  PL_ROUTER_KEEP_LEAVING = 1 << 1, /* unsafe: servers that leave are used on */
+  PL_ROUTER_NO_QUOTA = 1 << 2,     /* unsafe: accounts have no limit */
+};
+
 struct pl_router_options
 {
+  unsigned switches; /* of enum pl_router_switch */
   const char *name;
   const char *domain;
   const char *caller_address;
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -50,6 +50,7 @@
     {"retry_slack", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"cpu_share", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"link_mbps", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"switches", PL_FIELD_NUMBER, false, 0, 65535, NULL},
     {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"directory_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
     {NULL},
@@ -359,6 +360,7 @@
 {
   const json_t *settings = entry->settings;
   struct pl_router_options options = {
+      .switches = (unsigned) pl_settings_number (settings, "switches", 0),
       .name = pl_settings_text (settings, "name", ""),
       .domain = pl_settings_text (settings, "domain", ""),
       .caller_address = pl_settings_text (settings, "caller", ""),
--- /dev/null
+++ b/tests/soak/hosts.c
@@ -0,0 +1,215 @@
+/* Entry hosts as processes: started with settings of their own, ended by their ids only. */
+#include "soak.h"
+#include "internal/net.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define START_AGAIN_US 300000
+#define STOP_LIMIT_US (8 * SOAK_SECOND)
+
+extern char **environ;
+
+struct host
+{
+  pid_t process;
+  bool told_to_end;
+  char settings[256];
+  char log[256];
+};
+
+static struct host hosts[SOAK_HOSTS_MAX];
+static int host_count;
+static const char *program;
+static int switches;
+static char *folder;
+static GMutex lock;
+static int stopping;
+static int ended_alone;
+
+const char *
+soak_host_log (int host)
+{
+  return hosts[host].log;
+}
+
+static void
+write_settings (int host)
+{
+  static const struct
+  {
+    const char *name;
+    int port;
+  } ports[] = {{"caller", 8206}, {"ready", 8201}, {"directory", 8209}, {"peer", 7600},
+               {"metrics", 9464}};
+  static const char *const domains[] = {"a-1", "a-2", "b-1"};
+  FILE *file = fopen (hosts[host].settings, "w");
+
+  if (file == NULL)
+    exit (2);
+  fprintf (file, "name: host-%d\ndomain: %s\ngrace: \"6s\"\nretry_ratio: \"0.2\"\n", host,
+           domains[host % 3]);
+  fprintf (file, "retry_slack: \"58\"\ncpu_share: \"0.5\"\nlink_mbps: \"1000\"\n");
+  fprintf (file, "switches: %d\n", switches);
+  fprintf (file, "domains: [\"a-1=a\",\"a-2=a\",\"b-1=b\"]\nstore: %s\n",
+           soak_address (NET_STORE, 1, 8205));
+  fprintf (file, "seeds: [\"%s\",\"%s\"]\n", soak_address (NET_HOSTS, 0, 8200),
+           soak_address (NET_HOSTS, 1, 8200));
+  for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
+    fprintf (file, "%s: %s\n", ports[i].name, soak_address (NET_HOSTS, host, ports[i].port));
+  fclose (file);
+}
+
+static void
+start_host (int host)
+{
+  char *arguments[] = {(char *) program, "--settings", hosts[host].settings, NULL};
+  posix_spawn_file_actions_t actions;
+
+  posix_spawn_file_actions_init (&actions);
+  posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, hosts[host].log,
+                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2 (&actions, STDOUT_FILENO, STDERR_FILENO);
+  if (posix_spawn (&hosts[host].process, program, &actions, NULL, arguments, environ) != 0)
+    {
+      g_printerr ("soak: %s can not be started\n", program);
+      exit (2);
+    }
+  posix_spawn_file_actions_destroy (&actions);
+  hosts[host].told_to_end = false;
+}
+
+static void
+on_ended (int host, int status)
+{
+  if (!hosts[host].told_to_end)
+    {
+      ended_alone++;
+      soak_ledger_break ("host %d ended by itself, status %d; see %s", host, status,
+                         hosts[host].log);
+    }
+  hosts[host].process = 0;
+}
+
+static void *
+watch_hosts (void *data)
+{
+  (void) data;
+  while (!g_atomic_int_get (&stopping))
+    {
+      g_usleep (START_AGAIN_US);
+      g_mutex_lock (&lock);
+      for (int i = 0; i < host_count && !g_atomic_int_get (&stopping); i++)
+        {
+          int status;
+
+          if (hosts[i].process > 0 && waitpid (hosts[i].process, &status, WNOHANG) > 0)
+            on_ended (i, status);
+          if (hosts[i].process == 0)
+            start_host (i);
+        }
+      g_mutex_unlock (&lock);
+    }
+  return NULL;
+}
+
+void
+soak_hosts_start (const struct soak_options *options)
+{
+  pthread_t thread;
+
+  program = options->program;
+  switches = options->switches;
+  host_count = options->hosts;
+  folder = g_dir_make_tmp ("soak-XXXXXX", NULL);
+  printf ("logs of the entry hosts: %s\n", folder);
+  soak_proxy_open (LEG_STORE, soak_address (NET_STORE, 1, 8205), soak_address (NET_STORE, 0, 8205));
+  for (int i = 0; i < host_count; i++)
+    {
+      g_snprintf (hosts[i].settings, sizeof hosts[i].settings, "%s/host-%d.yaml", folder, i);
+      g_snprintf (hosts[i].log, sizeof hosts[i].log, "%s/host-%d.log", folder, i);
+      soak_proxy_open (LEG_CALLERS, soak_address (NET_HOST_PROXIES, i, 8206),
+                       soak_address (NET_HOSTS, i, 8206));
+      write_settings (i);
+      start_host (i);
+    }
+  pthread_create (&thread, NULL, watch_hosts, NULL);
+  pthread_detach (thread);
+}
+
+void
+soak_host_signal (int host, int number)
+{
+  g_mutex_lock (&lock);
+  if (number == SIGTERM || number == SIGKILL)
+    hosts[host].told_to_end = true;
+  if (hosts[host].process > 0)
+    kill (hosts[host].process, number);
+  g_mutex_unlock (&lock);
+}
+
+static bool
+is_ready (int host)
+{
+  static const char question[] = "GET /pomelolatch/readiness HTTP/1.0\r\n\r\n";
+  struct sockaddr_in parsed;
+  char answer[64] = "";
+  int fd;
+
+  pl_net_parse (soak_address (NET_HOSTS, host, 8201), &parsed);
+  fd = pl_net_connect (&parsed, 200);
+  if (fd < 0)
+    return false;
+  if (send (fd, question, sizeof question - 1, MSG_NOSIGNAL) < 0
+      || recv (fd, answer, sizeof answer - 1, 0) < 0)
+    answer[0] = '\0';
+  close (fd);
+  return strstr (answer, " 200 ") != NULL;
+}
+
+bool
+soak_hosts_wait_ready (int64_t limit_us)
+{
+  int64_t until_us = soak_now_us () + limit_us;
+
+  for (int i = 0; i < host_count; i++)
+    while (!is_ready (i))
+      {
+        if (soak_now_us () > until_us)
+          return false;
+        g_usleep (20000);
+      }
+  return true;
+}
+
+int
+soak_hosts_stop (void)
+{
+  int64_t until_us = soak_now_us () + STOP_LIMIT_US;
+
+  g_atomic_int_set (&stopping, 1);
+  g_mutex_lock (&lock);
+  for (int i = 0; i < host_count; i++)
+    if (hosts[i].process > 0)
+      {
+        kill (hosts[i].process, SIGCONT);
+        kill (hosts[i].process, SIGTERM);
+      }
+  for (int i = 0; i < host_count; i++)
+    while (hosts[i].process > 0 && waitpid (hosts[i].process, NULL, WNOHANG) == 0)
+      {
+        g_usleep (20000);
+        if (soak_now_us () > until_us)
+          kill (hosts[i].process, SIGKILL);
+      }
+  g_mutex_unlock (&lock);
+  return ended_alone;
+}
--- /dev/null
+++ b/tests/soak/soak.c
@@ -0,0 +1,398 @@
+/* soak - a randomized run of real entry hosts under faults.
+ *
+ * The plan is drawn from the seed and printed before anything starts: a list of
+ * faults with their times.  The verdict names the first broken promise; it is the
+ * same for each run of a seed as far as promises go, since bounds with a time count
+ * only where nothing that they depend on was harmed.
+ */
+#include "soak.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <signal.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVERS 9
+#define CALLERS 12
+#define READY_US (10 * SOAK_SECOND)
+#define FAULTS_MAX 200
+/* Longer than the time after which a host is judged again. */
+#define CALM_US (4 * SOAK_SECOND)
+#define LEAVING_US (3500 * SOAK_MS)
+#define NETS_A_BLOCK 10
+#define BLOCK_MAX 20
+#define FAULT_SHORTEST_MS 300
+#define FAULT_SPREAD_MS 2500
+
+enum fault_kind
+{
+  FAULT_LEG,     /* a leg misbehaves */
+  FAULT_PAUSE,   /* SIGSTOP, later SIGCONT */
+  FAULT_KILL,    /* SIGKILL */
+  FAULT_TERM,    /* SIGTERM */
+  FAULT_RELOAD,  /* SIGHUP */
+  FAULT_STORE,   /* the store answers 503 */
+  FAULT_FORGET,  /* the store drops its history */
+  FAULT_HANG,    /* a server accepts and does not answer */
+  FAULT_LOSE,    /* a server runs requests and loses their answers */
+  FAULT_DRAIN,   /* a server drains, later it is back */
+  FAULT_REMOVE,  /* a server's entry is gone without a notice, later it is back */
+  FAULT_CONFIG,  /* a new configuration */
+  FAULT_GARBAGE, /* a configuration and an entry that can not be read */
+  FAULT_EVACUATE,
+  FAULT_KINDS,
+};
+
+static const char *const fault_names[FAULT_KINDS]
+    = {"leg",   "pause", "kill",   "term",          "reload",  "store-down", "store-forgets",
+       "hang",  "loses-answers", "drain", "remove", "configuration", "garbage", "evacuate"};
+
+struct fault
+{
+  enum fault_kind kind;
+  int at_ms;
+  int for_ms; /* 0: a moment */
+  int target;
+  enum soak_leg leg;
+  enum soak_behaviour behaviour;
+  bool begun;
+  bool ended;
+};
+
+static uint32_t random_state;
+static int64_t start_us;
+static int config_version = 3;
+static int address_block;
+
+int64_t
+soak_now_us (void)
+{
+  return g_get_monotonic_time () - start_us;
+}
+
+const char *
+soak_address (enum soak_net net, int number, int port)
+{
+  g_autofree char *text
+      = g_strdup_printf ("127.%d.0.%d:%d", address_block * NETS_A_BLOCK + (int) net, number + 1, port);
+
+  return g_intern_string (text);
+}
+
+int
+soak_number_of (enum soak_net net, const char *address)
+{
+  int block;
+  int last;
+
+  if (sscanf (address, "127.%d.0.%d:", &block, &last) != 2
+      || block != address_block * NETS_A_BLOCK + (int) net)
+    return -1;
+  return last - 1;
+}
+
+uint32_t
+soak_draw (uint32_t most)
+{
+  random_state = random_state * 1664525 + 1013904223;
+  return (random_state >> 8) % most;
+}
+
+static void
+put_config (bool with_second_key)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"Version\":\"r%d\",\"Resources\":["
+      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":\"h\","
+      "\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Timeout\":\"900ms\",\"TargetLatency\":"
+      "\"200ms\",\"Priority\":2,\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
+      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"write\"},\"Spec\":{\"Host\":\"h\","
+      "\"Prefix\":\"/write/\",\"Kind\":\"non_idempotent\",\"Timeout\":\"1000ms\","
+      "\"TargetLatency\":\"200ms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
+      "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"stock\"},\"Spec\":{"
+      "\"HealthPath\":\"/health\",\"ColdStart\":\"0s\",\"ColdPerS\":100}},"
+      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"shop\"},\"Spec\":{\"ApiKeys\":"
+      "[\"key-shop-1\"%s],\"RatePerS\":%d,\"Burst\":%d}},"
+      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"desk\"},\"Spec\":{\"ApiKeys\":"
+      "[\"key-desk-1\"],\"RatePerS\":%d,\"Burst\":%d}}]}",
+      config_version++, with_second_key ? ",\"key-shop-2\"" : "", SOAK_ACCOUNT_RATE,
+      SOAK_ACCOUNT_RATE, SOAK_ACCOUNT_RATE, SOAK_ACCOUNT_RATE);
+
+  soak_store_put ("op", "config", text);
+}
+
+static enum soak_trouble
+trouble_of (const struct fault *fault)
+{
+  static const enum soak_trouble of_leg[LEG_COUNT]
+      = {TROUBLE_CALLERS, TROUBLE_SERVERS, TROUBLE_STORE};
+
+  switch (fault->kind)
+    {
+    case FAULT_LEG:
+      return of_leg[fault->leg];
+    case FAULT_PAUSE:
+    case FAULT_KILL:
+    case FAULT_TERM:
+      return TROUBLE_HOSTS;
+    case FAULT_STORE:
+    case FAULT_FORGET:
+      return TROUBLE_STORE;
+    case FAULT_HANG:
+    case FAULT_LOSE:
+      return TROUBLE_SERVERS;
+    default:
+      return TROUBLE_COUNT;
+    }
+}
+
+static void
+begin_fault (const struct fault *fault)
+{
+  switch (fault->kind)
+    {
+    case FAULT_LEG:
+      soak_proxy_set (fault->leg, fault->behaviour);
+      break;
+    case FAULT_PAUSE:
+      soak_host_signal (fault->target, SIGSTOP);
+      break;
+    case FAULT_KILL:
+      soak_host_signal (fault->target, SIGKILL);
+      break;
+    case FAULT_TERM:
+      soak_host_signal (fault->target, SIGTERM);
+      break;
+    case FAULT_RELOAD:
+      soak_host_signal (fault->target, SIGHUP);
+      break;
+    case FAULT_STORE:
+      soak_store_fail (true);
+      break;
+    case FAULT_FORGET:
+      soak_store_forget ();
+      break;
+    case FAULT_HANG:
+      soak_server_set (fault->target, SERVER_HANGS);
+      break;
+    case FAULT_LOSE:
+      soak_server_set (fault->target, SERVER_LOSES);
+      break;
+    case FAULT_DRAIN:
+      soak_server_register (fault->target, true);
+      break;
+    case FAULT_REMOVE:
+      soak_server_remove (fault->target);
+      break;
+    case FAULT_CONFIG:
+      put_config (false);
+      soak_callers_withdraw_key ("key-shop-2");
+      break;
+    case FAULT_GARBAGE:
+      soak_store_put ("op", "config", "{\"Version\":\"r99999\",\"Resources\":[{");
+      soak_store_put ("servers", "odd", "\"no object\"");
+      break;
+    case FAULT_EVACUATE:
+      soak_store_put ("op", "evacuate/a-2", "{}");
+      break;
+    case FAULT_KINDS:
+      break;
+    }
+}
+
+static void
+end_fault (const struct fault *fault)
+{
+  switch (fault->kind)
+    {
+    case FAULT_LEG:
+      soak_proxy_set (fault->leg, BEHAVE_PASS);
+      break;
+    case FAULT_PAUSE:
+      soak_host_signal (fault->target, SIGCONT);
+      break;
+    case FAULT_STORE:
+      soak_store_fail (false);
+      break;
+    case FAULT_HANG:
+    case FAULT_LOSE:
+      soak_server_set (fault->target, SERVER_WELL);
+      break;
+    case FAULT_DRAIN:
+    case FAULT_REMOVE:
+      soak_server_register (fault->target, false);
+      break;
+    case FAULT_GARBAGE:
+      put_config (false);
+      soak_callers_withdraw_key ("key-shop-2");
+      break;
+    case FAULT_EVACUATE:
+      soak_store_put ("op", "evacuate/a-2", NULL);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+draw_fault (struct fault *fault, const struct soak_options *options)
+{
+  fault->kind = (enum fault_kind) soak_draw (FAULT_KINDS);
+  fault->at_ms = (int) soak_draw ((uint32_t) options->seconds * 1000);
+  fault->for_ms = FAULT_SHORTEST_MS + (int) soak_draw (FAULT_SPREAD_MS);
+  fault->leg = (enum soak_leg) soak_draw (LEG_COUNT);
+  fault->behaviour = (enum soak_behaviour) (1 + soak_draw (BEHAVE_COUNT - 1));
+  fault->target = (int) soak_draw (
+      fault->kind >= FAULT_HANG ? SERVERS : (uint32_t) options->hosts);
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b)
+{
+  return ((const struct fault *) a)->at_ms - ((const struct fault *) b)->at_ms;
+}
+
+static GArray *
+draw_plan (const struct soak_options *options)
+{
+  GArray *plan = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  int count = MIN (options->seconds * 3 / 2, FAULTS_MAX);
+
+  for (int i = 0; i < count; i++)
+    {
+      struct fault fault = {0};
+
+      draw_fault (&fault, options);
+      g_array_append_val (plan, fault);
+    }
+  g_array_sort (plan, by_time);
+  for (guint i = 0; i < plan->len; i++)
+    {
+      const struct fault *fault = &g_array_index (plan, struct fault, i);
+
+      printf ("plan: %6d ms %-13s for %4d ms, target %d%s%s\n", fault->at_ms,
+              fault_names[fault->kind], fault->for_ms, fault->target,
+              fault->kind == FAULT_LEG ? ", " : "",
+              fault->kind == FAULT_LEG ? soak_behaviour_names[fault->behaviour] : "");
+    }
+  return plan;
+}
+
+/* Begins and ends what is due.  Returns whether something is still to come. */
+static bool
+run_plan (GArray *plan, int64_t begun_us)
+{
+  int64_t now_ms = (soak_now_us () - begun_us) / SOAK_MS;
+  bool more = false;
+
+  for (guint i = 0; i < plan->len; i++)
+    {
+      struct fault *fault = &g_array_index (plan, struct fault, i);
+      enum soak_trouble trouble = trouble_of (fault);
+
+      if (!fault->begun && now_ms >= fault->at_ms)
+        {
+          fault->begun = true;
+          if (trouble != TROUBLE_COUNT)
+            soak_ledger_trouble (trouble, true);
+          begin_fault (fault);
+        }
+      if (fault->begun && !fault->ended && now_ms >= fault->at_ms + fault->for_ms)
+        {
+          fault->ended = true;
+          end_fault (fault);
+          if (trouble != TROUBLE_COUNT)
+            soak_ledger_trouble (trouble, false);
+        }
+      more = more || !fault->ended;
+    }
+  return more;
+}
+
+/* When all is well again, servers that leave get nothing more within the drain time; during the
+ * faults that can seldom be told. */
+static void
+run_epilogue (void)
+{
+  g_usleep (CALM_US);
+  soak_server_register (0, true);
+  soak_server_remove (1);
+  g_usleep (LEAVING_US);
+}
+
+static int
+run (const struct soak_options *options)
+{
+  GArray *plan;
+  int64_t begun_us;
+  int broken;
+
+  random_state = options->seed;
+  address_block = options->block;
+  start_us = g_get_monotonic_time ();
+  plan = draw_plan (options);
+  soak_ledger_start ();
+  soak_store_start ();
+  put_config (true);
+  soak_servers_start (SERVERS);
+  soak_hosts_start (options);
+  if (!soak_hosts_wait_ready (READY_US))
+    soak_ledger_break ("not all hosts were ready in time");
+  soak_callers_start (CALLERS, options->hosts);
+  begun_us = soak_now_us ();
+  while (run_plan (plan, begun_us)
+         || soak_now_us () - begun_us < options->seconds * SOAK_SECOND)
+    g_usleep (5000);
+  run_epilogue ();
+  soak_callers_stop ();
+  soak_hosts_stop ();
+  broken = soak_ledger_finish ();
+  soak_ledger_summary ();
+  printf ("seed %u: %s\n", options->seed, broken == 0 ? "passed" : "FAILED");
+  g_array_free (plan, TRUE);
+  return broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
+
+int
+main (int argc, char **argv)
+{
+  gint seed = 1;
+  gint seconds = 20;
+  gint hosts = 6;
+  gint block = 0;
+  gint switches = 0;
+  g_autofree char *program = NULL;
+  GOptionEntry entries[]
+      = {{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "What the plan is drawn from", "N"},
+         {"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "How long faults come", "S"},
+         {"processes", 0, 0, G_OPTION_ARG_INT, &hosts, "Entry hosts, 2 to 200", "P"},
+         {"block", 0, 0, G_OPTION_ARG_INT, &block, "Of loopback addresses, 0 to 20", "B"},
+         {"switches", 0, 0, G_OPTION_ARG_INT, &switches,
+          "Mechanisms to switch off, as in the settings", "MASK"},
+         {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "The entry host's program", "FILE"},
+         {NULL}};
+  g_autoptr (GOptionContext) context = g_option_context_new ("- entry hosts under faults");
+  struct soak_options options;
+
+  g_option_context_add_main_entries (context, entries, NULL);
+  if (!g_option_context_parse (context, &argc, &argv, NULL) || hosts < 2
+      || hosts > SOAK_HOSTS_MAX || seconds < 1 || block < 0 || block > BLOCK_MAX)
+    {
+      fprintf (stderr, "soak: see --help\n");
+      return 2;
+    }
+  if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
+    return 2;
+  signal (SIGPIPE, SIG_IGN);
+  setvbuf (stdout, NULL, _IOLBF, 0);
+  options = (struct soak_options){.seed = (uint32_t) seed,
+                                  .seconds = seconds,
+                                  .hosts = hosts,
+                                  .block = block,
+                                  .program = program != NULL ? program : "build/pomelolatch-entry",
+                                  .switches = switches};
+  return run (&options);
+}
