Quota at the start; quiet beacons between regions; a clock that was set back

A host that starts with its time of day set back was not heard for 20 s. Change: the first request is told at once, first small counts are taken, buckets start empty; hosts without requests speak to other regions each two seconds; a lower incarnation is taken after 0.3 s. Small requests prefer their region threefold.

--- a/core/membership.c
+++ b/core/membership.c
@@ -13,12 +13,14 @@
 
 #include <string.h>
 
-/* Three beacons, and a little for delays: in this region they come every 500 ms, from others every
- * second. */
+/* Three beacons, and a little for delays: in this region, and between hosts that take requests,
+ * they come every 500 ms; else every two seconds, of which one may be lost. */
 #define LIVE_NEAR_US INT64_C (1700000)
-#define LIVE_FAR_US INT64_C (3400000)
+#define LIVE_FAR_US INT64_C (4600000)
 /* As long as cuts between failure domains usually last; after that a silent host counts as gone. */
 #define SILENT_US INT64_C (12000000)
+/* Longer than a datagram takes between regions, shorter than a process takes to start again. */
+#define LATE_DATAGRAM_US INT64_C (300000)
 #define WATCH_KEY UINT64_C (0x73746f7265)
 /* Hosts that can carry less than this part of the strongest of their domain are named only when the
  * others are busy or too few. */
@@ -83,13 +85,22 @@
     take_member (membership, contact, now_us);
 }
 
+/* A datagram of an earlier process of the host may come late.  After a while it can not, and a
+ * lower incarnation then means that the host's time of day was set back before it started. */
+static bool
+is_older (const struct pl_member *member, const struct pl_beacon *beacon, int64_t now_us)
+{
+  return member->heard && beacon->incarnation < member->incarnation
+         && now_us - member->heard_us < LATE_DATAGRAM_US;
+}
+
 struct pl_member *
 pl_membership_on_beacon (struct pl_membership *membership, const struct pl_beacon *beacon,
                          int region, int64_t now_us)
 {
   struct pl_member *member = take_member (membership, &beacon->self, now_us);
 
-  if (member == NULL || (member->heard && beacon->incarnation < member->incarnation))
+  if (member == NULL || is_older (member, beacon, now_us))
     return NULL;
   member->contact = beacon->self;
   g_strlcpy (member->caller_address, beacon->caller_address, sizeof member->caller_address);
@@ -117,7 +128,9 @@
 pl_member_is_live (const struct pl_membership *membership, const struct pl_member *member,
                    int64_t now_us)
 {
-  int64_t limit_us = member->region == membership->self_region ? LIVE_NEAR_US : LIVE_FAR_US;
+  bool is_near
+      = member->region == membership->self_region || (member->active && membership->self_active);
+  int64_t limit_us = is_near ? LIVE_NEAR_US : LIVE_FAR_US;
 
   return member->heard && now_us - member->heard_us <= limit_us;
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -56,7 +56,9 @@
 #define COLD_PART_USED 0.9
 #define GONE_KEPT_US INT64_C (5000000)
 /* Weights in the ranking: nearness pulls an object to this domain or region. */
-#define NEAR_WEIGHT_SMALL 1.0
+/* Enough to keep more than half of the small requests in their region, and little enough that a
+ * region with few servers is not filled by its own. */
+#define REGION_WEIGHT_SMALL 3.0
 #define REGION_WEIGHT_LARGE 1e3
 #define DOMAIN_WEIGHT_LARGE 1e6
 
@@ -316,7 +318,7 @@
     return weight * DOMAIN_WEIGHT_LARGE;
   if (wish->is_large && backend->region == placement->region)
     return weight * REGION_WEIGHT_LARGE;
-  return weight * NEAR_WEIGHT_SMALL;
+  return backend->region == placement->region ? weight * REGION_WEIGHT_SMALL : weight;
 }
 
 /* Weighted rendezvous hashing: the lowest cost wins, each server in proportion to its weight. */
--- a/core/quota.c
+++ b/core/quota.c
@@ -70,8 +70,9 @@
   quota->burst = burst;
   if (is_new)
     {
-      /* An earlier process of this host may have spent the burst a moment ago. */
-      quota->tokens = rate * 0.1;
+      /* An earlier process of this host may have spent the burst a moment ago, and all hosts may
+       * start at once. */
+      quota->tokens = 1;
       quota->refilled_us = now_us;
     }
   quota->tokens = fmin (quota->tokens, capacity_of (quota));
@@ -90,6 +91,10 @@
       other->incarnation = incarnation;
       other->admitted = admitted;
       g_hash_table_insert (quota->others, g_memdup2 (&peer, sizeof peer), other);
+      /* A large count is from before this host's own start, whose bucket was empty then. */
+      refill (quota, now_us);
+      if ((double) admitted <= capacity_of (quota))
+        quota->tokens -= (double) admitted;
       return;
     }
   if (other->incarnation != incarnation)
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -396,7 +396,7 @@
   call->fingerprint = event->fingerprint;
   call->body_bytes = event->body_bytes;
   call->arrived_us = router->now_us;
-  router->asked_us = router->now_us;
+  fleet_note_asked (router);
   call->ends_us = router->now_us + MAX (patience_us - ANSWER_MARGIN_US, patience_us / 2);
   g_hash_table_insert (router->calls, &call->id, call);
   refusal = check (router, call, event);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -1,7 +1,7 @@
 /* Beacons: what this host tells its peers, how often, and what it learns.
  *
  * Hosts of this region, and those that take requests, hear of it twice a second and
- * others once; news, leaving, and
+ * others each two seconds; news, leaving, and
  * accounts of which much was admitted are told sooner.  Accounts are told only to
  * hosts that take requests, and addresses of other hosts go along now and then.
  */
@@ -10,9 +10,9 @@
 #include <string.h>
 
 #define BEACON_PERIOD_US (500 * MS_US)
-/* Other regions get each second one. */
-#define FAR_EACH 2
-#define CONTACTS_EACH 4
+/* Other regions get each fourth one, but for hosts that take requests on both sides. */
+#define FAR_EACH 4
+#define CONTACTS_EACH 8
 /* Beacons that tell of accounts follow each other no faster. */
 #define ACCOUNTS_PERIOD_US (40 * MS_US)
 /* A host that took no request for so long is not active. */
@@ -65,7 +65,7 @@
   for (int t = 0; t < PL_TABLES_MAX; t++)
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
-  beacon->active = router->asked_us > 0 && router->now_us - router->asked_us < ACTIVE_US;
+  beacon->active = router->membership.self_active;
   if (router->beacon_turn++ % CONTACTS_EACH == 0)
     pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
   quarantine_retell (&router->quarantine, SUSPECT_RETELL_US, router->now_us, add_suspect, beacon);
@@ -157,6 +157,8 @@
   bool due = router->now_us >= router->beacon_due_us || router->tell_soon || router->tell_near;
   bool accounts = router->tell_accounts && router->now_us >= router->accounts_due_us;
 
+  if (router->now_us - router->asked_us > ACTIVE_US)
+    router->membership.self_active = false;
   if (due || accounts)
     {
       tell_members (router, router->tell_soon, !due);
@@ -175,6 +177,18 @@
     router->due_us = MIN (router->due_us, router->accounts_due_us);
 }
 
+/* A request came.  Peers must know at once that this host is active, since they tell only such
+ * hosts what they admit. */
+void
+fleet_note_asked (struct pl_router *router)
+{
+  router->asked_us = router->now_us;
+  if (router->membership.self_active)
+    return;
+  router->membership.self_active = true;
+  router->tell_soon = true;
+}
+
 /* A request of ACCOUNT was admitted. */
 void
 fleet_note_admitted (struct pl_router *router, const struct router_account *account)
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -92,6 +92,7 @@
   char self_domain[PL_BEACON_NAME_CHARS];
   int self_region;
   int self_capacity;
+  bool self_active; /* took requests of late */
   guint contact_turn;
 };
 
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -108,8 +108,8 @@
 void pl_placement_init (struct pl_placement *placement, const char *domain, int region);
 void pl_placement_clear (struct pl_placement *placement);
 
-/* Sets how cold servers of SERVICE are treated. */
-void pl_placement_set_service (struct pl_placement *placement, const char *service,
+/* Sets how cold servers of the service NAME are treated. */
+void pl_placement_set_service (struct pl_placement *placement, const char *name,
                                int64_t cold_time_us, double cold_per_second);
 
 /* Takes an entry.  AT_START: it was there before this host was, so its start is not news. */
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -28,6 +28,6 @@
   void *data;
 };
 
-void pl_relay_fetch (const struct pl_relay_fetch *fetch);
+void pl_relay_fetch (const struct pl_relay_fetch *wanted);
 
 #endif
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -193,6 +193,7 @@
 /* router_fleet.c */
 void fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon);
 void fleet_run_timers (struct pl_router *router);
+void fleet_note_asked (struct pl_router *router);
 void fleet_note_admitted (struct pl_router *router, const struct router_account *account);
 void fleet_note_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server,
                          bool alone);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -126,8 +126,8 @@
   static const char *const domains[] = {"a-1", "a-2", "b-1"};
   g_autofree char *url = g_strdup_printf (
       "http://%s/pomelolatch/resolve?Name=h&Region=%c&Zone=%s",
-      soak_address (NET_HOSTS, (int) draw (caller, (uint32_t) caller->hosts), 8209), domains[caller->number % 3][0],
-      domains[caller->number % 3]);
+      soak_address (NET_HOSTS, (int) draw (caller, (uint32_t) caller->hosts), 8209),
+      domains[caller->number % 3][0], domains[caller->number % 3]);
   json_t *answer = NULL;
   const json_t *list;
   const char *address;
@@ -188,8 +188,9 @@
   const char *account = which == 1 ? "desk" : "shop";
   bool once = draw (caller, 2) == 0;
   int64_t begun_us = soak_now_us ();
-  g_autofree char *url = g_strdup_printf ("http://%s/%s/%u", soak_address (NET_HOST_PROXIES, caller->host, 8206),
-                                          once ? "write" : "read", draw (caller, 50));
+  g_autofree char *url
+      = g_strdup_printf ("http://%s/%s/%u", soak_address (NET_HOST_PROXIES, caller->host, 8206),
+                         once ? "write" : "read", draw (caller, 50));
   char *lines[4];
   struct curl_slist *headers = NULL;
   CURLcode code;
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -48,8 +48,8 @@
   {
     const char *name;
     int port;
-  } ports[] = {{"caller", 8206}, {"ready", 8201}, {"directory", 8209}, {"peer", 7600},
-               {"metrics", 9464}};
+  } ports[]
+      = {{"caller", 8206}, {"ready", 8201}, {"directory", 8209}, {"peer", 7600}, {"metrics", 9464}};
   static const char *const domains[] = {"a-1", "a-2", "b-1"};
   FILE *file = fopen (hosts[host].settings, "w");
 
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -177,19 +177,25 @@
   const GArray *times = runs[account];
   double bound = (SOAK_ACCOUNT_RATE * 5 + SOAK_ACCOUNT_RATE) * 1.1 + 20;
   guint from = 0;
+  guint most = 0;
+  int64_t most_until_us = 0;
 
   for (guint i = 0; i < times->len; i++)
     {
-      while (g_array_index (times, int64_t, i) - g_array_index (times, int64_t, from)
-             > QUOTA_WINDOW_US)
+      int64_t until_us = g_array_index (times, int64_t, i);
+
+      while (until_us - g_array_index (times, int64_t, from) > QUOTA_WINDOW_US)
         from++;
-      if (i - from + 1 > bound)
+      if (i - from + 1 > most)
         {
-          soak_ledger_break ("%s ran %u requests in five seconds, %.0f are allowed",
-                             accounts[account], i - from + 1, bound);
-          return;
+          most = i - from + 1;
+          most_until_us = until_us;
         }
     }
+  printf ("%s: at most %u runs in five seconds, %.0f allowed\n", accounts[account], most, bound);
+  if (most > bound)
+    soak_ledger_break ("%s ran %u requests in the five seconds to %.3f s, %.0f are allowed",
+                       accounts[account], most, (double) most_until_us / 1e6, bound);
 }
 
 int
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -71,8 +71,8 @@
 
   while (open)
     {
-      struct pollfd ready[2] = {{.fd = pair->near, .events = POLLIN},
-                                {.fd = pair->far, .events = POLLIN}};
+      struct pollfd ready[2]
+          = {{.fd = pair->near, .events = POLLIN}, {.fd = pair->far, .events = POLLIN}};
       enum soak_behaviour behaviour
           = (enum soak_behaviour) g_atomic_int_get (&behaviours[pair->leg]);
       nfds_t heard = behaviour == BEHAVE_ONE_WAY ? 1 : 2;
@@ -85,7 +85,7 @@
         }
       if (behaviour == BEHAVE_SILENT)
         {
-          g_usleep (STEP_MS * 1000);
+          g_usleep (STEP_MS * 1000UL);
           continue;
         }
       if (poll (ready, heard, STEP_MS) <= 0)
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -41,7 +41,8 @@
   g_autofree char *text = g_strdup_printf (
       "{\"Address\":\"%s\",\"born\":1,\"Info\":{\"Service\":\"stock\",\"Zone\":\"%s\","
       "\"Slots\":%d},\"Status\":{\"State\":\"%s\",\"Sequence\":1,\"ColdRemaining\":\"0ms\"}}",
-      soak_address (NET_SERVER_PROXIES, server, 8080), domain_of (server), SLOTS, draining ? "draining" : "ready");
+      soak_address (NET_SERVER_PROXIES, server, 8080), domain_of (server), SLOTS,
+      draining ? "draining" : "ready");
 
   soak_store_put ("servers", servers[server].id, text);
   soak_ledger_left (server, draining);
@@ -107,7 +108,7 @@
                    server->number);
   while (g_atomic_int_get (&server->mode) == SERVER_HANGS)
     g_usleep (20000);
-  g_usleep (WORK_MS * 1000);
+  g_usleep (WORK_MS * 1000UL);
   result = g_atomic_int_get (&server->mode) == SERVER_LOSES
                ? MHD_NO
                : answer (server, connection, 200, false);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -47,8 +47,8 @@
 };
 
 static const char *const fault_names[FAULT_KINDS]
-    = {"leg",   "pause", "kill",   "term",          "reload",  "store-down", "store-forgets",
-       "hang",  "loses-answers", "drain", "remove", "configuration", "garbage", "evacuate"};
+    = {"leg",  "pause",         "kill",  "term",   "reload",        "store-down", "store-forgets",
+       "hang", "loses-answers", "drain", "remove", "configuration", "garbage",    "evacuate"};
 
 struct fault
 {
@@ -76,8 +76,8 @@
 const char *
 soak_address (enum soak_net net, int number, int port)
 {
-  g_autofree char *text
-      = g_strdup_printf ("127.%d.0.%d:%d", address_block * NETS_A_BLOCK + (int) net, number + 1, port);
+  g_autofree char *text = g_strdup_printf (
+      "127.%d.0.%d:%d", address_block * NETS_A_BLOCK + (int) net, number + 1, port);
 
   return g_intern_string (text);
 }
@@ -245,8 +245,7 @@
   fault->for_ms = FAULT_SHORTEST_MS + (int) soak_draw (FAULT_SPREAD_MS);
   fault->leg = (enum soak_leg) soak_draw (LEG_COUNT);
   fault->behaviour = (enum soak_behaviour) (1 + soak_draw (BEHAVE_COUNT - 1));
-  fault->target = (int) soak_draw (
-      fault->kind >= FAULT_HANG ? SERVERS : (uint32_t) options->hosts);
+  fault->target = (int) soak_draw (fault->kind >= FAULT_HANG ? SERVERS : (uint32_t) options->hosts);
 }
 
 static gint
@@ -343,8 +342,7 @@
     soak_ledger_break ("not all hosts were ready in time");
   soak_callers_start (CALLERS, options->hosts);
   begun_us = soak_now_us ();
-  while (run_plan (plan, begun_us)
-         || soak_now_us () - begun_us < options->seconds * SOAK_SECOND)
+  while (run_plan (plan, begun_us) || soak_now_us () - begun_us < options->seconds * SOAK_SECOND)
     g_usleep (5000);
   run_epilogue ();
   soak_callers_stop ();
@@ -378,8 +376,8 @@
   struct soak_options options;
 
   g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, NULL) || hosts < 2
-      || hosts > SOAK_HOSTS_MAX || seconds < 1 || block < 0 || block > BLOCK_MAX)
+  if (!g_option_context_parse (context, &argc, &argv, NULL) || hosts < 2 || hosts > SOAK_HOSTS_MAX
+      || seconds < 1 || block < 0 || block > BLOCK_MAX)
     {
       fprintf (stderr, "soak: see --help\n");
       return 2;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -79,8 +79,8 @@
 /* store.c */
 void soak_store_start (void);
 void soak_store_put (const char *table, const char *key, const char *value); /* NULL: remove */
-void soak_store_fail (bool fail);  /* each call gets 503 */
-void soak_store_forget (void);     /* the history is dropped */
+void soak_store_fail (bool fail); /* each call gets 503 */
+void soak_store_forget (void);    /* the history is dropped */
 
 /* servers.c */
 enum soak_server_mode
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -59,8 +59,8 @@
 static json_t *
 row_json (const struct row *row)
 {
-  json_t *object = json_pack ("{s:s,s:s,s:s,s:I}", "Table", row->table, "part", "", "Key",
-                              row->key, "Ver", (json_int_t) row->version);
+  json_t *object = json_pack ("{s:s,s:s,s:s,s:I}", "Table", row->table, "part", "", "Key", row->key,
+                              "Ver", (json_int_t) row->version);
 
   if (row->value != NULL)
     {
@@ -86,8 +86,7 @@
     {
       const struct row *row = value;
 
-      if (strcmp (row->table, table) == 0 && row->version > after
-          && (!whole || row->value != NULL))
+      if (strcmp (row->table, table) == 0 && row->version > after && (!whole || row->value != NULL))
         json_array_append_new (list, row_json (row));
     }
   return list;
@@ -140,12 +139,11 @@
   else if (strcmp (url, "/pomelolatch/rows-get") == 0)
     list = list_rows (query (connection, "Table"), 0, true);
   else
-    status = answer_feed (query (connection, "Table"),
-                          g_ascii_strtoll (query (connection, "after"), NULL, 10),
-                          g_ascii_strtoll (query (connection, "WaitMs"), NULL, 10) * SOAK_MS,
-                          &list);
-  body = json_pack ("{s:o?,s:b,s:I,s:s}", "Rows", list, "HasMore", 0, "Ver",
-                    (json_int_t) version, "Now", "0ms");
+    status = answer_feed (
+        query (connection, "Table"), g_ascii_strtoll (query (connection, "after"), NULL, 10),
+        g_ascii_strtoll (query (connection, "WaitMs"), NULL, 10) * SOAK_MS, &list);
+  body = json_pack ("{s:o?,s:b,s:I,s:s}", "Rows", list, "HasMore", 0, "Ver", (json_int_t) version,
+                    "Now", "0ms");
   g_mutex_unlock (&lock);
   text = json_dumps (body, JSON_COMPACT);
   response = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
@@ -162,8 +160,8 @@
 
   rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   if (pl_net_parse (soak_address (NET_STORE, 0, 8205), &address) < 0
-      || MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0,
-                           NULL, NULL, on_request, NULL, MHD_OPTION_LISTEN_SOCKET,
+      || MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL,
+                           NULL, on_request, NULL, MHD_OPTION_LISTEN_SOCKET,
                            pl_net_listen (&address), MHD_OPTION_END)
              == NULL)
     {
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -117,7 +117,7 @@
       ends[open_count++] = now + 240 * MS;
     }
   copies = g_hash_table_size (seen);
-  ck_assert_uint_le (copies, OBJECTS * 3);
+  ck_assert_uint_le (copies, OBJECTS * 3U);
   g_hash_table_destroy (seen);
 }
 END_TEST
@@ -152,7 +152,7 @@
   finish (first, 100 * MS, 0);
   while (choose (&wish, 0) != NULL)
     placed++;
-  ck_assert_int_le (first->in_flight, SLOTS * 17 / 10);
+  ck_assert_int_le (first->in_flight, (SLOTS * 17L) / 10);
   ck_assert_int_ge (first->in_flight, SLOTS);
 }
 END_TEST
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -189,11 +189,10 @@
 
 START_TEST (a_row_that_can_not_be_read_names_no_server)
 {
-  static const char *const rows[] = {
-      "{\"Address\":7}", "not json", "[]",
-      "{\"Address\":\"10.1.0.9:80\",\"Info\":{\"Service\":\"stock\",\"Zone\":\"a-1\",\"Slots\":4},"
-      "\"Status\":{\"State\":\"resting\"}}",
-      "\xff\xfe"};
+  static const char *const odd_state = "{\"Address\":\"10.1.0.9:80\",\"Info\":{\"Service\":"
+                                       "\"stock\",\"Zone\":\"a-1\",\"Slots\":4},"
+                                       "\"Status\":{\"State\":\"resting\"}}";
+  const char *const rows[] = {"{\"Address\":7}", "not json", "[]", odd_state, "\xff\xfe"};
 
   for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
     world_row (world, PL_TABLE_SERVERS, "odd", rows[i]);
@@ -361,6 +360,30 @@
 }
 END_TEST
 
+/* A host started again after its time of day was set back. */
+START_TEST (a_host_whose_clock_was_set_back_is_heard)
+{
+  struct pl_beacon beacon = peer_beacon ("far", "b-1");
+  const char *addresses[8];
+
+  beacon.incarnation = 9;
+  hear (&beacon);
+  beacon.incarnation = 5;
+  beacon.leaving = true;
+  hear (&beacon);
+  /* So soon it is a late datagram of an earlier process. */
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
+                    1);
+  ck_assert_str_eq (addresses[0], beacon.caller_address);
+  world_run (world, WORLD_SECOND);
+  beacon.leaving = false;
+  g_strlcpy (beacon.caller_address, "10.0.9.9:80", sizeof beacon.caller_address);
+  hear (&beacon);
+  pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us);
+  ck_assert_str_eq (addresses[0], "10.0.9.9:80");
+}
+END_TEST
+
 START_TEST (parts_of_a_split_get_their_weights)
 {
   int parts[2] = {0, 0};
@@ -414,6 +437,7 @@
   tcase_add_test (tcase, a_host_fetches_news_that_a_peer_holds);
   tcase_add_test (tcase, one_host_a_region_reads_the_store);
   tcase_add_test (tcase, the_directory_names_strong_hosts_of_the_callers_domain);
+  tcase_add_test (tcase, a_host_whose_clock_was_set_back_is_heard);
   tcase_add_test (tcase, parts_of_a_split_get_their_weights);
   return suite_run (suite);
 }
