--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -450,10 +450,9 @@
 
 /* The backend is done with CALL, one way or another. */
 static void
-leave_backend (struct pl_router *router, struct call *call)
+leave_backend (struct call *call)
 {
   assert (call->backend != NULL && call->backend->in_flight > 0);
-  (void) router;
   call->backend->in_flight--;
 }
 
@@ -556,7 +555,7 @@
 
   if (call == NULL || call->state != CALL_AT_SERVER || call->attempt != event->attempt)
     return;
-  leave_backend (router, call);
+  leave_backend (call);
   note_load (router, call, event);
   if (event->end != PL_ATTEMPT_ANSWERED)
     note_call (router, call, "attempt-failed",
@@ -594,7 +593,7 @@
 
   effect->request = call->id;
   effect->attempt = call->attempt;
-  leave_backend (router, call);
+  leave_backend (call);
 }
 
 /* Work that may run again is broken off; what runs once and has been sent is left to run, since
--- a/include/internal/net.h
+++ b/include/internal/net.h
@@ -6,6 +6,7 @@
 #define POMELOLATCH_NET_H
 
 #include <netinet/in.h>
+#include <stdbool.h>
 
 /* Parses "IP:port".  Returns 0 or PL_ERR_INVALID. */
 int pl_net_parse (const char *text, struct sockaddr_in *address);
@@ -13,6 +14,10 @@
 /* Returns a listening socket, or -1 with errno set. */
 int pl_net_listen (const struct sockaddr_in *address);
 
+/* Returns whether the other side of the connected socket FD has closed it, or it is broken.  Reads
+ * nothing. */
+bool pl_net_peer_has_closed (int fd);
+
 /* Connects within LIMIT_MS.  Returns a blocking socket, or -1. */
 int pl_net_connect (const struct sockaddr_in *address, int limit_ms);
 
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -483,10 +483,8 @@
 {
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return pl_net_peer_has_closed (info->connect_fd);
 }
 
 /* Tells the reducer of callers that closed while they waited. */
--- a/modules/front.c
+++ b/modules/front.c
@@ -10,11 +10,9 @@
 #include "internal/net.h"
 #include "internal/reactor.h"
 
-#include <errno.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -223,10 +221,8 @@
 {
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-  char byte;
-  ssize_t got = recv (info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
 
-  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+  return pl_net_peer_has_closed (info->connect_fd);
 }
 
 static void
--- a/modules/net.c
+++ b/modules/net.c
@@ -48,6 +48,15 @@
   return fd;
 }
 
+bool
+pl_net_peer_has_closed (int fd)
+{
+  char byte;
+  ssize_t got = recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 int
 pl_net_connect (const struct sockaddr_in *address, int limit_ms)
 {
--- a/modules/settings.c
+++ b/modules/settings.c
@@ -1,5 +1,7 @@
 /* Settings are one mapping, checked by the same tables as releases. */
 #include "internal/settings.h"
+#include "internal/log.h"
+#include "pomelolatch/error.h"
 
 #include <stdio.h>
 
@@ -42,3 +44,17 @@
 
   return value != NULL ? json_integer_value (value) : fallback;
 }
+
+int
+pl_settings_set_log (const json_t *settings, const char *file)
+{
+  int level = pl_log_parse_level (pl_settings_text (settings, "log_level", "info"));
+
+  if (level < 0)
+    {
+      fprintf (stderr, "%s: 'log_level' must be debug, info, warning or error\n", file);
+      return PL_ERR_INVALID;
+    }
+  pl_log_set ((enum pl_log_level) level, pl_settings_text (settings, "name", ""));
+  return PL_OK;
+}
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -538,7 +538,6 @@
   g_autoptr (GOptionContext) context = g_option_context_new ("- an entry host on a platform");
   g_autoptr (GError) error = NULL;
   struct entry entry = {0};
-  int level;
 
   g_option_context_add_main_entries (context, entries, NULL);
   g_option_context_set_description (
@@ -554,18 +553,13 @@
   entry.settings = pl_settings_read (file, settings_fields);
   if (entry.settings == NULL)
     return 2;
-  level = pl_log_parse_level (pl_settings_text (entry.settings, "log_level", "info"));
-  if (level < 0)
-    {
-      fprintf (stderr, "%s: 'log_level' must be debug, info, warning or error\n", file);
-      return 2;
-    }
+  if (pl_settings_set_log (entry.settings, file) < 0)
+    return 2;
   if (check)
     return EXIT_SUCCESS;
   signal (SIGPIPE, SIG_IGN);
   mallopt (M_ARENA_MAX, 1);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
-  pl_log_set ((enum pl_log_level) level, pl_settings_text (entry.settings, "name", ""));
   return run (&entry);
 }
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -351,7 +351,6 @@
   g_autoptr (GOptionContext) context = g_option_context_new ("- an entry host");
   g_autoptr (GError) error = NULL;
   json_t *settings;
-  int level;
 
   g_option_context_add_main_entries (context, entries, NULL);
   g_option_context_set_description (
@@ -366,17 +365,12 @@
   settings = pl_settings_read (file, settings_fields);
   if (settings == NULL)
     return 2;
-  level = pl_log_parse_level (pl_settings_text (settings, "log_level", "info"));
-  if (level < 0)
-    {
-      fprintf (stderr, "%s: 'log_level' must be debug, info, warning or error\n", file);
-      return 2;
-    }
+  if (pl_settings_set_log (settings, file) < 0)
+    return 2;
   if (check)
     return EXIT_SUCCESS;
   signal (SIGPIPE, SIG_IGN);
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != 0)
     return EXIT_FAILURE;
-  pl_log_set ((enum pl_log_level) level, pl_settings_text (settings, "name", ""));
   return run (settings);
 }
