A cold server does not hold up the objects that rank it first

Cause: a request whose first server had come back cold was refused as full when this host had no token for it, though its other copy was idle (found by reading). Change: a cold server without a token is passed over in the ranking. Seen to fail: the new test placed 216 of 250 before, 250 after.

--- a/core/placement.c
+++ b/core/placement.c
@@ -353,22 +353,18 @@
   return count;
 }
 
-/* Takes a token of a cold server; all hosts together stay below what it bears. */
+/* Returns whether one more request may go to BACKEND, which may be cold: all hosts together stay
+ * below what a cold server bears. */
 static bool
-take_cold_token (const struct pl_placement_service *service, struct pl_backend *backend,
-                 double share, int64_t now_us)
+has_cold_token (const struct pl_placement_service *service, struct pl_backend *backend,
+                double share, int64_t now_us)
 {
   double rate = service->cold_per_second * COLD_PART_USED * share;
   double seconds = (double) (now_us - backend->cold_refilled_us) / 1e6;
 
-  if (now_us >= backend->cold_until_us)
-    return true;
   backend->cold_tokens = fmin (backend->cold_tokens + seconds * rate, 1.0);
   backend->cold_refilled_us = now_us;
-  if (backend->cold_tokens < 1)
-    return false;
-  backend->cold_tokens -= 1;
-  return true;
+  return share > 0 && backend->cold_tokens >= 1;
 }
 
 /* What one pass over the servers finds. */
@@ -452,8 +448,10 @@
       if (!is_sound (service, wish, backend, now_us))
         continue;
       if (now_us < backend->cold_until_us
-          && (cold_share (data, backend->hash, service->cold_per_second) <= 0
-              || backend->in_flight > 0))
+          && (backend->in_flight > 0
+              || !has_cold_token (service, backend,
+                                  cold_share (data, backend->hash, service->cold_per_second),
+                                  now_us)))
         continue;
       scan->sound++;
       scan->near += strcmp (backend->entry.domain, placement->domain) == 0;
@@ -492,10 +490,10 @@
     best = choose_ranked (service, wish, &scan, now_us);
   else if (scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
-  if (best == NULL
-      || !take_cold_token (service, best, cold_share (data, best->hash, service->cold_per_second),
-                           now_us))
+  if (best == NULL)
     return PL_PLACE_FULL;
+  if (now_us < best->cold_until_us)
+    best->cold_tokens -= 1;
   count_homed (service, wish);
   best->load_at_send = (load_of (best, now_us) + 1) / slots_of (service, best);
   best->in_flight++;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -222,6 +222,32 @@
 }
 END_TEST
 
+/* Objects whose first server has just come back cold go to their other copy. */
+START_TEST (a_cold_server_does_not_hold_up_its_objects)
+{
+  int placed = 0;
+
+  for (int i = 0; i < 4; i++)
+    {
+      struct pl_server_entry entry = make_entry (i, i % 2 == 0 ? "a-1" : "b-1");
+
+      entry.born = 2;
+      pl_placement_put (&placement, &entry, i % 2, false, SECOND);
+    }
+  for (int64_t now = SECOND; now < 2 * SECOND; now += 4 * MS)
+    {
+      struct pl_placement_wish wish = wish_for (1 + (uint64_t) (now / MS) % OBJECTS);
+      struct pl_backend *backend = choose (&wish, now);
+
+      if (backend == NULL)
+        continue;
+      placed++;
+      finish (backend, 50 * MS, now);
+    }
+  ck_assert_int_eq (placed, 250);
+}
+END_TEST
+
 START_TEST (leaving_evacuated_and_gone_servers_are_not_used)
 {
   struct pl_server_entry entry;
@@ -335,6 +361,7 @@
   tcase_add_test (tcase, a_region_is_left_to_those_bound_to_it);
   tcase_add_test (tcase, a_large_body_stays_near);
   tcase_add_test (tcase, a_cold_server_gets_no_more_than_it_bears);
+  tcase_add_test (tcase, a_cold_server_does_not_hold_up_its_objects);
   tcase_add_test (tcase, leaving_evacuated_and_gone_servers_are_not_used);
   tcase_add_test (tcase, a_server_that_can_not_be_reached_is_tried_with_a_probe);
   tcase_add_test (tcase, servers_that_all_turn_away_are_used_on);
