What is odd in a configuration is logged also when the rest is taken

Cause: findings were logged only of rows that were rejected, so an unknown kind of entry passed in silence (found by reading). Change: row-findings; seen to fail without it (the new test finds no line).

--- a/core/router_news.c
+++ b/core/router_news.c
@@ -184,10 +184,12 @@
                           news->server.draining, "cold_us", (json_int_t) news->server.cold_us));
 }
 
+/* A configuration with an unknown kind of entry is in force without it, and the log says so. */
 static void
-log_findings (struct pl_router *router, const char *key, const struct pl_findings *findings)
+log_findings (struct pl_router *router, const char *key, bool rejected,
+              const struct pl_findings *findings)
 {
-  router_note (router, PL_NOTE_TROUBLE, "row-rejected",
+  router_note (router, PL_NOTE_TROUBLE, rejected ? "row-rejected" : "row-findings",
                json_pack ("{s:s,s:o}", "row", key, "findings", pl_findings_to_json (findings)));
 }
 
@@ -200,8 +202,8 @@
   int result = router->options.decode (router->options.decode_data, table, row->key, row->value,
                                        row->length, &news, findings);
 
-  if (result < 0)
-    log_findings (router, row->key, findings);
+  if (pl_findings_count (findings) > 0)
+    log_findings (router, row->key, result < 0, findings);
   pl_findings_free (findings);
   switch (news.type)
     {
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -187,6 +187,15 @@
 }
 END_TEST
 
+START_TEST (an_unknown_kind_is_logged_and_the_rest_holds)
+{
+  world_config (world, 4,
+                "{\"ResourceKind\":\"Riddles\",\"Metadata\":{\"Name\":\"odd\"},\"Spec\":{}},");
+  ck_assert_int_eq (world->troubles, 1);
+  ck_assert_int_eq (world_call (world, "/read/1", "key-1")->sends, 1);
+}
+END_TEST
+
 START_TEST (a_row_that_can_not_be_read_names_no_server)
 {
   static const char *const odd_state = "{\"Address\":\"10.1.0.9:80\",\"Info\":{\"Service\":"
@@ -429,6 +438,7 @@
   tcase_add_test (tcase, without_servers_a_request_is_refused_at_once);
   tcase_add_test (tcase, an_evacuated_domain_gets_nothing_until_it_is_taken_back);
   tcase_add_test (tcase, an_older_configuration_changes_nothing);
+  tcase_add_test (tcase, an_unknown_kind_is_logged_and_the_rest_holds);
   tcase_add_test (tcase, a_row_that_can_not_be_read_names_no_server);
   tcase_add_test (tcase, a_server_whose_entry_is_gone_gets_nothing_more);
   tcase_add_test (tcase, entries_that_lapsed_with_the_store_are_used_a_little_longer);
