--- a/core/membership.c
+++ b/core/membership.c
@@ -17,8 +17,9 @@
  * they come every 500 ms; else every two seconds, of which one may be lost. */
 #define LIVE_NEAR_US INT64_C (1700000)
 #define LIVE_FAR_US INT64_C (4600000)
-/* As long as cuts between failure domains usually last; after that a silent host counts as gone. */
-#define SILENT_US INT64_C (12000000)
+/* Longer than cuts between failure domains usually last; after that a silent host counts as gone,
+ * unless it may be this host that is cut off. */
+#define SILENT_US INT64_C (30000000)
 /* Longer than a datagram takes between regions, shorter than a process takes to start again. */
 #define LATE_DATAGRAM_US INT64_C (300000)
 #define WATCH_KEY UINT64_C (0x73746f7265)
@@ -27,7 +28,11 @@
 #define STRONG_PART 0.4
 #define BUSY_PERCENT 55
 #define NAMED_MIN 2
-#define FORGET_US INT64_C (20000000)
+/* Hosts that a host names although it does not hear them, when it seems to be cut off: enough to
+ * take most of its callers, few enough for a caller to try them all. */
+#define UNHEARD_NAMED 2
+#define CUT_OFF_PART 0.5
+#define FORGET_US (2 * SILENT_US)
 
 uint64_t
 pl_hash_pair (uint64_t a, uint64_t b)
@@ -111,6 +116,8 @@
   member->capacity = beacon->capacity;
   member->busy_percent = beacon->busy_percent;
   member->active = beacon->active;
+  if (member->heard && now_us - member->heard_us > PL_MEMBER_SILENT_US)
+    member->returned_us = now_us;
   member->heard = true;
   member->heard_us = now_us;
   member->ready = beacon->ready;
@@ -200,8 +207,9 @@
 }
 
 double
-pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us)
+pl_membership_silent_part (const struct pl_membership *membership, bool store_lost, int64_t now_us)
 {
+  int64_t limit_us = store_lost ? INT64_MAX : SILENT_US;
   int silent = 0;
   int all = 1;
 
@@ -210,7 +218,7 @@
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
 
       if (!member->heard || !member->active || member->leaving
-          || now_us - member->heard_us > SILENT_US)
+          || now_us - member->heard_us > limit_us)
         continue;
       all++;
       silent += now_us - member->heard_us > PL_MEMBER_SILENT_US;
@@ -239,8 +247,10 @@
 }
 
 void
-pl_membership_expire (struct pl_membership *membership, int64_t now_us)
+pl_membership_expire (struct pl_membership *membership, bool store_lost, int64_t now_us)
 {
+  if (store_lost)
+    return;
   for (guint i = membership->order->len; i > 0; i--)
     {
       struct pl_member *member = g_ptr_array_index (membership->order, i - 1);
@@ -323,13 +333,42 @@
   return count;
 }
 
+/* A domain that is cut off has only its own servers, while its callers may well reach the rest. */
+static bool
+is_cut_off (const struct pl_membership *membership, const struct pl_naming *naming, int64_t now_us)
+{
+  return naming->store_lost && pl_membership_silent_part (membership, true, now_us) > CUT_OFF_PART;
+}
+
+/* Adds hosts that were last heard to take callers: of this region first, others at each time. */
+static int
+name_unheard (const struct pl_membership *membership, const char **addresses, int count, int room,
+              int64_t now_us)
+{
+  guint known = membership->order->len;
+  int most = MIN (count + UNHEARD_NAMED, room);
+
+  for (int pass = 0; pass < 2; pass++)
+    for (guint i = 0; i < known && count < most; i++)
+      {
+        guint at = (guint) ((now_us / 1000 + i) % known);
+        const struct pl_member *member = g_ptr_array_index (membership->order, at);
+        bool is_far = member->region != membership->self_region;
+
+        if (member->heard && member->ready && !member->leaving && is_far == (pass == 1)
+            && !pl_member_is_live (membership, member, now_us))
+          addresses[count++] = member->caller_address;
+      }
+  return count;
+}
+
 int
-pl_membership_name_hosts (const struct pl_membership *membership, const char *domain, int region,
-                          const char *self_address, const char **addresses, int room,
-                          int64_t now_us)
+pl_membership_name_hosts (const struct pl_membership *membership, const struct pl_naming *naming,
+                          const char **addresses, int room, int64_t now_us)
 {
-  const struct group groups[] = {
-      {domain, PL_NONE, self_address}, {NULL, region, self_address}, {NULL, PL_NONE, self_address}};
+  const char *self = naming->self_address;
+  const struct group groups[]
+      = {{naming->domain, PL_NONE, self}, {NULL, naming->region, self}, {NULL, PL_NONE, self}};
   int count = 0;
 
   for (size_t i = 0; i < G_N_ELEMENTS (groups) && count == 0; i++)
@@ -339,5 +378,7 @@
       count = name_strongest (found, addresses, room);
       g_array_free (found, TRUE);
     }
+  if (is_cut_off (membership, naming, now_us))
+    count = name_unheard (membership, addresses, count, room, now_us);
   return count;
 }
--- a/core/quota.c
+++ b/core/quota.c
@@ -9,7 +9,9 @@
  *
  * A peer that falls silent may be dead or cut off.  Both sides of a cut refill
  * only the part of the rate that belongs to the hosts they hear, so together they
- * stay within the whole.
+ * stay within the whole.  When the peer is heard again, what it admitted meanwhile
+ * is covered by the part that was left out, and is not taken from the bucket a
+ * second time.
  */
 #include "internal/quota.h"
 
@@ -24,11 +26,14 @@
  * of what the smaller bucket leaves. */
 #define UNTOLD_SECONDS 0.4
 #define UNTOLD_MIN 3.0
+/* Peers that were silent have reported by then. */
+#define WITHHELD_KEPT_US (2 * TELL_PERIOD_US)
 
 struct pl_quota_peer
 {
   uint64_t incarnation;
   uint64_t admitted;
+  int64_t heard_us;
 };
 
 static double
@@ -41,10 +46,17 @@
 refill (struct pl_quota *quota, int64_t now_us)
 {
   double seconds = (double) (now_us - quota->refilled_us) / 1e6;
+  double due = seconds * quota->rate;
 
-  quota->tokens
-      = fmin (quota->tokens + seconds * quota->rate * quota->heard_part, capacity_of (quota));
+  quota->tokens = fmin (quota->tokens + due * quota->heard_part, capacity_of (quota));
   quota->refilled_us = now_us;
+  if (quota->heard_part < 1)
+    {
+      quota->withheld += due * (1 - quota->heard_part);
+      quota->withheld_us = now_us;
+    }
+  else if (now_us - quota->withheld_us > WITHHELD_KEPT_US)
+    quota->withheld = 0;
 }
 
 void
@@ -78,9 +90,21 @@
   quota->tokens = fmin (quota->tokens, capacity_of (quota));
 }
 
+/* Returns how many of the FRESH requests that a peer reports are covered by what was left out of
+ * the refill while it was silent. */
+static double
+use_withheld (struct pl_quota *quota, const struct pl_quota_peer *other, double fresh,
+              int64_t returned_us)
+{
+  double covered = other->heard_us < returned_us ? fmin (fresh, quota->withheld) : 0;
+
+  quota->withheld -= covered;
+  return covered;
+}
+
 void
 pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation, uint64_t admitted,
-                  int64_t now_us)
+                  int64_t returned_us, int64_t now_us)
 {
   struct pl_quota_peer *other = g_hash_table_lookup (quota->others, &peer);
   double fresh = 0;
@@ -90,6 +114,7 @@
       other = g_new0 (struct pl_quota_peer, 1);
       other->incarnation = incarnation;
       other->admitted = admitted;
+      other->heard_us = now_us;
       g_hash_table_insert (quota->others, g_memdup2 (&peer, sizeof peer), other);
       /* A large count is from before this host's own start, whose bucket was empty then. */
       refill (quota, now_us);
@@ -104,10 +129,11 @@
   else
     fresh = (double) (admitted - other->admitted);
   refill (quota, now_us);
-  quota->tokens -= fresh;
+  quota->tokens -= fresh - use_withheld (quota, other, fresh, returned_us);
   quota->tokens = fmax (quota->tokens, -quota->rate * DEBT_SECONDS);
   other->incarnation = incarnation;
   other->admitted = admitted;
+  other->heard_us = now_us;
 }
 
 bool
--- a/core/router.c
+++ b/core/router.c
@@ -237,7 +237,7 @@
   router->slow_due_us = router->now_us + SLOW_PERIOD_US;
   probe_servers (router);
   pl_placement_expire (&router->placement, router->now_us);
-  pl_membership_expire (&router->membership, router->now_us);
+  pl_membership_expire (&router->membership, router->store_lost, router->now_us);
   quarantine_expire (&router->quarantine, router->now_us);
 }
 
@@ -367,14 +367,18 @@
 pl_router_name_hosts (const struct pl_router *router, const char *domain, const char *region,
                       const char **addresses, int room, int64_t now_us)
 {
-  int region_index = router_region (router, domain);
-  const char *self = pl_router_is_ready (router) ? router->options.caller_address : NULL;
-
-  for (guint i = 0; region != NULL && region_index == PL_NONE && i < router->region_names->len; i++)
+  struct pl_naming naming = {
+      .domain = domain,
+      .region = router_region (router, domain),
+      .self_address = pl_router_is_ready (router) ? router->options.caller_address : NULL,
+      .store_lost = router->store_lost,
+  };
+
+  for (guint i = 0; region != NULL && naming.region == PL_NONE && i < router->region_names->len;
+       i++)
     if (strcmp (g_ptr_array_index (router->region_names, i), region) == 0)
-      region_index = (int) i;
-  return pl_membership_name_hosts (&router->membership, domain, region_index, self, addresses, room,
-                                   now_us);
+      naming.region = (int) i;
+  return pl_membership_name_hosts (&router->membership, &naming, addresses, room, now_us);
 }
 
 static void
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -242,16 +242,19 @@
   return rule->parts[best].service_name;
 }
 
+/* Hosts that fell silent may be sending to the server too. */
 static double
 cold_share (void *data, uint64_t server, double cold_per_second)
 {
   struct pl_router *router = data;
   int owners = pl_membership_live_count (&router->membership, router->now_us);
+  double silent
+      = pl_membership_silent_part (&router->membership, router->store_lost, router->now_us);
 
   owners = MAX (1, MIN (owners, (int) (cold_per_second * COLD_OWNERS_PART)));
   if (!pl_membership_owns (&router->membership, server, PL_NONE, owners, router->now_us))
     return 0;
-  return 1.0 / owners;
+  return (1 - silent) / owners;
 }
 
 static void
@@ -342,9 +345,10 @@
   if (quarantine_judge (&router->quarantine, call->fingerprint) == QUARANTINE_CONVICTED)
     return ROUTER_QUARANTINED;
   if (call->account != NULL && (router->options.switches & PL_ROUTER_NO_QUOTA) == 0
-      && !pl_quota_take (&call->account->quota,
-                         pl_membership_silent_part (&router->membership, router->now_us),
-                         router->now_us))
+      && !pl_quota_take (
+          &call->account->quota,
+          pl_membership_silent_part (&router->membership, router->store_lost, router->now_us),
+          router->now_us))
     return ROUTER_OVER_RATE;
   if (call->account != NULL)
     fleet_note_admitted (router, call->account);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -227,7 +227,7 @@
 
       if (account != NULL)
         pl_quota_on_peer (&account->quota, member->id, member->incarnation,
-                          beacon->accounts[i].admitted, router->now_us);
+                          beacon->accounts[i].admitted, member->returned_us, router->now_us);
     }
 }
 
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -80,7 +80,8 @@
   bool store_lost;
   int64_t store_trouble_us; /* when the store last failed it; -1: never */
   int64_t heard_us;
-  int64_t known_us; /* since when its address is known */
+  int64_t returned_us; /* when it was last heard again after a silence; 0: never */
+  int64_t known_us;    /* since when its address is known */
   int64_t held[PL_TABLES_MAX];
 };
 
@@ -123,8 +124,10 @@
 /* Returns how many hosts took requests of late, at least one. */
 int pl_membership_active_count (const struct pl_membership *membership, int64_t now_us);
 
-/* Returns the part of the active hosts that fell silent without taking leave, 0 to 1. */
-double pl_membership_silent_part (const struct pl_membership *membership, int64_t now_us);
+/* Returns the part of the active hosts that fell silent without taking leave, 0 to 1.  STORE_LOST:
+ * this host does not reach the store, so it may be the one that is cut off. */
+double pl_membership_silent_part (const struct pl_membership *membership, bool store_lost,
+                                  int64_t now_us);
 
 /* Returns whether this host should read the store for its region: the first by rendezvous hashing
  * that is live and does not fail to.  STORE_LOST: this host fails to, so any other goes first. */
@@ -137,13 +140,22 @@
                          int count, int64_t now_us);
 
 /* Forgets hosts that have been silent for long. */
-void pl_membership_expire (struct pl_membership *membership, int64_t now_us);
+void pl_membership_expire (struct pl_membership *membership, bool store_lost, int64_t now_us);
+
+/* Who asks for hosts, and what is known beside the members. */
+struct pl_naming
+{
+  const char *domain; /* of the caller */
+  int region;
+  const char *self_address; /* NULL: this host takes no callers */
+  bool store_lost;          /* this host does not reach the store */
+};
 
-/* Fills ADDRESSES with at most ROOM addresses for callers in DOMAIN of REGION, the best first.
- * SELF_ADDRESS is this host's own, or NULL when it takes no callers.  Returns their number. */
-int pl_membership_name_hosts (const struct pl_membership *membership, const char *domain,
-                              int region, const char *self_address, const char **addresses,
-                              int room, int64_t now_us);
+/* Fills ADDRESSES, borrowed until the next beacon, with at most ROOM addresses, the best first.
+ * Returns their number. */
+int pl_membership_name_hosts (const struct pl_membership *membership,
+                              const struct pl_naming *naming, const char **addresses, int room,
+                              int64_t now_us);
 
 /* Mixes two hashes: equal on every host. */
 uint64_t pl_hash_pair (uint64_t a, uint64_t b);
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -15,7 +15,9 @@
   double burst; /* requests */
   double tokens;
   int64_t refilled_us;
-  double heard_part;  /* of the hosts, 0 to 1: the part of the rate that is refilled */
+  double heard_part; /* of the hosts, 0 to 1: the part of the rate that is refilled */
+  double withheld;   /* requests left out of the refill for peers that are silent */
+  int64_t withheld_us;
   uint64_t admitted;  /* here, since the start */
   uint64_t told;      /* admitted, as peers last heard */
   int64_t told_us;    /* 0: never */
@@ -28,9 +30,10 @@
 /* Puts new limits in force.  Tokens saved beyond the new burst are dropped. */
 void pl_quota_limit (struct pl_quota *quota, double rate, double burst, int64_t now_us);
 
-/* Takes a peer's word of how many requests it admitted since its start as INCARNATION. */
+/* Takes a peer's word of how many requests it admitted since its start as INCARNATION.
+ * RETURNED_US is when it was last heard again after a silence; 0: it was never silent. */
 void pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation,
-                       uint64_t admitted, int64_t now_us);
+                       uint64_t admitted, int64_t returned_us, int64_t now_us);
 
 /* Returns whether peers know of fewer requests than the account can bear, when HOSTS take them. */
 bool pl_quota_is_pressing (const struct pl_quota *quota, int hosts);
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -100,6 +100,25 @@
     }
 }
 
+/* When the sender was heard again after a cut, as membership knows from its beacons. */
+static int64_t
+returned_us (const struct fleet *fleet, const struct report *report, int tick)
+{
+  bool was_cut = fleet->cut_until > 0 && tick >= fleet->cut_until
+                 && is_cut (fleet, report->to, report->from, fleet->cut_until - 1);
+
+  return was_cut ? fleet->cut_until * TICK : 0;
+}
+
+/* The part of the fleet that each host knows to be silent. */
+static double
+silent_part (const struct fleet *fleet, int tick)
+{
+  bool is_known = is_cut (fleet, 0, fleet->hosts - 1, tick - SILENT_TICKS);
+
+  return is_known && is_cut (fleet, 0, fleet->hosts - 1, tick) ? 0.5 : 0;
+}
+
 static void
 deliver_reports (struct fleet *fleet, int tick)
 {
@@ -110,7 +129,8 @@
       if (report->due > tick)
         continue;
       pl_quota_on_peer (&fleet->quotas[report->to], (uint64_t) report->from + 1,
-                        report->incarnation, report->admitted, tick * TICK);
+                        report->incarnation, report->admitted, returned_us (fleet, report, tick),
+                        tick * TICK);
       g_array_remove_index_fast (fleet->reports, i--);
     }
 }
@@ -127,9 +147,8 @@
       for (due += offered * TICK / SECOND; due >= 1; due -= 1)
         {
           int host = (int) (draw (fleet) % (uint32_t) fleet->hosts);
-          double silent = is_cut (fleet, 0, fleet->hosts - 1, tick - SILENT_TICKS) ? 0.5 : 0;
 
-          if (pl_quota_take (&fleet->quotas[host], silent, tick * TICK))
+          if (pl_quota_take (&fleet->quotas[host], silent_part (fleet, tick), tick * TICK))
             fleet->admitted[tick]++;
           else
             fleet->refused++;
@@ -190,6 +209,38 @@
 }
 END_TEST
 
+/* What each side admitted during a cut was within its part; it is not held against the other when
+ * they hear each other again. */
+START_TEST (a_cut_that_heals_refuses_nothing)
+{
+  struct fleet *fleet = fleet_new (8, 100);
+  int refused_before;
+
+  fleet->cut_from = 500;
+  fleet->cut_until = 1700;
+  run (fleet, 0, fleet->cut_until, 62);
+  refused_before = fleet->refused;
+  run (fleet, fleet->cut_until, RUN_TICKS, 62);
+  ck_assert_int_le (fleet->refused - refused_before, 4);
+  check_windows (fleet, 100);
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Only a silence covers what a peer reports: a flood that follows a cut is met as before. */
+START_TEST (a_flood_after_a_cut_stays_within_the_rate)
+{
+  struct fleet *fleet = fleet_new (8, 100);
+
+  fleet->cut_from = 500;
+  fleet->cut_until = 1700;
+  run (fleet, 0, fleet->cut_until, 62);
+  run (fleet, fleet->cut_until, RUN_TICKS, 500);
+  check_windows (fleet, 100);
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (hosts_that_start_again_do_not_spend_the_burst_again)
 {
   struct fleet *fleet = fleet_new (8, 100);
@@ -225,10 +276,10 @@
 
   pl_quota_init (&quota, 0);
   pl_quota_limit (&quota, 10, 10, 0);
-  pl_quota_on_peer (&quota, 1, 1, 5, 0);
-  pl_quota_on_peer (&quota, 1, 1, 8, 0);
+  pl_quota_on_peer (&quota, 1, 1, 5, 0, 0);
+  pl_quota_on_peer (&quota, 1, 1, 8, 0, 0);
   before = quota.tokens;
-  pl_quota_on_peer (&quota, 1, 1, 6, 0);
+  pl_quota_on_peer (&quota, 1, 1, 6, 0, 0);
   ck_assert_double_eq (quota.tokens, before);
   pl_quota_clear (&quota);
 }
@@ -243,6 +294,8 @@
   tcase_add_loop_test (tcase, a_flood_stays_within_the_rate, 0, 3);
   tcase_add_loop_test (tcase, even_use_is_not_refused, 0, 3);
   tcase_add_test (tcase, both_sides_of_a_cut_stay_within_the_rate);
+  tcase_add_test (tcase, a_cut_that_heals_refuses_nothing);
+  tcase_add_test (tcase, a_flood_after_a_cut_stays_within_the_rate);
   tcase_add_test (tcase, hosts_that_start_again_do_not_spend_the_burst_again);
   tcase_add_test (tcase, lost_reports_are_made_up_by_the_next);
   tcase_add_test (tcase, an_old_report_changes_nothing);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -369,6 +369,86 @@
 }
 END_TEST
 
+static void
+lose_store (void)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_STORE_FAILED};
+
+  world_step (world, &event);
+}
+
+/* Callers of a domain that is cut off can often reach the others. */
+START_TEST (a_host_that_is_cut_off_names_others_beside_itself)
+{
+  struct pl_beacon near = peer_beacon ("near", "a-2");
+  struct pl_beacon far = peer_beacon ("far", "b-1");
+  const char *addresses[8];
+
+  near.active = true;
+  far.active = true;
+  hear (&near);
+  hear (&far);
+  world_run (world, 6 * WORLD_SECOND);
+  /* With the store in reach the others are down, not cut off. */
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 8, world->now_us),
+                    1);
+  lose_store ();
+  ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 8, world->now_us),
+                    3);
+  ck_assert_str_eq (addresses[0], "10.0.0.1:80");
+  ck_assert_str_eq (addresses[1], near.caller_address);
+  ck_assert_str_eq (addresses[2], far.caller_address);
+}
+END_TEST
+
+#define SMALL_RATE 90
+#define SMALL_ACCOUNT                                                                              \
+  "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"small\"},\"Spec\":{"                     \
+  "\"ApiKeys\":[\"key-small\"],\"RatePerS\":90,\"Burst\":10}},"
+
+/* Returns how many requests are admitted in a second in which more than the account's rate come. */
+static int
+admitted_in_a_second (void)
+{
+  int admitted = 0;
+
+  for (int i = 0; i < 200; i++)
+    {
+      struct world_call *call = world_call (world, "/read/1", "key-small");
+
+      if (call->at_server)
+        world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+      admitted += call->delivered;
+      world_run (world, 5 * WORLD_MS);
+    }
+  return admitted;
+}
+
+/* Eight hosts that fell silent keep their part of each rate; for good when it may be this host that
+ * is cut off. */
+START_TEST (a_host_alone_keeps_to_its_part_of_a_rate)
+{
+  static const int64_t silences[] = {25 * WORLD_SECOND, 100 * WORLD_SECOND};
+
+  world_config (world, 4, SMALL_ACCOUNT);
+  for (int i = 0; i < 8; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("host-%d", i);
+      struct pl_beacon beacon = peer_beacon (name, i % 2 == 0 ? "a-2" : "b-1");
+
+      beacon.active = true;
+      hear (&beacon);
+    }
+  lose_store ();
+  for (size_t i = 0; i < G_N_ELEMENTS (silences); i++)
+    {
+      world_run (world, silences[i]);
+      /* A bucket of a tenth of the rate, and one of nine parts of it. */
+      ck_assert_int_le (admitted_in_a_second (), SMALL_RATE / 10 + SMALL_RATE / 9 + 1);
+    }
+}
+END_TEST
+
 /* A host started again after its time of day was set back. */
 START_TEST (a_host_whose_clock_was_set_back_is_heard)
 {
@@ -447,6 +527,8 @@
   tcase_add_test (tcase, a_host_fetches_news_that_a_peer_holds);
   tcase_add_test (tcase, one_host_a_region_reads_the_store);
   tcase_add_test (tcase, the_directory_names_strong_hosts_of_the_callers_domain);
+  tcase_add_test (tcase, a_host_that_is_cut_off_names_others_beside_itself);
+  tcase_add_test (tcase, a_host_alone_keeps_to_its_part_of_a_rate);
   tcase_add_test (tcase, a_host_whose_clock_was_set_back_is_heard);
   tcase_add_test (tcase, parts_of_a_split_get_their_weights);
   return suite_run (suite);
