--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -51,6 +51,8 @@
   bool fresh_connection;      /* neither use nor keep a kept connection */
   bool send_once;             /* never sent again by itself, also when a kept connection was dead */
   int64_t connect_timeout_us; /* 0: the default */
+  int64_t unacked_limit_us;   /* sent bytes that the other end's host does not acknowledge for so
+                                 long end the connection; 0: the default */
   int idle_limit_s;           /* a connection idle for longer is not used again; 0: the default */
   const struct pl_http_handler *handler;
   void *data;
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -12,6 +12,9 @@
 
 #define PROBE_LIMIT_US INT64_C (600000)
 #define CONNECT_LIMIT_US INT64_C (250000)
+/* A server whose host acknowledges nothing is silent, not busy.  Two packets in a row that are lost
+ * on the way are made up for by then. */
+#define UNACKED_LIMIT_US INT64_C (500000)
 /* Servers close connections that were idle for ten seconds.  A request that may run once only must
  * not cross that; one that may be repeated can take the risk. */
 #define IDLE_LIMIT_ONCE_S 3
@@ -248,6 +251,7 @@
   /* The router ends an attempt in time; this only bounds what it has forgotten. */
   options.timeout_us = effect->u.send.time_us + G_USEC_PER_SEC;
   options.connect_timeout_us = CONNECT_LIMIT_US;
+  options.unacked_limit_us = UNACKED_LIMIT_US;
   options.idle_limit_s = effect->u.send.once ? IDLE_LIMIT_ONCE_S : IDLE_LIMIT_S;
   options.send_once = effect->u.send.once;
   options.handler = &attempt_handler;
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -11,9 +11,11 @@
  */
 #include "internal/http_client.h"
 #include "internal/clock.h"
+#include "internal/log.h"
 #include "internal/reactor.h"
 
 #include <curl/curl.h>
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <pthread.h>
@@ -53,6 +55,7 @@
   const struct pl_http_handler *handler;
   void *data;
   bool send_once;
+  unsigned unacked_limit_ms;
   bool running; /* on the thread only, as all below */
   bool sent;
   bool answered;
@@ -135,11 +138,13 @@
 static int
 on_socket_made (void *data, curl_socket_t fd, curlsocktype purpose)
 {
-  unsigned limit_ms = UNACKED_LIMIT_MS;
+  const struct pl_http_call *call = data;
 
-  (void) data;
   (void) purpose;
-  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof limit_ms);
+  if (setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &call->unacked_limit_ms,
+                  sizeof call->unacked_limit_ms)
+      < 0)
+    pl_log (PL_LOG_WARNING, "socket-option-refused", json_pack ("{s:i}", "errno", errno));
   return CURL_SOCKOPT_OK;
 }
 
@@ -423,6 +428,9 @@
   call->handler = options->handler;
   call->data = options->data;
   call->send_once = options->send_once;
+  call->unacked_limit_ms = options->unacked_limit_us > 0
+                               ? (unsigned) (options->unacked_limit_us / 1000)
+                               : UNACKED_LIMIT_MS;
   call->easy = curl_easy_init ();
   call->headers = curl_slist_append (call->headers, "Expect:");
   for (const char *const *header = options->headers; header != NULL && *header != NULL; header++)
@@ -447,6 +455,7 @@
   curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPIDLE, KEEPALIVE_IDLE_S);
   curl_easy_setopt (call->easy, CURLOPT_TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S);
   curl_easy_setopt (call->easy, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (call->easy, CURLOPT_SOCKOPTDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_PREREQFUNCTION, on_sending);
   curl_easy_setopt (call->easy, CURLOPT_PREREQDATA, call);
   curl_easy_setopt (call->easy, CURLOPT_CONNECTTIMEOUT_MS,
