--- a/core/membership.c
+++ b/core/membership.c
@@ -149,17 +149,23 @@
 }
 
 bool
-pl_membership_should_watch (const struct pl_membership *membership, bool store_lost, int64_t now_us)
+pl_membership_should_watch (const struct pl_membership *membership, bool watching, bool store_lost,
+                            int64_t now_us)
 {
   uint64_t own = pl_hash_pair (WATCH_KEY, membership->self);
 
   for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      bool goes_first = pl_hash_pair (WATCH_KEY, member->id) > own;
 
-      if (pl_member_is_live (membership, member, now_us) && !member->leaving && !member->store_lost
-          && member->region == membership->self_region
-          && (store_lost || pl_hash_pair (WATCH_KEY, member->id) > own))
+      if (!pl_member_is_live (membership, member, now_us) || member->leaving || member->store_lost
+          || member->region != membership->self_region)
+        continue;
+      /* Whoever reads already goes on: each change of reader costs calls. */
+      if (watching != member->watching)
+        goes_first = member->watching;
+      if (store_lost || goes_first)
         return false;
     }
   return true;
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -395,14 +395,20 @@
 choose_watching (struct pl_router *router)
 {
   bool settled = router->now_us - router->started_us >= SETTLE_US;
-  bool wanted
-      = settled && !router->stopping
-        && pl_membership_should_watch (&router->membership, router->store_lost, router->now_us);
+  bool wanted = settled && !router->stopping
+                && pl_membership_should_watch (&router->membership, router->watching,
+                                               router->store_lost, router->now_us);
 
   if (wanted == router->watching)
     return;
   router->watching = wanted;
   router_add_effect (router, PL_ROUTER_WATCH)->u.watch = wanted;
+  router_note (router, PL_NOTE_BELIEF, wanted ? "store-watch-begun" : "store-watch-ended",
+               json_pack ("{s:b,s:b,s:i,s:I,s:I}", "store_lost", router->store_lost, "stopping",
+                          router->stopping, "hosts",
+                          pl_membership_live_count (&router->membership, router->now_us),
+                          "held_control", (json_int_t) router->held[PL_TABLE_CONTROL].version,
+                          "held_servers", (json_int_t) router->held[PL_TABLE_SERVERS].version));
 }
 
 void
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -129,10 +129,11 @@
 double pl_membership_silent_part (const struct pl_membership *membership, bool store_lost,
                                   int64_t now_us);
 
-/* Returns whether this host should read the store for its region: the first by rendezvous hashing
- * that is live and does not fail to.  STORE_LOST: this host fails to, so any other goes first. */
-bool pl_membership_should_watch (const struct pl_membership *membership, bool store_lost,
-                                 int64_t now_us);
+/* Returns whether this host should read the store for its region: one that reads it already, or
+ * the first by rendezvous hashing, of those that are live and do not fail to.  WATCHING: this host
+ * reads it.  STORE_LOST: it fails to, so any other goes first. */
+bool pl_membership_should_watch (const struct pl_membership *membership, bool watching,
+                                 bool store_lost, int64_t now_us);
 
 /* Returns whether this host is among the COUNT hosts that KEY belongs to, of REGION (PL_NONE: of
  * all). */
