--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -104,6 +104,8 @@
                       (json_int_t) (router->now_us - call->arrived_us), "left_us",
                       (json_int_t) (call->ends_us - router->now_us), "version",
                       (json_int_t) (router->routing != NULL ? router->routing->version : 0));
+  if (call->object != 0)
+    json_object_set_new (fields, "object", json_integer ((json_int_t) (call->object >> 1)));
   if (backend != NULL)
     json_object_update_new (
         fields,
@@ -324,7 +326,7 @@
   index = event->has_key ? pl_routing_find_account (router->routing, event->key_hash) : PL_NONE;
   if (index != PL_NONE)
     account = PL_RULE_ACCOUNT (router->routing, index);
-  if (account == NULL && !route->open)
+  if (account == NULL && pl_routing_needs_key (router->routing, route))
     return news_is_stale (router) ? ROUTER_STALE : ROUTER_NO_KEY;
   call->repeatable = route->repeatable;
   call->sticky = route->sticky;
--- a/core/routing.c
+++ b/core/routing.c
@@ -198,3 +198,9 @@
 {
   return GPOINTER_TO_INT (g_hash_table_lookup (routing->keys, key_hash)) - 1;
 }
+
+bool
+pl_routing_needs_key (const struct pl_routing *routing, const struct pl_route_rule *route)
+{
+  return !route->open && routing->accounts->len > 0;
+}
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -99,6 +99,10 @@
 int pl_routing_find_service (const struct pl_routing *routing, const char *name);
 int pl_routing_find_account (const struct pl_routing *routing, const uint8_t *key_hash);
 
+/* Returns whether requests on ROUTE must come with an account's key.  Where there are no accounts,
+ * none does. */
+bool pl_routing_needs_key (const struct pl_routing *routing, const struct pl_route_rule *route);
+
 #define PL_RULE_ROUTE(r, i) (&g_array_index ((r)->routes, struct pl_route_rule, (i)))
 #define PL_RULE_SERVICE(r, i) (&g_array_index ((r)->services, struct pl_service_rule, (i)))
 #define PL_RULE_ACCOUNT(r, i) (&g_array_index ((r)->accounts, struct pl_account_rule, (i)))
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -47,6 +47,20 @@
 }
 END_TEST
 
+START_TEST (without_accounts_no_key_is_asked_for)
+{
+  static const char config[]
+      = "{\"Version\":\"r9\",\"Resources\":["
+        "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"stock\"},\"Spec\":{}},"
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":\"h\","
+        "\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Service\":\"stock\"}}]}";
+
+  world_row (world, PL_TABLE_CONTROL, "config", config);
+  ck_assert_int_eq (world_call (world, "/read/1", NULL)->sends, 1);
+  ck_assert_int_eq (world_call (world, "/read/2", "key-1")->sends, 1);
+}
+END_TEST
+
 START_TEST (without_a_configuration_nothing_is_denied)
 {
   struct world *empty = world_new ();
@@ -507,6 +521,7 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_test (tcase, a_request_is_sent_and_its_answer_delivered);
   tcase_add_test (tcase, unknown_routes_and_keys_are_refused);
+  tcase_add_test (tcase, without_accounts_no_key_is_asked_for);
   tcase_add_test (tcase, without_a_configuration_nothing_is_denied);
   tcase_add_test (tcase, work_that_runs_once_is_not_repeated_after_a_lost_answer);
   tcase_add_test (tcase, work_that_did_not_run_is_sent_to_another_server);
