--- a/core/membership.c
+++ b/core/membership.c
@@ -23,6 +23,9 @@
 /* Longer than a datagram takes between regions, shorter than a process takes to start again. */
 #define LATE_DATAGRAM_US INT64_C (300000)
 #define WATCH_KEY UINT64_C (0x73746f7265)
+/* Hosts that a host passes news on to, within its domain: a domain of 80 is reached in four steps,
+ * and a host sends no more than this many times what it got. */
+#define RELAY_FAN_OUT 4
 /* Hosts that can carry less than this part of the strongest of their domain are named only when the
  * others are busy or too few. */
 #define STRONG_PART 0.4
@@ -148,16 +151,24 @@
   return pl_member_is_live (membership, member, now_us) && member->ready && !member->leaving;
 }
 
+/* A total order in which all hosts agree: those that can carry more come first. */
+static bool
+comes_before (int capacity, uint64_t id, int other_capacity, uint64_t other_id)
+{
+  if (capacity != other_capacity)
+    return capacity > other_capacity;
+  return pl_hash_pair (WATCH_KEY, id) > pl_hash_pair (WATCH_KEY, other_id);
+}
+
 bool
 pl_membership_should_watch (const struct pl_membership *membership, bool watching, bool store_lost,
                             int64_t now_us)
 {
-  uint64_t own = pl_hash_pair (WATCH_KEY, membership->self);
-
   for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
-      bool goes_first = pl_hash_pair (WATCH_KEY, member->id) > own;
+      bool goes_first = comes_before (member->capacity, member->id, membership->self_capacity,
+                                      membership->self);
 
       if (!pl_member_is_live (membership, member, now_us) || member->leaving || member->store_lost
           || member->region != membership->self_region)
@@ -171,6 +182,74 @@
   return true;
 }
 
+/* How many live hosts of DOMAIN come before the host with CAPACITY and ID. */
+static int
+rank_in (const struct pl_membership *membership, const char *domain, int capacity, uint64_t id,
+         int64_t now_us)
+{
+  bool has_self = strcmp (domain, membership->self_domain) == 0;
+  int rank = has_self && comes_before (membership->self_capacity, membership->self, capacity, id);
+
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+
+      rank += strcmp (member->domain, domain) == 0 && pl_member_is_live (membership, member, now_us)
+              && comes_before (member->capacity, member->id, capacity, id);
+    }
+  return rank;
+}
+
+static int
+own_rank (const struct pl_membership *membership, int64_t now_us)
+{
+  return rank_in (membership, membership->self_domain, membership->self_capacity, membership->self,
+                  now_us);
+}
+
+static int
+rank_of (const struct pl_membership *membership, const struct pl_member *member, int64_t now_us)
+{
+  return rank_in (membership, member->domain, member->capacity, member->id, now_us);
+}
+
+int
+pl_membership_relay_children (const struct pl_membership *membership, bool watching,
+                              const struct pl_member **children, int64_t now_us)
+{
+  int own = own_rank (membership, now_us);
+  int count = 0;
+
+  for (guint i = 0; i < membership->order->len && count < PL_RELAY_CHILDREN_MAX; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      bool is_near = strcmp (member->domain, membership->self_domain) == 0;
+      int rank;
+
+      if (member->region != membership->self_region
+          || !pl_member_is_live (membership, member, now_us) || (!is_near && !watching))
+        continue;
+      rank = rank_of (membership, member, now_us);
+      if ((watching && rank == 0) || (is_near && rank > 0 && (rank - 1) / RELAY_FAN_OUT == own))
+        children[count++] = member;
+    }
+  return count;
+}
+
+bool
+pl_membership_is_relay_parent (const struct pl_membership *membership,
+                               const struct pl_member *member, int64_t now_us)
+{
+  int own = own_rank (membership, now_us);
+
+  if (member->region != membership->self_region)
+    return false;
+  if (own == 0)
+    return member->watching;
+  return strcmp (member->domain, membership->self_domain) == 0
+         && rank_of (membership, member, now_us) == (own - 1) / RELAY_FAN_OUT;
+}
+
 void
 pl_membership_fill_contacts (struct pl_membership *membership, struct pl_beacon *beacon,
                              int64_t now_us)
--- a/core/router.c
+++ b/core/router.c
@@ -338,7 +338,7 @@
   router->effects = effects;
   router->now_us = MAX (router->now_us, event->now_us);
   apply (router, event);
-  if (router->now_us >= router->due_us || router->tell_soon || router->tell_near)
+  if (router->now_us >= router->due_us || router->tell_soon || router->has_news)
     {
       router->due_us = router->now_us + SLOW_PERIOD_US;
       run_slow_timer (router);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -134,6 +134,20 @@
     }
 }
 
+/* News came: those that get it from this host are told. */
+static void
+tell_children (struct pl_router *router)
+{
+  const struct pl_member *children[PL_RELAY_CHILDREN_MAX];
+  int count = pl_membership_relay_children (&router->membership, router->watching, children,
+                                            router->now_us);
+  struct pl_beacon beacon;
+
+  fill_beacon (router, &beacon);
+  for (int i = 0; i < count; i++)
+    tell (router, children[i]->contact.peer_address, &beacon);
+}
+
 static void
 note_silent (struct pl_router *router)
 {
@@ -154,11 +168,14 @@
 void
 fleet_run_timers (struct pl_router *router)
 {
-  bool due = router->now_us >= router->beacon_due_us || router->tell_soon || router->tell_near;
+  bool due = router->now_us >= router->beacon_due_us || router->tell_soon;
   bool accounts = router->tell_accounts && router->now_us >= router->accounts_due_us;
 
   if (router->now_us - router->asked_us > ACTIVE_US)
     router->membership.self_active = false;
+  if (router->has_news && !due)
+    tell_children (router);
+  router->has_news = false;
   if (due || accounts)
     {
       tell_members (router, router->tell_soon, !due);
@@ -169,7 +186,6 @@
     {
       note_silent (router);
       router->tell_soon = false;
-      router->tell_near = false;
       router->beacon_due_us = router->now_us + BEACON_PERIOD_US;
     }
   router->due_us = MIN (router->due_us, router->beacon_due_us);
@@ -238,6 +254,7 @@
   struct pl_beacon beacon;
 
   fill_beacon (router, &beacon);
+  pl_membership_fill_contacts (&router->membership, &beacon, router->now_us);
   tell (router, member->contact.peer_address, &beacon);
 }
 
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -24,12 +24,16 @@
 #define MASS_GRACE_US (1200 * MS_US)
 #define MASS_COUNT 3
 #define FETCH_PAUSE_US (150 * MS_US)
-/* How long a host that reads the store itself waits for its own news before it asks a peer. */
+/* How long a host waits for news from the store, or from the peer that it gets them from, before it
+ * asks another; shorter while it knows no configuration and serves nobody. */
 #define FETCH_PATIENCE_US (300 * MS_US)
+#define FIRST_PATIENCE_US (60 * MS_US)
 #define TOMBSTONES_MAX 2000
 /* A host that starts waits so long for the answer of a host of its region, which may read the store
  * already; until it has a configuration it can do nothing else. */
 #define SETTLE_US (30 * MS_US)
+/* One that gets a configuration from a peer can wait until it has heard all of its region. */
+#define SETTLE_KNOWN_US (1200 * MS_US)
 
 int64_t
 pl_router_held (const struct pl_router *router, enum pl_table table)
@@ -325,8 +329,9 @@
   if (event->version > held->version)
     {
       held->version = event->version;
-      /* Whoever reads the store tells its region; the others only follow. */
-      router->tell_near = router->tell_near || (event->count > 0 && !event->from_peer);
+      router->has_news = router->has_news || event->count > 0;
+      router->behind_us = 0;
+      router->fetch_pause_us = 0;
     }
   forget_tombstones (held);
 }
@@ -346,45 +351,86 @@
                           (json_int_t) router->held[PL_TABLE_SERVERS].version));
 }
 
-/* Returns a live peer that holds more than this host, or NULL. */
+static bool
+holds_more (const struct pl_router *router, const struct pl_member *member)
+{
+  if (!pl_member_is_live (&router->membership, member, router->now_us)
+      || member->relay_address[0] == '\0')
+    return false;
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    if (member->held[t] > router->held[t].version)
+      return true;
+  return false;
+}
+
+/* Returns whom to ask of the live peers that hold more than this host, or NULL: the one that this
+ * host gets news from, else any, another for each host and time. */
 static const struct pl_member *
-find_better (const struct pl_router *router)
+find_better (const struct pl_router *router, bool *is_parent)
 {
-  for (guint i = 0; i < router->membership.order->len; i++)
+  const struct pl_membership *membership = &router->membership;
+  const struct pl_member *best = NULL;
+  uint64_t most = 0;
+
+  *is_parent = false;
+  for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      uint64_t weight = pl_hash_pair (membership->self ^ router->fetches, member->id) >> 1;
 
-      if (!pl_member_is_live (&router->membership, member, router->now_us)
-          || member->relay_address[0] == '\0')
+      if (!holds_more (router, member))
         continue;
-      for (int t = 0; t < PL_TABLES_MAX; t++)
-        if (member->held[t] > router->held[t].version)
+      if (pl_membership_is_relay_parent (membership, member, router->now_us))
+        {
+          *is_parent = true;
           return member;
+        }
+      if (member->region == membership->self_region)
+        weight |= UINT64_C (1) << 63;
+      if (best == NULL || weight > most)
+        {
+          best = member;
+          most = weight;
+        }
     }
-  return NULL;
+  return best;
+}
+
+/* How long news that a peer has already may take to come as it should. */
+static int64_t
+patience_for (const struct pl_router *router, bool is_parent)
+{
+  if (router->watching && !router->store_lost)
+    return FETCH_PATIENCE_US;
+  if (is_parent)
+    return 0;
+  return router->routing == NULL ? FIRST_PATIENCE_US : FETCH_PATIENCE_US;
 }
 
 static void
 fetch_from_peer (struct pl_router *router)
 {
-  const struct pl_member *member = find_better (router);
+  bool is_parent;
+  const struct pl_member *member = find_better (router, &is_parent);
   struct pl_router_effect *effect;
+  int64_t due_us;
 
   if (member == NULL)
     {
-      router->fetch_after_us = 0;
+      router->behind_us = 0;
       return;
     }
-  if (router->fetch_after_us == 0)
-    router->fetch_after_us
-        = router->now_us + (router->watching && !router->store_lost ? FETCH_PATIENCE_US : 0);
-  if (router->fetching || router->now_us < router->fetch_after_us)
+  if (router->behind_us == 0)
+    router->behind_us = router->now_us;
+  due_us = MAX (router->fetch_pause_us, router->behind_us + patience_for (router, is_parent));
+  if (router->fetching || router->now_us < due_us)
     {
-      router->due_us = MIN (router->due_us, MAX (router->fetch_after_us, router->now_us + MS_US));
+      router->due_us = MIN (router->due_us, MAX (due_us, router->now_us + MS_US));
       return;
     }
   router->fetching = true;
-  router->fetch_after_us = router->now_us + FETCH_PAUSE_US;
+  router->fetches++;
+  router->fetch_pause_us = router->now_us + FETCH_PAUSE_US;
   effect = router_add_effect (router, PL_ROUTER_FETCH);
   g_strlcpy (effect->u.fetch.address, member->relay_address, sizeof effect->u.fetch.address);
   for (int t = 0; t < PL_TABLES_MAX; t++)
@@ -394,7 +440,9 @@
 static void
 choose_watching (struct pl_router *router)
 {
-  bool settled = router->now_us - router->started_us >= SETTLE_US;
+  bool has_source = router->routing != NULL || router->behind_us > 0;
+  int64_t settle_us = has_source ? SETTLE_KNOWN_US : SETTLE_US;
+  bool settled = router->now_us - router->started_us >= settle_us;
   bool wanted = settled && !router->stopping
                 && pl_membership_should_watch (&router->membership, router->watching,
                                                router->store_lost, router->now_us);
@@ -414,6 +462,6 @@
 void
 news_run_timers (struct pl_router *router)
 {
-  choose_watching (router);
   fetch_from_peer (router);
+  choose_watching (router);
 }
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -130,11 +130,25 @@
                                   int64_t now_us);
 
 /* Returns whether this host should read the store for its region: one that reads it already, or
- * the first by rendezvous hashing, of those that are live and do not fail to.  WATCHING: this host
+ * the strongest, of those that are live and do not fail to.  WATCHING: this host
  * reads it.  STORE_LOST: it fails to, so any other goes first. */
 bool pl_membership_should_watch (const struct pl_membership *membership, bool watching,
                                  bool store_lost, int64_t now_us);
 
+/* News spreads in a tree, so that no host sends it to more than a few.  Whoever reads the store
+ * gives it to the first host of each domain of its region, and each host to the next few of its
+ * domain; hosts that can carry much come first. */
+#define PL_RELAY_CHILDREN_MAX 24
+
+/* Fills CHILDREN with the members that this host gives news to; WATCHING: it reads the store.
+ * Returns their number. */
+int pl_membership_relay_children (const struct pl_membership *membership, bool watching,
+                                  const struct pl_member **children, int64_t now_us);
+
+/* Returns whether this host gets news from MEMBER in the first place. */
+bool pl_membership_is_relay_parent (const struct pl_membership *membership,
+                                    const struct pl_member *member, int64_t now_us);
+
 /* Returns whether this host is among the COUNT hosts that KEY belongs to, of REGION (PL_NONE: of
  * all). */
 bool pl_membership_owns (const struct pl_membership *membership, uint64_t key, int region,
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -12,8 +12,17 @@
 
 #define PL_RELAY_PATH "/rows"
 
+/* What a host gives to its peers, and how much of its link it spends on that. */
+struct pl_relay
+{
+  const struct pl_router *router;
+  double bytes_per_second;
+  double bytes_left; /* below zero: peers are turned away for now */
+  int64_t refilled_us;
+};
+
 /* Answers a peer that holds the versions in CONNECTION's query; a pl_small_port_function with a
- * struct pl_router as DATA. */
+ * struct pl_relay as DATA. */
 int pl_relay_answer (void *data, struct MHD_Connection *connection, const char *path, GString *body,
                      const char **type);
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -140,7 +140,9 @@
   bool store_lost;
   int64_t store_trouble_us; /* when the store last failed this host; -1: never */
   bool fetching;
-  int64_t fetch_after_us;
+  uint64_t fetches;
+  int64_t fetch_pause_us; /* no peer is asked again before */
+  int64_t behind_us;      /* since when a peer is known to hold more; 0: none is */
   int64_t started_us;
   int64_t beacon_due_us;
   int64_t accounts_due_us;
@@ -149,7 +151,7 @@
   int64_t seeds_due_us;
   int64_t slow_due_us;
   bool tell_soon; /* a beacon to all is due */
-  bool tell_near; /* one to this region is due */
+  bool has_news;  /* rows came that peers may lack */
   bool tell_accounts;
   int64_t asked_us; /* when a request came last; 0: never */
 
--- a/modules/relay.c
+++ b/modules/relay.c
@@ -4,12 +4,15 @@
  * that is not UTF-8 can not be read by anybody and is left out.
  */
 #include "internal/relay.h"
+#include "internal/clock.h"
 #include "internal/log.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define FETCH_LIMIT_US INT64_C (1000000)
+/* All that a large fleet holds, over the weakest link. */
+#define FETCH_LIMIT_US INT64_C (3000000)
+#define BUSY_STATUS 503
 
 static void
 add_row (void *data, enum pl_table table, const struct pl_row *row)
@@ -26,20 +29,32 @@
   json_array_append_new (rows, json_pack ("[s,o,I]", row->key, value, (json_int_t) row->version));
 }
 
+/* When many ask at once, those that are answered can answer the others. */
+static bool
+is_busy (struct pl_relay *relay)
+{
+  int64_t now_us = pl_clock_now_us ();
+  double fresh = relay->bytes_per_second * (double) (now_us - relay->refilled_us) / 1e6;
+
+  relay->bytes_left = MIN (relay->bytes_left + fresh, relay->bytes_per_second);
+  relay->refilled_us = now_us;
+  return relay->bytes_left < 0;
+}
+
 int
 pl_relay_answer (void *data, struct MHD_Connection *connection, const char *path, GString *body,
                  const char **type)
 {
-  const struct pl_router *router = data;
-  json_t *tables = json_array ();
+  struct pl_relay *relay = data;
+  json_t *tables;
   char *text;
 
   (void) type;
   if (strcmp (path, PL_RELAY_PATH) != 0)
-    {
-      json_decref (tables);
-      return 404;
-    }
+    return 404;
+  if (is_busy (relay))
+    return BUSY_STATUS;
+  tables = json_array ();
   for (int t = 0; t < PL_TABLES_MAX; t++)
     {
       char name[8];
@@ -50,7 +65,7 @@
 
       g_snprintf (name, sizeof name, "t%d", t);
       after = MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
-      version = pl_router_rows_after (router, (enum pl_table) t,
+      version = pl_router_rows_after (relay->router, (enum pl_table) t,
                                       after != NULL ? g_ascii_strtoll (after, NULL, 10) : 0,
                                       &is_whole, add_row, rows);
       json_array_append_new (tables, json_pack ("{s:I,s:b,s:o}", "version", (json_int_t) version,
@@ -58,6 +73,7 @@
     }
   text = json_dumps (tables, JSON_COMPACT);
   g_string_append (body, text);
+  relay->bytes_left -= (double) body->len;
   free (text);
   json_decref (tables);
   return 200;
@@ -106,7 +122,9 @@
   struct fetch *fetch = data;
   json_t *tables = end == PL_HTTP_WHOLE && status == 200 ? json_loads (text, 0, NULL) : NULL;
 
-  if (!json_is_array (tables))
+  if (end == PL_HTTP_WHOLE && status == BUSY_STATUS)
+    pl_log (PL_LOG_INFO, "relay-busy", json_object ());
+  else if (!json_is_array (tables))
     pl_log (PL_LOG_WARNING, "relay-failed",
             json_pack ("{s:i,s:i}", "end", (int) end, "status", status));
   for (int t = 0; t < PL_TABLES_MAX && t < (int) json_array_size (tables); t++)
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -30,6 +30,9 @@
 #define DIRECTORY_TTL_DEFAULT_MS 2000
 /* Requests of a few kilobytes: a thousandth of a core goes with a fifth of a Mbit/s. */
 #define LINK_CAPACITY_PER_MBPS 5.0
+#define BYTES_PER_MBIT 125000.0
+/* Of the link that news for peers may take; the rest is for requests. */
+#define RELAY_LINK_PART 0.5
 /* Of the time that a stopping process has: by then it ends, whatever is still open. */
 #define LAST_ANSWERS_PERCENT 94
 #define BUSY_PERIOD_US INT64_C (1000000)
@@ -67,6 +70,7 @@
   struct pl_beacon_socket *beacons;
   struct pl_store_reader *store;
   struct pl_router *router;
+  struct pl_relay relay;
   struct pl_regions regions;
   GQueue events; /* of struct pl_router_event, in order */
   struct pl_router_effects effects;
@@ -415,9 +419,14 @@
       {pl_settings_text (settings, "ready", ""), entry->reactor, answer_ready, entry},
       {pl_settings_text (settings, "directory", ""), entry->reactor, answer_directory, entry},
       {pl_settings_text (settings, "metrics", ""), entry->reactor, answer_metrics, entry},
-      {pl_settings_text (settings, "peer", ""), entry->reactor, pl_relay_answer, entry->router},
+      {pl_settings_text (settings, "peer", ""), entry->reactor, pl_relay_answer, &entry->relay},
   };
 
+  entry->relay = (struct pl_relay){
+      .router = entry->router,
+      .bytes_per_second = decimal_of (settings, "link_mbps") * BYTES_PER_MBIT * RELAY_LINK_PART,
+      .refilled_us = pl_clock_now_us (),
+  };
   entry->front = pl_front_new (&front);
   entry->beacons = pl_beacon_socket_open (&beacons);
   if (entry->front == NULL || entry->beacons == NULL)
--- a/tests/test_router_start.c
+++ b/tests/test_router_start.c
@@ -11,11 +11,13 @@
 #define DATAGRAM_US (2 * WORLD_MS)
 #define STORE_ANSWER_US (5 * WORLD_MS)
 #define STEP_US WORLD_MS
-#define CONFIG_VERSION 7
+#define FIRST_VERSION 7
+/* A host gives news to four hosts of its domain and, if it reads the store, to the first of each of
+ * two domains. */
+#define RELAYS_MAX 6
 
 static const char *const domains[] = {"a-1=a", "a-2=a", NULL};
 static const char *const seeds[SEEDS + 1] = {"10.0.0.0:7600", "10.0.0.1:7600", NULL};
-static const char config[] = "{\"Version\":\"r7\",\"Resources\":[]}";
 
 struct host
 {
@@ -26,6 +28,7 @@
   char address[PL_ADDRESS_CHARS];
   int64_t starts_us;
   bool watching;
+  int relayed; /* answers to peers */
 };
 
 enum message_type
@@ -40,7 +43,7 @@
   enum message_type type;
   int64_t due_us;
   int to;
-  bool has_config;
+  int version; /* of the configuration; 0: none */
   struct pl_beacon *beacon;
 };
 
@@ -49,6 +52,7 @@
   struct host hosts[HOSTS];
   GArray *messages; /* of struct message */
   int64_t now_us;
+  int version; /* of the configuration in the store */
   int watches_begun;
 };
 
@@ -70,13 +74,21 @@
 }
 
 static void
-post (struct fleet *fleet, enum message_type type, int to, int64_t delay_us)
+post (struct fleet *fleet, enum message_type type, int to, int version, int64_t delay_us)
 {
-  struct message message = {.type = type, .to = to, .due_us = fleet->now_us + delay_us};
+  struct message message
+      = {.type = type, .to = to, .version = version, .due_us = fleet->now_us + delay_us};
 
   g_array_append_val (fleet->messages, message);
 }
 
+/* Returns 0 for a host that does not run. */
+static int
+held_version (const struct host *host)
+{
+  return host->router != NULL ? (int) pl_router_held (host->router, PL_TABLE_CONTROL) : 0;
+}
+
 static void
 take_effect (struct fleet *fleet, int index, const struct pl_router_effect *effect)
 {
@@ -95,15 +107,12 @@
       host->watching = effect->u.watch;
       fleet->watches_begun += host->watching;
       if (host->watching)
-        post (fleet, MESSAGE_STORE, index, STORE_ANSWER_US);
+        post (fleet, MESSAGE_STORE, index, fleet->version, STORE_ANSWER_US);
       break;
     case PL_ROUTER_FETCH:
       peer = find_host (fleet, effect->u.fetch.address);
-      message.type = MESSAGE_RELAY;
-      message.to = index;
-      message.has_config = pl_router_held (fleet->hosts[peer].router, PL_TABLE_CONTROL) > 0;
-      message.due_us = fleet->now_us + 2 * DATAGRAM_US;
-      g_array_append_val (fleet->messages, message);
+      fleet->hosts[peer].relayed++;
+      post (fleet, MESSAGE_RELAY, index, held_version (&fleet->hosts[peer]), 2 * DATAGRAM_US);
       break;
     default:
       break;
@@ -123,15 +132,16 @@
 }
 
 static void
-give_config (struct fleet *fleet, int index, bool from_peer)
+give_config (struct fleet *fleet, int index, int version, bool from_peer)
 {
-  struct pl_row row = {"config", config, sizeof config - 1, CONFIG_VERSION};
+  g_autofree char *config = g_strdup_printf ("{\"Version\":\"r%d\",\"Resources\":[]}", version);
+  struct pl_row row = {"config", config, strlen (config), version};
   struct pl_router_event event = {
       .type = PL_ROUTER_ROWS,
       .u.rows = {.table = PL_TABLE_CONTROL,
                  .is_whole = true,
                  .from_peer = from_peer,
-                 .version = CONFIG_VERSION,
+                 .version = version,
                  .rows = &row,
                  .count = 1},
   };
@@ -152,11 +162,11 @@
       step (fleet, message->to, &event);
       break;
     case MESSAGE_STORE:
-      give_config (fleet, message->to, false);
+      give_config (fleet, message->to, message->version, false);
       break;
     case MESSAGE_RELAY:
-      if (message->has_config)
-        give_config (fleet, message->to, true);
+      if (message->version > 0)
+        give_config (fleet, message->to, message->version, true);
       event.type = PL_ROUTER_RELAY_DONE;
       step (fleet, message->to, &event);
       break;
@@ -233,6 +243,7 @@
 
   fleet->messages = g_array_new (FALSE, FALSE, sizeof (struct message));
   fleet->now_us = WORLD_SECOND;
+  fleet->version = FIRST_VERSION;
   for (int i = 0; i < HOSTS; i++)
     {
       struct host *host = &fleet->hosts[i];
@@ -264,7 +275,7 @@
   int configured = 0;
 
   for (int i = 0; i < HOSTS; i++)
-    configured += pl_router_held (fleet->hosts[i].router, PL_TABLE_CONTROL) == CONFIG_VERSION;
+    configured += held_version (&fleet->hosts[i]) == fleet->version;
   return configured;
 }
 
@@ -310,6 +321,53 @@
 }
 END_TEST
 
+/* A change reaches all hosts soon, and no host has to send it to many. */
+START_TEST (news_spreads_without_loading_any_host)
+{
+  struct fleet *fleet = fleet_new ();
+
+  run (fleet, 6 * WORLD_SECOND);
+  for (int change = 1; change <= 5; change++)
+    {
+      fleet->version++;
+      for (int i = 0; i < HOSTS; i++)
+        {
+          fleet->hosts[i].relayed = 0;
+          if (fleet->hosts[i].watching)
+            post (fleet, MESSAGE_STORE, i, fleet->version, STORE_ANSWER_US);
+        }
+      run (fleet, 100 * WORLD_MS);
+      ck_assert_int_eq (count_configured (fleet), HOSTS);
+      for (int i = 0; i < HOSTS; i++)
+        ck_assert_int_le (fleet->hosts[i].relayed, RELAYS_MAX);
+      run (fleet, 2 * WORLD_SECOND);
+    }
+  fleet_free (fleet);
+}
+END_TEST
+
+/* Without the host that others get their news from, they ask another. */
+START_TEST (news_goes_round_a_host_that_does_not_pass_them_on)
+{
+  struct fleet *fleet = fleet_new ();
+  int source = 0;
+
+  run (fleet, 6 * WORLD_SECOND);
+  while (!fleet->hosts[source].watching)
+    source++;
+  /* The reader ends; it took no leave. */
+  pl_router_free (fleet->hosts[source].router);
+  fleet->hosts[source].router = NULL;
+  fleet->hosts[source].watching = false;
+  fleet->hosts[source].starts_us = INT64_MAX;
+  fleet->version++;
+  run (fleet, 3 * WORLD_SECOND);
+  ck_assert_int_eq (count_watching (fleet), 1);
+  ck_assert_int_eq (count_configured (fleet), HOSTS - 1);
+  fleet_free (fleet);
+}
+END_TEST
+
 /* The seeds in the settings may be down. */
 START_TEST (hosts_start_without_their_seeds)
 {
@@ -319,7 +377,7 @@
     fleet->hosts[i].starts_us += 20 * WORLD_SECOND;
   run (fleet, START_SPREAD_US + 500 * WORLD_MS);
   for (int i = SEEDS; i < HOSTS; i++)
-    ck_assert_int_eq (pl_router_held (fleet->hosts[i].router, PL_TABLE_CONTROL), CONFIG_VERSION);
+    ck_assert_int_eq (held_version (&fleet->hosts[i]), FIRST_VERSION);
   run (fleet, 25 * WORLD_SECOND);
   ck_assert_int_eq (count_configured (fleet), HOSTS);
   ck_assert_int_eq (count_watching (fleet), 1);
@@ -336,6 +394,8 @@
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, few_hosts_read_the_store_when_all_start_at_once);
   tcase_add_loop_test (tcase, a_host_that_joins_leaves_the_reader_alone, 0, HOSTS);
+  tcase_add_test (tcase, news_spreads_without_loading_any_host);
+  tcase_add_test (tcase, news_goes_round_a_host_that_does_not_pass_them_on);
   tcase_add_test (tcase, hosts_start_without_their_seeds);
   return suite_run (suite);
 }
