--- a/core/placement.c
+++ b/core/placement.c
@@ -3,9 +3,10 @@
  * A server that handled an object lately does the same work in a third of the
  * time, and one that did not misses the latency objective even when idle.  So the
  * object decides: all entry hosts rank the servers for it by rendezvous hashing
- * and arrive at the same few without talking.  A busy first choice is given up for
- * the second only when waiting there costs more than the warm cache saves, and
- * the overflow always goes to the same next one, which gets warm once.
+ * and arrive at the same few without talking.  A busy first choice is waited for:
+ * a server that has to be warmed for the overflow takes three times as long, and
+ * forgets another object for it, so under load that nobody can bear every server
+ * would end up cold.  Only a server with time to spare takes overflow.
  *
  * Nearness weighs in by the size of the request: a photograph costs more to carry
  * to another domain than a cold server costs in time, a look-up costs next to
@@ -33,16 +34,24 @@
 #define SLOW_FACTOR 2.5
 #define DOWN_FIRST_US INT64_C (500000)
 #define DOWN_LAST_US INT64_C (4000000)
-/* Of the latency objective that the work and the wait before it may take. */
-#define OBJECTIVE_PART 0.85
-/* Servers that an object may be on.  More copies would push other objects out of the servers'
- * memory, which makes all requests slow just when there are many. */
+/* Latency objectives that the work and the wait before it may take.  Late is better for a caller
+ * than refused, but where most answers are late the queues only make all of them late. */
+#define QUEUE_OBJECTIVES 1.8
+#define QUEUE_OBJECTIVES_LEAST 1.0
+/* The queues shorten between these parts of late answers, which are judged by so many of them. */
+#define LATE_PART_SOME 0.5
+#define LATE_PART_MOST 0.8
+#define LATE_SMOOTHING (1.0 / 128)
+/* Of the caller's time that they may take; else the wait would be for nothing. */
+#define QUEUE_TIME_PART 0.85
+/* Servers beside the first that an object may overflow to.  More copies would push other objects
+ * out of the servers' memory, which makes all requests slow just when there are many. */
 #define COPIES 2
-/* With fewer servers to choose from than this, one copy: accounts that are bound to a region bring
+/* With fewer servers to choose from than this, one: accounts that are bound to a region bring
  * the objects of all regions to it. */
 #define SERVERS_FOR_COPIES 8
-/* One more may be had while it costs nobody anything: on a server that is less busy than this. */
-#define SPARE_LOAD 0.6
+/* A server that is less busy than this has time to spare for them. */
+#define SPARE_LOAD 0.8
 #define RANKED_MAX 3
 /* What another region counts as, in slots, when any idle server will do. */
 #define FAR_LOAD 0.25
@@ -61,7 +70,7 @@
 /* Weights in the ranking: nearness pulls an object to this domain or region. */
 /* Enough to keep more than half of the small requests in their region, and little enough that a
  * region with few servers is not filled by its own. */
-#define REGION_WEIGHT_SMALL 3.0
+#define REGION_WEIGHT_SMALL 2.0
 #define REGION_WEIGHT_LARGE 1e3
 #define DOMAIN_WEIGHT_LARGE 1e6
 
@@ -386,49 +395,44 @@
   return (load_of (backend, now_us) + 1) / slots_of (service, backend);
 }
 
-/* Returns whether a request sent to BACKEND now is answered within the objective, or at least runs
- * at once. */
+static double
+queue_objectives (const struct pl_placement_service *service)
+{
+  double excess = (service->late_part - LATE_PART_SOME) / (LATE_PART_MOST - LATE_PART_SOME);
+
+  return QUEUE_OBJECTIVES
+         - (QUEUE_OBJECTIVES - QUEUE_OBJECTIVES_LEAST) * fmin (fmax (excess, 0), 1);
+}
+
+/* Returns whether a request sent to BACKEND now is answered in a time that is still of use, or at
+ * least runs at once. */
 static bool
 has_room (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
           const struct pl_backend *backend, int64_t now_us)
 {
   double load = load_with_one (service, backend, now_us);
   double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
+  double limit_us = fmin ((double) wish->objective_us * queue_objectives (service),
+                          (double) wish->time_us * QUEUE_TIME_PART);
 
-  return load <= 1
-         || (work_us > 0 && work_us * load <= (double) wish->objective_us * OBJECTIVE_PART);
+  return load <= 1 || (work_us > 0 && work_us * load <= limit_us);
 }
 
-/* The first of the ranking while it has a free slot, then the less busy of those that hold a copy,
- * then a new copy on a server with time to spare. */
+/* The first of the ranking while it has room, then another with time to spare. */
 static struct pl_backend *
 choose_ranked (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
                const struct scan *scan, int64_t now_us)
 {
   const struct ranked *ranked = scan->ranked;
-  int count = scan->ranked_count;
   int choice = wish->is_large && scan->near > 0 ? scan->near : scan->sound;
   int copies = choice >= SERVERS_FOR_COPIES ? COPIES : 1;
-  struct pl_backend *best = NULL;
-  double best_load = 0;
 
-  for (int i = 0; i < count && i < copies; i++)
-    {
-      struct pl_backend *backend = ranked[i].backend;
-      double load = load_with_one (service, backend, now_us);
-
-      if (load <= 1)
-        return backend;
-      if (has_room (service, wish, backend, now_us) && (best == NULL || load < best_load))
-        {
-          best = backend;
-          best_load = load;
-        }
-    }
-  if (best == NULL && count > copies
-      && load_with_one (service, ranked[copies].backend, now_us) <= SPARE_LOAD)
-    best = ranked[copies].backend;
-  return best;
+  if (scan->ranked_count > 0 && has_room (service, wish, ranked[0].backend, now_us))
+    return ranked[0].backend;
+  for (int i = 1; i < scan->ranked_count && i <= copies; i++)
+    if (load_with_one (service, ranked[i].backend, now_us) <= SPARE_LOAD)
+      return ranked[i].backend;
+  return NULL;
 }
 
 static void
@@ -518,16 +522,17 @@
 }
 
 void
-pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend, bool failed,
-                          int64_t latency_us, double load)
+pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend,
+                          const struct pl_placement_answer *answer)
 {
   struct pl_placement_service *service = take_service (placement, backend->entry.service);
-  double work_us = (double) latency_us / fmax (load, 1);
+  double work_us = (double) answer->latency_us / fmax (answer->load, 1);
 
   backend->failures = 0;
   backend->on_trial = false;
-  note_failure (placement, backend, failed ? 1.0 : 0.0);
-  if (failed || latency_us <= 0)
+  note_failure (placement, backend, answer->failed ? 1.0 : 0.0);
+  service->late_part += LATE_SMOOTHING * ((answer->late ? 1.0 : 0.0) - service->late_part);
+  if (answer->failed || answer->latency_us <= 0)
     return;
   smooth (&backend->work_us, work_us, LATENCY_SMOOTHING);
   smooth (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -292,6 +292,7 @@
       .object = call->sticky ? call->object : 0,
       .is_large = call->body_bytes >= LARGE_BODY_BYTES,
       .objective_us = call->objective_us,
+      .time_us = call->ends_us - router->now_us,
       .only_tried_and_sound = !call->repeatable,
       .has_homes = call->has_homes,
       .homes = call->homes,
@@ -509,9 +510,11 @@
 on_answer (struct pl_router *router, struct call *call, int status)
 {
   bool failed = status >= 500;
+  int64_t latency_us = router->now_us - call->sent_us;
+  struct pl_placement_answer answer
+      = {failed, latency_us > call->objective_us, latency_us, call->load_at_send};
 
-  pl_placement_note_answer (&router->placement, call->backend, failed,
-                            router->now_us - call->sent_us, call->load_at_send);
+  pl_placement_note_answer (&router->placement, call->backend, &answer);
   call->ran = true;
   if (status < 500)
     quarantine_note_success (&router->quarantine, call->fingerprint);
@@ -622,9 +625,11 @@
 static void
 end_late (struct pl_router *router, struct call *call)
 {
+  static const struct pl_placement_answer none = {.failed = true, .late = true, .load = 1};
+
   cancel (router, call);
   call->ran = true;
-  pl_placement_note_answer (&router->placement, call->backend, true, 0, 1);
+  pl_placement_note_answer (&router->placement, call->backend, &none);
   refuse (router, call, ROUTER_LATE, 0);
 }
 
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -67,6 +67,7 @@
   GPtrArray *backends; /* of struct pl_backend */
   double work_us;      /* smoothed over all its servers; 0: none yet */
   double failure_part; /* smoothed over all its servers */
+  double late_part;    /* of the answers, smoothed */
   double asked;        /* requests, of the latest */
   struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
   int64_t regions_due_us; /* when the reservations are judged next */
@@ -89,7 +90,8 @@
   const char *service;
   uint64_t object;           /* hash of the object concerned; 0: none */
   bool is_large;             /* its bytes are dear to carry far */
-  int64_t objective_us;      /* a queue is used as far as the answer still comes within it */
+  int64_t objective_us;      /* a queue is used as far as the answer is not much later */
+  int64_t time_us;           /* until the caller or the route's timeout ends it */
   bool only_tried_and_sound; /* it may run once only: not where a server is on trial */
   bool has_homes;
   uint32_t homes;
@@ -135,10 +137,17 @@
 bool pl_placement_is_listed (const struct pl_placement *placement, const struct pl_backend *backend,
                              int64_t now_us);
 
-/* What became of a request sent to BACKEND; LATENCY_US 0: not known.  LOAD is the server's load in
- * slots when it was sent. */
+/* How a server answered. */
+struct pl_placement_answer
+{
+  bool failed;
+  bool late;          /* later than the latency objective, from when it was sent */
+  int64_t latency_us; /* 0: not known */
+  double load;        /* of the server, in slots, when the request was sent */
+};
+
 void pl_placement_note_answer (struct pl_placement *placement, struct pl_backend *backend,
-                               bool failed, int64_t latency_us, double load);
+                               const struct pl_placement_answer *answer);
 /* It turned a request away; SAYS_LOAD: and said how busy it is, which counts then. */
 void pl_placement_note_full (struct pl_placement *placement, struct pl_backend *backend,
                              bool says_load, int64_t now_us);
--- /dev/null
+++ b/tests/test_replay.c
@@ -0,0 +1,579 @@
+/* A recorded burst, replayed in virtual time through the placement of nine entry hosts and through
+ * simpler policies.
+ *
+ * tests/data/burst.csv holds the requests that nine hosts admitted in eight seconds of a day in
+ * which traffic rises to more than three times its usual.  The servers here behave as those of that
+ * day did: one that holds an object in its memory takes a third of the time, the memory forgets
+ * what was used longest ago, and a full queue sheds.
+ *
+ * With --table it prints what each policy serves.
+ */
+#include "internal/membership.h"
+#include "internal/placement.h"
+#include "suite.h"
+
+#include <errno.h>
+#include <stdio.h>
+#include <string.h>
+
+#define RECORDING "tests/data/burst.csv"
+#define HOSTS 9
+#define REGIONS 3
+#define SERVICES 3
+#define SERVERS_MAX 40
+#define MEMORY_MAX 40 /* objects */
+#define QUEUE_FACTOR 3
+#define MS INT64_C (1000)
+#define OBJECTIVE_US (200 * MS)
+#define PATIENCE_US (1200 * MS)
+#define WAIT_US (OBJECTIVE_US / 8)
+#define RETRY_AFTER_US (150 * MS)
+#define FAR_US (12 * MS) /* one way between regions */
+#define END_US (11000 * MS)
+#define LATE_CREDIT 0.2
+
+static const struct
+{
+  int servers;
+  int slots;
+  int memory;
+  int64_t warm_us;
+} services[SERVICES] = {{16, 5, 40, 88 * MS}, {12, 3, 22, 115 * MS}, {12, 3, 22, 87 * MS}};
+#define COLD_FACTOR 3
+
+struct request
+{
+  int64_t arrived_us; /* first */
+  int64_t due_us;     /* of this try: refused without a place by then */
+  int64_t sent_us;
+  double load_at_send;
+  int host;
+  int service;
+  uint64_t object;
+  bool came_back;
+  int server;
+  struct pl_backend *backend; /* as its host sees it */
+};
+
+struct server
+{
+  int number;
+  int service;
+  int region;
+  uint64_t hash;
+  int running;
+  GQueue waiting; /* of struct request */
+  uint64_t memory[MEMORY_MAX];
+  int remembered;
+};
+
+/* What is on its way, or being worked on. */
+enum event_type
+{
+  EVENT_ARRIVES,
+  EVENT_AT_SERVER,
+  EVENT_DONE,
+  EVENT_ANSWERED,
+  EVENT_SHED,
+};
+
+struct event
+{
+  int64_t due_us;
+  enum event_type type;
+  struct request *request;
+};
+
+struct result
+{
+  int in_time;
+  int late;
+  int refused;
+  int cold;
+};
+
+struct replay;
+struct policy
+{
+  const char *name;
+  /* Returns the number of a server, or -1: the request waits. */
+  int (*choose) (struct replay *replay, struct request *request);
+};
+
+struct replay
+{
+  const struct policy *policy;
+  struct pl_placement placements[HOSTS];
+  struct server servers[SERVERS_MAX];
+  int server_count;
+  int loads[HOSTS][SERVERS_MAX]; /* in flight and told, as the baselines see them */
+  GSequence *events;             /* of struct event, the next first */
+  GQueue waiting;                /* of struct request, at hosts */
+  int64_t now_us;
+  uint32_t random;
+  struct result result;
+};
+
+static int
+region_of (int host)
+{
+  return host * REGIONS / HOSTS;
+}
+
+static gint
+by_time (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct event *left = a;
+  const struct event *right = b;
+
+  (void) data;
+  return left->due_us < right->due_us ? -1 : left->due_us > right->due_us;
+}
+
+static void
+post (struct replay *replay, enum event_type type, struct request *request, int64_t delay_us)
+{
+  struct event *event = g_new (struct event, 1);
+
+  *event = (struct event){replay->now_us + delay_us, type, request};
+  g_sequence_insert_sorted (replay->events, event, by_time, NULL);
+}
+
+static double
+whole_share (void *data, uint64_t server, double cold_per_second)
+{
+  (void) data;
+  (void) server;
+  (void) cold_per_second;
+  return 1;
+}
+
+static bool
+is_full (const struct replay *replay, int host, int server)
+{
+  return replay->loads[host][server] >= services[replay->servers[server].service].slots;
+}
+
+static int
+choose_random (struct replay *replay, struct request *request)
+{
+  int server;
+
+  do
+    {
+      replay->random = replay->random * 1664525 + 1013904223;
+      server = (int) ((replay->random >> 8) % (uint32_t) replay->server_count);
+    }
+  while (replay->servers[server].service != request->service);
+  return server;
+}
+
+static int
+choose_least_loaded (struct replay *replay, struct request *request)
+{
+  int best = -1;
+
+  for (int i = 0; i < replay->server_count; i++)
+    if (replay->servers[i].service == request->service
+        && replay->servers[i].region == region_of (request->host)
+        && (best < 0 || replay->loads[request->host][i] < replay->loads[request->host][best]))
+      best = i;
+  return is_full (replay, request->host, best) ? -1 : best;
+}
+
+static int
+choose_by_hash (struct replay *replay, struct request *request)
+{
+  uint64_t most = 0;
+  int best = -1;
+
+  for (int i = 0; i < replay->server_count; i++)
+    {
+      uint64_t weight = pl_hash_pair (request->object, replay->servers[i].hash);
+
+      if (replay->servers[i].service == request->service && (best < 0 || weight > most))
+        {
+          best = i;
+          most = weight;
+        }
+    }
+  return best;
+}
+
+static int
+choose_placement (struct replay *replay, struct request *request)
+{
+  static const char *const names[SERVICES] = {"0", "1", "2"};
+  struct pl_placement_wish wish = {.service = names[request->service],
+                                   .object = request->object,
+                                   .objective_us = OBJECTIVE_US,
+                                   .time_us = request->arrived_us + PATIENCE_US - replay->now_us,
+                                   .homes = UINT32_MAX};
+
+  if (pl_placement_choose (&replay->placements[request->host], &wish, whole_share, NULL,
+                           &request->backend, replay->now_us)
+      != PL_PLACED)
+    return -1;
+  return atoi (request->backend->entry.id);
+}
+
+static const struct policy policies[] = {
+    {"random", choose_random},
+    {"least loaded of the region", choose_least_loaded},
+    {"rendezvous hashing without bounds", choose_by_hash},
+    {"placement", choose_placement},
+};
+#define PLACEMENT (G_N_ELEMENTS (policies) - 1)
+
+static void
+add_server (struct replay *replay, int service, int region)
+{
+  struct server *server = &replay->servers[replay->server_count];
+  struct pl_server_entry entry = {.slots = services[service].slots, .born = 1};
+
+  server->number = replay->server_count++;
+  server->service = service;
+  server->region = region;
+  g_queue_init (&server->waiting);
+  g_snprintf (entry.id, sizeof entry.id, "%d", server->number);
+  g_snprintf (entry.service, sizeof entry.service, "%d", service);
+  g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", server->number);
+  g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", region, server->number % 2);
+  for (int host = 0; host < HOSTS; host++)
+    server->hash = pl_placement_put (&replay->placements[host], &entry, region, true, 0)->hash;
+}
+
+static struct replay *
+replay_new (const struct policy *policy)
+{
+  struct replay *replay = g_new0 (struct replay, 1);
+
+  replay->policy = policy;
+  replay->events = g_sequence_new (g_free);
+  replay->random = 1;
+  g_queue_init (&replay->waiting);
+  for (int host = 0; host < HOSTS; host++)
+    {
+      char domain[8];
+
+      g_snprintf (domain, sizeof domain, "%d-%d", region_of (host), host % 2);
+      pl_placement_init (&replay->placements[host], domain, region_of (host));
+    }
+  for (int service = 0; service < SERVICES; service++)
+    for (int i = 0; i < services[service].servers; i++)
+      add_server (replay, service, i % REGIONS);
+  return replay;
+}
+
+static void
+replay_free (struct replay *replay)
+{
+  for (int host = 0; host < HOSTS; host++)
+    pl_placement_clear (&replay->placements[host]);
+  for (int i = 0; i < replay->server_count; i++)
+    g_queue_clear_full (&replay->servers[i].waiting, g_free);
+  g_queue_clear_full (&replay->waiting, g_free);
+  g_sequence_free (replay->events);
+  g_free (replay);
+}
+
+static void
+add_request (struct replay *replay, int ms, int host, int service, int object)
+{
+  struct request *request = g_new0 (struct request, 1);
+
+  request->arrived_us = ms * MS;
+  request->host = host;
+  request->service = service;
+  request->object = pl_hash_pair ((uint64_t) object + 1, (uint64_t) service);
+  post (replay, EVENT_ARRIVES, request, request->arrived_us);
+}
+
+/* IS_DOUBLED: each request comes together with that for the object that was asked for before. */
+static void
+load_recording (struct replay *replay, bool is_doubled)
+{
+  FILE *file = fopen (RECORDING, "r");
+  int last_objects[SERVICES] = {0};
+  char line[64];
+
+  if (file == NULL)
+    g_error ("%s: %s", RECORDING, g_strerror (errno));
+  while (fgets (line, sizeof line, file) != NULL)
+    {
+      int ms, host, service, object;
+
+      if (sscanf (line, "%d,%d,%d,%d", &ms, &host, &service, &object) != 4)
+        continue;
+      add_request (replay, ms, host, service, object);
+      if (is_doubled)
+        add_request (replay, ms, (host + 4) % HOSTS, service, last_objects[service]);
+      last_objects[service] = object;
+    }
+  fclose (file);
+}
+
+static int64_t
+way_us (const struct replay *replay, const struct request *request)
+{
+  return replay->servers[request->server].region == region_of (request->host) ? 0 : FAR_US;
+}
+
+static void
+refuse (struct replay *replay, struct request *request)
+{
+  if (request->came_back)
+    {
+      replay->result.refused++;
+      g_free (request);
+      return;
+    }
+  request->came_back = true;
+  request->host = (request->host + 1) % HOSTS;
+  post (replay, EVENT_ARRIVES, request, RETRY_AFTER_US);
+}
+
+static bool
+place (struct replay *replay, struct request *request)
+{
+  request->backend = NULL;
+  request->server = replay->policy->choose (replay, request);
+  if (request->server < 0)
+    return false;
+  replay->loads[request->host][request->server]++;
+  request->sent_us = replay->now_us;
+  if (request->backend != NULL)
+    request->load_at_send = request->backend->load_at_send;
+  post (replay, EVENT_AT_SERVER, request, way_us (replay, request));
+  return true;
+}
+
+/* Returns whether SERVER held OBJECT, which it holds from now on. */
+static bool
+remember (struct server *server, uint64_t object)
+{
+  int at = 0;
+  bool held;
+
+  while (at < server->remembered && server->memory[at] != object)
+    at++;
+  held = at < server->remembered;
+  if (!held && server->remembered < services[server->service].memory)
+    server->remembered++;
+  at = MIN (at, server->remembered - 1);
+  memmove (&server->memory[1], &server->memory[0], sizeof server->memory[0] * (size_t) at);
+  server->memory[0] = object;
+  return held;
+}
+
+static void
+run (struct replay *replay, struct server *server, struct request *request)
+{
+  int64_t work_us = services[server->service].warm_us;
+
+  server->running++;
+  if (!remember (server, request->object))
+    {
+      work_us *= COLD_FACTOR;
+      replay->result.cold++;
+    }
+  /* A fifth more or less, by the request. */
+  work_us += work_us * ((request->arrived_us / MS * 7 + request->host) % 41 - 20) / 100;
+  post (replay, EVENT_DONE, request, work_us);
+}
+
+static void
+on_at_server (struct replay *replay, struct request *request)
+{
+  struct server *server = &replay->servers[request->server];
+  int slots = services[server->service].slots;
+
+  if (server->running < slots)
+    run (replay, server, request);
+  else if (g_queue_get_length (&server->waiting) < (guint) (slots * QUEUE_FACTOR))
+    g_queue_push_tail (&server->waiting, request);
+  else
+    post (replay, EVENT_SHED, request, way_us (replay, request));
+}
+
+static void
+on_done (struct replay *replay, struct request *request)
+{
+  struct server *server = &replay->servers[request->server];
+  struct request *next = g_queue_pop_head (&server->waiting);
+
+  server->running--;
+  if (next != NULL)
+    run (replay, server, next);
+  post (replay, EVENT_ANSWERED, request, way_us (replay, request));
+}
+
+/* The answer tells the server's load, also to the baselines. */
+static void
+leave_server (struct replay *replay, struct request *request, bool served)
+{
+  const struct server *server = &replay->servers[request->server];
+  struct pl_placement *placement = &replay->placements[request->host];
+  struct pl_backend *backend = request->backend;
+  int waiting = (int) g_queue_get_length ((GQueue *) &server->waiting);
+  struct pl_placement_answer answer = {.latency_us = replay->now_us - request->sent_us};
+
+  replay->loads[request->host][request->server] = server->running + waiting;
+  if (backend == NULL)
+    return;
+  answer.late = answer.latency_us > OBJECTIVE_US;
+  answer.load = request->load_at_send;
+  backend->in_flight--;
+  pl_placement_note_load (backend, server->running, waiting, services[server->service].slots,
+                          replay->now_us);
+  if (served)
+    pl_placement_note_answer (placement, backend, &answer);
+  else
+    pl_placement_note_full (placement, backend, true, replay->now_us);
+}
+
+static void
+on_answered (struct replay *replay, struct request *request)
+{
+  int64_t latency_us = replay->now_us - request->arrived_us;
+
+  leave_server (replay, request, true);
+  if (latency_us <= OBJECTIVE_US)
+    replay->result.in_time++;
+  else if (latency_us <= PATIENCE_US)
+    replay->result.late++;
+  else
+    replay->result.refused++;
+  g_free (request);
+}
+
+/* Any event may have made room. */
+static void
+place_waiting (struct replay *replay)
+{
+  guint count = g_queue_get_length (&replay->waiting);
+
+  for (guint i = 0; i < count; i++)
+    {
+      struct request *request = g_queue_pop_head (&replay->waiting);
+
+      if (place (replay, request))
+        continue;
+      if (request->due_us <= replay->now_us)
+        refuse (replay, request);
+      else
+        g_queue_push_tail (&replay->waiting, request);
+    }
+}
+
+static void
+handle (struct replay *replay, const struct event *event)
+{
+  struct request *request = event->request;
+
+  switch (event->type)
+    {
+    case EVENT_ARRIVES:
+      request->due_us = replay->now_us + WAIT_US;
+      g_queue_push_tail (&replay->waiting, request);
+      break;
+    case EVENT_AT_SERVER:
+      on_at_server (replay, request);
+      break;
+    case EVENT_DONE:
+      on_done (replay, request);
+      break;
+    case EVENT_ANSWERED:
+      on_answered (replay, request);
+      break;
+    case EVENT_SHED:
+      leave_server (replay, request, false);
+      refuse (replay, request);
+      break;
+    }
+}
+
+static struct result
+play (const struct policy *policy, bool is_doubled)
+{
+  struct replay *replay = replay_new (policy);
+  struct result result;
+
+  load_recording (replay, is_doubled);
+  while (replay->now_us < END_US && g_sequence_get_length (replay->events) > 0)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (replay->events);
+      struct event event = *(struct event *) g_sequence_get (first);
+
+      g_sequence_remove (first);
+      replay->now_us = event.due_us;
+      handle (replay, &event);
+      place_waiting (replay);
+    }
+  result = replay->result;
+  replay_free (replay);
+  return result;
+}
+
+static double
+credit_of (const struct result *result)
+{
+  int all = result->in_time + result->late + result->refused;
+
+  return (result->in_time + LATE_CREDIT * result->late) / all;
+}
+
+static void
+print_table (bool is_doubled)
+{
+  printf ("\n%s\n\n| policy | in time | late | refused | cold runs | credit "
+          "|\n|---|---|---|---|---|---|\n",
+          is_doubled ? "The recording doubled" : "As recorded");
+  for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
+    {
+      struct result result = play (&policies[i], is_doubled);
+
+      printf ("| %s | %d | %d | %d | %d | %.3f |\n", policies[i].name, result.in_time, result.late,
+              result.refused, result.cold, credit_of (&result));
+    }
+}
+
+START_TEST (placement_serves_more_in_time_than_a_simpler_policy)
+{
+  for (int is_doubled = 0; is_doubled < 2; is_doubled++)
+    {
+      struct result ours = play (&policies[PLACEMENT], is_doubled);
+      struct result other = play (&policies[_i], is_doubled);
+
+      ck_assert_int_gt (ours.in_time, other.in_time);
+      ck_assert_double_gt (credit_of (&ours), credit_of (&other));
+    }
+}
+END_TEST
+
+START_TEST (a_replay_is_the_same_each_time)
+{
+  struct result first = play (&policies[PLACEMENT], true);
+  struct result second = play (&policies[PLACEMENT], true);
+
+  ck_assert_int_eq (first.in_time, second.in_time);
+  ck_assert_int_eq (first.refused, second.refused);
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "replay");
+
+  if (argc > 1 && strcmp (argv[1], "--table") == 0)
+    {
+      print_table (false);
+      print_table (true);
+      return 0;
+    }
+  tcase_add_loop_test (tcase, placement_serves_more_in_time_than_a_simpler_policy, 0, PLACEMENT);
+  tcase_add_test (tcase, a_replay_is_the_same_each_time);
+  return suite_run (suite);
+}
