--- a/core/membership.c
+++ b/core/membership.c
@@ -47,13 +47,19 @@
   return mixed ^ (mixed >> 31);
 }
 
+uint64_t
+pl_host_id (const char *name)
+{
+  return pl_id_of ("entry_hosts", name);
+}
+
 void
 pl_membership_init (struct pl_membership *membership, const char *self_name, const char *domain,
                     int region)
 {
   membership->members = g_hash_table_new (g_int64_hash, g_int64_equal);
   membership->order = g_ptr_array_new_with_free_func (g_free);
-  membership->self = pl_id_of ("entry_hosts", self_name);
+  membership->self = pl_host_id (self_name);
   g_strlcpy (membership->self_domain, domain, sizeof membership->self_domain);
   membership->self_region = region;
 }
@@ -68,7 +74,7 @@
 static struct pl_member *
 take_member (struct pl_membership *membership, const struct pl_contact *contact, int64_t now_us)
 {
-  uint64_t id = pl_id_of ("entry_hosts", contact->name);
+  uint64_t id = pl_host_id (contact->name);
   struct pl_member *member;
 
   if (id == membership->self)
@@ -102,21 +108,40 @@
          && now_us - member->heard_us < LATE_DATAGRAM_US;
 }
 
+static void
+take_identity (struct pl_member *member, const struct pl_beacon *beacon, int region)
+{
+  member->contact = beacon->self;
+  g_strlcpy (member->caller_address, beacon->caller_address, sizeof member->caller_address);
+  g_strlcpy (member->relay_address, beacon->relay_address, sizeof member->relay_address);
+  g_strlcpy (member->domain, beacon->domain, sizeof member->domain);
+  member->region = region;
+  member->capacity = beacon->capacity;
+}
+
+/* Returns the member that BEACON is from, when it is known who that is. */
+static struct pl_member *
+find_sender (struct pl_membership *membership, const struct pl_beacon *beacon, int64_t now_us)
+{
+  struct pl_member *member;
+
+  if (beacon->has_identity)
+    return take_member (membership, &beacon->self, now_us);
+  member = g_hash_table_lookup (membership->members, &beacon->host);
+  return member != NULL && member->heard ? member : NULL;
+}
+
 struct pl_member *
 pl_membership_on_beacon (struct pl_membership *membership, const struct pl_beacon *beacon,
                          int region, int64_t now_us)
 {
-  struct pl_member *member = take_member (membership, &beacon->self, now_us);
+  struct pl_member *member = find_sender (membership, beacon, now_us);
 
   if (member == NULL || is_older (member, beacon, now_us))
     return NULL;
-  member->contact = beacon->self;
-  g_strlcpy (member->caller_address, beacon->caller_address, sizeof member->caller_address);
-  g_strlcpy (member->relay_address, beacon->relay_address, sizeof member->relay_address);
-  g_strlcpy (member->domain, beacon->domain, sizeof member->domain);
-  member->region = region;
+  if (beacon->has_identity)
+    take_identity (member, beacon, region);
   member->incarnation = beacon->incarnation;
-  member->capacity = beacon->capacity;
   member->busy_percent = beacon->busy_percent;
   member->active = beacon->active;
   if (member->heard && now_us - member->heard_us > PL_MEMBER_SILENT_US)
--- a/core/router.c
+++ b/core/router.c
@@ -167,6 +167,7 @@
   pl_placement_init (&router->placement, options->domain, region);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   quarantine_init (&router->quarantine);
+  router->self.host = router->membership.self;
   g_strlcpy (router->self.self.name, options->name, sizeof router->self.self.name);
   g_strlcpy (router->self.self.peer_address, options->peer_address,
              sizeof router->self.self.peer_address);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -12,7 +12,10 @@
 #define BEACON_PERIOD_US (500 * MS_US)
 /* Other regions get each fourth one, but for hosts that take requests on both sides. */
 #define FAR_EACH 4
-#define CONTACTS_EACH 8
+/* Each so many beacons tell who the sender is, and of other hosts. */
+#define IDENTITY_EACH 8
+/* All of them do while a process is young. */
+#define YOUNG_US (5 * S_US)
 /* Beacons that tell of accounts follow each other no faster. */
 #define ACCOUNTS_PERIOD_US (40 * MS_US)
 /* A host that took no request for so long is not active. */
@@ -56,6 +59,7 @@
 fill_beacon (struct pl_router *router, struct pl_beacon *beacon)
 {
   *beacon = router->self;
+  beacon->has_identity = router->now_us - router->started_us < YOUNG_US;
   beacon->ready = pl_router_is_ready (router);
   beacon->leaving = router->stopping;
   beacon->watching = router->watching;
@@ -66,11 +70,17 @@
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
   beacon->active = router->membership.self_active;
-  if (router->beacon_turn++ % CONTACTS_EACH == 0)
-    pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
   quarantine_retell (&router->quarantine, SUSPECT_RETELL_US, router->now_us, add_suspect, beacon);
 }
 
+/* For hosts that may not know who the sender is. */
+static void
+add_identity (struct pl_router *router, struct pl_beacon *beacon)
+{
+  beacon->has_identity = true;
+  pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
+}
+
 static void
 tell (struct pl_router *router, const char *address, const struct pl_beacon *beacon)
 {
@@ -108,29 +118,35 @@
 tell_members (struct pl_router *router, bool to_all, bool only_accounts)
 {
   struct pl_beacon beacon;
-  struct pl_beacon short_beacon;
-  bool far_turn;
+  struct pl_beacon account_beacon;
+  struct pl_beacon full_beacon;
+  bool far_turn = to_all || router->beacon_turn % FAR_EACH == 0;
 
   fill_beacon (router, &beacon);
-  short_beacon = beacon;
-  add_accounts (router, &beacon);
-  far_turn = to_all || router->beacon_turn % FAR_EACH == 0;
+  if (!only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0)
+    add_identity (router, &beacon);
+  full_beacon = beacon;
+  add_identity (router, &full_beacon);
+  account_beacon = beacon;
+  add_accounts (router, &account_beacon);
   for (guint i = 0; i < router->membership.order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
-      if (member->active && beacon.account_count > 0)
-        tell (router, member->contact.peer_address, &beacon);
+      if (member->active && account_beacon.account_count > 0)
+        tell (router, member->contact.peer_address, &account_beacon);
       else if (only_accounts)
         continue;
-      else if (far_turn || !member->heard || member->region == router->membership.self_region
+      else if (!member->heard)
+        tell (router, member->contact.peer_address, &full_beacon);
+      else if (far_turn || member->region == router->membership.self_region
                || (beacon.active && member->active))
-        tell (router, member->contact.peer_address, &short_beacon);
+        tell (router, member->contact.peer_address, &beacon);
     }
   if (router->now_us >= router->seeds_due_us)
     {
       router->seeds_due_us = router->now_us + SEEDS_PERIOD_US;
-      tell_seeds (router, &beacon);
+      tell_seeds (router, &full_beacon);
     }
 }
 
@@ -254,15 +270,14 @@
   struct pl_beacon beacon;
 
   fill_beacon (router, &beacon);
-  pl_membership_fill_contacts (&router->membership, &beacon, router->now_us);
+  add_identity (router, &beacon);
   tell (router, member->contact.peer_address, &beacon);
 }
 
 void
 fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon)
 {
-  uint64_t id = pl_id_of ("entry_hosts", beacon->self.name);
-  const struct pl_member *known = g_hash_table_lookup (router->membership.members, &id);
+  const struct pl_member *known = g_hash_table_lookup (router->membership.members, &beacon->host);
   bool is_known = known != NULL && known->incarnation == beacon->incarnation
                   && pl_member_is_live (&router->membership, known, router->now_us);
   const struct pl_member *member = pl_membership_on_beacon (
@@ -274,8 +289,8 @@
     {
       greet (router, member);
       router_note (router, PL_NOTE_BELIEF, "host-heard",
-                   json_pack ("{s:s,s:s,s:b}", "host", beacon->self.name, "domain", beacon->domain,
-                              "ready", beacon->ready));
+                   json_pack ("{s:s,s:s,s:b}", "host", member->contact.name, "domain",
+                              member->domain, "ready", beacon->ready));
     }
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -35,18 +35,21 @@
   bool convicted;
 };
 
-/* What entry hosts tell each other, in one datagram. */
+/* What entry hosts tell each other, in one datagram.  What does not change while a process runs is
+ * left out of most of them. */
 struct pl_beacon
 {
+  uint64_t host;        /* id made of the sender's name */
+  uint64_t incarnation; /* rises with each start of the process */
+  bool has_identity;    /* the next five fields are filled */
   struct pl_contact self;
   char caller_address[PL_ADDRESS_CHARS];
   char relay_address[PL_ADDRESS_CHARS]; /* serves the rows that this host holds */
   char domain[PL_BEACON_NAME_CHARS];
-  uint64_t incarnation; /* rises with each start of the process */
-  int capacity;         /* how much it can carry, against other hosts */
-  int busy_percent;     /* of the time it was not waiting */
-  bool active;          /* took requests of late, so it wants to know of accounts */
-  bool ready;           /* takes callers */
+  int capacity;     /* how much it can carry, against other hosts */
+  int busy_percent; /* of the time it was not waiting */
+  bool active;      /* took requests of late, so it wants to know of accounts */
+  bool ready;       /* takes callers */
   bool leaving;
   bool watching;               /* reads the platform's store itself */
   bool store_lost;             /* tries to, and fails */
@@ -105,8 +108,12 @@
 void pl_membership_add_contact (struct pl_membership *membership, const struct pl_contact *contact,
                                 int64_t now_us);
 
-/* Takes a beacon.  Returns the member, or NULL when it is from this host or from an earlier
- * process of its host. */
+/* Returns the id of the host called NAME. */
+uint64_t pl_host_id (const char *name);
+
+/* Takes a beacon; REGION is that of its domain, if it tells one.  Returns the member, or NULL when
+ * the beacon is from this host, from an earlier process of its host, or from one that has not told
+ * yet who it is. */
 struct pl_member *pl_membership_on_beacon (struct pl_membership *membership,
                                            const struct pl_beacon *beacon, int region,
                                            int64_t now_us);
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -16,7 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BEACON_FORMAT 1
+#define BEACON_FORMAT 2
 #define DATAGRAMS_A_TURN 64
 
 struct pl_beacon_socket
@@ -66,18 +66,40 @@
          && code_text (xdr, contact->peer_address, sizeof contact->peer_address);
 }
 
+static bool
+code_identity (XDR *xdr, struct pl_beacon *beacon)
+{
+  return code_contact (xdr, &beacon->self)
+         && code_text (xdr, beacon->caller_address, sizeof beacon->caller_address)
+         && code_text (xdr, beacon->relay_address, sizeof beacon->relay_address)
+         && code_text (xdr, beacon->domain, sizeof beacon->domain)
+         && xdr_int (xdr, &beacon->capacity) != 0;
+}
+
+/* Truth values go as the bits of one number. */
+static bool
+code_flags (XDR *xdr, struct pl_beacon *beacon)
+{
+  bool *const flags[] = {&beacon->has_identity, &beacon->active,   &beacon->ready,
+                         &beacon->leaving,      &beacon->watching, &beacon->store_lost};
+  u_int bits = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (flags); i++)
+    bits |= *flags[i] ? 1U << i : 0;
+  if (!xdr_u_int (xdr, &bits))
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (flags); i++)
+    *flags[i] = (bits >> i & 1) != 0;
+  return true;
+}
+
 static bool
 code_state (XDR *xdr, struct pl_beacon *beacon)
 {
-  bool done = code_contact (xdr, &beacon->self)
-              && code_text (xdr, beacon->caller_address, sizeof beacon->caller_address)
-              && code_text (xdr, beacon->relay_address, sizeof beacon->relay_address)
-              && code_text (xdr, beacon->domain, sizeof beacon->domain)
-              && code_u64 (xdr, &beacon->incarnation) && xdr_int (xdr, &beacon->capacity) != 0
-              && xdr_int (xdr, &beacon->busy_percent) != 0 && code_bool (xdr, &beacon->active)
-              && code_bool (xdr, &beacon->ready) && code_bool (xdr, &beacon->leaving)
-              && code_bool (xdr, &beacon->watching) && code_bool (xdr, &beacon->store_lost)
-              && code_i64 (xdr, &beacon->store_trouble_us);
+  bool done = code_u64 (xdr, &beacon->host) && code_u64 (xdr, &beacon->incarnation)
+              && code_flags (xdr, beacon) && xdr_int (xdr, &beacon->busy_percent) != 0
+              && code_i64 (xdr, &beacon->store_trouble_us)
+              && (!beacon->has_identity || code_identity (xdr, beacon));
 
   for (int t = 0; done && t < PL_TABLES_MAX; t++)
     done = code_i64 (xdr, &beacon->held[t]);
--- /dev/null
+++ b/tests/test_beacon.c
@@ -0,0 +1,116 @@
+/* Beacons on the wire: what is told arrives, and anything else is refused. */
+#include "internal/beacon_socket.h"
+#include "internal/routing.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* State alone: what a host sends to each other host twice a second. */
+#define STATE_BYTES_MAX 96
+
+static struct pl_beacon
+make_beacon (bool has_identity)
+{
+  struct pl_beacon beacon = {
+      .host = pl_host_id ("host-1"),
+      .incarnation = 7,
+      .has_identity = has_identity,
+      .busy_percent = 40,
+      .active = true,
+      .watching = true,
+      .store_trouble_us = 5000,
+      .held = {12, 34},
+  };
+
+  if (!has_identity)
+    return beacon;
+  beacon.capacity = 200;
+  g_strlcpy (beacon.self.name, "host-1", sizeof beacon.self.name);
+  g_strlcpy (beacon.self.peer_address, "10.0.0.1:7600", sizeof beacon.self.peer_address);
+  g_strlcpy (beacon.caller_address, "10.0.0.1:80", sizeof beacon.caller_address);
+  g_strlcpy (beacon.relay_address, "10.0.0.1:7600", sizeof beacon.relay_address);
+  g_strlcpy (beacon.domain, "a-1", sizeof beacon.domain);
+  return beacon;
+}
+
+START_TEST (a_beacon_arrives_as_it_was_sent)
+{
+  struct pl_beacon sent = make_beacon (_i == 1);
+  struct pl_beacon got;
+  char bytes[PL_BEACON_BYTES_MAX];
+  int length;
+
+  sent.account_count = 1;
+  sent.accounts[0] = (struct pl_beacon_account){99, 1234};
+  sent.suspect_count = 1;
+  sent.suspects[0] = (struct pl_beacon_suspect){5, 6, true};
+  length = pl_beacon_encode (&sent, bytes, sizeof bytes);
+  ck_assert_int_gt (length, 0);
+  ck_assert_int_eq (pl_beacon_decode (bytes, (size_t) length, &got), 0);
+  ck_assert_uint_eq (got.host, sent.host);
+  ck_assert_uint_eq (got.incarnation, sent.incarnation);
+  ck_assert (got.active && got.watching && !got.ready && !got.leaving && !got.store_lost);
+  ck_assert (got.has_identity == sent.has_identity);
+  ck_assert_str_eq (got.domain, sent.domain);
+  ck_assert_str_eq (got.caller_address, sent.caller_address);
+  ck_assert_int_eq (got.held[1], 34);
+  ck_assert_uint_eq (got.accounts[0].admitted, 1234);
+  ck_assert (got.suspects[0].convicted);
+}
+END_TEST
+
+START_TEST (state_alone_is_small)
+{
+  struct pl_beacon beacon = make_beacon (false);
+  char bytes[PL_BEACON_BYTES_MAX];
+
+  ck_assert_int_le (pl_beacon_encode (&beacon, bytes, sizeof bytes), STATE_BYTES_MAX);
+}
+END_TEST
+
+START_TEST (a_beacon_that_is_cut_short_is_refused)
+{
+  struct pl_beacon beacon = make_beacon (true);
+  char bytes[PL_BEACON_BYTES_MAX];
+  int length = pl_beacon_encode (&beacon, bytes, sizeof bytes);
+
+  for (int cut = 0; cut < length; cut++)
+    ck_assert_int_lt (pl_beacon_decode (bytes, (size_t) cut, &beacon), 0);
+}
+END_TEST
+
+/* State of a host that has not told who it is names nobody; of one that has, it is taken. */
+START_TEST (state_counts_only_from_a_host_that_is_known)
+{
+  struct pl_membership membership = {0};
+  struct pl_beacon state = make_beacon (false);
+  struct pl_beacon identity = make_beacon (true);
+  const struct pl_member *member;
+
+  pl_membership_init (&membership, "self", "a-1", 0);
+  ck_assert_ptr_null (pl_membership_on_beacon (&membership, &state, PL_NONE, 0));
+  pl_membership_add_contact (&membership, &identity.self, 0);
+  ck_assert_ptr_null (pl_membership_on_beacon (&membership, &state, PL_NONE, 0));
+  ck_assert_ptr_nonnull (pl_membership_on_beacon (&membership, &identity, 0, 0));
+  state.ready = true;
+  member = pl_membership_on_beacon (&membership, &state, PL_NONE, 1000);
+  ck_assert_ptr_nonnull (member);
+  ck_assert (member->ready);
+  ck_assert_int_eq (member->region, 0);
+  ck_assert_str_eq (member->domain, "a-1");
+  pl_membership_clear (&membership);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "beacon");
+
+  tcase_add_loop_test (tcase, a_beacon_arrives_as_it_was_sent, 0, 2);
+  tcase_add_test (tcase, state_alone_is_small);
+  tcase_add_test (tcase, a_beacon_that_is_cut_short_is_refused);
+  tcase_add_test (tcase, state_counts_only_from_a_host_that_is_known);
+  return suite_run (suite);
+}
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -299,6 +299,8 @@
   struct pl_beacon beacon = {
       .incarnation = 1, .ready = true, .capacity = 200, .watching = true, .store_trouble_us = -1};
 
+  beacon.host = pl_host_id (name);
+  beacon.has_identity = true;
   g_strlcpy (beacon.self.name, name, sizeof beacon.self.name);
   g_snprintf (beacon.self.peer_address, sizeof beacon.self.peer_address, "10.0.1.%d:7600",
               (int) (g_str_hash (name) % 200));
--- a/tests/test_router_start.c
+++ b/tests/test_router_start.c
@@ -368,6 +368,28 @@
 }
 END_TEST
 
+/* Most beacons do not say who they are from; everybody is known all the same. */
+START_TEST (all_hosts_come_to_know_each_other)
+{
+  struct fleet *fleet = fleet_new ();
+
+  run (fleet, 20 * WORLD_SECOND);
+  for (int second = 0; second < 10; second++)
+    {
+      for (int i = 0; i < HOSTS; i++)
+        {
+          const char *addresses[HOSTS];
+
+          ck_assert_int_eq (pl_router_name_hosts (fleet->hosts[i].router, "a-1", "a", addresses,
+                                                  HOSTS, fleet->now_us),
+                            HOSTS / 2);
+        }
+      run (fleet, WORLD_SECOND);
+    }
+  fleet_free (fleet);
+}
+END_TEST
+
 /* The seeds in the settings may be down. */
 START_TEST (hosts_start_without_their_seeds)
 {
@@ -396,6 +418,7 @@
   tcase_add_loop_test (tcase, a_host_that_joins_leaves_the_reader_alone, 0, HOSTS);
   tcase_add_test (tcase, news_spreads_without_loading_any_host);
   tcase_add_test (tcase, news_goes_round_a_host_that_does_not_pass_them_on);
+  tcase_add_test (tcase, all_hosts_come_to_know_each_other);
   tcase_add_test (tcase, hosts_start_without_their_seeds);
   return suite_run (suite);
 }
