--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 $(BUILD)/tests/%: $(BUILD)/tests/%.o $(EDGE_OBJECTS) $(LIBRARY)
 	$(CC) $(LDFLAGS) -o $@ $^ $(CHECK_LIBS) $(EDGE_LIBS) $(LIB_LIBS)
 
-$(BUILD)/tests/test_fuzz: $(BUILD)/tests/fleet.o
+$(BUILD)/tests/test_fuzz: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fleet/*.c))
 
 $(BUILD)/tests/test_router $(BUILD)/tests/test_router_fuzz: $(BUILD)/tests/router_world.o
 
--- /dev/null
+++ b/tests/fleet/callers.c
@@ -0,0 +1,124 @@
+/* Callers: what they ask, and when. */
+#include "fleet_state.h"
+
+#include <math.h>
+#include <string.h>
+
+static void
+fill_key (struct pl_request_event *event, int account)
+{
+  event->has_key = account >= 0;
+  memset (event->key_hash, account + 1, sizeof event->key_hash);
+}
+
+void
+fleet_send_request (struct fleet *fleet, int host, const struct call *call)
+{
+  struct pl_event *event;
+  uint64_t request;
+
+  if (fleet->current[host] < 0)
+    return;
+  request = fleet_add_call (fleet, call);
+  fleet_call_at (fleet, request)->process = fleet->current[host];
+  event = fleet_schedule_event (fleet, 0, fleet->current[host], PL_EVENT_REQUEST);
+  event->u.request.request = request;
+  event->u.request.replayable = true;
+  event->u.request.body_bytes = 2000;
+  event->u.request.deadline_us = INT64_MAX;
+  event->u.request.fingerprint = call->is_crasher ? 666 : 1000 + request;
+  fill_key (&event->u.request, call->account);
+  g_strlcpy (event->u.request.path,
+             call->operation >= 0 ? "/u"
+             : call->account < 0  ? "/o"
+                                  : "/r",
+             sizeof event->u.request.path);
+  if (call->operation >= 0)
+    g_snprintf (event->u.request.operation, sizeof event->u.request.operation, "op%d",
+                call->operation);
+}
+
+static void
+draw_request (struct fleet *fleet)
+{
+  struct call call = {.origin = -1, .operation = -1};
+  int host = fleet_draw_int (fleet, HOSTS);
+  double kind = fleet_draw (fleet);
+
+  call.account = fleet_draw_int (fleet, ACCOUNTS + 1) - 1;
+  if (fleet->flood_host >= 0 && fleet_draw (fleet) < 0.6)
+    {
+      host = fleet->flood_host;
+      call.account = 1;
+    }
+  if (call.account >= 0 && kind < 0.3 && fleet->operation_count < OPERATIONS_MAX)
+    call.operation = fleet->operation_count++;
+  else if (call.account >= 0 && kind < 0.4 && fleet->operation_count > 0)
+    {
+      /* A resend, perhaps while the first is still under way, perhaps elsewhere. */
+      int recent = MIN (fleet->operation_count, 20);
+
+      call.operation = fleet->operation_count - 1 - fleet_draw_int (fleet, recent);
+      call.account = call.operation % ACCOUNTS;
+    }
+  if (call.operation >= 0)
+    call.account = call.operation % ACCOUNTS;
+  if (call.account >= 0 && fleet->homes[call.account] >= 0)
+    host = fleet->homes[call.account];
+  if (fleet->crasher_on && !fleet->crasher_open && fleet_draw (fleet) < 0.1)
+    {
+      fleet->crasher_open = true;
+
+      call = (struct call){.origin = -1, .operation = -1, .account = 2, .is_crasher = true};
+    }
+  fleet_send_request (fleet, host, &call);
+}
+
+/* One arrival of an account that keeps to a part of its rate, and whether one bucket for the whole
+ * fleet would have had a token for it. */
+static void
+draw_steady_request (struct fleet *fleet)
+{
+  struct call call = {.origin = -1, .operation = -1, .sent_us = fleet->now_us};
+  int at = fleet_draw_int (fleet, account_rates[0] + account_rates[1] + account_rates[2]);
+  double *tokens;
+
+  while (call.account < ACCOUNTS - 1 && at >= account_rates[call.account])
+    at -= account_rates[call.account++];
+  tokens = &fleet->steady_tokens[call.account];
+  *tokens += (double) account_rates[call.account]
+             * (double) (fleet->now_us - fleet->steady_filled_us[call.account]) / 1e6;
+  *tokens = MIN (*tokens, account_bursts[call.account]);
+  fleet->steady_filled_us[call.account] = fleet->now_us;
+  call.inside = *tokens >= 1.0;
+  if (call.inside)
+    *tokens -= 1.0;
+  fleet->result->inside += call.inside;
+  fleet_send_request (fleet, fleet->options->one_host ? 0 : fleet_draw_int (fleet, SPARE_HOST),
+                      &call);
+}
+
+void
+fleet_run_steady_arrival (struct fleet *fleet)
+{
+  double rate
+      = fleet->options->account_part * (account_rates[0] + account_rates[1] + account_rates[2]);
+
+  if (fleet->now_us > fleet->arrivals_end_us)
+    return;
+  draw_steady_request (fleet);
+  fleet_schedule (fleet, (int64_t) (-log (1.0 - fleet_draw (fleet)) / rate * 1e6) + 1,
+                  ITEM_ARRIVAL);
+}
+
+void
+fleet_run_arrival (struct fleet *fleet)
+{
+  double rate = 150 * fleet->options->load * (fleet->flood_host >= 0 ? 3 : 1);
+  int64_t gap_us = (int64_t) (2.0 * fleet_draw (fleet) / rate * 1e6);
+
+  if (fleet->now_us > fleet->arrivals_end_us)
+    return;
+  draw_request (fleet);
+  fleet_schedule (fleet, gap_us + 1, ITEM_ARRIVAL);
+}
--- /dev/null
+++ b/tests/fleet/fleet_state.h
@@ -0,0 +1,227 @@
+/* fleet_state.h - the fleet's tables, shared by its parts.
+ *
+ * API tier: private.
+ */
+#ifndef FLEET_STATE_H
+#define FLEET_STATE_H
+
+#include "fleet.h"
+
+#include "pomelolatch/error.h"
+#include "pomelolatch/release.h"
+
+#define MS INT64_C (1000)
+#define SECOND INT64_C (1000000)
+#define HOSTS 5
+#define SPARE_HOST 4 /* added and withdrawn by releases */
+#define PROCESSES_MAX 96
+#define DOMAINS 4
+#define SERVERS 8
+#define SLOTS 3
+#define ACCOUNTS 3
+#define OPERATIONS_MAX 40000
+#define TICK_US (10 * MS)
+#define SETTLE_US (14 * SECOND) /* the calm time at the end */
+#define IN_FORCE_US (3 * SECOND)
+#define LINK_BYTES 200000
+
+extern const char *const host_names[HOSTS];
+extern const char *const domain_names[DOMAINS];
+extern const int host_domains[HOSTS];
+extern const int account_rates[ACCOUNTS];
+extern const int account_bursts[ACCOUNTS];
+
+struct process
+{
+  struct pl_core *core;
+  int host;
+  uint64_t nonce;
+  bool alive;
+  int64_t offset_us; /* of its clock */
+  int64_t paused_until_us;
+  int64_t version;
+};
+
+enum item_type
+{
+  ITEM_EVENT,
+  ITEM_FAULT_BEGIN,
+  ITEM_FAULT_END,
+  ITEM_ARRIVAL,
+  ITEM_RUN_END,
+  ITEM_STORE_APPLY,
+  ITEM_SERVER_UP,
+  ITEM_EXECUTE, /* effects of a process that was paused between deciding and doing */
+};
+
+struct run_end
+{
+  int server;
+  uint64_t request;
+  uint32_t attempt;
+  int process;
+  uint64_t generation;
+  enum pl_outcome outcome;
+};
+
+struct item
+{
+  int64_t at_us;
+  uint64_t order;
+  enum item_type type;
+  int process;
+  struct pl_event event;
+  const struct fleet_fault *fault;
+  struct run_end run;
+  struct pl_store_request *store;
+  bool lose_answer;
+  bool is_silent; /* the caller has heard already that the outcome is unknown */
+  struct pl_effect *effect;
+  int64_t decided_us;
+};
+
+/* A request as its caller knows it. */
+struct call
+{
+  int process;
+  int account;   /* -1: none */
+  int operation; /* -1: repeatable */
+  int origin;    /* call that it was forwarded for, or -1 */
+  uint32_t origin_attempt;
+  uint64_t runs;
+  bool ended;
+  bool said_not_run;
+  bool is_crasher;
+  bool is_last; /* of the calm time: must be served */
+  bool inside;  /* came within its account's rate and burst */
+  int64_t sent_us;
+};
+
+struct operation
+{
+  int runs;
+};
+
+struct server
+{
+  int in_flight;
+  bool down;
+  bool silent;
+  uint64_t generation;
+};
+
+struct fleet
+{
+  const struct fleet_options *options;
+  struct fleet_result *result;
+  GRand *random;
+  GSequence *queue;
+  uint64_t next_order;
+  int64_t now_us;
+  int process_count;
+  struct process processes[PROCESSES_MAX];
+  int current[HOSTS]; /* process by host, -1: none */
+  bool domain_cut[DOMAINS];
+  bool store_down;
+  bool store_loses;
+  bool lossy;
+  int active_faults;
+  int64_t calm_since_us;
+  int64_t arrivals_end_us;
+  struct server servers[SERVERS];
+  GArray *calls; /* of struct call */
+  struct operation operations[OPERATIONS_MAX];
+  int operation_count;
+  /* the store */
+  int64_t head;
+  GPtrArray *releases;     /* json */
+  GHashTable *release_ids; /* id -> digest and version as text */
+  json_t *document;
+  struct
+  {
+    uint64_t nonce;
+    uint64_t incarnation;
+    int64_t version;
+    bool released;
+  } slots[HOSTS];
+  GHashTable *claims; /* row -> "nonce request state" */
+  /* the oracle */
+  double tokens[ACCOUNTS];
+  int64_t filled_us[ACCOUNTS];
+  double steady_tokens[ACCOUNTS];
+  int64_t steady_filled_us[ACCOUNTS];
+  double link_tokens[2];
+  int64_t link_filled_us[2];
+  int64_t withdrawn_us; /* when the key of account 0 was withdrawn; -1: it is not */
+  int64_t drained_us;   /* server 0 */
+  int release_number;
+  int flood_host;      /* -1: none */
+  int homes[ACCOUNTS]; /* where all of an account arrives, so that it lives on loans; -1: anywhere
+                        */
+  bool crasher_on;
+  bool crasher_open; /* its caller sends it again only when it has ended */
+  GHashTable *crasher_victims;
+  int last_calls_open;
+  bool is_quiet; /* the last calls: nothing at all goes wrong */
+};
+
+/* scheduler.c */
+double fleet_draw (struct fleet *fleet);
+int fleet_draw_int (struct fleet *fleet, int below);
+void fleet_violate (struct fleet *fleet, const char *format, ...) G_GNUC_PRINTF (2, 3);
+void fleet_trace (const struct fleet *fleet, const char *format, ...) G_GNUC_PRINTF (2, 3);
+struct item *fleet_schedule (struct fleet *fleet, int64_t delay_us, enum item_type type);
+struct pl_event *fleet_schedule_event (struct fleet *fleet, int64_t delay_us, int process,
+                                       enum pl_event_type type);
+struct call *fleet_call_at (struct fleet *fleet, uint64_t request);
+bool fleet_is_calm (const struct fleet *fleet, int64_t since_us);
+
+/* oracle.c */
+void fleet_oracle_spend (struct fleet *fleet, int account);
+void fleet_oracle_run (struct fleet *fleet, struct call *call, int server, int64_t decided_us);
+void fleet_oracle_refusal (struct fleet *fleet, struct call *call, const struct pl_effect *effect);
+void fleet_oracle_link (struct fleet *fleet, int direction, int64_t bytes);
+
+/* store.c */
+void fleet_run_store_apply (struct fleet *fleet, struct item *item);
+struct pl_store_event fleet_lost_call (const struct pl_store_request *request, int result);
+void fleet_call_store (struct fleet *fleet, int process, struct pl_effect *effect);
+
+/* servers.c */
+int fleet_server_domain (int server);
+int fleet_server_by_id (uint64_t id);
+void fleet_post_outcome (struct fleet *fleet, int64_t delay_us, int process, uint64_t request,
+                         uint32_t attempt, enum pl_outcome outcome);
+void fleet_crash_server (struct fleet *fleet, int server);
+void fleet_dispatch (struct fleet *fleet, int process, const struct pl_effect *effect,
+                     int64_t decided_us);
+void fleet_run_run_end (struct fleet *fleet, const struct run_end *run);
+
+/* messages.c */
+int fleet_host_by_id (uint64_t id);
+void fleet_send_message (struct fleet *fleet, int process, struct pl_effect *effect);
+uint64_t fleet_add_call (struct fleet *fleet, const struct call *call);
+void fleet_forward (struct fleet *fleet, int process, const struct pl_effect *effect);
+void fleet_answer_origin (struct fleet *fleet, struct call *call, enum pl_outcome outcome);
+
+/* callers.c */
+void fleet_send_request (struct fleet *fleet, int host, const struct call *call);
+void fleet_run_steady_arrival (struct fleet *fleet);
+void fleet_run_arrival (struct fleet *fleet);
+
+/* processes.c */
+void fleet_start_process (struct fleet *fleet, int host);
+void fleet_execute (struct fleet *fleet, int at, struct pl_effect *effect, int64_t decided_us);
+void fleet_run_event (struct fleet *fleet, struct item *item);
+
+/* releases.c */
+void fleet_post_release (struct fleet *fleet, int host, const char *text);
+char *fleet_first_release (void);
+void fleet_race_releases (struct fleet *fleet, int subject);
+void fleet_resize (struct fleet *fleet, bool begin);
+
+/* faults.c */
+void fleet_begin_fault (struct fleet *fleet, const struct fleet_fault *fault);
+void fleet_end_fault (struct fleet *fleet, const struct fleet_fault *fault);
+
+#endif
--- /dev/null
+++ b/tests/fleet/oracle.c
@@ -0,0 +1,102 @@
+/* What must hold.
+ *
+ * The oracle sees each decision to run something at the moment it is made:
+ *
+ *  - an account's runs fit one bucket of its rate and burst, fleet-wide;
+ *  - an operation runs at most once, and a refusal that says "not run" is true;
+ *  - a host's version in force never falls;
+ *  - in calm times nothing runs for a withdrawn key or at a drained server
+ *    3 s after the release, and servers have no more in flight than slots;
+ *  - what a link was promised to carry fits its cap;
+ *  - after all faults have ended, every host serves again.
+ */
+#include "fleet_state.h"
+
+void
+fleet_oracle_spend (struct fleet *fleet, int account)
+{
+  double *tokens = &fleet->tokens[account];
+
+  *tokens += (double) account_rates[account] * (double) (fleet->now_us - fleet->filled_us[account])
+             / 1e6;
+  fleet->filled_us[account] = fleet->now_us;
+  *tokens = MIN (*tokens, account_bursts[account]) - 1.0;
+  if (*tokens < -0.001)
+    fleet_violate (fleet, "account %d got more than its rate and burst: %.3f tokens", account,
+                   *tokens);
+}
+
+void
+fleet_oracle_run (struct fleet *fleet, struct call *call, int server, int64_t decided_us)
+{
+  struct call *origin = call->origin >= 0 ? fleet_call_at (fleet, (uint64_t) call->origin) : call;
+
+  if (origin->operation >= 0)
+    fleet_trace (fleet, "operation %d runs at server %d, request of process %d", origin->operation,
+                 server, origin->process);
+  fleet->result->runs++;
+  origin->runs++;
+  if (call != origin)
+    call->runs++;
+  if (origin->runs == 1 && origin->sent_us > 0)
+    {
+      fleet->result->waited_us += fleet->now_us - origin->sent_us;
+      fleet->result->served_of[origin->account]++;
+    }
+  if (origin->said_not_run)
+    fleet_violate (fleet, "a request ran after a refusal had said that it did not");
+  if (origin->operation >= 0 && ++fleet->operations[origin->operation].runs > 1)
+    fleet_violate (fleet, "operation %d ran twice", origin->operation);
+  if (origin->account == 0 && fleet->withdrawn_us >= 0
+      && fleet_is_calm (fleet, fleet->withdrawn_us))
+    fleet_violate (fleet, "ran for a key withdrawn %.1f s before",
+                   (double) (decided_us - fleet->withdrawn_us) / 1e6);
+  if (server == 0 && fleet->drained_us >= 0 && fleet_is_calm (fleet, fleet->drained_us))
+    fleet_violate (fleet, "ran at a server drained %.1f s before",
+                   (double) (decided_us - fleet->drained_us) / 1e6);
+}
+
+void
+fleet_oracle_refusal (struct fleet *fleet, struct call *call, const struct pl_effect *effect)
+{
+  if (call->origin >= 0)
+    return; /* the host that it was forwarded for judges */
+  if (call->operation >= 0)
+    fleet_trace (fleet, "operation %d refused by process %d: %s, attempt %s, operation %s",
+                 call->operation, call->process, pl_refusals[effect->u.refuse.refusal].name,
+                 effect->u.refuse.attempt_ran ? "unknown" : "not run",
+                 effect->u.refuse.operation_ran ? "unknown" : "not run");
+  fleet->result->refused_inside += call->inside;
+  if (effect->u.refuse.operation_ran)
+    fleet->result->refused_unknown++;
+  else
+    fleet->result->refused_not_run++;
+  if (!effect->u.refuse.attempt_ran)
+    {
+      call->said_not_run = true;
+      if (call->runs > 0)
+        fleet_violate (fleet, "a refusal says that this attempt did not run, and it did");
+    }
+  if (!effect->u.refuse.operation_ran && call->operation >= 0
+      && fleet->operations[call->operation].runs > 0)
+    fleet_violate (fleet, "a refusal says \"not run\" of operation %d, which ran", call->operation);
+  if (!effect->u.refuse.operation_ran && call->runs > 0)
+    fleet_violate (fleet, "a refusal says \"not run\", and it ran");
+  if (call->is_last && effect->u.refuse.refusal != PL_REFUSAL_OVER_RATE)
+    fleet_violate (fleet, "in calm times a request at %s was refused: %s",
+                   host_names[fleet->processes[call->process].host],
+                   pl_refusals[effect->u.refuse.refusal].name);
+}
+
+void
+fleet_oracle_link (struct fleet *fleet, int direction, int64_t bytes)
+{
+  double *tokens = &fleet->link_tokens[direction];
+
+  *tokens
+      += (double) LINK_BYTES * (double) (fleet->now_us - fleet->link_filled_us[direction]) / 1e6;
+  fleet->link_filled_us[direction] = fleet->now_us;
+  *tokens = MIN (*tokens, LINK_BYTES) - (double) bytes;
+  if (*tokens < -1.0)
+    fleet_violate (fleet, "link %d is over its cap by %.0f bytes", direction, -*tokens);
+}
--- /dev/null
+++ b/tests/fleet/servers.c
@@ -0,0 +1,105 @@
+/* Backend servers: a request runs for a drawn time. */
+#include "fleet_state.h"
+
+#include <stdlib.h>
+
+int
+fleet_server_domain (int server)
+{
+  return server % DOMAINS;
+}
+
+int
+fleet_server_by_id (uint64_t id)
+{
+  for (int i = 0; i < SERVERS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("server-%d", i);
+
+      if (pl_id_of ("servers", name) == id)
+        return i;
+    }
+  abort ();
+}
+
+void
+fleet_post_outcome (struct fleet *fleet, int64_t delay_us, int process, uint64_t request,
+                    uint32_t attempt, enum pl_outcome outcome)
+{
+  struct pl_event *event = fleet_schedule_event (fleet, delay_us, process, PL_EVENT_OUTCOME);
+
+  event->u.outcome.request = request;
+  event->u.outcome.attempt = attempt;
+  event->u.outcome.outcome = outcome;
+  event->u.outcome.status = 200;
+  event->u.outcome.answer_bytes = 1000;
+}
+
+void
+fleet_crash_server (struct fleet *fleet, int server)
+{
+  fleet_trace (fleet, "server %d dies with %d in flight", server, fleet->servers[server].in_flight);
+  fleet->servers[server].down = true;
+  fleet->servers[server].generation++;
+  fleet->servers[server].in_flight = 0;
+}
+
+void
+fleet_dispatch (struct fleet *fleet, int process, const struct pl_effect *effect,
+                int64_t decided_us)
+{
+  int at = fleet_server_by_id (effect->u.send_request.target);
+  struct server *server = &fleet->servers[at];
+  struct call *call = fleet_call_at (fleet, effect->request);
+  struct item *item;
+
+  if (server->down)
+    {
+      fleet_post_outcome (fleet, MS, process, effect->request, effect->attempt,
+                          PL_OUTCOME_NOT_SENT);
+      return;
+    }
+  if (call->is_crasher)
+    fleet_trace (fleet, "the killing request goes to server %d from process %d", at, process);
+  if (!fleet->is_quiet && fleet_draw (fleet) < 0.01)
+    {
+      fleet_post_outcome (fleet, 2 * MS, process, effect->request, effect->attempt,
+                          PL_OUTCOME_SHED);
+      return;
+    }
+  fleet_oracle_run (fleet, call, at, decided_us);
+  server->in_flight++;
+  if (server->in_flight > SLOTS && fleet_is_calm (fleet, 0) && fleet->flood_host < 0)
+    fleet_violate (fleet, "server %d has %d requests in flight at %d slots", at, server->in_flight,
+                   SLOTS);
+  item = fleet_schedule (fleet, 5 * MS + fleet_draw_int (fleet, 30 * MS), ITEM_RUN_END);
+  item->run = (struct run_end){at,
+                               effect->request,
+                               effect->attempt,
+                               process,
+                               server->generation,
+                               !fleet->is_quiet && fleet_draw (fleet) < 0.01 ? PL_OUTCOME_BROKEN
+                                                                             : PL_OUTCOME_DONE};
+  if (call->is_crasher)
+    {
+      if (g_hash_table_add (fleet->crasher_victims, GINT_TO_POINTER (at + 1)))
+        fleet->result->servers_lost_to_crasher++;
+      fleet_crash_server (fleet, at);
+      fleet_schedule (fleet, 2 * SECOND, ITEM_SERVER_UP)->run.server = at;
+    }
+}
+
+void
+fleet_run_run_end (struct fleet *fleet, const struct run_end *run)
+{
+  struct server *server = &fleet->servers[run->server];
+
+  if (run->generation != server->generation)
+    {
+      fleet_post_outcome (fleet, 0, run->process, run->request, run->attempt, PL_OUTCOME_BROKEN);
+      return;
+    }
+  server->in_flight--;
+  if (!server->silent)
+    fleet_post_outcome (fleet, MS, run->process, run->request, run->attempt, run->outcome);
+}
--- a/tests/test_fuzz.c
+++ b/tests/test_fuzz.c
@@ -1,9 +1,9 @@
-/* The stateful fuzzer: random faults on a fleet of reducers, against the oracle of fleet.c.
+/* The stateful fuzzer: random faults on a fleet of reducers, against the oracle of fleet/.
  *
  * Run by itself it checks fixed seeds, and that each unsafe switch is caught.
  * With --seed and --runs it goes on for longer; a failing run is shrunk.
  */
-#include "fleet.h"
+#include "fleet/fleet.h"
 #include "suite.h"
 
 #include <glib.h>
