--- a/core/placement.c
+++ b/core/placement.c
@@ -52,7 +52,6 @@
 #define SERVERS_FOR_COPIES 8
 /* A server that is less busy than this has time to spare for them. */
 #define SPARE_LOAD 0.8
-#define RANKED_MAX 3
 /* What another region counts as, in slots, when any idle server will do. */
 #define FAR_LOAD 0.25
 #define RESERVED_LOAD 0.4
@@ -336,7 +335,7 @@
   return backend->region == placement->region ? weight * REGION_WEIGHT_SMALL : weight;
 }
 
-/* Keeps the RANKED_MAX cheapest in rising order.  Returns the new count. */
+/* Keeps the PL_PLACEMENT_RANKED_MAX cheapest in rising order.  Returns the new count. */
 static int
 insert_ranked (struct ranked *ranked, int count, struct pl_backend *backend, double cost)
 {
@@ -344,9 +343,9 @@
 
   while (at > 0 && ranked[at - 1].cost > cost)
     at--;
-  if (at == RANKED_MAX)
+  if (at == PL_PLACEMENT_RANKED_MAX)
     return count;
-  count = MIN (count + 1, RANKED_MAX);
+  count = MIN (count + 1, PL_PLACEMENT_RANKED_MAX);
   memmove (&ranked[at + 1], &ranked[at], sizeof *ranked * (size_t) (count - 1 - at));
   ranked[at] = (struct ranked){backend, cost};
   return count;
@@ -369,7 +368,7 @@
 /* What one pass over the servers finds. */
 struct scan
 {
-  struct ranked ranked[RANKED_MAX];
+  struct ranked ranked[PL_PLACEMENT_RANKED_MAX];
   int ranked_count;
   struct pl_backend *idlest;
   double idlest_load; /* in slots */
@@ -436,7 +435,8 @@
   double unit = ((double) (pl_hash_pair (wish->object, backend->hash) >> 11) + 1) / 0x1p53;
   double weight = weight_of (placement, service, wish, backend);
 
-  if (scan->ranked_count == RANKED_MAX && (1 - unit) / weight > scan->ranked[RANKED_MAX - 1].cost)
+  if (scan->ranked_count == PL_PLACEMENT_RANKED_MAX
+      && (1 - unit) / weight > scan->ranked[PL_PLACEMENT_RANKED_MAX - 1].cost)
     return;
   scan->ranked_count
       = insert_ranked (scan->ranked, scan->ranked_count, backend, -log (unit) / weight);
@@ -489,15 +489,25 @@
     }
 }
 
+/* The caller's request has to wait for one of those that were ranked for it. */
+static void
+note_awaited (const struct scan *scan, struct pl_placement_choice *choice)
+{
+  choice->awaited_count = scan->ranked_count;
+  for (int i = 0; i < scan->ranked_count; i++)
+    choice->awaited[i] = scan->ranked[i].backend->hash;
+}
+
 enum pl_placement_verdict
 pl_placement_choose (struct pl_placement *placement, const struct pl_placement_wish *wish,
-                     pl_cold_share cold_share, void *data, struct pl_backend **chosen,
+                     pl_cold_share cold_share, void *data, struct pl_placement_choice *choice,
                      int64_t now_us)
 {
   struct pl_placement_service *service = g_hash_table_lookup (placement->services, wish->service);
   struct scan scan = {.idlest = NULL};
   struct pl_backend *best = NULL;
 
+  memset (choice, 0, sizeof *choice);
   if (service == NULL)
     return PL_PLACE_NONE;
   judge_reservations (service, now_us);
@@ -509,14 +519,17 @@
   else if (scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
   if (best == NULL)
-    return PL_PLACE_FULL;
+    {
+      note_awaited (&scan, choice);
+      return PL_PLACE_FULL;
+    }
   if (now_us < best->cold_until_us)
     best->cold_tokens -= 1;
   count_homed (service, wish);
   best->load_at_send = load_with_one (service, best, now_us);
   best->in_flight++;
   best->picked_us = now_us;
-  *chosen = best;
+  choice->backend = best;
   return PL_PLACED;
 }
 
--- a/core/router.c
+++ b/core/router.c
@@ -309,12 +309,14 @@
       break;
     case PL_ROUTER_PROBED:
       on_probed (router, event);
+      calls_on_servers_changed (router);
       break;
     case PL_ROUTER_BEACON:
       fleet_on_beacon (router, event->u.beacon);
       break;
     case PL_ROUTER_ROWS:
       news_on_rows (router, &event->u.rows);
+      calls_on_servers_changed (router);
       break;
     case PL_ROUTER_STORE_FAILED:
     case PL_ROUTER_STORE_WELL:
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -184,6 +184,8 @@
   while (at > 0 && waiting_order (call, g_ptr_array_index (router->waiting, at - 1)) < 0)
     at--;
   call->state = CALL_WAITING;
+  call->is_placeable = true;
+  router->has_placeable = true;
   g_ptr_array_insert (router->waiting, (gint) at, call);
   router->due_us = MIN (router->due_us, call->wait_until_us);
 }
@@ -299,12 +301,11 @@
       .tried = call->tried,
       .tried_count = call->tried_count,
   };
-  struct pl_backend *backend = NULL;
   enum pl_placement_verdict verdict = pl_placement_choose (&router->placement, &wish, cold_share,
-                                                           router, &backend, router->now_us);
+                                                           router, &call->choice, router->now_us);
 
   if (verdict == PL_PLACED)
-    send_to (router, call, backend);
+    send_to (router, call, call->choice.backend);
   return verdict;
 }
 
@@ -420,47 +421,73 @@
   enqueue (router, call);
 }
 
-/* Places what can be placed, in order.  A service without room is passed over for what stands
- * behind in its queue. */
+void
+calls_on_servers_changed (struct pl_router *router)
+{
+  for (guint i = 0; i < router->waiting->len; i++)
+    ((struct call *) g_ptr_array_index (router->waiting, i))->is_placeable = true;
+  router->has_placeable = router->waiting->len > 0;
+}
+
+static bool
+awaits (const struct call *call, const struct pl_backend *backend)
+{
+  if (call->choice.awaited_count == 0)
+    return strcmp (call->service, backend->entry.service) == 0;
+  for (int i = 0; i < call->choice.awaited_count; i++)
+    if (call->choice.awaited[i] == backend->hash)
+      return true;
+  return false;
+}
+
+/* BACKEND has a place: those that wait for it can be tried. */
+static void
+note_freed (struct pl_router *router, const struct pl_backend *backend)
+{
+  for (guint i = 0; i < router->waiting->len; i++)
+    {
+      struct call *call = g_ptr_array_index (router->waiting, i);
+
+      call->is_placeable = call->is_placeable || awaits (call, backend);
+      router->has_placeable = router->has_placeable || call->is_placeable;
+    }
+}
+
+/* Tries those that can be tried, in order.  Each waits for servers of its own, so one without a
+ * place holds up nobody else. */
 void
 calls_pump (struct pl_router *router)
 {
-  const char *full[16];
-  int full_count = 0;
   guint i = 0;
 
+  if (!router->has_placeable)
+    return;
+  router->has_placeable = false;
   while (i < router->waiting->len)
     {
       struct call *call = g_ptr_array_index (router->waiting, i);
-      enum pl_placement_verdict verdict;
-      bool skip = false;
-
-      for (int f = 0; f < full_count; f++)
-        skip = skip || (strcmp (full[f], call->service) == 0 && !call->has_homes);
-      verdict = skip ? PL_PLACE_FULL : place (router, call);
-      if (verdict == PL_PLACED)
-        g_ptr_array_remove_index (router->waiting, i);
-      else if (verdict == PL_PLACE_NONE)
-        {
-          g_ptr_array_remove_index (router->waiting, i);
-          refuse (router, call, call->attempts > 0 ? ROUTER_TRIED_ALL : ROUTER_NO_SERVER,
-                  RETRY_AFTER_NO_SERVER_US);
-        }
-      else
+      enum pl_placement_verdict verdict = call->is_placeable ? place (router, call) : PL_PLACE_FULL;
+
+      call->is_placeable = false;
+      if (verdict == PL_PLACE_FULL)
         {
-          if (!skip && full_count < (int) G_N_ELEMENTS (full))
-            full[full_count++] = call->service;
           i++;
+          continue;
         }
+      g_ptr_array_remove_index (router->waiting, i);
+      if (verdict == PL_PLACE_NONE)
+        refuse (router, call, call->attempts > 0 ? ROUTER_TRIED_ALL : ROUTER_NO_SERVER,
+                RETRY_AFTER_NO_SERVER_US);
     }
 }
 
 /* The backend is done with CALL, one way or another. */
 static void
-leave_backend (struct call *call)
+leave_backend (struct pl_router *router, struct call *call)
 {
   assert (call->backend != NULL && call->backend->in_flight > 0);
   call->backend->in_flight--;
+  note_freed (router, call->backend);
 }
 
 /* Sends CALL to another server when it may run again and somebody may pay for it. */
@@ -564,7 +591,7 @@
 
   if (call == NULL || call->state != CALL_AT_SERVER || call->attempt != event->attempt)
     return;
-  leave_backend (call);
+  leave_backend (router, call);
   note_load (router, call, event);
   if (event->end != PL_ATTEMPT_ANSWERED)
     note_call (router, call, "attempt-failed",
@@ -602,7 +629,7 @@
 
   effect->request = call->id;
   effect->attempt = call->attempt;
-  leave_backend (call);
+  leave_backend (router, call);
 }
 
 /* Work that may run again is broken off; what runs once and has been sent is left to run, since
@@ -661,7 +688,10 @@
         {
           bool out_of_time = call->ends_us <= router->now_us;
 
+          /* Loads that servers told of fade, so there may be room that no answer has shown. */
           leave_queue (router, call);
+          if (!out_of_time && place (router, call) == PL_PLACED)
+            continue;
           refuse (router, call, out_of_time ? ROUTER_NO_TIME : ROUTER_FULL,
                   out_of_time ? 0 : RETRY_AFTER_FULL_US);
         }
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -13,6 +13,8 @@
 #define PL_SERVER_ID_CHARS 64
 #define PL_TRIED_MAX 8
 #define PL_PLACEMENT_REGIONS_MAX 32
+/* The first server for an object, and two that may take its overflow. */
+#define PL_PLACEMENT_RANKED_MAX 3
 
 /* What is registered of a server. */
 struct pl_server_entry
@@ -127,12 +129,20 @@
 /* Returns the part of a cold server's rate that this host may use, 0 to 1. */
 typedef double (*pl_cold_share) (void *data, uint64_t server, double cold_per_second);
 
-/* Chooses a server.
- * Counts it as in flight when it returns PL_PLACED. */
+/* What was chosen. */
+struct pl_placement_choice
+{
+  struct pl_backend *backend; /* PL_PLACED: now counted as in flight there */
+  /* PL_PLACE_FULL: hashes of the servers that the request waits for; none: any of the service */
+  uint64_t awaited[PL_PLACEMENT_RANKED_MAX];
+  int awaited_count;
+};
+
+/* Chooses a server. */
 enum pl_placement_verdict pl_placement_choose (struct pl_placement *placement,
                                                const struct pl_placement_wish *wish,
                                                pl_cold_share cold_share, void *data,
-                                               struct pl_backend **chosen, int64_t now_us);
+                                               struct pl_placement_choice *choice, int64_t now_us);
 
 /* Returns whether BACKEND may still be used for new requests. */
 bool pl_placement_is_listed (const struct pl_placement *placement, const struct pl_backend *backend,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -90,8 +90,10 @@
   uint64_t fingerprint;
   int64_t body_bytes;
   int64_t arrived_us;
-  int64_t wait_until_us; /* refused when it has no place by then */
-  int64_t ends_us;       /* answered by then, come what may */
+  int64_t wait_until_us;             /* refused when it has no place by then */
+  bool is_placeable;                 /* not tried yet, or things have changed since */
+  struct pl_placement_choice choice; /* of the last try: what it waits for */
+  int64_t ends_us;                   /* answered by then, come what may */
   uint32_t attempt;
   int attempts; /* servers it was sent to */
   uint64_t tried[PL_TRIED_MAX];
@@ -157,6 +159,7 @@
 
   GHashTable *calls;  /* id -> struct call */
   GPtrArray *waiting; /* of struct call, the first to be placed first */
+  bool has_placeable; /* one of them can be tried */
 
   int64_t notes_second; /* lines about requests in this second */
   int notes;
@@ -182,6 +185,8 @@
 void calls_on_arrival (struct pl_router *router, const struct pl_call_event *event);
 void calls_on_attempt (struct pl_router *router, const struct pl_attempt_event *event);
 void calls_on_caller_gone (struct pl_router *router, uint64_t id);
+/* Servers came or went: whatever waits may have a place now. */
+void calls_on_servers_changed (struct pl_router *router);
 void calls_pump (struct pl_router *router);
 void calls_run_timers (struct pl_router *router);
 extern const char *const router_refusal_names[ROUTER_REFUSALS];
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -72,11 +72,10 @@
 static struct pl_backend *
 choose (const struct pl_placement_wish *wish, int64_t now_us)
 {
-  struct pl_backend *backend = NULL;
+  struct pl_placement_choice choice;
 
-  return pl_placement_choose (&placement, wish, whole_share, NULL, &backend, now_us) == PL_PLACED
-             ? backend
-             : NULL;
+  pl_placement_choose (&placement, wish, whole_share, NULL, &choice, now_us);
+  return choice.backend;
 }
 
 static void
@@ -133,7 +132,7 @@
   struct pl_placement other;
   struct pl_placement_wish wish = wish_for (77);
   struct pl_backend *here = choose (&wish, 0);
-  struct pl_backend *there = NULL;
+  struct pl_placement_choice there;
 
   pl_placement_init (&other, "b-1", 1);
   for (int i = SERVERS - 1; i >= 0; i--)
@@ -143,7 +142,7 @@
       pl_placement_put (&other, &entry, i % 2, true, 0);
     }
   pl_placement_choose (&other, &wish, whole_share, NULL, &there, 0);
-  ck_assert_str_eq (here->entry.id, there->entry.id);
+  ck_assert_str_eq (here->entry.id, there.backend->entry.id);
   pl_placement_clear (&other);
 }
 END_TEST
@@ -302,10 +301,10 @@
   for (uint64_t object = 1; object < 20; object++)
     {
       struct pl_placement_wish wish = wish_for (object);
-      struct pl_backend *backend = NULL;
+      struct pl_placement_choice choice;
 
       ck_assert_int_eq (
-          pl_placement_choose (&placement, &wish, whole_share, NULL, &backend, 2 * SECOND),
+          pl_placement_choose (&placement, &wish, whole_share, NULL, &choice, 2 * SECOND),
           PL_PLACE_NONE);
     }
 }
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -210,10 +210,13 @@
                                    .time_us = request->arrived_us + PATIENCE_US - replay->now_us,
                                    .homes = UINT32_MAX};
 
-  if (pl_placement_choose (&replay->placements[request->host], &wish, whole_share, NULL,
-                           &request->backend, replay->now_us)
+  struct pl_placement_choice choice;
+
+  if (pl_placement_choose (&replay->placements[request->host], &wish, whole_share, NULL, &choice,
+                           replay->now_us)
       != PL_PLACED)
     return -1;
+  request->backend = choice.backend;
   return atoi (request->backend->entry.id);
 }
 
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -163,6 +163,41 @@
 }
 END_TEST
 
+/* A request whose server is full waits; one behind it whose server is free does not. */
+START_TEST (a_request_that_waits_holds_up_nobody_else)
+{
+  struct world_call *waiting;
+  int sent = 0;
+
+  do
+    waiting = world_call (world, "/read/busy", "key-1");
+  while (waiting->at_server);
+  ck_assert_int_eq (waiting->answers, 0);
+  for (int i = 0; i < 12; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+
+      sent += world_call (world, path, "key-1")->at_server;
+    }
+  ck_assert_int_ge (sent, 4);
+}
+END_TEST
+
+/* The place that an answer frees goes to the request that waits for it. */
+START_TEST (a_place_that_is_freed_is_given_away_at_once)
+{
+  struct world_call *first = world_call (world, "/read/busy", "key-1");
+  struct world_call *waiting;
+
+  do
+    waiting = world_call (world, "/read/busy", "key-1");
+  while (waiting->at_server);
+  world_run (world, 5 * WORLD_MS);
+  world_end (world, first, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (waiting->at_server);
+}
+END_TEST
+
 START_TEST (without_servers_a_request_is_refused_at_once)
 {
   for (int i = 0; i < 4; i++)
@@ -532,6 +567,8 @@
   tcase_add_test (tcase, a_request_is_answered_by_its_routes_timeout);
   tcase_add_test (tcase, repeatable_work_ends_with_its_caller);
   tcase_add_test (tcase, what_has_no_room_is_refused_after_a_short_wait);
+  tcase_add_test (tcase, a_request_that_waits_holds_up_nobody_else);
+  tcase_add_test (tcase, a_place_that_is_freed_is_given_away_at_once);
   tcase_add_test (tcase, without_servers_a_request_is_refused_at_once);
   tcase_add_test (tcase, an_evacuated_domain_gets_nothing_until_it_is_taken_back);
   tcase_add_test (tcase, an_older_configuration_changes_nothing);
--- a/tools/bench_placement.c
+++ b/tools/bench_placement.c
@@ -62,14 +62,13 @@
   begun = processor_seconds ();
   for (int i = 0; i < CHOICES; i++)
     {
-      struct pl_backend *backend = NULL;
+      struct pl_placement_choice choice;
 
       wish.object = (uint64_t) i + 1;
-      if (pl_placement_choose (&placement, &wish, whole_share, NULL, &backend, i * 100)
-          != PL_PLACED)
+      if (pl_placement_choose (&placement, &wish, whole_share, NULL, &choice, i * 100) != PL_PLACED)
         continue;
       placed++;
-      backend->in_flight--;
+      choice.backend->in_flight--;
     }
   printf ("servers %d  choices %d  us a choice %.2f\n", servers, placed,
           (processor_seconds () - begun) / CHOICES * 1e6);
