--- a/include/pomelolatch/histogram.h
+++ b/include/pomelolatch/histogram.h
@@ -25,6 +25,9 @@
 /* Adds all counts of OTHER to HISTOGRAM. */
 void pl_histogram_merge (struct pl_histogram *histogram, const struct pl_histogram *other);
 
+/* Returns the largest value, in microseconds, that bucket INDEX counts. */
+int64_t pl_histogram_upper_edge (unsigned index);
+
 /* Returns the upper edge, in microseconds, of the bucket that holds FRACTION (0..1) of all
  * values, or 0 when the histogram is empty. */
 int64_t pl_histogram_quantile (const struct pl_histogram *histogram, double fraction);
--- a/modules/metrics.c
+++ b/modules/metrics.c
@@ -23,17 +23,13 @@
                               label, name, reason, json_integer_value (value));
   json_array_foreach (json_object_get (counts, "buckets"), i, value)
   {
-    struct pl_histogram edge = {0};
     int bucket = (int) json_integer_value (json_array_get (value, 0));
 
     if (bucket < 0 || bucket >= PL_HISTOGRAM_BUCKETS)
       continue;
-    edge.buckets[bucket] = 1;
-    edge.count = 1;
-    edge.max_us = INT64_MAX;
     cumulated += json_integer_value (json_array_get (value, 1));
     g_string_append_printf (out, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"%.6f\"} %lld\n",
-                            label, name, (double) pl_histogram_quantile (&edge, 1.0) / 1e6,
+                            label, name, (double) pl_histogram_upper_edge ((unsigned) bucket) / 1e6,
                             cumulated);
   }
   g_string_append_printf (out, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"+Inf\"} %lld\n",
--- a/objects/histogram.c
+++ b/objects/histogram.c
@@ -20,8 +20,8 @@
   return index < PL_HISTOGRAM_BUCKETS ? index : PL_HISTOGRAM_BUCKETS - 1;
 }
 
-static int64_t
-bucket_upper_edge (unsigned index)
+int64_t
+pl_histogram_upper_edge (unsigned index)
 {
   unsigned sub_count = 1u << PL_HISTOGRAM_SUB_BITS;
   unsigned shift;
@@ -69,8 +69,8 @@
     {
       seen += histogram->buckets[i];
       if ((double) seen >= wanted && seen > 0)
-        return bucket_upper_edge (i) < histogram->max_us ? bucket_upper_edge (i)
-                                                         : histogram->max_us;
+        return pl_histogram_upper_edge (i) < histogram->max_us ? pl_histogram_upper_edge (i)
+                                                               : histogram->max_us;
     }
   return histogram->max_us;
 }
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -549,6 +549,29 @@
 }
 END_TEST
 
+/* Each answer is counted in a bucket that is not above its latency, and in the total. */
+START_TEST (metrics_hold_a_histogram_by_account_and_route)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  for (int i = 0; i < 3; i++)
+    {
+      struct world_call *call = world_call (world, "/read/1", "key-1");
+
+      world_run (world, 100 * WORLD_MS);
+      world_end (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  pl_router_metrics (world->router, text);
+  ck_assert_ptr_nonnull (strstr (text->str, "pomelolatch_latency_seconds_bucket{account=\"shop\","
+                                            "le=\"0.131071\"} 3\n"));
+  ck_assert_ptr_nonnull (strstr (text->str, "pomelolatch_latency_seconds_bucket{route=\"read\","
+                                            "le=\"+Inf\"} 3\n"));
+  ck_assert_ptr_nonnull (
+      strstr (text->str, "pomelolatch_latency_seconds_count{account=\"shop\"} 3"));
+  ck_assert_ptr_null (strstr (text->str, "le=\"0.065535\""));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -585,5 +608,6 @@
   tcase_add_test (tcase, a_host_alone_keeps_to_its_part_of_a_rate);
   tcase_add_test (tcase, a_host_whose_clock_was_set_back_is_heard);
   tcase_add_test (tcase, parts_of_a_split_get_their_weights);
+  tcase_add_test (tcase, metrics_hold_a_histogram_by_account_and_route);
   return suite_run (suite);
 }
