--- a/Makefile
+++ b/Makefile
@@ -65,7 +65,11 @@
 
 $(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
 
-tests: $(TESTS) $(HISTORY) $(SOAK)
+$(BUILD)/tests/soak/preload/%.so: tests/soak/preload/%.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -shared -fPIC -o $@ $<
+
+tests: $(TESTS) $(HISTORY) $(SOAK) $(BUILD)/tests/soak/preload/clock.so
 
 bench: $(BENCHES) all
 	tools/bench
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -15,13 +15,15 @@
 
 #define START_AGAIN_US 300000
 #define STOP_LIMIT_US (8 * SOAK_SECOND)
-
-extern char **environ;
+/* A host's time of day is off by up to this, and jumps once by up to as much. */
+#define CLOCK_OFF_MS 5000
+#define CLOCK_JUMP_AFTER_MS 8000
 
 struct host
 {
   pid_t process;
   bool told_to_end;
+  uint32_t starts;
   char settings[256];
   char log[256];
 };
@@ -30,6 +32,8 @@
 static int host_count;
 static const char *program;
 static int switches;
+static uint32_t seed;
+static char *clock_library;
 static char *folder;
 static GMutex lock;
 static int stopping;
@@ -68,9 +72,25 @@
   fclose (file);
 }
 
+/* Returns another time of day for each start of a host, drawn apart from the plan. */
+static char **
+make_environment (int host)
+{
+  g_autoptr (GRand) random
+      = g_rand_new_with_seed (seed * 7919 + (uint32_t) host * 104729 + hosts[host].starts++);
+  g_autofree char *clock
+      = g_strdup_printf ("%d,%d,%d", g_rand_int_range (random, -CLOCK_OFF_MS, CLOCK_OFF_MS),
+                         g_rand_int_range (random, 0, CLOCK_JUMP_AFTER_MS),
+                         g_rand_int_range (random, -CLOCK_OFF_MS, CLOCK_OFF_MS));
+  char **environment = g_environ_setenv (g_get_environ (), "SOAK_CLOCK", clock, TRUE);
+
+  return g_environ_setenv (environment, "LD_PRELOAD", clock_library, TRUE);
+}
+
 static void
 start_host (int host)
 {
+  g_auto (GStrv) environment = make_environment (host);
   char *arguments[] = {(char *) program, "--settings", hosts[host].settings, NULL};
   posix_spawn_file_actions_t actions;
 
@@ -78,7 +98,7 @@
   posix_spawn_file_actions_addopen (&actions, STDOUT_FILENO, hosts[host].log,
                                     O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2 (&actions, STDOUT_FILENO, STDERR_FILENO);
-  if (posix_spawn (&hosts[host].process, program, &actions, NULL, arguments, environ) != 0)
+  if (posix_spawn (&hosts[host].process, program, &actions, NULL, arguments, environment) != 0)
     {
       g_printerr ("soak: %s can not be started\n", program);
       exit (2);
@@ -128,6 +148,8 @@
 
   program = options->program;
   switches = options->switches;
+  seed = options->seed;
+  clock_library = g_strconcat (options->folder, "/preload/clock.so", NULL);
   host_count = options->hosts;
   folder = g_dir_make_tmp ("soak-XXXXXX", NULL);
   printf ("logs of the entry hosts: %s\n", folder);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -363,6 +363,7 @@
   gint block = 0;
   gint switches = 0;
   g_autofree char *program = NULL;
+  g_autofree char *folder = g_path_get_dirname (argv[0]);
   GOptionEntry entries[]
       = {{"seed", 0, 0, G_OPTION_ARG_INT, &seed, "What the plan is drawn from", "N"},
          {"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "How long faults come", "S"},
@@ -391,6 +392,7 @@
                                   .hosts = hosts,
                                   .block = block,
                                   .program = program != NULL ? program : "build/pomelolatch-entry",
+                                  .folder = folder,
                                   .switches = switches};
   return run (&options);
 }
