--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -28,7 +28,7 @@
   int block; /* of loopback addresses, 0 to 20 */
   const char *program;
   const char *folder; /* where the soak's own program stands */
-  int switches; /* mechanisms of the entry hosts that are off, to see that the soak sees it */
+  int switches;       /* mechanisms of the entry hosts that are off, to see that the soak sees it */
 };
 
 /* Loopback nets; runs side by side each have a block of their own. */
