--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -16,8 +16,11 @@
 #define IDENTITY_EACH 8
 /* All of them do while a process is young. */
 #define YOUNG_US (5 * S_US)
-/* Beacons that tell of accounts follow each other no faster. */
+/* Beacons that tell of accounts follow each other no faster, and slower in a large fleet, where
+ * they would be most of what hosts send: with 300 hosts they go with about every regular beacon. */
 #define ACCOUNTS_PERIOD_US (40 * MS_US)
+#define ACCOUNTS_PERIOD_A_HOST_US (2 * MS_US)
+#define ACCOUNTS_HOSTS_FREE 50
 /* A host that took no request for so long is not active. */
 #define ACTIVE_US (4 * S_US)
 #define SEEDS_PERIOD_US (300 * MS_US)
@@ -181,6 +184,14 @@
     }
 }
 
+static int64_t
+accounts_period_us (const struct pl_router *router)
+{
+  int hosts = pl_membership_active_count (&router->membership, router->now_us);
+
+  return ACCOUNTS_PERIOD_US + ACCOUNTS_PERIOD_A_HOST_US * MAX (hosts - ACCOUNTS_HOSTS_FREE, 0);
+}
+
 void
 fleet_run_timers (struct pl_router *router)
 {
@@ -196,7 +207,7 @@
     {
       tell_members (router, router->tell_soon, !due);
       router->tell_accounts = false;
-      router->accounts_due_us = router->now_us + ACCOUNTS_PERIOD_US;
+      router->accounts_due_us = router->now_us + accounts_period_us (router);
     }
   if (due)
     {
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -31,6 +31,8 @@
   int cut_from; /* ticks in which the first half and the second do not hear each other */
   int cut_until;
   int lost_percent;
+  int pace;                /* ticks from one report of a host to the next, at least */
+  int reported[HOSTS_MAX]; /* tick of the last */
   uint32_t random;
   int admitted[RUN_TICKS];
   int refused;
@@ -85,9 +87,12 @@
 {
   struct pl_quota *quota = &fleet->quotas[from];
 
+  if (fleet->pace > 0 && tick - fleet->reported[from] < fleet->pace)
+    return;
   if (!pl_quota_is_pressing (quota, fleet->hosts)
       && (tick % 50 != 0 || !pl_quota_should_tell (quota, fleet->hosts, tick * TICK)))
     return;
+  fleet->reported[from] = tick;
   pl_quota_note_told (quota, tick * TICK);
   for (int to = 0; to < fleet->hosts; to++)
     {
@@ -186,6 +191,21 @@
 }
 END_TEST
 
+/* In a fleet of 300 hosts reports follow each other no faster than half a second. */
+START_TEST (a_flood_stays_within_the_rate_when_reports_are_rare)
+{
+  static const double rates[] = {38, 121, 300};
+  double rate = rates[_i];
+  struct fleet *fleet = fleet_new (HOSTS_MAX, rate);
+
+  fleet->pace = 54;
+  run (fleet, 0, 1000, rate * 0.6);
+  run (fleet, 1000, RUN_TICKS, rate * 5);
+  check_windows (fleet, rate);
+  fleet_free (fleet);
+}
+END_TEST
+
 START_TEST (even_use_is_not_refused)
 {
   static const int hosts[] = {4, 9, 12};
@@ -292,6 +312,7 @@
   TCase *tcase = suite_new_case (&suite, "quota");
 
   tcase_add_loop_test (tcase, a_flood_stays_within_the_rate, 0, 3);
+  tcase_add_loop_test (tcase, a_flood_stays_within_the_rate_when_reports_are_rare, 0, 3);
   tcase_add_loop_test (tcase, even_use_is_not_refused, 0, 3);
   tcase_add_test (tcase, both_sides_of_a_cut_stay_within_the_rate);
   tcase_add_test (tcase, a_cut_that_heals_refuses_nothing);
