--- a/core/placement.c
+++ b/core/placement.c
@@ -365,6 +365,20 @@
   return share > 0 && backend->cold_tokens >= 1;
 }
 
+/* Returns whether a cold server may get a request from this host. */
+static bool
+may_warm (const struct pl_placement_service *service, struct pl_backend *backend,
+          pl_cold_share cold_share, void *data, int64_t now_us)
+{
+  double share = 1;
+
+  if (backend->in_flight > 0)
+    return false;
+  if (cold_share != NULL)
+    share = cold_share (data, backend->hash, service->cold_per_second);
+  return has_cold_token (service, backend, share, now_us);
+}
+
 /* What one pass over the servers finds. */
 struct scan
 {
@@ -474,11 +488,7 @@
       scan->listed++;
       if (!is_sound (service, wish, backend, now_us))
         continue;
-      if (now_us < backend->cold_until_us
-          && (backend->in_flight > 0
-              || !has_cold_token (service, backend,
-                                  cold_share (data, backend->hash, service->cold_per_second),
-                                  now_us)))
+      if (now_us < backend->cold_until_us && !may_warm (service, backend, cold_share, data, now_us))
         continue;
       scan->sound++;
       scan->near += backend->is_near;
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -138,7 +138,7 @@
   int awaited_count;
 };
 
-/* Chooses a server. */
+/* Chooses a server.  COLD_SHARE NULL: no other host uses cold servers. */
 enum pl_placement_verdict pl_placement_choose (struct pl_placement *placement,
                                                const struct pl_placement_wish *wish,
                                                pl_cold_share cold_share, void *data,
--- a/tests/test_http_client.c
+++ b/tests/test_http_client.c
@@ -1,13 +1,11 @@
 /* What a call does to its connection, against a server on the loopback that this program holds. */
 #include "internal/http_client.h"
+#include "loopback.h"
 #include "suite.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
 #define WAIT_MS 10000
@@ -29,14 +27,7 @@
 static void
 set_up (void)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
-  socklen_t length = sizeof address;
-
-  listener = socket (AF_INET, SOCK_STREAM, 0);
-  ck_assert_int_eq (bind (listener, (struct sockaddr *) &address, sizeof address), 0);
-  ck_assert_int_eq (listen (listener, 8), 0);
-  getsockname (listener, (struct sockaddr *) &address, &length);
-  port = ntohs (address.sin_port);
+  listener = loopback_listen (&port);
   g_snprintf (url, sizeof url, "http://127.0.0.1:%u/", port);
   ended = 0;
   client = pl_http_client_new ("test");
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -12,15 +12,6 @@
 
 static struct pl_placement placement;
 
-static double
-whole_share (void *data, uint64_t server, double cold_per_second)
-{
-  (void) data;
-  (void) server;
-  (void) cold_per_second;
-  return 1;
-}
-
 static struct pl_server_entry
 make_entry (int number, const char *domain)
 {
@@ -74,7 +65,7 @@
 {
   struct pl_placement_choice choice;
 
-  pl_placement_choose (&placement, wish, whole_share, NULL, &choice, now_us);
+  pl_placement_choose (&placement, wish, NULL, NULL, &choice, now_us);
   return choice.backend;
 }
 
@@ -141,7 +132,7 @@
 
       pl_placement_put (&other, &entry, i % 2, true, 0);
     }
-  pl_placement_choose (&other, &wish, whole_share, NULL, &there, 0);
+  pl_placement_choose (&other, &wish, NULL, NULL, &there, 0);
   ck_assert_str_eq (here->entry.id, there.backend->entry.id);
   pl_placement_clear (&other);
 }
@@ -303,9 +294,8 @@
       struct pl_placement_wish wish = wish_for (object);
       struct pl_placement_choice choice;
 
-      ck_assert_int_eq (
-          pl_placement_choose (&placement, &wish, whole_share, NULL, &choice, 2 * SECOND),
-          PL_PLACE_NONE);
+      ck_assert_int_eq (pl_placement_choose (&placement, &wish, NULL, NULL, &choice, 2 * SECOND),
+                        PL_PLACE_NONE);
     }
 }
 END_TEST
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -139,15 +139,6 @@
   g_sequence_insert_sorted (replay->events, event, by_time, NULL);
 }
 
-static double
-whole_share (void *data, uint64_t server, double cold_per_second)
-{
-  (void) data;
-  (void) server;
-  (void) cold_per_second;
-  return 1;
-}
-
 static bool
 is_full (const struct replay *replay, int host, int server)
 {
@@ -212,7 +203,7 @@
 
   struct pl_placement_choice choice;
 
-  if (pl_placement_choose (&replay->placements[request->host], &wish, whole_share, NULL, &choice,
+  if (pl_placement_choose (&replay->placements[request->host], &wish, NULL, NULL, &choice,
                            replay->now_us)
       != PL_PLACED)
     return -1;
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -2,17 +2,13 @@
 #include "internal/dialect.h"
 #include "internal/http_client.h"
 #include "internal/reactor.h"
+#include "loopback.h"
 #include "suite.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <string.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#define WAIT_MS 10000
-
 /* A range of two pages that are read at different moments: a row of the first changes between. */
 static const char page_1[]
     = "{\"Rows\":[{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"a\","
@@ -105,15 +101,11 @@
 static void
 set_up (void)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
-  socklen_t length = sizeof address;
+  uint16_t port;
 
   memset (&server, 0, sizeof server);
-  server.listener = socket (AF_INET, SOCK_STREAM, 0);
-  ck_assert_int_eq (bind (server.listener, (struct sockaddr *) &address, sizeof address), 0);
-  ck_assert_int_eq (listen (server.listener, 8), 0);
-  getsockname (server.listener, (struct sockaddr *) &address, &length);
-  g_snprintf (server.address, sizeof server.address, "127.0.0.1:%u", ntohs (address.sin_port));
+  server.listener = loopback_listen (&port);
+  g_snprintf (server.address, sizeof server.address, "127.0.0.1:%u", port);
   server.reactor = pl_reactor_new ();
   server.thread = g_thread_new ("store", serve, NULL);
 }
--- a/tools/bench_placement.c
+++ b/tools/bench_placement.c
@@ -15,15 +15,6 @@
 #define REGIONS 3
 #define SECOND INT64_C (1000000)
 
-static double
-whole_share (void *data, uint64_t server, double cold_per_second)
-{
-  (void) data;
-  (void) server;
-  (void) cold_per_second;
-  return 1;
-}
-
 static void
 add_servers (struct pl_placement *placement, int count)
 {
@@ -65,7 +56,7 @@
       struct pl_placement_choice choice;
 
       wish.object = (uint64_t) i + 1;
-      if (pl_placement_choose (&placement, &wish, whole_share, NULL, &choice, INT64_C (100) * i)
+      if (pl_placement_choose (&placement, &wish, NULL, NULL, &choice, INT64_C (100) * i)
           != PL_PLACED)
         continue;
       placed++;
