--- a/core/router_news.c
+++ b/core/router_news.c
@@ -447,6 +447,8 @@
                 && pl_membership_should_watch (&router->membership, router->watching,
                                                router->store_lost, router->now_us);
 
+  if (!settled)
+    router->due_us = MIN (router->due_us, router->started_us + settle_us);
   if (wanted == router->watching)
     return;
   router->watching = wanted;
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -366,6 +366,17 @@
 }
 END_TEST
 
+/* All processes were killed: nobody is there to ask. */
+START_TEST (a_host_that_hears_nobody_reads_the_store_at_once)
+{
+  struct world *empty = world_new ();
+
+  world_run (empty, 40 * WORLD_MS);
+  ck_assert (empty->watching);
+  world_free (empty);
+}
+END_TEST
+
 START_TEST (one_host_a_region_reads_the_store)
 {
   int watchers = 0;
@@ -602,6 +613,7 @@
   tcase_add_test (tcase, a_request_that_ends_servers_is_quarantined);
   tcase_add_test (tcase, a_stopping_host_finishes_what_it_has);
   tcase_add_test (tcase, a_host_fetches_news_that_a_peer_holds);
+  tcase_add_test (tcase, a_host_that_hears_nobody_reads_the_store_at_once);
   tcase_add_test (tcase, one_host_a_region_reads_the_store);
   tcase_add_test (tcase, the_directory_names_strong_hosts_of_the_callers_domain);
   tcase_add_test (tcase, a_host_that_is_cut_off_names_others_beside_itself);
