--- a/core/core.c
+++ b/core/core.c
@@ -282,6 +282,45 @@
   core_publish_lookup (core);
 }
 
+static void
+on_message (struct pl_core *core, struct pl_message *message)
+{
+  if (!peers_on_message (core, message))
+    return;
+  switch (message->type)
+    {
+    case PL_MESSAGE_ASK:
+      budgets_on_ask (core, message);
+      break;
+    case PL_MESSAGE_GRANT:
+      budgets_on_grant (core, message);
+      break;
+    case PL_MESSAGE_RELEASE:
+    case PL_MESSAGE_SNAPSHOT:
+      control_on_document (core, message);
+      break;
+    case PL_MESSAGE_WANT_RELEASES:
+      control_send_releases (core, message->from, message->u.document.version);
+      break;
+    case PL_MESSAGE_HEARTBEAT:
+    case PL_MESSAGE_SUSPECT:
+    case PL_MESSAGE_COUNT:
+      break;
+    }
+}
+
+static void
+on_store (struct pl_core *core, struct pl_store_event *event)
+{
+  if (event->call != PL_STORE_CLAIM)
+    {
+      control_on_store (core, event);
+      return;
+    }
+  operations_note_claimed (core, event->result == PL_OK);
+  requests_on_claims (core, event);
+}
+
 static void
 apply_event (struct pl_core *core, struct pl_event *event)
 {
@@ -305,11 +344,11 @@
       servers_on_probe (core, &event->u.probe);
       break;
     case PL_EVENT_MESSAGE:
-      peers_on_message (core, &event->u.message);
+      on_message (core, &event->u.message);
       pl_message_clear (&event->u.message);
       break;
     case PL_EVENT_STORE:
-      control_on_store (core, &event->u.store);
+      on_store (core, &event->u.store);
       break;
     case PL_EVENT_LEAVING_LIST:
       servers_on_leaving_list (core, event->u.leaving.servers, event->u.leaving.count);
--- a/core/core_attempts.c
+++ b/core/core_attempts.c
@@ -77,7 +77,7 @@
 retry (struct pl_core *core, struct request *request)
 {
   request->cancelled = false;
-  requests_enqueue (core, request, true);
+  queue_enqueue (core, request, true);
 }
 
 /* An attempt that certainly did not run may always be made again, but one that took another's
@@ -150,7 +150,7 @@
       request->account->counts.refused[PL_REFUSAL_LOST]++;
       route->refused[PL_REFUSAL_LOST]++;
     }
-  requests_forget (core, request);
+  queue_forget (core, request);
 }
 
 void
@@ -190,7 +190,7 @@
   refusal = core->now_us >= request->event.deadline_us ? PL_REFUSAL_DEADLINE
             : certain                                  ? PL_REFUSAL_NO_SERVER
                                                        : PL_REFUSAL_LOST;
-  requests_refuse (core, request, refusal);
+  queue_refuse (core, request, refusal);
 }
 
 void
@@ -214,10 +214,10 @@
   request->caller_gone = true;
   if (request->state == REQUEST_WAITING)
     {
-      requests_dequeue (core, request);
+      queue_dequeue (core, request);
       if (request->claimed && !request->may_have_run)
         operations_abandon (core, request);
-      requests_forget (core, request);
+      queue_forget (core, request);
     }
   else if ((request->state == REQUEST_AT_SERVER || request->state == REQUEST_AT_MEMBER)
            && !request->claimed && !request->cancelled)
--- a/core/core_control.c
+++ b/core/core_control.c
@@ -484,11 +484,6 @@
         on_committed (core, pending, event);
       break;
     case PL_STORE_CLAIM:
-      core->claim_open = false;
-      if (event->result == PL_OK)
-        core->claim_retry_us = core->now_us;
-      requests_on_claims (core, event);
-      break;
     case PL_STORE_FINISH:
     case PL_STORE_ABANDON:
       break;
--- a/core/core_operations.c
+++ b/core/core_operations.c
@@ -91,3 +91,11 @@
 {
   operations_abandon_row (core, request->event.request, request->claim_row);
 }
+
+void
+operations_note_claimed (struct pl_core *core, bool well)
+{
+  core->claim_open = false;
+  if (well)
+    core->claim_retry_us = core->now_us;
+}
--- a/core/core_peers.c
+++ b/core/core_peers.c
@@ -177,46 +177,27 @@
                            core->now_us);
 }
 
-void
-peers_on_message (struct pl_core *core, struct pl_message *message)
+bool
+peers_on_message (struct pl_core *core, const struct pl_message *message)
 {
   struct member *member;
 
   if (message->from == core->id)
-    return;
+    return false;
   /* Before it has a configuration a host knows no names and takes any peer that the peer port
    * has authenticated. */
   member = g_hash_table_lookup (core->members, &message->from);
   if (member == NULL && core->config != NULL)
-    return;
+    return false;
   if (member == NULL)
     member = take_member (core, message->from);
   member->heard = true;
   member->heard_at_us = core->now_us;
-  switch (message->type)
-    {
-    case PL_MESSAGE_HEARTBEAT:
-      on_heartbeat (core, member, &message->u.heartbeat);
-      break;
-    case PL_MESSAGE_ASK:
-      budgets_on_ask (core, message);
-      break;
-    case PL_MESSAGE_GRANT:
-      budgets_on_grant (core, message);
-      break;
-    case PL_MESSAGE_SUSPECT:
-      on_suspect (core, &message->u.suspect);
-      break;
-    case PL_MESSAGE_RELEASE:
-    case PL_MESSAGE_SNAPSHOT:
-      control_on_document (core, message);
-      break;
-    case PL_MESSAGE_WANT_RELEASES:
-      control_send_releases (core, message->from, message->u.document.version);
-      break;
-    case PL_MESSAGE_COUNT:
-      break;
-    }
+  if (message->type == PL_MESSAGE_HEARTBEAT)
+    on_heartbeat (core, member, &message->u.heartbeat);
+  else if (message->type == PL_MESSAGE_SUSPECT)
+    on_suspect (core, &message->u.suspect);
+  return true;
 }
 
 /* Returns the lowest version that any named peer or this host has said to have in force. */
--- /dev/null
+++ b/core/core_queue.c
@@ -0,0 +1,97 @@
+/* What waits, and how a request ends without a server's answer.
+ *
+ * Below requests and attempts, which both put requests back, take them out and
+ * refuse them.  queue_refuse() answers each request once, and reads may_have_run
+ * for what it says of it.
+ */
+#include "internal/core_state.h"
+
+#include <assert.h>
+
+/* Longer than a heartbeat period and a way between regions, so that one lost message is made up. */
+#define TELL_TIME_US (400 * PL_US_PER_MS)
+
+const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT] = {
+    [PL_REFUSAL_NO_CONFIG] = {"no-configuration", 503, 500},
+    [PL_REFUSAL_NO_ROUTE] = {"no-route", 404, 0},
+    [PL_REFUSAL_NO_KEY] = {"no-key", 401, 0},
+    [PL_REFUSAL_STALE] = {"cut-off-too-long", 503, 1000},
+    [PL_REFUSAL_QUARANTINED] = {"quarantined", 422, 0},
+    [PL_REFUSAL_NO_OPERATION] = {"idempotency-key-required", 400, 0},
+    [PL_REFUSAL_OVER_RATE] = {"over-rate", 429, 1000},
+    [PL_REFUSAL_QUEUE_FULL] = {"queue-full", 429, 1000},
+    [PL_REFUSAL_NO_SERVER] = {"no-server-free", 503, 500},
+    [PL_REFUSAL_DEADLINE] = {"deadline", 504, 0},
+    [PL_REFUSAL_LOST] = {"answer-lost", 502, 0},
+    [PL_REFUSAL_REPEATED] = {"repeated", 409, 500},
+    [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
+};
+
+void
+queue_forget (struct pl_core *core, struct request *request)
+{
+  g_hash_table_remove (core->requests, &request->event.request);
+  g_free (request);
+}
+
+void
+queue_enqueue (struct pl_core *core, struct request *request, bool first)
+{
+  request->state = REQUEST_WAITING;
+  request->changed_us = core->now_us;
+  core->waiting_count++;
+  if (first)
+    g_queue_push_head (&request->account->waiting, request);
+  else
+    g_queue_push_tail (&request->account->waiting, request);
+}
+
+void
+queue_dequeue (struct pl_core *core, struct request *request)
+{
+  assert (request->state == REQUEST_WAITING);
+  if (g_queue_remove (&request->account->waiting, request))
+    core->waiting_count--;
+}
+
+/* A caller may send its request again as soon as it has an answer, so a request that a server died
+ * with is answered only when the other hosts can have heard of it. */
+static bool
+hold (struct pl_core *core, struct request *request, enum pl_refusal refusal)
+{
+  if (request->told_at_us == 0 || core->now_us - request->told_at_us >= TELL_TIME_US)
+    return false;
+  request->state = REQUEST_HELD;
+  request->held_refusal = refusal;
+  return true;
+}
+
+/* Answers with REFUSAL and forgets the request, which must be in no queue. */
+void
+queue_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal)
+{
+  /* Without a configuration or a route nothing says that the work may be repeated. */
+  bool unrepeatable = (request->service == 0 || !request->route.repeatable)
+                      && !request->event.forwarded && request->event.operation[0] != '\0';
+  struct pl_effect *effect;
+
+  if (hold (core, request, refusal))
+    return;
+  if (request->account != NULL)
+    request->account->counts.refused[refusal]++;
+  if (request->route_name[0] != '\0')
+    report_route (core, request->route_name)->refused[refusal]++;
+  if (!request->caller_gone)
+    {
+      effect = core_add_effect (core, PL_EFFECT_REFUSE);
+      effect->request = request->event.request;
+      effect->valid_until_us = INT64_MAX;
+      effect->u.refuse.refusal = refusal;
+      effect->u.refuse.attempt_ran = request->may_have_run;
+      effect->u.refuse.operation_ran = request->may_have_run || (unrepeatable && !request->claimed);
+      effect->u.refuse.retry_after_ms = pl_refusals[refusal].retry_after_ms;
+    }
+  if (request->claimed && !request->may_have_run)
+    operations_abandon (core, request);
+  queue_forget (core, request);
+}
--- a/core/core_requests.c
+++ b/core/core_requests.c
@@ -3,11 +3,8 @@
  * A request waits in the queue of its account until it has tokens, a claim if
  * it may not be repeated, and a place to run, all at once; only then are tokens
  * taken, so that what was saved up while waiting can not run as one bunch.
- * Accounts take turns.  Invariants:
- *
- *  - a request is in its account's queue exactly while it is REQUEST_WAITING;
- *  - requests_refuse() answers each request once, and reads may_have_run for
- *    what it says of it.
+ * Accounts take turns.  Invariant: a request is in its account's queue exactly
+ * while it is REQUEST_WAITING.
  */
 #include "internal/core_state.h"
 
@@ -21,96 +18,9 @@
 #define TOKEN_WAIT_US (1000 * PL_US_PER_MS)
 #define FORWARDED_WAIT_US (60 * PL_US_PER_MS)
 #define CLAIM_WAIT_US (3 * PL_US_PER_S)
-/* Longer than a heartbeat period and a way between regions, so that one lost message is made up. */
-#define TELL_TIME_US (400 * PL_US_PER_MS)
 #define MEMBER_SILENCE_EXTRA_US (500 * PL_US_PER_MS)
 #define RETRY_TOKENS_PER_REQUEST 0.1
 
-const struct pl_refusal_info pl_refusals[PL_REFUSAL_COUNT] = {
-    [PL_REFUSAL_NO_CONFIG] = {"no-configuration", 503, 500},
-    [PL_REFUSAL_NO_ROUTE] = {"no-route", 404, 0},
-    [PL_REFUSAL_NO_KEY] = {"no-key", 401, 0},
-    [PL_REFUSAL_STALE] = {"cut-off-too-long", 503, 1000},
-    [PL_REFUSAL_QUARANTINED] = {"quarantined", 422, 0},
-    [PL_REFUSAL_NO_OPERATION] = {"idempotency-key-required", 400, 0},
-    [PL_REFUSAL_OVER_RATE] = {"over-rate", 429, 1000},
-    [PL_REFUSAL_QUEUE_FULL] = {"queue-full", 429, 1000},
-    [PL_REFUSAL_NO_SERVER] = {"no-server-free", 503, 500},
-    [PL_REFUSAL_DEADLINE] = {"deadline", 504, 0},
-    [PL_REFUSAL_LOST] = {"answer-lost", 502, 0},
-    [PL_REFUSAL_REPEATED] = {"repeated", 409, 500},
-    [PL_REFUSAL_STORE_DOWN] = {"store-down", 503, 1000},
-};
-
-void
-requests_forget (struct pl_core *core, struct request *request)
-{
-  g_hash_table_remove (core->requests, &request->event.request);
-  g_free (request);
-}
-
-void
-requests_enqueue (struct pl_core *core, struct request *request, bool first)
-{
-  request->state = REQUEST_WAITING;
-  request->changed_us = core->now_us;
-  core->waiting_count++;
-  if (first)
-    g_queue_push_head (&request->account->waiting, request);
-  else
-    g_queue_push_tail (&request->account->waiting, request);
-}
-
-void
-requests_dequeue (struct pl_core *core, struct request *request)
-{
-  assert (request->state == REQUEST_WAITING);
-  if (g_queue_remove (&request->account->waiting, request))
-    core->waiting_count--;
-}
-
-/* A caller may send its request again as soon as it has an answer, so a request that a server died
- * with is answered only when the other hosts can have heard of it. */
-static bool
-hold (struct pl_core *core, struct request *request, enum pl_refusal refusal)
-{
-  if (request->told_at_us == 0 || core->now_us - request->told_at_us >= TELL_TIME_US)
-    return false;
-  request->state = REQUEST_HELD;
-  request->held_refusal = refusal;
-  return true;
-}
-
-/* Answers with REFUSAL and forgets the request, which must be in no queue. */
-void
-requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal)
-{
-  /* Without a configuration or a route nothing says that the work may be repeated. */
-  bool unrepeatable = (request->service == 0 || !request->route.repeatable)
-                      && !request->event.forwarded && request->event.operation[0] != '\0';
-  struct pl_effect *effect;
-
-  if (hold (core, request, refusal))
-    return;
-  if (request->account != NULL)
-    request->account->counts.refused[refusal]++;
-  if (request->route_name[0] != '\0')
-    report_route (core, request->route_name)->refused[refusal]++;
-  if (!request->caller_gone)
-    {
-      effect = core_add_effect (core, PL_EFFECT_REFUSE);
-      effect->request = request->event.request;
-      effect->valid_until_us = INT64_MAX;
-      effect->u.refuse.refusal = refusal;
-      effect->u.refuse.attempt_ran = request->may_have_run;
-      effect->u.refuse.operation_ran = request->may_have_run || (unrepeatable && !request->claimed);
-      effect->u.refuse.retry_after_ms = pl_refusals[refusal].retry_after_ms;
-    }
-  if (request->claimed && !request->may_have_run)
-    operations_abandon (core, request);
-  requests_forget (core, request);
-}
-
 static struct account_state *
 account_by_index (struct pl_core *core, int index)
 {
@@ -156,8 +66,8 @@
   if (worst == NULL)
     return false;
   victim = g_queue_peek_tail (&worst->waiting);
-  requests_dequeue (core, victim);
-  requests_refuse (core, victim, PL_REFUSAL_QUEUE_FULL);
+  queue_dequeue (core, victim);
+  queue_refuse (core, victim, PL_REFUSAL_QUEUE_FULL);
   return true;
 }
 
@@ -213,7 +123,7 @@
   refusal = check_arrival (core, request);
   if (refusal >= 0)
     {
-      requests_refuse (core, request, (enum pl_refusal) refusal);
+      queue_refuse (core, request, (enum pl_refusal) refusal);
       return;
     }
   if (request->event.deadline_us > core->now_us + request->route.deadline_us)
@@ -222,7 +132,7 @@
     quarantine_note_death (&core->quarantine, event->fingerprint, event->suspected_server, false,
                            core->now_us);
   core->retry_tokens = MIN (core->retry_tokens + RETRY_TOKENS_PER_REQUEST, PL_RETRY_TOKENS_MAX);
-  requests_enqueue (core, request, false);
+  queue_enqueue (core, request, false);
 }
 
 enum start_result
@@ -299,8 +209,8 @@
 
   if (refusal >= 0)
     {
-      requests_dequeue (core, request);
-      requests_refuse (core, request, (enum pl_refusal) refusal);
+      queue_dequeue (core, request);
+      queue_refuse (core, request, (enum pl_refusal) refusal);
       return START_DONE;
     }
   if (core->now_us < request->not_before_us)
@@ -314,7 +224,7 @@
     return START_NO_PLACE;
   if (needs_claim (core, request))
     {
-      requests_dequeue (core, request);
+      queue_dequeue (core, request);
       operations_claim (core, request);
       return START_DONE;
     }
@@ -325,7 +235,7 @@
       steering_settle (core, request, -1);
       return START_NO_TOKENS;
     }
-  requests_dequeue (core, request);
+  queue_dequeue (core, request);
   if (server != NULL)
     attempts_start_at_server (core, request, server);
   else
@@ -406,10 +316,10 @@
           if (request->caller_gone)
             {
               operations_abandon (core, request);
-              requests_forget (core, request);
+              queue_forget (core, request);
             }
           else
-            requests_enqueue (core, request, true);
+            queue_enqueue (core, request, true);
           break;
         case PL_CLAIM_DONE:
           effect = core_add_effect (core, PL_EFFECT_REPLAY);
@@ -417,10 +327,10 @@
           effect->valid_until_us = INT64_MAX;
           effect->u.replay.status = claim->status;
           effect->u.replay.answer = g_steal_pointer (&claim->answer);
-          requests_forget (core, request);
+          queue_forget (core, request);
           break;
         case PL_CLAIM_TAKEN:
-          requests_refuse (core, request, PL_REFUSAL_REPEATED);
+          queue_refuse (core, request, PL_REFUSAL_REPEATED);
           break;
         case PL_CLAIM_UNKNOWN:
           /* Asked again with the next group, until the wait is over. */
@@ -469,15 +379,15 @@
     }
   if (request->state == REQUEST_HELD)
     {
-      requests_refuse (core, request, request->held_refusal);
+      queue_refuse (core, request, request->held_refusal);
       return;
     }
   refusal = judge_wait (core, request);
   if (refusal < 0)
     return;
   if (request->state == REQUEST_WAITING)
-    requests_dequeue (core, request);
-  requests_refuse (core, request, (enum pl_refusal) refusal);
+    queue_dequeue (core, request);
+  queue_refuse (core, request, (enum pl_refusal) refusal);
 }
 
 static void
--- a/include/internal/core_state.h
+++ b/include/internal/core_state.h
@@ -210,12 +210,14 @@
 void requests_on_arrival (struct pl_core *core, const struct pl_request_event *event);
 void requests_on_claims (struct pl_core *core, struct pl_store_event *event);
 void requests_pump (struct pl_core *core);
-void requests_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal);
 void requests_free_all (struct pl_core *core);
 
-void requests_enqueue (struct pl_core *core, struct request *request, bool first);
-void requests_dequeue (struct pl_core *core, struct request *request);
-void requests_forget (struct pl_core *core, struct request *request);
+/* core_queue.c */
+void queue_enqueue (struct pl_core *core, struct request *request, bool first);
+void queue_dequeue (struct pl_core *core, struct request *request);
+void queue_forget (struct pl_core *core, struct request *request);
+/* Answers with REFUSAL and forgets the request, which must be in no queue. */
+void queue_refuse (struct pl_core *core, struct request *request, enum pl_refusal refusal);
 
 /* core_attempts.c */
 void attempts_start_at_server (struct pl_core *core, struct request *request,
@@ -230,6 +232,8 @@
 /* core_operations.c */
 void operations_claim (struct pl_core *core, struct request *request);
 void operations_flush (struct pl_core *core);
+/* The call that claims is over; WELL: it was made. */
+void operations_note_claimed (struct pl_core *core, bool well);
 void operations_finish (struct pl_core *core, const struct request *request,
                         const struct pl_outcome_event *event);
 void operations_abandon (struct pl_core *core, const struct request *request);
@@ -249,7 +253,8 @@
 /* core_peers.c */
 void peers_start (struct pl_core *core);
 void peers_adopt (struct pl_core *core);
-void peers_on_message (struct pl_core *core, struct pl_message *message);
+/* Takes what MESSAGE tells of its sender.  Returns false when the message does not count. */
+bool peers_on_message (struct pl_core *core, const struct pl_message *message);
 bool peers_is_live (const struct pl_core *core, const struct member *member);
 void peers_send (struct pl_core *core, uint64_t peer, const struct pl_message *message);
 void peers_broadcast (struct pl_core *core, const struct pl_message *message);
