--- a/core/placement.c
+++ b/core/placement.c
@@ -32,6 +32,9 @@
 #define FAILING_RETRY_US INT64_C (1000000)
 /* Slower than its fellows by more than this counts as having fewer slots. */
 #define SLOW_FACTOR 2.5
+/* Latency objectives without any answer after which a server that owes one gets no more: it may be
+ * silent or very slow, and each further request would be held up with the first. */
+#define STALL_OBJECTIVES 2.5
 #define DOWN_FIRST_US INT64_C (500000)
 #define DOWN_LAST_US INT64_C (4000000)
 /* Latency objectives that the work and the wait before it may take.  Late is better for a caller
@@ -233,11 +236,19 @@
          || (backend->region != PL_NONE && (wish->homes >> backend->region & 1) != 0);
 }
 
+static bool
+is_stalled (const struct pl_placement_wish *wish, const struct pl_backend *backend, int64_t now_us)
+{
+  return backend->in_flight > 0
+         && (double) (now_us - backend->progress_us)
+                > (double) wish->objective_us * STALL_OBJECTIVES;
+}
+
 static bool
 is_sound (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
           const struct pl_backend *backend, int64_t now_us)
 {
-  if (now_us < backend->down_until_us)
+  if (now_us < backend->down_until_us || is_stalled (wish, backend, now_us))
     return false;
   if (backend->on_trial && (wish->only_tried_and_sound || backend->in_flight > 0))
     return false;
@@ -537,6 +548,8 @@
     best->cold_tokens -= 1;
   count_homed (service, wish);
   best->load_at_send = load_with_one (service, best, now_us);
+  if (best->in_flight == 0)
+    best->progress_us = now_us;
   best->in_flight++;
   best->picked_us = now_us;
   choice->backend = best;
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -487,6 +487,7 @@
 {
   assert (call->backend != NULL && call->backend->in_flight > 0);
   call->backend->in_flight--;
+  call->backend->progress_us = router->now_us;
   note_freed (router, call->backend);
 }
 
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -40,9 +40,10 @@
   double cold_tokens;
   int64_t cold_refilled_us;
   /* load */
-  int in_flight;     /* from this host */
-  int reported;      /* running and waiting there, as it last said */
-  int own_at_report; /* in flight from this host at that time */
+  int in_flight;       /* from this host */
+  int64_t progress_us; /* when one of them last ended, or the first was sent */
+  int reported;        /* running and waiting there, as it last said */
+  int own_at_report;   /* in flight from this host at that time */
   int64_t reported_us;
   int slots_reported; /* 0: not told */
   /* health */
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -75,6 +75,7 @@
   double load = backend->load_at_send;
 
   backend->in_flight--;
+  backend->progress_us = now_us;
   pl_placement_note_load (backend, backend->in_flight, 0, SLOTS, now_us);
   pl_placement_note_answer (&placement, backend,
                             &(struct pl_placement_answer){false, false, latency_us, load});
@@ -181,6 +182,22 @@
 }
 END_TEST
 
+/* A server that owes an answer for long is passed over until one comes. */
+START_TEST (a_server_that_does_not_answer_gets_no_more)
+{
+  struct pl_placement_wish wish = wish_for (9);
+  struct pl_backend *silent = choose (&wish, 0);
+  struct pl_backend *other;
+
+  ck_assert_ptr_eq (choose (&wish, 400 * MS), silent);
+  other = choose (&wish, 600 * MS);
+  ck_assert_ptr_ne (other, silent);
+  finish (other, 100 * MS, 700 * MS);
+  finish (silent, 100 * MS, 700 * MS);
+  ck_assert_ptr_eq (choose (&wish, 800 * MS), silent);
+}
+END_TEST
+
 /* One account may run in region 0 only and needs all of it. */
 START_TEST (a_region_is_left_to_those_bound_to_it)
 {
@@ -381,6 +398,7 @@
   tcase_add_test (tcase, a_queue_is_used_while_the_answer_is_of_use);
   tcase_add_test (tcase, a_queue_ends_before_its_callers_time_does);
   tcase_add_test (tcase, queues_are_short_where_answers_are_late);
+  tcase_add_test (tcase, a_server_that_does_not_answer_gets_no_more);
   tcase_add_test (tcase, a_region_is_left_to_those_bound_to_it);
   tcase_add_test (tcase, a_large_body_stays_near);
   tcase_add_test (tcase, a_cold_server_gets_no_more_than_it_bears);
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -418,6 +418,7 @@
   answer.late = answer.latency_us > OBJECTIVE_US;
   answer.load = request->load_at_send;
   backend->in_flight--;
+  backend->progress_us = replay->now_us;
   pl_placement_note_load (backend, server->running, waiting, services[server->service].slots,
                           replay->now_us);
   if (served)
