--- a/core/router_news.c
+++ b/core/router_news.c
@@ -242,6 +242,9 @@
       mine->key = g_strdup (row->key);
       g_hash_table_insert (held->rows, mine->key, mine);
     }
+  else
+    held->gone -= mine->value == NULL;
+  held->gone += row->value == NULL;
   g_free (mine->value);
   mine->value = row->value != NULL ? g_memdup2 (row->value, row->length + 1) : NULL;
   mine->length = row->length;
@@ -303,12 +306,13 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (g_hash_table_size (held->rows) < TOMBSTONES_MAX)
+  if (held->gone < TOMBSTONES_MAX)
     return;
   g_hash_table_iter_init (&iter, held->rows);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct held_row *) value)->value == NULL)
       g_hash_table_iter_remove (&iter);
+  held->gone = 0;
   held->whole_from = held->version;
 }
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -117,6 +117,7 @@
   int64_t version;
   int64_t whole_from; /* rows gone before this version are forgotten */
   GHashTable *rows;   /* key -> struct held_row */
+  int gone;           /* of these, rows that are gone */
 };
 
 struct pl_router
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -366,6 +366,54 @@
 }
 END_TEST
 
+static void
+count_row (void *data, enum pl_table table, const struct pl_row *row)
+{
+  (void) table;
+  (void) row;
+  ++*(int *) data;
+}
+
+/* However many rows there are, a peer that lacks one gets one. */
+START_TEST (a_change_among_many_servers_is_one_row)
+{
+  int64_t before;
+  bool is_whole;
+  int rows = 0;
+
+  for (int i = 0; i < 2500; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("many-%d", i);
+
+      world_server (world, id, "a-1", "ready", 1);
+    }
+  before = pl_router_held (world->router, PL_TABLE_SERVERS);
+  world_server (world, "many-7", "a-1", "draining", 1);
+  pl_router_rows_after (world->router, PL_TABLE_SERVERS, before, &is_whole, count_row, &rows);
+  ck_assert (!is_whole);
+  ck_assert_int_eq (rows, 1);
+}
+END_TEST
+
+/* What was gone long ago is forgotten; a peer that may still hold it gets all there is. */
+START_TEST (rows_that_are_gone_are_forgotten_in_the_end)
+{
+  bool is_whole;
+  int rows = 0;
+
+  for (int i = 0; i < 2500; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("many-%d", i);
+
+      world_server (world, id, "a-1", "ready", 1);
+      world_row (world, PL_TABLE_SERVERS, id, NULL);
+    }
+  pl_router_rows_after (world->router, PL_TABLE_SERVERS, 10, &is_whole, count_row, &rows);
+  ck_assert (is_whole);
+  ck_assert_int_eq (rows, 4);
+}
+END_TEST
+
 /* All processes were killed: nobody is there to ask. */
 START_TEST (a_host_that_hears_nobody_reads_the_store_at_once)
 {
@@ -613,6 +661,8 @@
   tcase_add_test (tcase, a_request_that_ends_servers_is_quarantined);
   tcase_add_test (tcase, a_stopping_host_finishes_what_it_has);
   tcase_add_test (tcase, a_host_fetches_news_that_a_peer_holds);
+  tcase_add_test (tcase, a_change_among_many_servers_is_one_row);
+  tcase_add_test (tcase, rows_that_are_gone_are_forgotten_in_the_end);
   tcase_add_test (tcase, a_host_that_hears_nobody_reads_the_store_at_once);
   tcase_add_test (tcase, one_host_a_region_reads_the_store);
   tcase_add_test (tcase, the_directory_names_strong_hosts_of_the_callers_domain);
