--- a/core/membership.c
+++ b/core/membership.c
@@ -34,7 +34,9 @@
 /* Hosts that a host names although it does not hear them, when it seems to be cut off: enough to
  * take most of its callers, few enough for a caller to try them all. */
 #define UNHEARD_NAMED 2
+/* A host that hears less than this part of the active hosts may be cut off. */
 #define CUT_OFF_PART 0.5
+/* Contacts outlive the time in which a silent host still counts. */
 #define FORGET_US (2 * SILENT_US)
 
 uint64_t
--- a/core/placement.c
+++ b/core/placement.c
@@ -32,20 +32,21 @@
 #define FAILING_RETRY_US INT64_C (1000000)
 /* Slower than its fellows by more than this counts as having fewer slots. */
 #define SLOW_FACTOR 2.5
-/* Latency objectives without any answer after which a server that owes one gets no more: it may be
- * silent or very slow, and each further request would be held up with the first. */
+/* A server that owes an answer and has given none for so many latency objectives may be silent or
+ * very slow; further requests would be held up with the first. */
 #define STALL_OBJECTIVES 2.5
 #define DOWN_FIRST_US INT64_C (500000)
 #define DOWN_LAST_US INT64_C (4000000)
-/* Latency objectives that the work and the wait before it may take.  Late is better for a caller
- * than refused, but where most answers are late the queues only make all of them late. */
+/* How long the work and the wait before it may take, in latency objectives.  Late is better for a
+ * caller than refused, but where most answers are late the queues only make all of them late. */
 #define QUEUE_OBJECTIVES 1.8
 #define QUEUE_OBJECTIVES_LEAST 1.0
-/* The queues shorten between these parts of late answers, which are judged by so many of them. */
+/* The first limit falls to the second between these fractions of late answers, smoothed over some
+ * hundred answers. */
 #define LATE_PART_SOME 0.5
 #define LATE_PART_MOST 0.8
 #define LATE_SMOOTHING (1.0 / 128)
-/* Of the caller's time that they may take; else the wait would be for nothing. */
+/* Of the time that the caller has left; beyond it the wait would be for nothing. */
 #define QUEUE_TIME_PART 0.85
 /* Servers beside the first that an object may overflow to.  More copies would push other objects
  * out of the servers' memory, which makes all requests slow just when there are many. */
