--- a/core/core_peers.c
+++ b/core/core_peers.c
@@ -171,7 +171,7 @@
   if (suspect->server == 0)
     quarantine_note_success (&core->quarantine, suspect->fingerprint);
   else if (suspect->convicted)
-    quarantine_convict (&core->quarantine, suspect->fingerprint, core->now_us);
+    quarantine_convict (&core->quarantine, suspect->fingerprint, suspect->server, core->now_us);
   else
     quarantine_note_death (&core->quarantine, suspect->fingerprint, suspect->server, false,
                            core->now_us);
--- a/core/membership.c
+++ b/core/membership.c
@@ -1,10 +1,19 @@
-/* Entry hosts find each other by beacons.
+/* Entry hosts find each other by beacons, in two levels.
  *
- * Each host sends a beacon to every member that it knows an address of; addresses
- * travel with beacons, so knowing one live host is enough to come to know all.  A
- * host is live while its beacons come.  One that stops says so; one that falls
- * silent without that may be cut off and still serve, so for a while it counts as
- * taking its share of rates that hold over the fleet.
+ * The first live hosts of each failure domain in a fixed order, its delegates,
+ * hear all hosts of the domain and the delegates of all other domains.  They pass
+ * on to the hosts of their domain what they heard of each.  So a host sends beacons
+ * to its delegates only, and a delegate to its domain and to the other delegates:
+ * what a host sends and gets hardly grows with the fleet.
+ *
+ * Nobody elects delegates.  Each host ranks those of its domain that it takes for
+ * live; hosts whose views differ for a while send to a few too many.  When delegates
+ * fall silent the next in order take their place, on each host as soon as it misses
+ * them.
+ *
+ * A host is live while it is heard, itself or through a delegate.  One that stops
+ * says so; one that falls silent without that may be cut off and still serve, so for
+ * a while it counts as taking its share of rates that hold over the fleet.
  *
  * Ownership by rendezvous hashing: hosts that see the same members agree on who
  * does what without a word, and the loss of one moves only what it owned.
@@ -13,19 +22,26 @@
 
 #include <string.h>
 
-/* Three beacons, and a little for delays: in this region, and between hosts that take requests,
- * they come every 500 ms; else every two seconds, of which one may be lost. */
-#define LIVE_NEAR_US INT64_C (1700000)
-#define LIVE_FAR_US INT64_C (4600000)
+/* Three beacons of 500 ms, and a little for delays. */
+#define LIVE_US INT64_C (1700000)
+/* Through a delegate: a beacon to it, its turn among the states that the delegate tells, and a lost
+ * datagram. */
+#define LIVE_TOLD_US INT64_C (3200000)
+/* States of other domains' delegates have fewer turns. */
+#define LIVE_TOLD_FAR_US INT64_C (5000000)
 /* Longer than cuts between failure domains usually last; after that a silent host counts as gone,
  * unless it may be this host that is cut off. */
 #define SILENT_US INT64_C (30000000)
 /* Longer than a datagram takes between regions, shorter than a process takes to start again. */
 #define LATE_DATAGRAM_US INT64_C (300000)
-#define WATCH_KEY UINT64_C (0x73746f7265)
+#define RANK_KEY UINT64_C (0x73746f7265)
 /* Hosts that a host passes news on to, within its domain: a domain of 80 is reached in four steps,
  * and a host sends no more than this many times what it got. */
 #define RELAY_FAN_OUT 4
+/* States of other domains' delegates in one beacon. */
+#define FAR_STATES_MAX 3
+/* A state that changed is told first for so long: in two beacons. */
+#define CHANGE_TOLD_US INT64_C (1100000)
 /* Hosts that can carry less than this part of the strongest of their domain are named only when the
  * others are busy or too few. */
 #define STRONG_PART 0.4
@@ -55,14 +71,47 @@
   return pl_id_of ("entry_hosts", name);
 }
 
+int
+pl_membership_domain (struct pl_membership *membership, const char *name, int region)
+{
+  struct pl_domain domain = {.id = pl_id_of ("domains", name), .region = region};
+
+  for (guint i = 0; i < membership->domains->len; i++)
+    {
+      struct pl_domain *known = &g_array_index (membership->domains, struct pl_domain, i);
+
+      if (strcmp (known->name, name) != 0)
+        continue;
+      if (known->region == PL_NONE)
+        known->region = region;
+      return (int) i;
+    }
+  g_strlcpy (domain.name, name, sizeof domain.name);
+  g_array_append_val (membership->domains, domain);
+  return (int) membership->domains->len - 1;
+}
+
+static struct pl_domain *
+domain_at (const struct pl_membership *membership, int index)
+{
+  return &g_array_index (membership->domains, struct pl_domain, index);
+}
+
+static struct pl_member *
+member_at (const struct pl_membership *membership, guint index)
+{
+  return g_ptr_array_index (membership->order, index);
+}
+
 void
 pl_membership_init (struct pl_membership *membership, const char *self_name, const char *domain,
                     int region)
 {
   membership->members = g_hash_table_new (g_int64_hash, g_int64_equal);
   membership->order = g_ptr_array_new_with_free_func (g_free);
+  membership->domains = g_array_new (FALSE, FALSE, sizeof (struct pl_domain));
   membership->self = pl_host_id (self_name);
-  g_strlcpy (membership->self_domain, domain, sizeof membership->self_domain);
+  membership->self_domain = pl_membership_domain (membership, domain, region);
   membership->self_region = region;
 }
 
@@ -71,10 +120,21 @@
 {
   g_hash_table_destroy (membership->members);
   g_ptr_array_free (membership->order, TRUE);
+  g_array_free (membership->domains, TRUE);
+}
+
+static void
+take_contact (struct pl_membership *membership, struct pl_member *member,
+              const struct pl_contact *contact, int region)
+{
+  member->contact = *contact;
+  member->domain = pl_membership_domain (membership, contact->domain, region);
+  member->region = domain_at (membership, member->domain)->region;
 }
 
 static struct pl_member *
-take_member (struct pl_membership *membership, const struct pl_contact *contact, int64_t now_us)
+take_member (struct pl_membership *membership, const struct pl_contact *contact, int region,
+             int64_t now_us)
 {
   uint64_t id = pl_host_id (contact->name);
   struct pl_member *member;
@@ -86,10 +146,11 @@
     return member;
   member = g_new0 (struct pl_member, 1);
   member->id = id;
-  member->contact = *contact;
-  member->known_us = now_us;
+  member->store_trouble_us = -1;
+  take_contact (membership, member, contact, region);
   g_hash_table_insert (membership->members, &member->id, member);
   g_ptr_array_add (membership->order, member);
+  member->known_us = now_us;
   return member;
 }
 
@@ -97,8 +158,17 @@
 pl_membership_add_contact (struct pl_membership *membership, const struct pl_contact *contact,
                            int64_t now_us)
 {
-  if (contact->name[0] != '\0' && contact->peer_address[0] != '\0')
-    take_member (membership, contact, now_us);
+  struct pl_member *member;
+
+  if (contact->name[0] == '\0' || contact->peer_address[0] == '\0')
+    return;
+  member = take_member (membership, contact, PL_NONE, now_us);
+  if (member == NULL)
+    return;
+  member->known_us = now_us;
+  /* Its own word goes before what others say of it. */
+  if (member->direct_us == 0)
+    take_contact (membership, member, contact, PL_NONE);
 }
 
 /* A datagram of an earlier process of the host may come late.  After a while it can not, and a
@@ -110,66 +180,132 @@
          && now_us - member->heard_us < LATE_DATAGRAM_US;
 }
 
-static void
-take_identity (struct pl_member *member, const struct pl_beacon *beacon, int region)
-{
-  member->contact = beacon->self;
-  g_strlcpy (member->caller_address, beacon->caller_address, sizeof member->caller_address);
-  g_strlcpy (member->relay_address, beacon->relay_address, sizeof member->relay_address);
-  g_strlcpy (member->domain, beacon->domain, sizeof member->domain);
-  member->region = region;
-  member->capacity = beacon->capacity;
-}
-
 /* Returns the member that BEACON is from, when it is known who that is. */
 static struct pl_member *
-find_sender (struct pl_membership *membership, const struct pl_beacon *beacon, int64_t now_us)
+find_sender (struct pl_membership *membership, const struct pl_beacon *beacon, int region,
+             int64_t now_us)
 {
   struct pl_member *member;
 
   if (beacon->has_identity)
-    return take_member (membership, &beacon->self, now_us);
+    return take_member (membership, &beacon->self, region, now_us);
   member = g_hash_table_lookup (membership->members, &beacon->host);
   return member != NULL && member->heard ? member : NULL;
 }
 
+/* Takes what is told of MEMBER's state, by itself or by a delegate. */
+static void
+take_state (struct pl_member *member, const struct pl_beacon_state *state, int64_t now_us)
+{
+  if (!member->heard || member->ready != state->ready || member->leaving != state->leaving
+      || member->active != state->active)
+    member->changed_us = now_us;
+  member->heard = true;
+  member->ready = state->ready;
+  member->leaving = state->leaving;
+  member->active = state->active;
+  member->watching = state->watching;
+  member->busy_percent = state->busy_percent;
+}
+
+static void
+take_delegate (struct pl_membership *membership, struct pl_member *member,
+               const struct pl_beacon *beacon, int64_t now_us)
+{
+  struct pl_domain *domain = domain_at (membership, member->domain);
+
+  member->is_delegate = beacon->is_delegate;
+  if (member->domain != membership->self_domain)
+    domain->heard_us = now_us;
+  if (!beacon->is_delegate)
+    return;
+  domain->hosts = beacon->domain_hosts;
+  domain->active = beacon->domain_active;
+  domain->silent = beacon->domain_silent;
+  member->store_away = beacon->store_away;
+  if (member->domain != membership->self_domain)
+    return;
+  membership->told = (struct pl_fleet_view){
+      .hosts = beacon->fleet_hosts,
+      .active = beacon->fleet_active,
+      .domains = beacon->fleet_domains,
+      .silent = beacon->silent_permille / 1000.0,
+  };
+  membership->told_us = now_us;
+}
+
+/* Hosts that a delegate tells of, and that are not heard here as lately. */
+static void
+take_states (struct pl_membership *membership, const struct pl_beacon *beacon, int64_t now_us)
+{
+  for (int i = 0; i < beacon->state_count; i++)
+    {
+      const struct pl_beacon_state *state = &beacon->states[i];
+      struct pl_member *member = g_hash_table_lookup (membership->members, &state->host);
+      int64_t heard_us = now_us - state->age_us;
+
+      if (member == NULL && state->host != membership->self)
+        membership->lacks_contacts = true;
+      if (member == NULL || (member->heard && heard_us <= member->heard_us))
+        continue;
+      take_state (member, state, now_us);
+      member->heard_us = heard_us;
+      if (member->domain != membership->self_domain)
+        member->is_delegate = true;
+    }
+}
+
 struct pl_member *
 pl_membership_on_beacon (struct pl_membership *membership, const struct pl_beacon *beacon,
                          int region, int64_t now_us)
 {
-  struct pl_member *member = find_sender (membership, beacon, now_us);
+  struct pl_member *member = find_sender (membership, beacon, region, now_us);
+  struct pl_beacon_state state = {
+      .ready = beacon->ready,
+      .leaving = beacon->leaving,
+      .active = beacon->active,
+      .watching = beacon->watching,
+      .busy_percent = beacon->busy_percent,
+  };
 
   if (member == NULL || is_older (member, beacon, now_us))
     return NULL;
   if (beacon->has_identity)
-    take_identity (member, beacon, region);
+    take_contact (membership, member, &beacon->self, region);
   member->incarnation = beacon->incarnation;
-  member->busy_percent = beacon->busy_percent;
-  member->active = beacon->active;
-  if (member->heard && now_us - member->heard_us > PL_MEMBER_SILENT_US)
+  if (member->direct_us > 0 && now_us - member->direct_us > PL_MEMBER_SILENT_US)
     member->returned_us = now_us;
-  member->heard = true;
+  take_state (member, &state, now_us);
   member->heard_us = now_us;
-  member->ready = beacon->ready;
-  member->leaving = beacon->leaving;
-  member->watching = beacon->watching;
+  member->direct_us = now_us;
+  member->known_us = now_us;
   member->store_lost = beacon->store_lost;
   member->store_trouble_us = beacon->store_trouble_us < 0 ? -1 : now_us - beacon->store_trouble_us;
   memcpy (member->held, beacon->held, sizeof member->held);
+  take_delegate (membership, member, beacon, now_us);
   for (int i = 0; i < beacon->contact_count; i++)
     pl_membership_add_contact (membership, &beacon->contacts[i], now_us);
+  take_states (membership, beacon, now_us);
   return member;
 }
 
+bool
+pl_member_is_near (const struct pl_membership *membership, const struct pl_member *member)
+{
+  return member->domain == membership->self_domain;
+}
+
 bool
 pl_member_is_live (const struct pl_membership *membership, const struct pl_member *member,
                    int64_t now_us)
 {
-  bool is_near
-      = member->region == membership->self_region || (member->active && membership->self_active);
-  int64_t limit_us = is_near ? LIVE_NEAR_US : LIVE_FAR_US;
+  int64_t limit_us = LIVE_US;
 
-  return member->heard && now_us - member->heard_us <= limit_us;
+  if (!member->heard)
+    return false;
+  if (member->heard_us > member->direct_us)
+    limit_us = pl_member_is_near (membership, member) ? LIVE_TOLD_US : LIVE_TOLD_FAR_US;
+  return now_us - member->heard_us <= limit_us;
 }
 
 static bool
@@ -178,51 +314,52 @@
   return pl_member_is_live (membership, member, now_us) && member->ready && !member->leaving;
 }
 
-/* A total order in which all hosts agree: those that can carry more come first. */
-static bool
-comes_before (int capacity, uint64_t id, int other_capacity, uint64_t other_id)
+/* Where a host stands in the order in which all hosts agree. */
+struct rank_key
 {
-  if (capacity != other_capacity)
-    return capacity > other_capacity;
-  return pl_hash_pair (WATCH_KEY, id) > pl_hash_pair (WATCH_KEY, other_id);
+  bool watching; /* whoever reads the store is to be a delegate, so that all hear of it */
+  int capacity;
+  uint64_t id;
+};
+
+static struct rank_key
+key_of (const struct pl_member *member)
+{
+  return (struct rank_key){member->watching, member->contact.capacity, member->id};
 }
 
-bool
-pl_membership_should_watch (const struct pl_membership *membership, bool watching, bool store_lost,
-                            int64_t now_us)
+static struct rank_key
+own_key (const struct pl_membership *membership)
 {
-  for (guint i = 0; i < membership->order->len; i++)
-    {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
-      bool goes_first = comes_before (member->capacity, member->id, membership->self_capacity,
-                                      membership->self);
+  return (struct rank_key){membership->self_watching, membership->self_capacity, membership->self};
+}
 
-      if (!pl_member_is_live (membership, member, now_us) || member->leaving || member->store_lost
-          || member->region != membership->self_region)
-        continue;
-      /* Whoever reads already goes on: each change of reader costs calls. */
-      if (watching != member->watching)
-        goes_first = member->watching;
-      if (store_lost || goes_first)
-        return false;
-    }
-  return true;
+/* Hosts that can carry more come first. */
+static bool
+comes_before (const struct rank_key *a, const struct rank_key *b)
+{
+  if (a->watching != b->watching)
+    return a->watching;
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity;
+  return pl_hash_pair (RANK_KEY, a->id) > pl_hash_pair (RANK_KEY, b->id);
 }
 
-/* How many live hosts of DOMAIN come before the host with CAPACITY and ID. */
+/* How many live hosts of DOMAIN come before the host with KEY. */
 static int
-rank_in (const struct pl_membership *membership, const char *domain, int capacity, uint64_t id,
+rank_in (const struct pl_membership *membership, int domain, const struct rank_key *key,
          int64_t now_us)
 {
-  bool has_self = strcmp (domain, membership->self_domain) == 0;
-  int rank = has_self && comes_before (membership->self_capacity, membership->self, capacity, id);
+  struct rank_key self = own_key (membership);
+  int rank = domain == membership->self_domain && comes_before (&self, key);
 
   for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      const struct pl_member *member = member_at (membership, i);
+      struct rank_key other = key_of (member);
 
-      rank += strcmp (member->domain, domain) == 0 && pl_member_is_live (membership, member, now_us)
-              && comes_before (member->capacity, member->id, capacity, id);
+      rank += member->domain == domain && pl_member_is_live (membership, member, now_us)
+              && comes_before (&other, key);
     }
   return rank;
 }
@@ -230,132 +367,368 @@
 static int
 own_rank (const struct pl_membership *membership, int64_t now_us)
 {
-  return rank_in (membership, membership->self_domain, membership->self_capacity, membership->self,
-                  now_us);
+  struct rank_key key = own_key (membership);
+
+  return rank_in (membership, membership->self_domain, &key, now_us);
 }
 
 static int
 rank_of (const struct pl_membership *membership, const struct pl_member *member, int64_t now_us)
 {
-  return rank_in (membership, member->domain, member->capacity, member->id, now_us);
+  struct rank_key key = key_of (member);
+
+  return rank_in (membership, member->domain, &key, now_us);
+}
+
+bool
+pl_membership_is_delegate (const struct pl_membership *membership, int64_t now_us)
+{
+  return own_rank (membership, now_us) < PL_DELEGATES;
 }
 
 int
-pl_membership_relay_children (const struct pl_membership *membership, bool watching,
-                              const struct pl_member **children, int64_t now_us)
+pl_membership_delegates (const struct pl_membership *membership, uint64_t *ids, int64_t now_us)
 {
-  int own = own_rank (membership, now_us);
-  int count = 0;
+  int others = 0;
 
-  for (guint i = 0; i < membership->order->len && count < PL_RELAY_CHILDREN_MAX; i++)
+  memset (ids, 0, sizeof *ids * PL_DELEGATES);
+  for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
-      bool is_near = strcmp (member->domain, membership->self_domain) == 0;
+      const struct pl_member *member = member_at (membership, i);
       int rank;
 
-      if (member->region != membership->self_region
-          || !pl_member_is_live (membership, member, now_us) || (!is_near && !watching))
+      if (!pl_member_is_near (membership, member)
+          || !pl_member_is_live (membership, member, now_us))
         continue;
       rank = rank_of (membership, member, now_us);
-      if ((watching && rank == 0) || (is_near && rank > 0 && (rank - 1) / RELAY_FAN_OUT == own))
-        children[count++] = member;
+      if (rank >= PL_DELEGATES)
+        continue;
+      ids[rank] = member->id;
+      others++;
     }
-  return count;
+  return others;
 }
 
 bool
-pl_membership_is_relay_parent (const struct pl_membership *membership,
-                               const struct pl_member *member, int64_t now_us)
+pl_member_is_far_delegate (const struct pl_membership *membership, const struct pl_member *member,
+                           int64_t now_us)
 {
-  int own = own_rank (membership, now_us);
+  return !pl_member_is_near (membership, member) && member->is_delegate
+         && pl_member_is_live (membership, member, now_us);
+}
 
-  if (member->region != membership->self_region)
-    return false;
-  if (own == 0)
-    return member->watching;
-  return strcmp (member->domain, membership->self_domain) == 0
-         && rank_of (membership, member, now_us) == (own - 1) / RELAY_FAN_OUT;
+static void
+add_state (struct pl_beacon *beacon, const struct pl_member *member, int64_t now_us)
+{
+  beacon->states[beacon->state_count++] = (struct pl_beacon_state){
+      .host = member->id,
+      .ready = member->ready,
+      .leaving = member->leaving,
+      .active = member->active,
+      .watching = member->watching,
+      .busy_percent = member->busy_percent,
+      .age_us = now_us - member->heard_us,
+  };
+}
+
+/* Only what was heard directly is passed on: states that go round would never grow old. */
+static bool
+has_fresh_state (const struct pl_member *member, int64_t now_us)
+{
+  return member->direct_us > 0 && member->direct_us == member->heard_us
+         && now_us - member->direct_us <= LIVE_US;
 }
 
 void
-pl_membership_fill_contacts (struct pl_membership *membership, struct pl_beacon *beacon,
-                             int64_t now_us)
+pl_membership_fill_states (struct pl_membership *membership, struct pl_beacon *beacon,
+                           int64_t now_us)
 {
   guint count = membership->order->len;
+  int far = 0;
+
+  for (guint i = 0; i < count && beacon->state_count < PL_BEACON_STATES_MAX / 2; i++)
+    {
+      const struct pl_member *member = member_at (membership, i);
+
+      if (pl_member_is_near (membership, member) && has_fresh_state (member, now_us)
+          && now_us - member->changed_us <= CHANGE_TOLD_US)
+        add_state (beacon, member, now_us);
+    }
+  for (guint i = 0; i < count && beacon->state_count < PL_BEACON_STATES_MAX; i++)
+    {
+      const struct pl_member *member = member_at (membership, membership->state_turn++ % count);
+      bool is_near = pl_member_is_near (membership, member);
+
+      if (!has_fresh_state (member, now_us) || (!is_near && !member->is_delegate)
+          || (!is_near && far == FAR_STATES_MAX))
+        continue;
+      far += !is_near;
+      add_state (beacon, member, now_us);
+    }
+}
+
+bool
+pl_membership_fill_contacts (const struct pl_membership *membership, int domain, guint *at,
+                             struct pl_beacon *beacon, int64_t now_us)
+{
+  int before = beacon->contact_count;
 
-  beacon->contact_count = 0;
-  for (guint i = 0; i < count && beacon->contact_count < PL_BEACON_CONTACTS_MAX; i++)
+  for (; *at < membership->order->len && beacon->contact_count < PL_BEACON_CONTACTS_MAX; ++*at)
     {
-      const struct pl_member *member
-          = g_ptr_array_index (membership->order, membership->contact_turn++ % count);
+      const struct pl_member *member = member_at (membership, *at);
+      bool is_wanted = domain == PL_NONE
+                           ? member->is_delegate || pl_member_is_near (membership, member)
+                           : member->domain == domain;
 
-      if (pl_member_is_live (membership, member, now_us))
+      if (is_wanted && pl_member_is_live (membership, member, now_us))
         beacon->contacts[beacon->contact_count++] = member->contact;
     }
+  return beacon->contact_count > before;
 }
 
-int
-pl_membership_live_count (const struct pl_membership *membership, int64_t now_us)
+/* What is known of the hosts of one domain. */
+struct domain_count
 {
-  int live = 1;
+  int hosts;
+  int active;
+  int silent; /* active hosts that fell silent without taking leave */
+};
+
+static struct domain_count
+count_near (const struct pl_membership *membership, int64_t silent_limit_us, int64_t now_us)
+{
+  struct domain_count count = {.hosts = 1, .active = 1};
 
   for (guint i = 0; i < membership->order->len; i++)
-    live += serves (membership, g_ptr_array_index (membership->order, i), now_us);
-  return live;
+    {
+      const struct pl_member *member = member_at (membership, i);
+      bool is_direct = member->direct_us == member->heard_us;
+      bool is_silent = is_direct ? now_us - member->heard_us > PL_MEMBER_SILENT_US
+                                 : !pl_member_is_live (membership, member, now_us);
+
+      if (!pl_member_is_near (membership, member) || !member->heard || member->leaving
+          || now_us - member->heard_us > silent_limit_us)
+        continue;
+      count.hosts += serves (membership, member, now_us);
+      count.active += member->active && !is_silent;
+      count.silent += member->active && is_silent;
+    }
+  return count;
 }
 
-int
-pl_membership_active_count (const struct pl_membership *membership, int64_t now_us)
+/* By its delegates' word, or by its hosts that are heard when those are more. */
+static struct domain_count
+count_far (const struct pl_membership *membership, int index, int64_t silent_limit_us,
+           int64_t now_us)
 {
-  int active = 1;
+  const struct pl_domain *domain = domain_at (membership, index);
+  struct domain_count told = {domain->hosts, domain->active, domain->silent};
+  struct domain_count heard = {0};
+  bool is_silent = now_us - domain->heard_us > PL_MEMBER_SILENT_US;
 
+  if (domain->heard_us == 0 || now_us - domain->heard_us > silent_limit_us)
+    return heard;
   for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      const struct pl_member *member = member_at (membership, i);
+
+      if (member->domain != index || !member->heard || member->leaving)
+        continue;
+      heard.hosts += serves (membership, member, now_us);
+      heard.active
+          += member->active && (is_silent || pl_member_is_live (membership, member, now_us));
+    }
+  told.hosts = MAX (told.hosts, heard.hosts);
+  told.active = MAX (told.active, heard.active);
+  if (is_silent)
+    return (struct domain_count){0, 0, told.active + told.silent};
+  return told;
+}
+
+static bool
+hears_other_domains (const struct pl_membership *membership, int64_t silent_limit_us,
+                     int64_t now_us)
+{
+  for (guint i = 0; i < membership->domains->len; i++)
+    {
+      const struct pl_domain *domain = domain_at (membership, (int) i);
+
+      if (domain->heard_us > 0 && now_us - domain->heard_us <= silent_limit_us)
+        return true;
+    }
+  return false;
+}
+
+static struct pl_fleet_view
+count_fleet (const struct pl_membership *membership, int64_t silent_limit_us, int64_t now_us)
+{
+  struct domain_count near = count_near (membership, silent_limit_us, now_us);
+  struct pl_fleet_view view = {near.hosts, near.active, 1, 0};
+  int silent = near.silent;
+
+  for (guint i = 0; i < membership->domains->len; i++)
+    {
+      struct domain_count far;
 
-      active += member->active && pl_member_is_live (membership, member, now_us);
+      if ((int) i == membership->self_domain)
+        continue;
+      far = count_far (membership, (int) i, silent_limit_us, now_us);
+      view.hosts += far.hosts;
+      view.active += far.active;
+      view.domains += far.hosts > 0;
+      silent += far.silent;
     }
-  return active;
+  /* A host that has only its delegates' word of other domains, and lost them. */
+  if (!hears_other_domains (membership, silent_limit_us, now_us)
+      && now_us - membership->told_us <= silent_limit_us)
+    silent = MAX (silent, membership->told.active - view.active);
+  view.silent = (double) silent / (view.active + silent);
+  return view;
+}
+
+struct pl_fleet_view
+pl_membership_view (const struct pl_membership *membership, bool store_lost, int64_t now_us)
+{
+  int64_t silent_limit_us = store_lost ? INT64_MAX : SILENT_US;
+
+  if (membership->told_us > 0 && now_us - membership->told_us <= LIVE_US
+      && !pl_membership_is_delegate (membership, now_us))
+    return membership->told;
+  return count_fleet (membership, silent_limit_us, now_us);
+}
+
+void
+pl_membership_count_domain (const struct pl_membership *membership, struct pl_beacon *beacon,
+                            int64_t now_us)
+{
+  struct domain_count near = count_near (membership, SILENT_US, now_us);
+
+  beacon->domain_hosts = near.hosts;
+  beacon->domain_active = near.active;
+  beacon->domain_silent = near.silent;
 }
 
-double
-pl_membership_silent_part (const struct pl_membership *membership, bool store_lost, int64_t now_us)
+bool
+pl_membership_should_watch (const struct pl_membership *membership, bool store_lost,
+                            int64_t now_us)
 {
-  int64_t limit_us = store_lost ? INT64_MAX : SILENT_US;
-  int silent = 0;
-  int all = 1;
+  struct rank_key self = own_key (membership);
 
+  if (!pl_membership_is_delegate (membership, now_us))
+    return false;
   for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      const struct pl_member *member = member_at (membership, i);
+      struct rank_key other = key_of (member);
+
+      if ((!member->is_delegate && !member->watching)
+          || !pl_member_is_live (membership, member, now_us) || member->leaving
+          || member->store_lost || member->region != membership->self_region)
+        continue;
+      /* Whoever reads already goes on: each change of reader costs calls. */
+      if (store_lost || comes_before (&other, &self))
+        return false;
+    }
+  return true;
+}
+
+int
+pl_membership_relay_children (const struct pl_membership *membership,
+                              const struct pl_member **children, int64_t now_us)
+{
+  int own = own_rank (membership, now_us);
+  bool watching = membership->self_watching;
+  int count = 0;
 
-      if (!member->heard || !member->active || member->leaving
-          || now_us - member->heard_us > limit_us)
+  for (guint i = 0; i < membership->order->len && count < PL_RELAY_CHILDREN_MAX; i++)
+    {
+      const struct pl_member *member = member_at (membership, i);
+      bool is_near = pl_member_is_near (membership, member);
+      int rank;
+
+      if (member->region != membership->self_region
+          || !pl_member_is_live (membership, member, now_us) || (!is_near && !watching))
         continue;
-      all++;
-      silent += now_us - member->heard_us > PL_MEMBER_SILENT_US;
+      rank = rank_of (membership, member, now_us);
+      if ((watching && rank == 0) || (is_near && rank > 0 && (rank - 1) / RELAY_FAN_OUT == own))
+        children[count++] = member;
     }
-  return (double) silent / all;
+  return count;
 }
 
 bool
-pl_membership_owns (const struct pl_membership *membership, uint64_t key, int region, int count,
-                    int64_t now_us)
+pl_membership_is_relay_parent (const struct pl_membership *membership,
+                               const struct pl_member *member, int64_t now_us)
 {
-  uint64_t own = pl_hash_pair (key, membership->self);
-  int before = 0;
+  int own = own_rank (membership, now_us);
 
-  if (region != PL_NONE && region != membership->self_region)
+  if (member->region != membership->self_region)
     return false;
+  if (own == 0)
+    return member->watching;
+  return pl_member_is_near (membership, member)
+         && rank_of (membership, member, now_us) == (own - 1) / RELAY_FAN_OUT;
+}
+
+/* Hosts among which owners are looked for. */
+struct owner_group
+{
+  int domain; /* PL_NONE: any */
+  int region; /* PL_NONE: any */
+  bool active;
+};
+
+static bool
+is_candidate (const struct owner_group *group, int domain, int region, bool active)
+{
+  return (group->domain == PL_NONE || group->domain == domain)
+         && (group->region == PL_NONE || group->region == region) && (active || !group->active);
+}
+
+/* Returns how many hosts of GROUP there are, and in BEFORE how many of them come before this one
+ * in the order for KEY; BEFORE is the number of all where this host is not in GROUP. */
+static int
+rank_owners (const struct pl_membership *membership, const struct owner_group *group, uint64_t key,
+             int *before, int64_t now_us)
+{
+  uint64_t own = pl_hash_pair (key, membership->self);
+  bool has_self = is_candidate (group, membership->self_domain, membership->self_region,
+                                membership->self_active);
+  int count = has_self;
+
+  *before = 0;
   for (guint i = 0; i < membership->order->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (membership->order, i);
+      const struct pl_member *member = member_at (membership, i);
+
+      if (!serves (membership, member, now_us)
+          || !is_candidate (group, member->domain, member->region, member->active))
+        continue;
+      count++;
+      *before += !has_self || pl_hash_pair (key, member->id) > own;
+    }
+  return count;
+}
+
+int
+pl_membership_owners (struct pl_membership *membership, uint64_t key, const char *domain,
+                      int region, int most, int64_t now_us)
+{
+  int index = pl_membership_domain (membership, domain, region);
+  /* Hosts that take requests own first: what others own would get none. */
+  const struct owner_group groups[] = {{index, PL_NONE, true},   {index, PL_NONE, false},
+                                       {PL_NONE, region, true},  {PL_NONE, region, false},
+                                       {PL_NONE, PL_NONE, false}};
+
+  for (size_t i = 0; i < G_N_ELEMENTS (groups); i++)
+    {
+      int before;
+      int found = rank_owners (membership, &groups[i], key, &before, now_us);
 
-      if (serves (membership, member, now_us) && (region == PL_NONE || member->region == region)
-          && pl_hash_pair (key, member->id) > own)
-        before++;
+      if (found > 0)
+        return before < MIN (most, found) ? MIN (most, found) : 0;
     }
-  return before < count;
+  return 0;
 }
 
 void
@@ -410,14 +783,17 @@
   struct candidate self = {group->self_address, membership->self_capacity, 0};
 
   if (group->self_address != NULL
-      && is_in (group, membership->self_domain, membership->self_region))
+      && is_in (group, domain_at (membership, membership->self_domain)->name,
+                membership->self_region))
     g_array_append_val (found, self);
   for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
-      struct candidate next = {member->caller_address, member->capacity, member->busy_percent};
+      struct candidate next
+          = {member->contact.caller_address, member->contact.capacity, member->busy_percent};
 
-      if (serves (membership, member, now_us) && is_in (group, member->domain, member->region))
+      if (serves (membership, member, now_us)
+          && is_in (group, member->contact.domain, member->region))
         g_array_append_val (found, next);
     }
   g_array_sort (found, by_falling_capacity);
@@ -449,7 +825,8 @@
 static bool
 is_cut_off (const struct pl_membership *membership, const struct pl_naming *naming, int64_t now_us)
 {
-  return naming->store_lost && pl_membership_silent_part (membership, true, now_us) > CUT_OFF_PART;
+  return naming->store_lost
+         && pl_membership_view (membership, true, now_us).silent > CUT_OFF_PART;
 }
 
 /* Adds hosts that were last heard to take callers: of this region first, others at each time. */
@@ -469,7 +846,7 @@
 
         if (member->heard && member->ready && !member->leaving && is_far == (pass == 1)
             && !pl_member_is_live (membership, member, now_us))
-          addresses[count++] = member->caller_address;
+          addresses[count++] = member->contact.caller_address;
       }
   return count;
 }
--- a/core/placement.c
+++ b/core/placement.c
@@ -387,7 +387,7 @@
   if (backend->in_flight > 0)
     return false;
   if (cold_share != NULL)
-    share = cold_share (data, backend->hash, service->cold_per_second);
+    share = cold_share (data, backend, service->cold_per_second);
   return has_cold_token (service, backend, share, now_us);
 }
 
--- a/core/quarantine.c
+++ b/core/quarantine.c
@@ -48,15 +48,19 @@
   return entry;
 }
 
-void
-quarantine_convict (struct quarantine *quarantine, uint64_t fingerprint, int64_t now_us)
+bool
+quarantine_convict (struct quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+                    int64_t now_us)
 {
   struct quarantine_entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
 
   if (entry == NULL)
-    entry = add_entry (quarantine, fingerprint, 0, now_us);
-  if (entry != NULL)
-    entry->convicted = true;
+    entry = add_entry (quarantine, fingerprint, server, now_us);
+  if (entry == NULL || entry->convicted)
+    return false;
+  entry->convicted = true;
+  entry->since_us = now_us;
+  return true;
 }
 
 bool
--- a/core/quota.c
+++ b/core/quota.c
@@ -1,12 +1,25 @@
 /* One bucket for the fleet, copied on every entry host.
  *
  * Each host refills its copy at the account's full rate and takes out what it
- * admits itself and what its peers report to have admitted.  A host reports once
+ * admits itself and what others report to have admitted.  A host reports once
  * in a while, and at once when it has admitted more than a little that nobody
  * knows of, so a flood is met within some tens of milliseconds.  What it got by
  * then is paid back as debt: the average holds, and the bucket holds less than the
  * configured burst to leave room for the rest.
  *
+ * Reports are cumulative counts, so a lost one is made up by the next.  A host
+ * reports to the delegates of its domain; delegates report the sum of their domain
+ * to the delegates of other domains, and to each host of their own domain what all
+ * but that host admitted.  Several delegates so tell of the same requests: their
+ * counts form one group, of which the one that is furthest ahead counts.  Counts of
+ * different delegates differ by what they saw before the others started, which an
+ * offset for each makes up.
+ *
+ * Reports of use within the rate are rare, and each takes a lump out of the bucket.
+ * Meanwhile the bucket may fill above its capacity by what reports that are due are
+ * likely to bring; capped at its capacity, it would lose that part of the refill and
+ * refuse requests within the rate after each report.
+ *
  * A peer that falls silent may be dead or cut off.  Both sides of a cut refill
  * only the part of the rate that belongs to the hosts they hear, so together they
  * stay within the whole.  When the peer is heard again, what it admitted meanwhile
@@ -19,36 +32,84 @@
 
 /* Of the burst; the rest covers what peers admit before they hear of each other. */
 #define BURST_USED 0.4
-#define DEBT_SECONDS 1.0
-/* Reported after this long when there is anything to report. */
-#define TELL_PERIOD_US INT64_C (2000000)
+#define DEBT_SECONDS 1.2
 /* What all hosts together may have admitted unknown to each other, in seconds of the rate: a part
  * of what the smaller bucket leaves. */
 #define UNTOLD_SECONDS 0.4
 #define UNTOLD_MIN 3.0
+/* Use slower than this part of an even share of the rate can wait for the next regular report. */
+#define HURRIED_PART 0.9
 /* Peers that were silent have reported by then. */
-#define WITHHELD_KEPT_US (2 * TELL_PERIOD_US)
+#define WITHHELD_KEPT_US INT64_C (4000000)
+/* Of the rate that a group is expected to go on using, as smoothed over its reports. */
+#define GROUP_RATE_SMOOTHING 0.3
+/* Reports that come faster than this tell too little of a rate. */
+#define GROUP_RATE_SPAN_US INT64_C (200000)
+/* Use that is not reported yet is allowed for up to so many seconds of the rate. */
+#define UNREPORTED_SECONDS 1.2
 
-struct pl_quota_peer
+/* Reported after this long when there is anything to report.  Sums go to many, and bring smaller
+ * lumps for their size. */
+static const int64_t tell_period_us[PL_QUOTA_SCOPES] = {
+    [PL_QUOTA_HOST] = INT64_C (1000000),
+    [PL_QUOTA_DOMAIN] = INT64_C (2000000),
+    [PL_QUOTA_FLEET] = INT64_C (1000000),
+};
+
+/* One sender of reports on a group. */
+struct stream
 {
+  uint64_t sender;
   uint64_t incarnation;
-  uint64_t admitted;
+  uint64_t count; /* as last reported */
+  double offset;  /* added to its counts, makes them those of the group */
+};
+
+/* Hosts whose requests are reported as one count. */
+struct group
+{
+  uint64_t id;
+  enum pl_quota_scope scope;
+  double counted; /* requests taken from the bucket for it */
   int64_t heard_us;
+  GArray *streams; /* of struct stream */
+  double rate;     /* requests a second, as its reports show */
+  int64_t rated_us;
+  double unrated; /* requests reported since */
 };
 
+static void
+free_group (gpointer data)
+{
+  struct group *group = data;
+
+  g_array_free (group->streams, TRUE);
+  g_free (group);
+}
+
 static double
 capacity_of (const struct pl_quota *quota)
 {
   return fmax (quota->burst * BURST_USED, fmax (quota->rate * 0.1, 1.0));
 }
 
+/* Returns what the reports that are due are likely to bring. */
+static double
+unreported (const struct pl_quota *quota, int64_t now_us)
+{
+  double due = (quota->groups_rate * (double) now_us - quota->groups_rate_since) / 1e6;
+
+  return fmin (fmax (due, 0), quota->rate * UNREPORTED_SECONDS);
+}
+
 static void
 refill (struct pl_quota *quota, int64_t now_us)
 {
   double seconds = (double) (now_us - quota->refilled_us) / 1e6;
   double due = seconds * quota->rate;
 
-  quota->tokens = fmin (quota->tokens + due * quota->heard_part, capacity_of (quota));
+  quota->tokens = fmin (quota->tokens + due * quota->heard_part,
+                        capacity_of (quota) + unreported (quota, now_us));
   quota->refilled_us = now_us;
   if (quota->heard_part < 1)
     {
@@ -62,15 +123,16 @@
 void
 pl_quota_init (struct pl_quota *quota, int64_t now_us)
 {
-  quota->others = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  quota->groups = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_group);
   quota->refilled_us = now_us;
+  quota->tokens = 1;
   quota->heard_part = 1;
 }
 
 void
 pl_quota_clear (struct pl_quota *quota)
 {
-  g_hash_table_destroy (quota->others);
+  g_hash_table_destroy (quota->groups);
 }
 
 void
@@ -84,79 +146,203 @@
     {
       /* An earlier process of this host may have spent the burst a moment ago, and all hosts may
        * start at once. */
-      quota->tokens = 1;
+      pl_quota_distrust (quota);
       quota->refilled_us = now_us;
     }
   quota->tokens = fmin (quota->tokens, capacity_of (quota));
 }
 
-/* Returns how many of the FRESH requests that a peer reports are covered by what was left out of
+/* Returns how many of the FRESH requests that a group reports are covered by what was left out of
  * the refill while it was silent. */
 static double
-use_withheld (struct pl_quota *quota, const struct pl_quota_peer *other, double fresh,
-              int64_t returned_us)
+use_withheld (struct pl_quota *quota, const struct group *group, double fresh, int64_t returned_us)
 {
-  double covered = other->heard_us < returned_us ? fmin (fresh, quota->withheld) : 0;
+  double covered = group->heard_us < returned_us ? fmin (fresh, quota->withheld) : 0;
 
   quota->withheld -= covered;
   return covered;
 }
 
-void
-pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation, uint64_t admitted,
-                  int64_t returned_us, int64_t now_us)
+static struct group *
+take_group (struct pl_quota *quota, const struct pl_quota_report *report, int64_t now_us)
+{
+  struct group *group = g_hash_table_lookup (quota->groups, &report->group);
+
+  if (group != NULL)
+    return group;
+  group = g_new0 (struct group, 1);
+  group->id = report->group;
+  group->scope = report->scope;
+  group->heard_us = now_us;
+  group->rated_us = now_us;
+  group->streams = g_array_new (FALSE, FALSE, sizeof (struct stream));
+  g_hash_table_insert (quota->groups, &group->id, group);
+  return group;
+}
+
+static struct stream *
+find_stream (const struct group *group, uint64_t sender)
+{
+  for (guint i = 0; i < group->streams->len; i++)
+    if (g_array_index (group->streams, struct stream, i).sender == sender)
+      return &g_array_index (group->streams, struct stream, i);
+  return NULL;
+}
+
+/* Puts a stream that is heard for the first time level with its group.  Returns the requests that
+ * it brings. */
+static double
+begin_stream (const struct pl_quota *quota, struct group *group,
+              const struct pl_quota_report *report)
 {
-  struct pl_quota_peer *other = g_hash_table_lookup (quota->others, &peer);
-  double fresh = 0;
+  struct stream stream = {.sender = report->sender,
+                          .incarnation = report->incarnation,
+                          .count = report->count,
+                          .offset = group->counted - (double) report->count};
+  bool is_new_host = report->scope == PL_QUOTA_HOST && group->streams->len == 0;
 
-  if (other == NULL)
+  /* A large count is from before this host's own start, whose bucket was empty then. */
+  if (is_new_host && (double) report->count <= capacity_of (quota))
+    stream.offset = 0;
+  g_array_append_val (group->streams, stream);
+  return stream.offset + (double) report->count - group->counted;
+}
+
+/* Returns the requests that REPORT brings beyond those counted. */
+static double
+follow_stream (struct group *group, struct stream *stream, const struct pl_quota_report *report)
+{
+  if (stream->incarnation != report->incarnation)
     {
-      other = g_new0 (struct pl_quota_peer, 1);
-      other->incarnation = incarnation;
-      other->admitted = admitted;
-      other->heard_us = now_us;
-      g_hash_table_insert (quota->others, g_memdup2 (&peer, sizeof peer), other);
-      /* A large count is from before this host's own start, whose bucket was empty then. */
-      refill (quota, now_us);
-      if ((double) admitted <= capacity_of (quota))
-        quota->tokens -= (double) admitted;
-      return;
+      /* A host counts from nothing after a start; a delegate then sums up what it hears. */
+      stream->offset = group->counted;
+      if (report->scope != PL_QUOTA_HOST)
+        stream->offset -= (double) report->count;
     }
-  if (other->incarnation != incarnation)
-    fresh = (double) admitted;
-  else if (admitted < other->admitted)
-    return; /* an older report that came late */
-  else
-    fresh = (double) (admitted - other->admitted);
+  else if (report->count < stream->count)
+    return 0; /* an older report that came late */
+  stream->incarnation = report->incarnation;
+  stream->count = report->count;
+  return fmax (stream->offset + (double) report->count - group->counted, 0);
+}
+
+/* The sum over all groups of rate times time since the last report is kept as two sums. */
+static void
+rate_group (struct pl_quota *quota, struct group *group, double fresh, int64_t now_us)
+{
+  double seconds = (double) (now_us - group->rated_us) / 1e6;
+
+  quota->groups_rate -= group->rate;
+  quota->groups_rate_since -= group->rate * (double) group->heard_us;
+  group->unrated += fresh;
+  if (now_us - group->rated_us >= GROUP_RATE_SPAN_US)
+    {
+      group->rate = group->rate == 0
+                        ? group->unrated / seconds
+                        : group->rate + GROUP_RATE_SMOOTHING * (group->unrated / seconds - group->rate);
+      group->unrated = 0;
+      group->rated_us = now_us;
+    }
+  group->heard_us = now_us;
+  quota->groups_rate += group->rate;
+  quota->groups_rate_since += group->rate * (double) group->heard_us;
+}
+
+static void
+spend (struct pl_quota *quota, struct group *group, const struct pl_quota_report *report,
+       double fresh, int64_t now_us)
+{
   refill (quota, now_us);
-  quota->tokens -= fresh - use_withheld (quota, other, fresh, returned_us);
+  quota->tokens -= fresh - use_withheld (quota, group, fresh, report->returned_us);
   quota->tokens = fmax (quota->tokens, -quota->rate * DEBT_SECONDS);
-  other->incarnation = incarnation;
-  other->admitted = admitted;
-  other->heard_us = now_us;
+  group->counted += fresh;
+  if (report->scope == PL_QUOTA_HOST)
+    quota->domain_others += fresh;
+  else
+    quota->far_others += fresh;
+  rate_group (quota, group, fresh, now_us);
+}
+
+void
+pl_quota_on_report (struct pl_quota *quota, const struct pl_quota_report *report, int64_t now_us)
+{
+  struct group *group = take_group (quota, report, now_us);
+  struct stream *stream = find_stream (group, report->sender);
+  double fresh = stream == NULL ? begin_stream (quota, group, report)
+                                : follow_stream (group, stream, report);
+
+  if (!report->is_followed)
+    {
+      /* Others tell of the same requests; this sender goes on from here if it is followed later. */
+      stream = find_stream (group, report->sender);
+      stream->offset = group->counted - (double) stream->count;
+      return;
+    }
+  spend (quota, group, report, fresh, now_us);
+}
+
+uint64_t
+pl_quota_count (const struct pl_quota *quota, enum pl_quota_scope scope)
+{
+  switch (scope)
+    {
+    case PL_QUOTA_HOST:
+      return quota->admitted;
+    case PL_QUOTA_DOMAIN:
+      return quota->admitted + (uint64_t) quota->domain_others;
+    case PL_QUOTA_FLEET:
+    case PL_QUOTA_SCOPES:
+      break;
+    }
+  return quota->admitted + (uint64_t) (quota->domain_others + quota->far_others);
+}
+
+uint64_t
+pl_quota_count_without (const struct pl_quota *quota, uint64_t host)
+{
+  const struct group *group = g_hash_table_lookup (quota->groups, &host);
+  double counted = group != NULL && group->scope == PL_QUOTA_HOST ? group->counted : 0;
+
+  return quota->admitted + (uint64_t) (quota->domain_others + quota->far_others - counted);
 }
 
 bool
-pl_quota_is_pressing (const struct pl_quota *quota, int hosts)
+pl_quota_is_pressing (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
+                      int64_t now_us)
 {
-  double bearable = fmax (quota->rate * UNTOLD_SECONDS / hosts, UNTOLD_MIN);
+  const struct pl_quota_told *told = &quota->told[scope];
+  double untold = (double) (pl_quota_count (quota, scope) - told->count);
+  double seconds = (double) (now_us - told->at_us) / 1e6;
 
-  return quota->rate > 0 && (double) (quota->admitted - quota->told) >= bearable;
+  if (quota->rate <= 0 || untold < fmax (quota->rate * UNTOLD_SECONDS / shares, UNTOLD_MIN))
+    return false;
+  return now_us - told->at_us >= tell_period_us[scope]
+         || untold >= quota->rate / shares * seconds * HURRIED_PART;
 }
 
 bool
-pl_quota_should_tell (const struct pl_quota *quota, int hosts, int64_t now_us)
+pl_quota_should_tell (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
+                      int64_t now_us)
 {
-  if (quota->rate <= 0 || quota->admitted == quota->told)
+  const struct pl_quota_told *told = &quota->told[scope];
+
+  if (quota->rate <= 0 || pl_quota_count (quota, scope) == told->count)
     return false;
-  return now_us - quota->told_us >= TELL_PERIOD_US || pl_quota_is_pressing (quota, hosts * 2);
+  return now_us - told->at_us >= tell_period_us[scope]
+         || pl_quota_is_pressing (quota, scope, shares, now_us);
+}
+
+void
+pl_quota_note_told (struct pl_quota *quota, enum pl_quota_scope scope, int64_t now_us)
+{
+  quota->told[scope].count = pl_quota_count (quota, scope);
+  quota->told[scope].at_us = now_us;
 }
 
 void
-pl_quota_note_told (struct pl_quota *quota, int64_t now_us)
+pl_quota_distrust (struct pl_quota *quota)
 {
-  quota->told = quota->admitted;
-  quota->told_us = now_us;
+  quota->tokens = fmin (quota->tokens, 1);
 }
 
 bool
--- a/core/router.c
+++ b/core/router.c
@@ -10,6 +10,8 @@
 #include <string.h>
 
 #define SLOW_PERIOD_US (250 * MS_US)
+/* Much shorter than the silence that the view goes by. */
+#define VIEW_PERIOD_US (50 * MS_US)
 /* Of the time that a stopping process has: callers' cached addresses have run out by the first,
  * and the second leaves time to end before the process is killed. */
 #define UNLISTEN_PERCENT 55
@@ -77,6 +79,19 @@
   return (int) router->region_names->len - 1;
 }
 
+/* Several decisions of a request go by the view, which changes with beacons and silence. */
+const struct pl_fleet_view *
+router_view (struct pl_router *router)
+{
+  if (router->now_us >= router->view_due_us)
+    {
+      router->view
+          = pl_membership_view (&router->membership, router->store_lost, router->now_us);
+      router->view_due_us = router->now_us + VIEW_PERIOD_US;
+    }
+  return &router->view;
+}
+
 int
 router_region (const struct pl_router *router, const char *domain)
 {
@@ -143,6 +158,18 @@
     }
 }
 
+/* All domains are known from the start, so that one that is not heard is missed. */
+static void
+name_domains (struct pl_router *router)
+{
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, router->domain_regions);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    pl_membership_domain (&router->membership, name, router_region (router, name));
+}
+
 struct pl_router *
 pl_router_new (const struct pl_router_options *options)
 {
@@ -166,17 +193,19 @@
   region = router_region (router, options->domain);
   pl_placement_init (&router->placement, options->domain, region);
   pl_membership_init (&router->membership, options->name, options->domain, region);
+  name_domains (router);
   quarantine_init (&router->quarantine);
   router->self.host = router->membership.self;
   g_strlcpy (router->self.self.name, options->name, sizeof router->self.self.name);
   g_strlcpy (router->self.self.peer_address, options->peer_address,
              sizeof router->self.self.peer_address);
-  g_strlcpy (router->self.caller_address, options->caller_address,
-             sizeof router->self.caller_address);
-  g_strlcpy (router->self.relay_address, options->relay_address, sizeof router->self.relay_address);
-  g_strlcpy (router->self.domain, options->domain, sizeof router->self.domain);
+  g_strlcpy (router->self.self.caller_address, options->caller_address,
+             sizeof router->self.self.caller_address);
+  g_strlcpy (router->self.self.relay_address, options->relay_address,
+             sizeof router->self.self.relay_address);
+  g_strlcpy (router->self.self.domain, options->domain, sizeof router->self.self.domain);
+  router->self.self.capacity = options->capacity;
   router->self.incarnation = options->incarnation;
-  router->self.capacity = options->capacity;
   router->membership.self_capacity = options->capacity;
   router->due_us = options->now_us;
   return router;
@@ -312,6 +341,7 @@
       calls_on_servers_changed (router);
       break;
     case PL_ROUTER_BEACON:
+      router->view_due_us = 0;
       fleet_on_beacon (router, event->u.beacon);
       break;
     case PL_ROUTER_ROWS:
@@ -320,6 +350,7 @@
       break;
     case PL_ROUTER_STORE_FAILED:
     case PL_ROUTER_STORE_WELL:
+      router->view_due_us = 0;
       news_on_store_state (router, event->type == PL_ROUTER_STORE_WELL);
       break;
     case PL_ROUTER_RELAY_DONE:
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -208,7 +208,7 @@
 static void
 earn_retry (struct pl_router *router, const char *service)
 {
-  int hosts = pl_membership_live_count (&router->membership, router->now_us);
+  int hosts = router_view (router)->hosts;
   double most = MAX (router->options.retry_slack * RETRY_PART / hosts, 1.0);
   struct router_retries *retries = take_retries (router, service);
 
@@ -248,17 +248,14 @@
 
 /* Hosts that fell silent may be sending to the server too. */
 static double
-cold_share (void *data, uint64_t server, double cold_per_second)
+cold_share (void *data, const struct pl_backend *backend, double cold_per_second)
 {
   struct pl_router *router = data;
-  int owners = pl_membership_live_count (&router->membership, router->now_us);
-  double silent
-      = pl_membership_silent_part (&router->membership, router->store_lost, router->now_us);
+  int owners = MAX (1, (int) (cold_per_second * COLD_OWNERS_PART));
+  int found = pl_membership_owners (&router->membership, backend->hash, backend->entry.domain,
+                                    backend->region, owners, router->now_us);
 
-  owners = MAX (1, MIN (owners, (int) (cold_per_second * COLD_OWNERS_PART)));
-  if (!pl_membership_owns (&router->membership, server, PL_NONE, owners, router->now_us))
-    return 0;
-  return (1 - silent) / owners;
+  return found > 0 ? (1 - router_view (router)->silent) / found : 0;
 }
 
 static void
@@ -351,8 +348,7 @@
   if (call->account != NULL && (router->options.switches & PL_ROUTER_NO_QUOTA) == 0
       && !pl_quota_take (
           &call->account->quota,
-          pl_membership_silent_part (&router->membership, router->store_lost, router->now_us),
-          router->now_us))
+          router_view (router)->silent, router->now_us))
     return ROUTER_OVER_RATE;
   if (call->account != NULL)
     fleet_note_admitted (router, call->account);
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -1,30 +1,43 @@
 /* Beacons: what this host tells its peers, how often, and what it learns.
  *
- * Hosts of this region, and those that take requests, hear of it twice a second and
- * others each two seconds; news, leaving, and
- * accounts of which much was admitted are told sooner.  Accounts are told only to
- * hosts that take requests, and addresses of other hosts go along now and then.
+ * Twice a second a host tells the delegates of its domain how it is; a delegate
+ * tells its domain, with what it heard of others, and the delegates of the other
+ * domains.  News, leaving, and accounts of which much was admitted are told sooner.
+ *
+ * Accounts go up and down the same way: a host's own counts to its delegates, sums
+ * of the domain from delegates to delegates, and to each host that takes requests
+ * what the rest of the fleet admitted.
+ *
+ * A host that knows too few others asks for contacts, at first the seeds that its
+ * settings name.
  */
 #include "internal/router_state.h"
 
+#include <math.h>
 #include <string.h>
 
 #define BEACON_PERIOD_US (500 * MS_US)
-/* Other regions get each fourth one, but for hosts that take requests on both sides. */
-#define FAR_EACH 4
-/* Each so many beacons tell who the sender is, and of other hosts. */
+/* Each so many beacons tell who the sender is; hosts that fell silent get only those. */
 #define IDENTITY_EACH 8
 /* All of them do while a process is young. */
 #define YOUNG_US (5 * S_US)
-/* Beacons that tell of accounts follow each other no faster, and slower in a large fleet, where
- * they would be most of what hosts send: with 300 hosts they go with about every regular beacon. */
+/* Beacons that tell of accounts follow each other no faster. */
 #define ACCOUNTS_PERIOD_US (40 * MS_US)
-#define ACCOUNTS_PERIOD_A_HOST_US (2 * MS_US)
-#define ACCOUNTS_HOSTS_FREE 50
-/* A host that took no request for so long is not active. */
-#define ACTIVE_US (4 * S_US)
+/* A host that took fewer requests than the first of late is active no longer; it is again when it
+ * took more than the second.  A platform that tries each host now and then makes none active. */
+#define ACTIVE_LEAST 1.0
+#define ACTIVE_AGAIN 4.0
+/* Requests of so long ago count for a third. */
+#define ACTIVE_MEMORY_US (4 * S_US)
 #define SEEDS_PERIOD_US (300 * MS_US)
+/* Other domains that are not heard for so long are asked for at the seeds. */
+#define DOMAIN_LOST_US (2 * S_US)
+#define CONTACTS_PERIOD_US (500 * MS_US)
+/* Trouble of the store this long ago still explains missing entries; later ones are meant. */
+#define LAPSE_LOOK_BACK_US (3 * S_US)
 #define SUSPECT_RETELL_US (2 * S_US)
+/* Hosts of a domain that take most of its requests. */
+#define SHARES_IN_DOMAIN 4
 
 static void
 add_suspect (void *data, uint64_t fingerprint, uint64_t server, bool convicted)
@@ -36,31 +49,83 @@
         = (struct pl_beacon_suspect){fingerprint, server, convicted};
 }
 
-/* Adds the accounts of which peers should know more. */
+/* Which count of an account hosts of a kind are told. */
+struct account_news
+{
+  enum pl_quota_scope scope;
+  int shares; /* how many keep such a count */
+};
+
+/* Adds the accounts of which those who are told of SCOPE should know more. */
 static void
-add_accounts (struct pl_router *router, struct pl_beacon *beacon)
+add_accounts (struct pl_router *router, const struct account_news *news, struct pl_beacon *beacon)
 {
-  int hosts = pl_membership_active_count (&router->membership, router->now_us);
   GHashTableIter iter;
   gpointer value;
 
+  beacon->account_scope = news->scope;
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value)
          && beacon->account_count < PL_BEACON_ACCOUNTS_MAX)
     {
       struct router_account *account = value;
 
-      if (!pl_quota_should_tell (&account->quota, hosts, router->now_us))
+      if (!pl_quota_should_tell (&account->quota, news->scope, news->shares, router->now_us))
         continue;
-      pl_quota_note_told (&account->quota, router->now_us);
-      beacon->accounts[beacon->account_count++]
-          = (struct pl_beacon_account){account->id, account->quota.admitted};
+      pl_quota_note_told (&account->quota, news->scope, router->now_us);
+      beacon->accounts[beacon->account_count++] = (struct pl_beacon_account){
+          account->id, pl_quota_count (&account->quota, news->scope)};
     }
 }
 
+/* What MEMBER admitted itself it does not need to be told. */
+static void
+leave_out_own (struct pl_router *router, const struct pl_member *member, struct pl_beacon *beacon)
+{
+  for (int i = 0; i < beacon->account_count; i++)
+    {
+      const struct router_account *account
+          = g_hash_table_lookup (router->accounts, &beacon->accounts[i].account);
+
+      beacon->accounts[i].admitted = pl_quota_count_without (&account->quota, member->id);
+    }
+}
+
+static bool
+is_recent_trouble (const struct pl_router *router, int64_t trouble_us)
+{
+  return trouble_us >= 0 && router->now_us - trouble_us < LAPSE_LOOK_BACK_US;
+}
+
+/* Whether the store was away for the fleet, not only for some hosts that it turned down: then
+ * servers could not report to it either.  Few hosts read it, and only those can tell. */
+bool
+fleet_store_was_away (const struct pl_router *router)
+{
+  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+  int troubled = is_recent_trouble (router, router->store_trouble_us);
+  int readers = router->watching || troubled > 0;
+
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+      bool is_troubled = is_recent_trouble (router, member->store_trouble_us);
+
+      if (!pl_member_is_live (&router->membership, member, router->now_us))
+        continue;
+      if (!is_delegate && pl_member_is_near (&router->membership, member) && member->store_away)
+        return true;
+      readers += member->watching || is_troubled;
+      troubled += is_troubled;
+    }
+  return troubled > 0 && troubled * 4 >= readers * 3;
+}
+
 static void
 fill_beacon (struct pl_router *router, struct pl_beacon *beacon)
 {
+  const struct pl_fleet_view *view = router_view (router);
+
   *beacon = router->self;
   beacon->has_identity = router->now_us - router->started_us < YOUNG_US;
   beacon->ready = pl_router_is_ready (router);
@@ -73,17 +138,19 @@
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
   beacon->active = router->membership.self_active;
+  beacon->is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+  if (beacon->is_delegate)
+    {
+      pl_membership_count_domain (&router->membership, beacon, router->now_us);
+      beacon->store_away = fleet_store_was_away (router);
+      beacon->fleet_hosts = view->hosts;
+      beacon->fleet_active = view->active;
+      beacon->fleet_domains = view->domains;
+      beacon->silent_permille = (int) (view->silent * 1000);
+    }
   quarantine_retell (&router->quarantine, SUSPECT_RETELL_US, router->now_us, add_suspect, beacon);
 }
 
-/* For hosts that may not know who the sender is. */
-static void
-add_identity (struct pl_router *router, struct pl_beacon *beacon)
-{
-  beacon->has_identity = true;
-  pl_membership_fill_contacts (&router->membership, beacon, router->now_us);
-}
-
 static void
 tell (struct pl_router *router, const char *address, const struct pl_beacon *beacon)
 {
@@ -93,64 +160,155 @@
   effect->u.tell.beacon = g_memdup2 (beacon, sizeof *beacon);
 }
 
+/* Returns whether a configured domain is not heard of, so that its delegates must be found. */
 static bool
-knows_address (const struct pl_router *router, const char *address)
+misses_a_domain (const struct pl_router *router)
 {
-  for (guint i = 0; i < router->membership.order->len; i++)
+  const struct pl_membership *membership = &router->membership;
+
+  for (guint i = 0; i < membership->domains->len; i++)
     {
-      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+      const struct pl_domain *domain = &g_array_index (membership->domains, struct pl_domain, i);
 
-      if (pl_member_is_live (&router->membership, member, router->now_us)
-          && strcmp (member->contact.peer_address, address) == 0)
+      if ((int) i != membership->self_domain
+          && (domain->heard_us == 0 || router->now_us - domain->heard_us > DOMAIN_LOST_US))
         return true;
     }
   return false;
 }
 
+/* The seeds are asked until this host has its place: a delegate in all domains, another host in its
+ * own. */
+static bool
+needs_seeds (const struct pl_router *router, const uint64_t *delegates)
+{
+  bool is_delegate = delegates[0] == 0 || delegates[PL_DELEGATES - 1] == 0
+                     || pl_membership_is_delegate (&router->membership, router->now_us);
+
+  return router->now_us - router->started_us < YOUNG_US
+         || (is_delegate && misses_a_domain (router));
+}
+
 static void
-tell_seeds (struct pl_router *router, const struct pl_beacon *beacon)
+ask_seeds (struct pl_router *router, const struct pl_beacon *beacon)
 {
+  struct pl_beacon question = *beacon;
+
+  router->seeds_due_us = router->now_us + SEEDS_PERIOD_US;
+  question.has_identity = true;
+  question.wants_contacts = true;
   for (const char *const *seed = router->options.seeds; seed != NULL && *seed != NULL; seed++)
-    if (strcmp (*seed, router->options.peer_address) != 0 && !knows_address (router, *seed))
-      tell (router, *seed, beacon);
+    if (strcmp (*seed, router->options.peer_address) != 0)
+      tell (router, *seed, &question);
 }
 
-/* TO_ALL: other regions too, whether it is their turn or not.  ONLY_ACCOUNTS: only those who want
- * to know of accounts. */
+/* How a host is told, by where it stands. */
+enum audience
+{
+  AUDIENCE_NONE,
+  AUDIENCE_DELEGATE, /* of this domain */
+  AUDIENCE_DOMAIN,   /* a host that this one speaks for */
+  AUDIENCE_FAR,      /* a delegate of another domain */
+  AUDIENCES,
+};
+
+static enum audience
+audience_of (const struct pl_router *router, const struct pl_member *member,
+             const uint64_t *delegates, bool is_delegate)
+{
+  if (!pl_member_is_near (&router->membership, member))
+    return is_delegate && (member->is_delegate || !member->heard) ? AUDIENCE_FAR : AUDIENCE_NONE;
+  for (int i = 0; i < PL_DELEGATES; i++)
+    if (delegates[i] == member->id)
+      return AUDIENCE_DELEGATE;
+  return is_delegate ? AUDIENCE_DOMAIN : AUDIENCE_NONE;
+}
+
+/* What goes out in one round, made once for each audience. */
+struct round
+{
+  uint64_t delegates[PL_DELEGATES];
+  bool is_delegate;
+  bool only_accounts; /* to those who want to know of them */
+  bool to_all;        /* this host's own state has changed */
+  bool is_identity_turn;
+  struct pl_beacon beacons[AUDIENCES];
+};
+
 static void
-tell_members (struct pl_router *router, bool to_all, bool only_accounts)
+prepare_round (struct pl_router *router, struct round *round)
 {
+  const struct pl_fleet_view *view = router_view (router);
+  const struct account_news news[AUDIENCES] = {
+      [AUDIENCE_DELEGATE] = {PL_QUOTA_HOST, view->active},
+      [AUDIENCE_DOMAIN] = {PL_QUOTA_FLEET, SHARES_IN_DOMAIN},
+      [AUDIENCE_FAR] = {PL_QUOTA_DOMAIN, view->domains},
+  };
   struct pl_beacon beacon;
-  struct pl_beacon account_beacon;
-  struct pl_beacon full_beacon;
-  bool far_turn = to_all || router->beacon_turn % FAR_EACH == 0;
 
+  pl_membership_delegates (&router->membership, round->delegates, router->now_us);
+  round->is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
   fill_beacon (router, &beacon);
-  if (!only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0)
-    add_identity (router, &beacon);
-  full_beacon = beacon;
-  add_identity (router, &full_beacon);
-  account_beacon = beacon;
-  add_accounts (router, &account_beacon);
-  for (guint i = 0; i < router->membership.order->len; i++)
+  round->is_identity_turn = !round->only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0;
+  beacon.has_identity = beacon.has_identity || round->is_identity_turn;
+  if (!round->only_accounts && router->membership.lacks_contacts
+      && router->now_us >= router->contacts_due_us)
     {
-      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
-
-      if (member->active && account_beacon.account_count > 0)
-        tell (router, member->contact.peer_address, &account_beacon);
-      else if (only_accounts)
-        continue;
-      else if (!member->heard)
-        tell (router, member->contact.peer_address, &full_beacon);
-      else if (far_turn || member->region == router->membership.self_region
-               || (beacon.active && member->active))
-        tell (router, member->contact.peer_address, &beacon);
+      router->contacts_due_us = router->now_us + CONTACTS_PERIOD_US;
+      router->membership.lacks_contacts = false;
+      beacon.wants_contacts = true;
     }
-  if (router->now_us >= router->seeds_due_us)
+  for (int i = AUDIENCE_DELEGATE; i < AUDIENCES; i++)
+    {
+      round->beacons[i] = beacon;
+      if (i == AUDIENCE_DELEGATE || round->is_delegate)
+        add_accounts (router, &news[i], &round->beacons[i]);
+    }
+  if (round->is_delegate && !round->only_accounts)
+    pl_membership_fill_states (&router->membership, &round->beacons[AUDIENCE_DOMAIN],
+                               router->now_us);
+}
+
+static void
+tell_member (struct pl_router *router, const struct round *round, const struct pl_member *member)
+{
+  enum audience audience = audience_of (router, member, round->delegates, round->is_delegate);
+  struct pl_beacon beacon = round->beacons[audience == AUDIENCE_NONE ? AUDIENCE_DELEGATE : audience];
+  bool wants_accounts = audience != AUDIENCE_DOMAIN || member->active;
+
+  if (audience == AUDIENCE_NONE)
     {
-      router->seeds_due_us = router->now_us + SEEDS_PERIOD_US;
-      tell_seeds (router, &full_beacon);
+      /* Hosts of the domain learn at once of one that begins or ends to take callers. */
+      if (!round->to_all || !pl_member_is_near (&router->membership, member))
+        return;
+      beacon.account_count = 0;
     }
+  if (!wants_accounts)
+    beacon.account_count = 0;
+  if (round->only_accounts && beacon.account_count == 0)
+    return;
+  if (!member->heard)
+    beacon.has_identity = true;
+  else if (!round->is_identity_turn && !round->to_all
+           && !pl_member_is_live (&router->membership, member, router->now_us))
+    return;
+  if (audience == AUDIENCE_DOMAIN)
+    leave_out_own (router, member, &beacon);
+  tell (router, member->contact.peer_address, &beacon);
+}
+
+static void
+tell_round (struct pl_router *router, bool to_all, bool only_accounts)
+{
+  g_autofree struct round *round = g_new0 (struct round, 1);
+
+  round->to_all = to_all;
+  round->only_accounts = only_accounts;
+  prepare_round (router, round);
+  for (guint i = 0; i < router->membership.order->len; i++)
+    tell_member (router, round, g_ptr_array_index (router->membership.order, i));
+  if (router->now_us >= router->seeds_due_us && needs_seeds (router, round->delegates))
+    ask_seeds (router, &round->beacons[AUDIENCE_NONE + 1]);
 }
 
 /* News came: those that get it from this host are told. */
@@ -158,13 +316,15 @@
 tell_children (struct pl_router *router)
 {
   const struct pl_member *children[PL_RELAY_CHILDREN_MAX];
-  int count = pl_membership_relay_children (&router->membership, router->watching, children,
-                                            router->now_us);
+  int count = pl_membership_relay_children (&router->membership, children, router->now_us);
   struct pl_beacon beacon;
 
   fill_beacon (router, &beacon);
   for (int i = 0; i < count; i++)
-    tell (router, children[i]->contact.peer_address, &beacon);
+    {
+      beacon.has_identity = beacon.has_identity || children[i]->direct_us == 0;
+      tell (router, children[i]->contact.peer_address, &beacon);
+    }
 }
 
 static void
@@ -179,17 +339,18 @@
       member->noted_live = false;
       router_note (router, PL_NOTE_BELIEF, "host-silent",
                    json_pack ("{s:s,s:s,s:b,s:I}", "host", member->contact.name, "domain",
-                              member->domain, "was_leaving", member->leaving, "silent_us",
+                              member->contact.domain, "was_leaving", member->leaving, "silent_us",
                               (json_int_t) (router->now_us - member->heard_us)));
     }
 }
 
-static int64_t
-accounts_period_us (const struct pl_router *router)
+/* Requests of late, fading. */
+static double
+asked_of_late (const struct pl_router *router)
 {
-  int hosts = pl_membership_active_count (&router->membership, router->now_us);
+  double age = (double) (router->now_us - router->asked_us) / (double) ACTIVE_MEMORY_US;
 
-  return ACCOUNTS_PERIOD_US + ACCOUNTS_PERIOD_A_HOST_US * MAX (hosts - ACCOUNTS_HOSTS_FREE, 0);
+  return router->asked_level * exp (-age);
 }
 
 void
@@ -198,16 +359,16 @@
   bool due = router->now_us >= router->beacon_due_us || router->tell_soon;
   bool accounts = router->tell_accounts && router->now_us >= router->accounts_due_us;
 
-  if (router->now_us - router->asked_us > ACTIVE_US)
+  if (router->membership.self_active && asked_of_late (router) < ACTIVE_LEAST)
     router->membership.self_active = false;
   if (router->has_news && !due)
     tell_children (router);
   router->has_news = false;
   if (due || accounts)
     {
-      tell_members (router, router->tell_soon, !due);
+      tell_round (router, router->tell_soon, !due);
       router->tell_accounts = false;
-      router->accounts_due_us = router->now_us + accounts_period_us (router);
+      router->accounts_due_us = router->now_us + ACCOUNTS_PERIOD_US;
     }
   if (due)
     {
@@ -220,57 +381,168 @@
     router->due_us = MIN (router->due_us, router->accounts_due_us);
 }
 
-/* A request came.  Peers must know at once that this host is active, since they tell only such
- * hosts what they admit. */
+static void
+distrust_accounts (struct pl_router *router)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, router->accounts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    pl_quota_distrust (&((struct router_account *) value)->quota);
+}
+
+/* A request came.  Delegates must know at once that this host is active, since they tell only such
+ * hosts what others admit. */
 void
 fleet_note_asked (struct pl_router *router)
 {
+  router->asked_level = asked_of_late (router) + 1;
   router->asked_us = router->now_us;
-  if (router->membership.self_active)
+  if (router->membership.self_active || router->asked_level < ACTIVE_AGAIN)
     return;
   router->membership.self_active = true;
   router->tell_soon = true;
+  /* Until now it was not told what others admit. */
+  if (!pl_membership_is_delegate (&router->membership, router->now_us))
+    distrust_accounts (router);
+}
+
+static void
+tell_accounts_soon (struct pl_router *router)
+{
+  router->tell_accounts = true;
+  router->due_us = MIN (router->due_us, MAX (router->accounts_due_us, router->now_us));
+}
+
+/* Tells of ACCOUNT soon when others must know more of it. */
+static void
+judge_account (struct pl_router *router, const struct router_account *account)
+{
+  const struct pl_fleet_view *view = router_view (router);
+  const struct pl_quota *quota = &account->quota;
+
+  if (router->tell_accounts)
+    return;
+  if (pl_quota_is_pressing (quota, PL_QUOTA_HOST, view->active, router->now_us)
+      || (pl_membership_is_delegate (&router->membership, router->now_us)
+          && (pl_quota_is_pressing (quota, PL_QUOTA_DOMAIN, view->domains, router->now_us)
+              || pl_quota_is_pressing (quota, PL_QUOTA_FLEET, SHARES_IN_DOMAIN, router->now_us))))
+    tell_accounts_soon (router);
 }
 
 /* A request of ACCOUNT was admitted. */
 void
 fleet_note_admitted (struct pl_router *router, const struct router_account *account)
 {
-  int hosts = pl_membership_active_count (&router->membership, router->now_us);
-
-  if (!pl_quota_is_pressing (&account->quota, hosts))
-    return;
-  router->tell_accounts = true;
-  router->due_us = MIN (router->due_us, MAX (router->accounts_due_us, router->now_us));
+  judge_account (router, account);
 }
 
+/* A delegate passes on what is new to it. */
 static void
 on_suspects (struct pl_router *router, const struct pl_beacon *beacon)
 {
+  bool is_news = false;
+
   for (int i = 0; i < beacon->suspect_count; i++)
     {
       const struct pl_beacon_suspect *suspect = &beacon->suspects[i];
 
       if (suspect->convicted)
-        quarantine_convict (&router->quarantine, suspect->fingerprint, router->now_us);
+        is_news |= quarantine_convict (&router->quarantine, suspect->fingerprint, suspect->server,
+                                       router->now_us);
       else
-        quarantine_note_death (&router->quarantine, suspect->fingerprint, suspect->server, false,
-                               router->now_us);
+        is_news |= quarantine_note_death (&router->quarantine, suspect->fingerprint,
+                                          suspect->server, false, router->now_us);
     }
+  if (is_news && pl_membership_is_delegate (&router->membership, router->now_us))
+    router->tell_soon = true;
+}
+
+/* Returns whether this host goes by counts of SCOPE, or by others that tell of the same requests:
+ * a delegate adds up hosts and domains, another host has the sum from its delegates. */
+static bool
+follows (const struct pl_router *router, enum pl_quota_scope scope)
+{
+  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+
+  return is_delegate != (scope == PL_QUOTA_FLEET);
+}
+
+/* Returns the hosts that the counts of BEACON, from MEMBER, are of; 0: it may not tell of them. */
+static uint64_t
+group_of (const struct pl_router *router, const struct pl_member *member,
+          const struct pl_beacon *beacon)
+{
+  bool is_near = pl_member_is_near (&router->membership, member);
+
+  switch (beacon->account_scope)
+    {
+    case PL_QUOTA_HOST:
+      return is_near ? member->id : 0;
+    case PL_QUOTA_DOMAIN:
+      return is_near ? 0 : pl_id_of ("domains", member->contact.domain);
+    case PL_QUOTA_FLEET:
+      return is_near ? pl_id_of ("fleet", "") : 0;
+    case PL_QUOTA_SCOPES:
+      break;
+    }
+  return 0;
 }
 
 static void
 on_accounts (struct pl_router *router, const struct pl_member *member,
              const struct pl_beacon *beacon)
 {
+  struct pl_quota_report report = {
+      .scope = beacon->account_scope,
+      .group = group_of (router, member, beacon),
+      .sender = member->id,
+      .incarnation = member->incarnation,
+      .returned_us = member->returned_us,
+      .is_followed = follows (router, beacon->account_scope),
+  };
+
+  if (report.group == 0)
+    return;
   for (int i = 0; i < beacon->account_count; i++)
     {
       struct router_account *account
           = g_hash_table_lookup (router->accounts, &beacon->accounts[i].account);
 
-      if (account != NULL)
-        pl_quota_on_peer (&account->quota, member->id, member->incarnation,
-                          beacon->accounts[i].admitted, member->returned_us, router->now_us);
+      if (account == NULL)
+        continue;
+      report.count = beacon->accounts[i].admitted;
+      pl_quota_on_report (&account->quota, &report, router->now_us);
+      judge_account (router, account);
+    }
+}
+
+/* Tells MEMBER which hosts there are: all that it should know of one of this domain; a few of its
+ * own domain, else delegates, to another. */
+static void
+give_contacts (struct pl_router *router, const struct pl_member *member)
+{
+  struct pl_membership *membership = &router->membership;
+  bool is_near = pl_member_is_near (membership, member);
+  struct pl_beacon beacon;
+  guint at = 0;
+
+  fill_beacon (router, &beacon);
+  beacon.has_identity = true;
+  if (!is_near)
+    {
+      pl_membership_fill_contacts (membership, member->domain, &at, &beacon, router->now_us);
+      if (membership->order->len > 0)
+        at = membership->contact_turn++ % membership->order->len;
+      pl_membership_fill_contacts (membership, PL_NONE, &at, &beacon, router->now_us);
+      tell (router, member->contact.peer_address, &beacon);
+      return;
+    }
+  while (pl_membership_fill_contacts (membership, PL_NONE, &at, &beacon, router->now_us))
+    {
+      tell (router, member->contact.peer_address, &beacon);
+      beacon.contact_count = 0;
     }
 }
 
@@ -281,7 +553,7 @@
   struct pl_beacon beacon;
 
   fill_beacon (router, &beacon);
-  add_identity (router, &beacon);
+  beacon.has_identity = true;
   tell (router, member->contact.peer_address, &beacon);
 }
 
@@ -289,20 +561,25 @@
 fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon)
 {
   const struct pl_member *known = g_hash_table_lookup (router->membership.members, &beacon->host);
-  bool is_known = known != NULL && known->incarnation == beacon->incarnation
+  bool is_known = known != NULL && known->direct_us > 0 && known->incarnation == beacon->incarnation
                   && pl_member_is_live (&router->membership, known, router->now_us);
-  const struct pl_member *member = pl_membership_on_beacon (
-      &router->membership, beacon, router_region (router, beacon->domain), router->now_us);
+  struct pl_member *member
+      = pl_membership_on_beacon (&router->membership, beacon,
+                                 router_region (router, beacon->self.domain), router->now_us);
 
   if (member == NULL)
     return;
-  if (!is_known)
+  if (!is_known && !beacon->wants_contacts)
+    greet (router, member);
+  if (!member->noted_live)
     {
-      greet (router, member);
+      member->noted_live = true;
       router_note (router, PL_NOTE_BELIEF, "host-heard",
                    json_pack ("{s:s,s:s,s:b}", "host", member->contact.name, "domain",
-                              member->domain, "ready", beacon->ready));
+                              member->contact.domain, "ready", beacon->ready));
     }
+  if (beacon->wants_contacts)
+    give_contacts (router, member);
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
   for (int t = 0; t < PL_TABLES_MAX; t++)
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -66,7 +66,7 @@
                           g_hash_table_size (router->calls));
   g_string_append_printf (text, "pomelolatch_waiting_requests %u\n", router->waiting->len);
   g_string_append_printf (text, "pomelolatch_live_hosts %d\n",
-                          pl_membership_live_count (&router->membership, router->now_us));
+                          router->view.hosts);
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -17,8 +17,6 @@
 
 /* A server registers again within two seconds of the store's return. */
 #define LAPSE_GRACE_US (2500 * MS_US)
-/* Trouble of the store this long ago still explains missing entries; later ones are meant. */
-#define LAPSE_LOOK_BACK_US (3 * S_US)
 /* A server that leaves goes on for two seconds; several entries that vanish at once may be a lapse
  * nobody saw, which this much waiting tells apart. */
 #define MASS_GRACE_US (1200 * MS_US)
@@ -123,36 +121,10 @@
                           "accounts", (int) routing->accounts->len));
 }
 
-static bool
-is_recent (const struct pl_router *router, int64_t trouble_us)
-{
-  return trouble_us >= 0 && router->now_us - trouble_us < LAPSE_LOOK_BACK_US;
-}
-
-/* Whether the store was away for the fleet, not only for some hosts that it turned down: then
- * servers could not report to it either. */
-static bool
-store_was_away (const struct pl_router *router)
-{
-  int hosts = 1;
-  int troubled = is_recent (router, router->store_trouble_us);
-
-  for (guint i = 0; i < router->membership.order->len; i++)
-    {
-      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
-
-      if (!pl_member_is_live (&router->membership, member, router->now_us))
-        continue;
-      hosts++;
-      troubled += is_recent (router, member->store_trouble_us);
-    }
-  return troubled * 4 >= hosts * 3;
-}
-
 static int64_t
 use_until (const struct pl_router *router, int gone_count)
 {
-  if (store_was_away (router))
+  if (fleet_store_was_away (router))
     return router->now_us + LAPSE_GRACE_US;
   if (gone_count >= MASS_COUNT)
     return router->now_us + MASS_GRACE_US;
@@ -359,7 +331,7 @@
 holds_more (const struct pl_router *router, const struct pl_member *member)
 {
   if (!pl_member_is_live (&router->membership, member, router->now_us)
-      || member->relay_address[0] == '\0')
+      || member->contact.relay_address[0] == '\0')
     return false;
   for (int t = 0; t < PL_TABLES_MAX; t++)
     if (member->held[t] > router->held[t].version)
@@ -436,7 +408,7 @@
   router->fetches++;
   router->fetch_pause_us = router->now_us + FETCH_PAUSE_US;
   effect = router_add_effect (router, PL_ROUTER_FETCH);
-  g_strlcpy (effect->u.fetch.address, member->relay_address, sizeof effect->u.fetch.address);
+  g_strlcpy (effect->u.fetch.address, member->contact.relay_address, sizeof effect->u.fetch.address);
   for (int t = 0; t < PL_TABLES_MAX; t++)
     effect->u.fetch.held[t] = router->held[t].version;
 }
@@ -448,19 +420,20 @@
   int64_t settle_us = has_source ? SETTLE_KNOWN_US : SETTLE_US;
   bool settled = router->now_us - router->started_us >= settle_us;
   bool wanted = settled && !router->stopping
-                && pl_membership_should_watch (&router->membership, router->watching,
-                                               router->store_lost, router->now_us);
+                && pl_membership_should_watch (&router->membership, router->store_lost,
+                                               router->now_us);
 
   if (!settled)
     router->due_us = MIN (router->due_us, router->started_us + settle_us);
   if (wanted == router->watching)
     return;
   router->watching = wanted;
+  router->membership.self_watching = wanted;
   router_add_effect (router, PL_ROUTER_WATCH)->u.watch = wanted;
   router_note (router, PL_NOTE_BELIEF, wanted ? "store-watch-begun" : "store-watch-ended",
                json_pack ("{s:b,s:b,s:i,s:I,s:I}", "store_lost", router->store_lost, "stopping",
                           router->stopping, "hosts",
-                          pl_membership_live_count (&router->membership, router->now_us),
+                          router_view (router)->hosts,
                           "held_control", (json_int_t) router->held[PL_TABLE_CONTROL].version,
                           "held_servers", (json_int_t) router->held[PL_TABLE_SERVERS].version));
 }
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -128,7 +128,8 @@
 struct pl_backend *pl_placement_find (struct pl_placement *placement, const char *id);
 
 /* Returns the part of a cold server's rate that this host may use, 0 to 1. */
-typedef double (*pl_cold_share) (void *data, uint64_t server, double cold_per_second);
+typedef double (*pl_cold_share) (void *data, const struct pl_backend *backend,
+                                 double cold_per_second);
 
 /* What was chosen. */
 struct pl_placement_choice
--- a/include/internal/quarantine.h
+++ b/include/internal/quarantine.h
@@ -29,8 +29,10 @@
 bool quarantine_note_death (struct quarantine *quarantine, uint64_t fingerprint, uint64_t server,
                             bool alone, int64_t now_us);
 
-/* Takes a peer's word that FINGERPRINT is convicted. */
-void quarantine_convict (struct quarantine *quarantine, uint64_t fingerprint, int64_t now_us);
+/* Takes a peer's word that FINGERPRINT, first seen at the death of SERVER, is convicted.  Returns
+ * true when this is news. */
+bool quarantine_convict (struct quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+                         int64_t now_us);
 
 /* A suspect ended well: it is none.  Returns true when it was one. */
 bool quarantine_note_success (struct quarantine *quarantine, uint64_t fingerprint);
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -9,6 +9,21 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* Whose requests a count is of. */
+enum pl_quota_scope
+{
+  PL_QUOTA_HOST,   /* of one host */
+  PL_QUOTA_DOMAIN, /* of all hosts of a failure domain */
+  PL_QUOTA_FLEET,  /* of all hosts, in reports without those of the host that gets them */
+  PL_QUOTA_SCOPES,
+};
+
+struct pl_quota_told
+{
+  uint64_t count;
+  int64_t at_us; /* 0: never */
+};
+
 struct pl_quota
 {
   double rate;  /* requests a second over the fleet; 0: no limit */
@@ -18,10 +33,13 @@
   double heard_part; /* of the hosts, 0 to 1: the part of the rate that is refilled */
   double withheld;   /* requests left out of the refill for peers that are silent */
   int64_t withheld_us;
-  uint64_t admitted;  /* here, since the start */
-  uint64_t told;      /* admitted, as peers last heard */
-  int64_t told_us;    /* 0: never */
-  GHashTable *others; /* peer id -> struct pl_quota_peer */
+  uint64_t admitted;    /* here, since the start */
+  double domain_others; /* by other hosts of this domain, as far as they report here */
+  double far_others;    /* by the rest of the fleet */
+  struct pl_quota_told told[PL_QUOTA_SCOPES];
+  GHashTable *groups;       /* id -> struct group */
+  double groups_rate;       /* requests a second that the groups go on using, and the sum over */
+  double groups_rate_since; /* them of that times when each was heard */
 };
 
 void pl_quota_init (struct pl_quota *quota, int64_t now_us);
@@ -30,19 +48,42 @@
 /* Puts new limits in force.  Tokens saved beyond the new burst are dropped. */
 void pl_quota_limit (struct pl_quota *quota, double rate, double burst, int64_t now_us);
 
-/* Takes a peer's word of how many requests it admitted since its start as INCARNATION.
- * RETURNED_US is when it was last heard again after a silence; 0: it was never silent. */
-void pl_quota_on_peer (struct pl_quota *quota, uint64_t peer, uint64_t incarnation,
-                       uint64_t admitted, int64_t returned_us, int64_t now_us);
+/* What a peer says of requests that were admitted elsewhere. */
+struct pl_quota_report
+{
+  enum pl_quota_scope scope;
+  uint64_t group;       /* whose requests: a host, a domain, all; several peers may report on it */
+  uint64_t sender;
+  uint64_t incarnation; /* of the sender: its counts start anew with it */
+  uint64_t count;       /* requests since then */
+  int64_t returned_us;  /* when the sender was last heard again after a silence; 0: never */
+  bool is_followed;     /* else another report tells of the same requests */
+};
+
+/* Takes what REPORT says beyond what is known out of the bucket. */
+void pl_quota_on_report (struct pl_quota *quota, const struct pl_quota_report *report,
+                         int64_t now_us);
 
-/* Returns whether peers know of fewer requests than the account can bear, when HOSTS take them. */
-bool pl_quota_is_pressing (const struct pl_quota *quota, int hosts);
+/* Returns how many requests were admitted in SCOPE, as far as known here. */
+uint64_t pl_quota_count (const struct pl_quota *quota, enum pl_quota_scope scope);
+
+/* Returns how many were admitted in the fleet but for those that HOST reported. */
+uint64_t pl_quota_count_without (const struct pl_quota *quota, uint64_t host);
+
+/* Returns whether peers know of fewer requests of SCOPE than the account can bear, when SHARES
+ * hosts or domains count them. */
+bool pl_quota_is_pressing (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
+                           int64_t now_us);
 
 /* Returns whether a beacon that is sent anyway should tell of the account. */
-bool pl_quota_should_tell (const struct pl_quota *quota, int hosts, int64_t now_us);
+bool pl_quota_should_tell (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
+                           int64_t now_us);
 
 /* Peers are told now. */
-void pl_quota_note_told (struct pl_quota *quota, int64_t now_us);
+void pl_quota_note_told (struct pl_quota *quota, enum pl_quota_scope scope, int64_t now_us);
+
+/* Does not trust tokens saved while reports were not followed: few are left. */
+void pl_quota_distrust (struct pl_quota *quota);
 
 /* Returns whether one more request may run, and counts it.  SILENT is the part of the fleet that
  * is not heard from, 0 to 1: it may be admitting its share. */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -136,6 +136,8 @@
   GHashTable *retries;        /* service name -> struct router_retries */
   struct pl_placement placement;
   struct pl_membership membership;
+  struct pl_fleet_view view;
+  int64_t view_due_us; /* the view is taken anew from then on */
   struct quarantine quarantine;
 
   struct held_table held[PL_TABLES_MAX];
@@ -149,6 +151,7 @@
   int64_t started_us;
   int64_t beacon_due_us;
   int64_t accounts_due_us;
+  int64_t contacts_due_us;
   guint beacon_turn;
   int busy_percent;
   int64_t seeds_due_us;
@@ -156,7 +159,8 @@
   bool tell_soon; /* a beacon to all is due */
   bool has_news;  /* rows came that peers may lack */
   bool tell_accounts;
-  int64_t asked_us; /* when a request came last; 0: never */
+  int64_t asked_us;   /* when a request came last; 0: never */
+  double asked_level; /* requests of late, as of then */
 
   GHashTable *calls;  /* id -> struct call */
   GPtrArray *waiting; /* of struct call, the first to be placed first */
@@ -177,6 +181,7 @@
                                             enum pl_router_effect_type type);
 void router_note (struct pl_router *router, enum pl_note_level level, const char *event,
                   json_t *fields);
+const struct pl_fleet_view *router_view (struct pl_router *router);
 int router_region (const struct pl_router *router, const char *domain);
 struct router_route *router_take_route (struct pl_router *router, const char *name);
 struct router_account *router_take_account (struct pl_router *router,
@@ -202,6 +207,7 @@
 void fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon);
 void fleet_run_timers (struct pl_router *router);
 void fleet_note_asked (struct pl_router *router);
+bool fleet_store_was_away (const struct pl_router *router);
 void fleet_note_admitted (struct pl_router *router, const struct router_account *account);
 void fleet_note_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server,
                          bool alone);
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -16,7 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BEACON_FORMAT 2
+#define BEACON_FORMAT 3
 #define DATAGRAMS_A_TURN 64
 
 struct pl_beacon_socket
@@ -63,33 +63,48 @@
 code_contact (XDR *xdr, struct pl_contact *contact)
 {
   return code_text (xdr, contact->name, sizeof contact->name)
-         && code_text (xdr, contact->peer_address, sizeof contact->peer_address);
+         && code_text (xdr, contact->domain, sizeof contact->domain)
+         && code_text (xdr, contact->peer_address, sizeof contact->peer_address)
+         && code_text (xdr, contact->caller_address, sizeof contact->caller_address)
+         && code_text (xdr, contact->relay_address, sizeof contact->relay_address)
+         && xdr_int (xdr, &contact->capacity) != 0;
 }
 
+/* Truth values go as the bits of one number, from bit FIRST on. */
 static bool
-code_identity (XDR *xdr, struct pl_beacon *beacon)
+code_bits (XDR *xdr, bool *const *flags, size_t count, u_int *number, int first)
 {
-  return code_contact (xdr, &beacon->self)
-         && code_text (xdr, beacon->caller_address, sizeof beacon->caller_address)
-         && code_text (xdr, beacon->relay_address, sizeof beacon->relay_address)
-         && code_text (xdr, beacon->domain, sizeof beacon->domain)
-         && xdr_int (xdr, &beacon->capacity) != 0;
+  for (size_t i = 0; i < count; i++)
+    *number |= *flags[i] ? 1U << (i + (size_t) first) : 0;
+  if (!xdr_u_int (xdr, number))
+    return false;
+  for (size_t i = 0; i < count; i++)
+    *flags[i] = (*number >> (i + (size_t) first) & 1) != 0;
+  return true;
 }
 
-/* Truth values go as the bits of one number. */
 static bool
 code_flags (XDR *xdr, struct pl_beacon *beacon)
 {
-  bool *const flags[] = {&beacon->has_identity, &beacon->active,   &beacon->ready,
-                         &beacon->leaving,      &beacon->watching, &beacon->store_lost};
-  u_int bits = 0;
+  bool *const flags[]
+      = {&beacon->has_identity, &beacon->active,     &beacon->ready,      &beacon->leaving,
+         &beacon->watching,     &beacon->store_lost, &beacon->store_away, &beacon->wants_contacts,
+         &beacon->is_delegate};
+  u_int number = 0;
 
-  for (size_t i = 0; i < G_N_ELEMENTS (flags); i++)
-    bits |= *flags[i] ? 1U << i : 0;
-  if (!xdr_u_int (xdr, &bits))
-    return false;
-  for (size_t i = 0; i < G_N_ELEMENTS (flags); i++)
-    *flags[i] = (bits >> i & 1) != 0;
+  return code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, 0);
+}
+
+static bool
+code_delegate (XDR *xdr, struct pl_beacon *beacon)
+{
+  int *const counts[] = {&beacon->domain_hosts, &beacon->domain_active, &beacon->domain_silent,
+                         &beacon->fleet_hosts,  &beacon->fleet_active,  &beacon->fleet_domains,
+                         &beacon->silent_permille};
+
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    if (!xdr_int (xdr, counts[i]) || *counts[i] < 0)
+      return false;
   return true;
 }
 
@@ -99,23 +114,63 @@
   bool done = code_u64 (xdr, &beacon->host) && code_u64 (xdr, &beacon->incarnation)
               && code_flags (xdr, beacon) && xdr_int (xdr, &beacon->busy_percent) != 0
               && code_i64 (xdr, &beacon->store_trouble_us)
-              && (!beacon->has_identity || code_identity (xdr, beacon));
+              && (!beacon->has_identity || code_contact (xdr, &beacon->self))
+              && (!beacon->is_delegate || code_delegate (xdr, beacon));
 
   for (int t = 0; done && t < PL_TABLES_MAX; t++)
     done = code_i64 (xdr, &beacon->held[t]);
   return done;
 }
 
+/* A delegate tells many states, so the age, in hundredths of a second, the busy part and the flags
+ * share one number. */
+#define STATE_AGE_UNIT_US 10000
+#define STATE_AGE_MAX 0xffffU
+#define STATE_BUSY_SHIFT 16
+#define STATE_BUSY_MASK 0x7fU
+#define STATE_FLAGS_SHIFT 24
+
 static bool
-code_beacon (XDR *xdr, struct pl_beacon *beacon)
+code_member_state (XDR *xdr, struct pl_beacon_state *state)
 {
-  int format = BEACON_FORMAT;
-  bool done = xdr_int (xdr, &format) != 0 && format == BEACON_FORMAT && code_state (xdr, beacon)
+  bool *const flags[] = {&state->ready, &state->leaving, &state->active, &state->watching};
+  u_int age = (u_int) MIN (state->age_us / STATE_AGE_UNIT_US, (int64_t) STATE_AGE_MAX);
+  u_int number = age | ((u_int) state->busy_percent & STATE_BUSY_MASK) << STATE_BUSY_SHIFT;
+
+  if (!code_u64 (xdr, &state->host)
+      || !code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, STATE_FLAGS_SHIFT))
+    return false;
+  if (xdr->x_op != XDR_DECODE)
+    return true;
+  state->age_us = (int64_t) (number & STATE_AGE_MAX) * STATE_AGE_UNIT_US;
+  state->busy_percent = (int) (number >> STATE_BUSY_SHIFT & STATE_BUSY_MASK);
+  return true;
+}
+
+static bool
+code_accounts (XDR *xdr, struct pl_beacon *beacon)
+{
+  int scope = (int) beacon->account_scope;
+  bool done = code_count (xdr, &scope, PL_QUOTA_SCOPES - 1)
               && code_count (xdr, &beacon->account_count, PL_BEACON_ACCOUNTS_MAX);
 
+  beacon->account_scope = (enum pl_quota_scope) scope;
   for (int i = 0; done && i < beacon->account_count; i++)
     done = code_u64 (xdr, &beacon->accounts[i].account)
            && code_u64 (xdr, &beacon->accounts[i].admitted);
+  return done;
+}
+
+static bool
+code_beacon (XDR *xdr, struct pl_beacon *beacon)
+{
+  int format = BEACON_FORMAT;
+  bool done = xdr_int (xdr, &format) != 0 && format == BEACON_FORMAT && code_state (xdr, beacon)
+              && code_accounts (xdr, beacon)
+              && code_count (xdr, &beacon->state_count, PL_BEACON_STATES_MAX);
+
+  for (int i = 0; done && i < beacon->state_count; i++)
+    done = code_member_state (xdr, &beacon->states[i]);
   done = done && code_count (xdr, &beacon->contact_count, PL_BEACON_CONTACTS_MAX);
   for (int i = 0; done && i < beacon->contact_count; i++)
     done = code_contact (xdr, &beacon->contacts[i]);
--- a/tests/test_beacon.c
+++ b/tests/test_beacon.c
@@ -24,12 +24,12 @@
 
   if (!has_identity)
     return beacon;
-  beacon.capacity = 200;
+  beacon.self.capacity = 200;
   g_strlcpy (beacon.self.name, "host-1", sizeof beacon.self.name);
   g_strlcpy (beacon.self.peer_address, "10.0.0.1:7600", sizeof beacon.self.peer_address);
-  g_strlcpy (beacon.caller_address, "10.0.0.1:80", sizeof beacon.caller_address);
-  g_strlcpy (beacon.relay_address, "10.0.0.1:7600", sizeof beacon.relay_address);
-  g_strlcpy (beacon.domain, "a-1", sizeof beacon.domain);
+  g_strlcpy (beacon.self.caller_address, "10.0.0.1:80", sizeof beacon.self.caller_address);
+  g_strlcpy (beacon.self.relay_address, "10.0.0.1:7600", sizeof beacon.self.relay_address);
+  g_strlcpy (beacon.self.domain, "a-1", sizeof beacon.self.domain);
   return beacon;
 }
 
@@ -51,8 +51,8 @@
   ck_assert_uint_eq (got.incarnation, sent.incarnation);
   ck_assert (got.active && got.watching && !got.ready && !got.leaving && !got.store_lost);
   ck_assert (got.has_identity == sent.has_identity);
-  ck_assert_str_eq (got.domain, sent.domain);
-  ck_assert_str_eq (got.caller_address, sent.caller_address);
+  ck_assert_str_eq (got.self.domain, sent.self.domain);
+  ck_assert_str_eq (got.self.caller_address, sent.self.caller_address);
   ck_assert_int_eq (got.held[1], 34);
   ck_assert_uint_eq (got.accounts[0].admitted, 1234);
   ck_assert (got.suspects[0].convicted);
@@ -97,7 +97,7 @@
   ck_assert_ptr_nonnull (member);
   ck_assert (member->ready);
   ck_assert_int_eq (member->region, 0);
-  ck_assert_str_eq (member->domain, "a-1");
+  ck_assert_str_eq (member->contact.domain, "a-1");
   pl_membership_clear (&membership);
 }
 END_TEST
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -75,6 +75,21 @@
   g_free (fleet);
 }
 
+static void
+hear_host (struct pl_quota *quota, uint64_t host, uint64_t incarnation, uint64_t admitted,
+           int64_t returned_us, int64_t now_us)
+{
+  const struct pl_quota_report report = {.scope = PL_QUOTA_HOST,
+                                         .group = host,
+                                         .sender = host,
+                                         .incarnation = incarnation,
+                                         .count = admitted,
+                                         .returned_us = returned_us,
+                                         .is_followed = true};
+
+  pl_quota_on_report (quota, &report, now_us);
+}
+
 static bool
 is_cut (const struct fleet *fleet, int a, int b, int tick)
 {
@@ -89,11 +104,12 @@
 
   if (fleet->pace > 0 && tick - fleet->reported[from] < fleet->pace)
     return;
-  if (!pl_quota_is_pressing (quota, fleet->hosts)
-      && (tick % 50 != 0 || !pl_quota_should_tell (quota, fleet->hosts, tick * TICK)))
+  if (!pl_quota_is_pressing (quota, PL_QUOTA_HOST, fleet->hosts, tick * TICK)
+      && (tick % 50 != 0
+          || !pl_quota_should_tell (quota, PL_QUOTA_HOST, fleet->hosts, tick * TICK)))
     return;
   fleet->reported[from] = tick;
-  pl_quota_note_told (quota, tick * TICK);
+  pl_quota_note_told (quota, PL_QUOTA_HOST, tick * TICK);
   for (int to = 0; to < fleet->hosts; to++)
     {
       struct report report
@@ -133,9 +149,8 @@
 
       if (report->due > tick)
         continue;
-      pl_quota_on_peer (&fleet->quotas[report->to], (uint64_t) report->from + 1,
-                        report->incarnation, report->admitted, returned_us (fleet, report, tick),
-                        tick * TICK);
+      hear_host (&fleet->quotas[report->to], (uint64_t) report->from + 1, report->incarnation,
+                 report->admitted, returned_us (fleet, report, tick), tick * TICK);
       g_array_remove_index_fast (fleet->reports, i--);
     }
 }
@@ -296,10 +311,10 @@
 
   pl_quota_init (&quota, 0);
   pl_quota_limit (&quota, 10, 10, 0);
-  pl_quota_on_peer (&quota, 1, 1, 5, 0, 0);
-  pl_quota_on_peer (&quota, 1, 1, 8, 0, 0);
+  hear_host (&quota, 1, 1, 5, 0, 0);
+  hear_host (&quota, 1, 1, 8, 0, 0);
   before = quota.tokens;
-  pl_quota_on_peer (&quota, 1, 1, 6, 0, 0);
+  hear_host (&quota, 1, 1, 6, 0, 0);
   ck_assert_double_eq (quota.tokens, before);
   pl_quota_clear (&quota);
 }
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -332,17 +332,17 @@
 peer_beacon (const char *name, const char *domain)
 {
   struct pl_beacon beacon = {
-      .incarnation = 1, .ready = true, .capacity = 200, .watching = true, .store_trouble_us = -1};
+      .incarnation = 1, .ready = true, .self.capacity = 200, .watching = true, .store_trouble_us = -1};
 
   beacon.host = pl_host_id (name);
   beacon.has_identity = true;
   g_strlcpy (beacon.self.name, name, sizeof beacon.self.name);
   g_snprintf (beacon.self.peer_address, sizeof beacon.self.peer_address, "10.0.1.%d:7600",
               (int) (g_str_hash (name) % 200));
-  g_snprintf (beacon.caller_address, sizeof beacon.caller_address, "10.0.1.%d:80",
+  g_snprintf (beacon.self.caller_address, sizeof beacon.self.caller_address, "10.0.1.%d:80",
               (int) (g_str_hash (name) % 200));
-  g_strlcpy (beacon.relay_address, beacon.self.peer_address, sizeof beacon.relay_address);
-  g_strlcpy (beacon.domain, domain, sizeof beacon.domain);
+  g_strlcpy (beacon.self.relay_address, beacon.self.peer_address, sizeof beacon.self.relay_address);
+  g_strlcpy (beacon.self.domain, domain, sizeof beacon.self.domain);
   return beacon;
 }
 
@@ -458,7 +458,7 @@
   struct pl_beacon far = peer_beacon ("far", "b-1");
   const char *addresses[8];
 
-  weak.capacity = 20;
+  weak.self.capacity = 20;
   hear (&weak);
   hear (&strong);
   hear (&far);
@@ -470,7 +470,7 @@
                     2);
   ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
                     1);
-  ck_assert_str_eq (addresses[0], far.caller_address);
+  ck_assert_str_eq (addresses[0], far.self.caller_address);
   /* A host that fell silent is named no longer. */
   world_run (world, 5 * WORLD_SECOND);
   ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
@@ -506,8 +506,8 @@
   ck_assert_int_eq (pl_router_name_hosts (world->router, "a-1", "a", addresses, 8, world->now_us),
                     3);
   ck_assert_str_eq (addresses[0], "10.0.0.1:80");
-  ck_assert_str_eq (addresses[1], near.caller_address);
-  ck_assert_str_eq (addresses[2], far.caller_address);
+  ck_assert_str_eq (addresses[1], near.self.caller_address);
+  ck_assert_str_eq (addresses[2], far.self.caller_address);
 }
 END_TEST
 
@@ -573,10 +573,10 @@
   /* So soon it is a late datagram of an earlier process. */
   ck_assert_int_eq (pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us),
                     1);
-  ck_assert_str_eq (addresses[0], beacon.caller_address);
+  ck_assert_str_eq (addresses[0], beacon.self.caller_address);
   world_run (world, WORLD_SECOND);
   beacon.leaving = false;
-  g_strlcpy (beacon.caller_address, "10.0.9.9:80", sizeof beacon.caller_address);
+  g_strlcpy (beacon.self.caller_address, "10.0.9.9:80", sizeof beacon.self.caller_address);
   hear (&beacon);
   pl_router_name_hosts (world->router, "b-1", "b", addresses, 8, world->now_us);
   ck_assert_str_eq (addresses[0], "10.0.9.9:80");
