--- a/core/membership.c
+++ b/core/membership.c
@@ -24,11 +24,11 @@
 
 /* Three beacons of 500 ms, and a little for delays. */
 #define LIVE_US INT64_C (1700000)
-/* Through a delegate: a beacon to it, its turn among the states that the delegate tells, and a lost
- * datagram. */
-#define LIVE_TOLD_US INT64_C (3200000)
+/* Through a delegate: a beacon to it, and a turn among the states of a domain of 80 that it tells.
+ * A host that the delegate misses itself is told of sooner. */
+#define LIVE_TOLD_US INT64_C (4200000)
 /* States of other domains' delegates have fewer turns. */
-#define LIVE_TOLD_FAR_US INT64_C (5000000)
+#define LIVE_TOLD_FAR_US INT64_C (6000000)
 /* Longer than cuts between failure domains usually last; after that a silent host counts as gone,
  * unless it may be this host that is cut off. */
 #define SILENT_US INT64_C (30000000)
@@ -40,7 +40,7 @@
 #define RELAY_FAN_OUT 4
 /* States of other domains' delegates in one beacon. */
 #define FAR_STATES_MAX 3
-/* A state that changed is told first for so long: in two beacons. */
+/* A state that changed is told first for so long: in two or three beacons. */
 #define CHANGE_TOLD_US INT64_C (1100000)
 /* Hosts that can carry less than this part of the strongest of their domain are named only when the
  * others are busy or too few. */
@@ -234,6 +234,19 @@
   membership->told_us = now_us;
 }
 
+static bool
+is_heard_directly (const struct pl_member *member, int64_t limit_us, int64_t now_us)
+{
+  return member->direct_us > 0 && now_us - member->direct_us <= limit_us;
+}
+
+/* A delegate tells of a host that it misses itself, and this host has not heard of it either. */
+static bool
+is_missed (const struct pl_member *member, const struct pl_beacon_state *state, int64_t now_us)
+{
+  return state->age_us > LIVE_US && now_us - member->heard_us > LIVE_US;
+}
+
 /* Hosts that a delegate tells of, and that are not heard here as lately. */
 static void
 take_states (struct pl_membership *membership, const struct pl_beacon *beacon, int64_t now_us)
@@ -246,12 +259,15 @@
 
       if (member == NULL && state->host != membership->self)
         membership->lacks_contacts = true;
-      if (member == NULL || (member->heard && heard_us <= member->heard_us))
+      if (member == NULL || is_heard_directly (member, PL_MEMBER_SILENT_US, now_us))
+        continue;
+      if (member->heard && is_missed (member, state, now_us))
+        member->heard_us = MIN (member->heard_us, now_us - LIVE_TOLD_FAR_US - 1);
+      if (member->heard && heard_us <= member->heard_us)
         continue;
       take_state (member, state, now_us);
       member->heard_us = heard_us;
-      if (member->domain != membership->self_domain)
-        member->is_delegate = true;
+      member->is_delegate = state->is_delegate;
     }
 }
 
@@ -426,17 +442,20 @@
       .leaving = member->leaving,
       .active = member->active,
       .watching = member->watching,
+      .is_delegate = member->is_delegate,
       .busy_percent = member->busy_percent,
       .age_us = now_us - member->heard_us,
   };
 }
 
-/* Only what was heard directly is passed on: states that go round would never grow old. */
+/* Only what was heard directly is passed on: states that go round would never grow old.  A host that
+ * fell silent is told of for a while. */
 static bool
-has_fresh_state (const struct pl_member *member, int64_t now_us)
+is_to_be_told (const struct pl_member *member, int64_t now_us)
 {
-  return member->direct_us > 0 && member->direct_us == member->heard_us
-         && now_us - member->direct_us <= LIVE_US;
+  return is_heard_directly (member, LIVE_US, now_us)
+         || (is_heard_directly (member, LIVE_US + 2 * CHANGE_TOLD_US, now_us)
+             && member->direct_us == member->heard_us);
 }
 
 void
@@ -450,7 +469,7 @@
     {
       const struct pl_member *member = member_at (membership, i);
 
-      if (pl_member_is_near (membership, member) && has_fresh_state (member, now_us)
+      if (pl_member_is_near (membership, member) && is_to_be_told (member, now_us)
           && now_us - member->changed_us <= CHANGE_TOLD_US)
         add_state (beacon, member, now_us);
     }
@@ -459,7 +478,7 @@
       const struct pl_member *member = member_at (membership, membership->state_turn++ % count);
       bool is_near = pl_member_is_near (membership, member);
 
-      if (!has_fresh_state (member, now_us) || (!is_near && !member->is_delegate)
+      if (!is_heard_directly (member, LIVE_US, now_us) || (!is_near && !member->is_delegate)
           || (!is_near && far == FAR_STATES_MAX))
         continue;
       far += !is_near;
@@ -480,8 +499,11 @@
                            ? member->is_delegate || pl_member_is_near (membership, member)
                            : member->domain == domain;
 
-      if (is_wanted && pl_member_is_live (membership, member, now_us))
-        beacon->contacts[beacon->contact_count++] = member->contact;
+      if (!is_wanted || !pl_member_is_live (membership, member, now_us))
+        continue;
+      beacon->contacts[beacon->contact_count++] = member->contact;
+      if (beacon->state_count < PL_BEACON_STATES_MAX)
+        add_state (beacon, member, now_us);
     }
   return beacon->contact_count > before;
 }
--- a/core/quota.c
+++ b/core/quota.c
@@ -12,8 +12,8 @@
  * to the delegates of other domains, and to each host of their own domain what all
  * but that host admitted.  Several delegates so tell of the same requests: their
  * counts form one group, of which the one that is furthest ahead counts.  Counts of
- * different delegates differ by what they saw before the others started, which an
- * offset for each makes up.
+ * different delegates differ by what they saw before the others started, so each is
+ * put level with its group when it is first heard.
  *
  * Reports of use within the rate are rare, and each takes a lump out of the bucket.
  * Meanwhile the bucket may fill above its capacity by what reports that are due are
@@ -32,19 +32,21 @@
 
 /* Of the burst; the rest covers what peers admit before they hear of each other. */
 #define BURST_USED 0.4
-#define DEBT_SECONDS 1.2
-/* What all hosts together may have admitted unknown to each other, in seconds of the rate: a part
+#define DEBT_SECONDS 2.0
+/* What all that keep a count may have admitted unknown to each other, in seconds of the rate: a part
  * of what the smaller bucket leaves. */
-#define UNTOLD_SECONDS 0.4
-#define UNTOLD_MIN 3.0
-/* Use slower than this part of an even share of the rate can wait for the next regular report. */
-#define HURRIED_PART 0.9
+#define UNTOLD_SECONDS 0.1
+#define UNTOLD_MIN 2.0
+/* Of sums, which go to many. */
+#define UNTOLD_SUM_MIN 3.0
+/* Use exceeds what is expected when it does so by this many standard deviations of use that comes
+ * at random; less can wait for the next regular report. */
+#define EXCESS_DEVIATIONS 3.5
 /* Peers that were silent have reported by then. */
 #define WITHHELD_KEPT_US INT64_C (4000000)
-/* Of the rate that a group is expected to go on using, as smoothed over its reports. */
-#define GROUP_RATE_SMOOTHING 0.3
-/* Reports that come faster than this tell too little of a rate. */
-#define GROUP_RATE_SPAN_US INT64_C (200000)
+#define PACE_SMOOTHING 0.3
+/* Counts over a shorter time than this tell too little of a rate. */
+#define PACE_SPAN_US INT64_C (200000)
 /* Use that is not reported yet is allowed for up to so many seconds of the rate. */
 #define UNREPORTED_SECONDS 1.2
 
@@ -61,8 +63,8 @@
 {
   uint64_t sender;
   uint64_t incarnation;
-  uint64_t count; /* as last reported */
-  double offset;  /* added to its counts, makes them those of the group */
+  uint32_t count; /* as last reported */
+  double total;   /* that, on the scale of the group */
 };
 
 /* Hosts whose requests are reported as one count. */
@@ -73,9 +75,7 @@
   double counted; /* requests taken from the bucket for it */
   int64_t heard_us;
   GArray *streams; /* of struct stream */
-  double rate;     /* requests a second, as its reports show */
-  int64_t rated_us;
-  double unrated; /* requests reported since */
+  struct pl_quota_pace pace;
 };
 
 static void
@@ -174,7 +174,7 @@
   group->id = report->group;
   group->scope = report->scope;
   group->heard_us = now_us;
-  group->rated_us = now_us;
+  group->pace.since_us = now_us;
   group->streams = g_array_new (FALSE, FALSE, sizeof (struct stream));
   g_hash_table_insert (quota->groups, &group->id, group);
   return group;
@@ -198,54 +198,63 @@
   struct stream stream = {.sender = report->sender,
                           .incarnation = report->incarnation,
                           .count = report->count,
-                          .offset = group->counted - (double) report->count};
+                          .total = group->counted};
   bool is_new_host = report->scope == PL_QUOTA_HOST && group->streams->len == 0;
 
   /* A large count is from before this host's own start, whose bucket was empty then. */
-  if (is_new_host && (double) report->count <= capacity_of (quota))
-    stream.offset = 0;
+  if (is_new_host && report->count <= capacity_of (quota))
+    stream.total += report->count;
   g_array_append_val (group->streams, stream);
-  return stream.offset + (double) report->count - group->counted;
+  return stream.total - group->counted;
 }
 
 /* Returns the requests that REPORT brings beyond those counted. */
 static double
-follow_stream (struct group *group, struct stream *stream, const struct pl_quota_report *report)
+follow_stream (const struct group *group, struct stream *stream,
+               const struct pl_quota_report *report)
 {
+  int32_t fresh = (int32_t) (report->count - stream->count);
+
   if (stream->incarnation != report->incarnation)
     {
       /* A host counts from nothing after a start; a delegate then sums up what it hears. */
-      stream->offset = group->counted;
-      if (report->scope != PL_QUOTA_HOST)
-        stream->offset -= (double) report->count;
+      fresh = report->scope == PL_QUOTA_HOST ? (int32_t) report->count : 0;
+      stream->total = group->counted;
     }
-  else if (report->count < stream->count)
+  else if (fresh < 0)
     return 0; /* an older report that came late */
   stream->incarnation = report->incarnation;
   stream->count = report->count;
-  return fmax (stream->offset + (double) report->count - group->counted, 0);
+  stream->total += fresh;
+  return fmax (stream->total - group->counted, 0);
+}
+
+static void
+keep_pace (struct pl_quota_pace *pace, double fresh, int64_t now_us)
+{
+  double seconds = (double) (now_us - pace->since_us) / 1e6;
+
+  pace->pending += fresh;
+  if (now_us - pace->since_us < PACE_SPAN_US)
+    return;
+  if (pace->rate == 0)
+    pace->rate = pace->pending / seconds;
+  else
+    pace->rate += PACE_SMOOTHING * (pace->pending / seconds - pace->rate);
+  pace->pending = 0;
+  pace->since_us = now_us;
 }
 
 /* The sum over all groups of rate times time since the last report is kept as two sums. */
 static void
 rate_group (struct pl_quota *quota, struct group *group, double fresh, int64_t now_us)
 {
-  double seconds = (double) (now_us - group->rated_us) / 1e6;
-
-  quota->groups_rate -= group->rate;
-  quota->groups_rate_since -= group->rate * (double) group->heard_us;
-  group->unrated += fresh;
-  if (now_us - group->rated_us >= GROUP_RATE_SPAN_US)
-    {
-      group->rate = group->rate == 0
-                        ? group->unrated / seconds
-                        : group->rate + GROUP_RATE_SMOOTHING * (group->unrated / seconds - group->rate);
-      group->unrated = 0;
-      group->rated_us = now_us;
-    }
+  quota->groups_rate -= group->pace.rate;
+  quota->groups_rate_since -= group->pace.rate * (double) group->heard_us;
+  keep_pace (&group->pace, fresh, now_us);
   group->heard_us = now_us;
-  quota->groups_rate += group->rate;
-  quota->groups_rate_since += group->rate * (double) group->heard_us;
+  quota->groups_rate += group->pace.rate;
+  quota->groups_rate_since += group->pace.rate * (double) group->heard_us;
 }
 
 static void
@@ -274,8 +283,7 @@
   if (!report->is_followed)
     {
       /* Others tell of the same requests; this sender goes on from here if it is followed later. */
-      stream = find_stream (group, report->sender);
-      stream->offset = group->counted - (double) stream->count;
+      find_stream (group, report->sender)->total = group->counted;
       return;
     }
   spend (quota, group, report, fresh, now_us);
@@ -306,18 +314,26 @@
   return quota->admitted + (uint64_t) (quota->domain_others + quota->far_others - counted);
 }
 
+static bool
+exceeds (double count, double expected, double least)
+{
+  return count - expected >= fmax (least, EXCESS_DEVIATIONS * sqrt (expected));
+}
+
 bool
 pl_quota_is_pressing (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
                       int64_t now_us)
 {
   const struct pl_quota_told *told = &quota->told[scope];
   double untold = (double) (pl_quota_count (quota, scope) - told->count);
-  double seconds = (double) (now_us - told->at_us) / 1e6;
+  double seconds = (double) MIN (now_us - told->at_us, tell_period_us[scope]) / 1e6;
+  double share = quota->rate / shares;
+  double least = fmax (share * UNTOLD_SECONDS,
+                       scope == PL_QUOTA_HOST ? UNTOLD_MIN : UNTOLD_SUM_MIN);
 
-  if (quota->rate <= 0 || untold < fmax (quota->rate * UNTOLD_SECONDS / shares, UNTOLD_MIN))
+  if (quota->rate <= 0 || untold < least)
     return false;
-  return now_us - told->at_us >= tell_period_us[scope]
-         || untold >= quota->rate / shares * seconds * HURRIED_PART;
+  return exceeds (untold, told->pace.rate * seconds, least) || exceeds (untold, share * seconds, 0);
 }
 
 bool
@@ -335,8 +351,12 @@
 void
 pl_quota_note_told (struct pl_quota *quota, enum pl_quota_scope scope, int64_t now_us)
 {
-  quota->told[scope].count = pl_quota_count (quota, scope);
-  quota->told[scope].at_us = now_us;
+  struct pl_quota_told *told = &quota->told[scope];
+  uint64_t count = pl_quota_count (quota, scope);
+
+  keep_pace (&told->pace, (double) (count - told->count), now_us);
+  told->count = count;
+  told->at_us = now_us;
 }
 
 void
--- a/core/router.c
+++ b/core/router.c
@@ -304,6 +304,7 @@
   router->stopping_us = router->now_us;
   router_add_effect (router, PL_ROUTER_CLOSING);
   router->tell_soon = true;
+  router->announce = true;
 }
 
 static void
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -18,11 +18,13 @@
 
 #define BEACON_PERIOD_US (500 * MS_US)
 /* Each so many beacons tell who the sender is; hosts that fell silent get only those. */
-#define IDENTITY_EACH 8
+#define IDENTITY_EACH 16
 /* All of them do while a process is young. */
 #define YOUNG_US (5 * S_US)
+/* Each so many beacons of a delegate tell states of others; changes go with the next one. */
+#define STATES_EACH 2
 /* Beacons that tell of accounts follow each other no faster. */
-#define ACCOUNTS_PERIOD_US (40 * MS_US)
+#define ACCOUNTS_PERIOD_US (20 * MS_US)
 /* A host that took fewer requests than the first of late is active no longer; it is again when it
  * took more than the second.  A platform that tries each host now and then makes none active. */
 #define ACTIVE_LEAST 1.0
@@ -36,9 +38,6 @@
 /* Trouble of the store this long ago still explains missing entries; later ones are meant. */
 #define LAPSE_LOOK_BACK_US (3 * S_US)
 #define SUSPECT_RETELL_US (2 * S_US)
-/* Hosts of a domain that take most of its requests. */
-#define SHARES_IN_DOMAIN 4
-
 static void
 add_suspect (void *data, uint64_t fingerprint, uint64_t server, bool convicted)
 {
@@ -54,11 +53,34 @@
 {
   enum pl_quota_scope scope;
   int shares; /* how many keep such a count */
+  int turn;   /* of this delegate, where each tells its part of the accounts; PL_NONE: all */
 };
 
-/* Adds the accounts of which those who are told of SCOPE should know more. */
+/* Delegates of one domain would say the same, so each tells at once, and of use that goes on as
+ * expected, only for its part of the accounts.  Should it have died, the other tells of what presses
+ * with its next regular beacon. */
+static bool
+is_for_another (const struct account_news *news, const struct router_account *account)
+{
+  return news->turn != PL_NONE && (int) (account->id % PL_DELEGATES) != news->turn;
+}
+
+/* Returns whether those who are told should know more of ACCOUNT; what can wait is left for a
+ * regular beacon when ONLY_PRESSING. */
+static bool
+is_to_be_told (const struct pl_router *router, const struct account_news *news,
+               const struct router_account *account, bool only_pressing)
+{
+  if (!only_pressing)
+    return pl_quota_should_tell (&account->quota, news->scope, news->shares, router->now_us);
+  return !is_for_another (news, account)
+         && pl_quota_is_pressing (&account->quota, news->scope, news->shares, router->now_us);
+}
+
+/* Adds the accounts of which those who are told should know more. */
 static void
-add_accounts (struct pl_router *router, const struct account_news *news, struct pl_beacon *beacon)
+add_accounts (struct pl_router *router, const struct account_news *news, bool only_pressing,
+              struct pl_beacon *beacon)
 {
   GHashTableIter iter;
   gpointer value;
@@ -69,12 +91,18 @@
          && beacon->account_count < PL_BEACON_ACCOUNTS_MAX)
     {
       struct router_account *account = value;
+      bool is_left_out;
 
-      if (!pl_quota_should_tell (&account->quota, news->scope, news->shares, router->now_us))
+      if (!is_to_be_told (router, news, account, only_pressing))
         continue;
+      is_left_out = is_for_another (news, account)
+                    && !pl_quota_is_pressing (&account->quota, news->scope, news->shares,
+                                              router->now_us);
       pl_quota_note_told (&account->quota, news->scope, router->now_us);
+      if (is_left_out)
+        continue;
       beacon->accounts[beacon->account_count++] = (struct pl_beacon_account){
-          account->id, pl_quota_count (&account->quota, news->scope)};
+          account->id, (uint32_t) pl_quota_count (&account->quota, news->scope)};
     }
 }
 
@@ -87,7 +115,8 @@
       const struct router_account *account
           = g_hash_table_lookup (router->accounts, &beacon->accounts[i].account);
 
-      beacon->accounts[i].admitted = pl_quota_count_without (&account->quota, member->id);
+      beacon->accounts[i].admitted
+          = (uint32_t) pl_quota_count_without (&account->quota, member->id);
     }
 }
 
@@ -230,41 +259,65 @@
   uint64_t delegates[PL_DELEGATES];
   bool is_delegate;
   bool only_accounts; /* to those who want to know of them */
-  bool to_all;        /* this host's own state has changed */
+  bool to_all;        /* this host begins or ends to take callers */
   bool is_identity_turn;
   struct pl_beacon beacons[AUDIENCES];
 };
 
+static int
+account_turn (const struct pl_router *router)
+{
+  uint64_t delegates[PL_DELEGATES];
+
+  /* One that speaks alone tells of all accounts. */
+  if (pl_membership_delegates (&router->membership, delegates, router->now_us)
+      < PL_DELEGATES - 1)
+    return PL_NONE;
+  for (int i = 0; i < PL_DELEGATES; i++)
+    if (delegates[i] == 0)
+      return i;
+  return PL_NONE;
+}
+
 static void
-prepare_round (struct pl_router *router, struct round *round)
+list_account_news (struct pl_router *router, struct account_news *news)
 {
   const struct pl_fleet_view *view = router_view (router);
-  const struct account_news news[AUDIENCES] = {
-      [AUDIENCE_DELEGATE] = {PL_QUOTA_HOST, view->active},
-      [AUDIENCE_DOMAIN] = {PL_QUOTA_FLEET, SHARES_IN_DOMAIN},
-      [AUDIENCE_FAR] = {PL_QUOTA_DOMAIN, view->domains},
-  };
+
+  news[AUDIENCE_DELEGATE] = (struct account_news){PL_QUOTA_HOST, view->active, PL_NONE};
+  news[AUDIENCE_DOMAIN] = (struct account_news){PL_QUOTA_FLEET, 1, PL_NONE};
+  news[AUDIENCE_FAR]
+      = (struct account_news){PL_QUOTA_DOMAIN, view->domains, account_turn (router)};
+}
+
+static void
+prepare_round (struct pl_router *router, struct round *round)
+{
+  struct account_news news[AUDIENCES];
   struct pl_beacon beacon;
 
   pl_membership_delegates (&router->membership, round->delegates, router->now_us);
   round->is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
   fill_beacon (router, &beacon);
   round->is_identity_turn = !round->only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0;
+  beacon.only_accounts = round->only_accounts;
   beacon.has_identity = beacon.has_identity || round->is_identity_turn;
+  list_account_news (router, news);
+  for (int i = AUDIENCE_DELEGATE; i < AUDIENCES; i++)
+    {
+      round->beacons[i] = beacon;
+      if (i == AUDIENCE_DELEGATE || round->is_delegate)
+        add_accounts (router, &news[i], round->only_accounts, &round->beacons[i]);
+    }
   if (!round->only_accounts && router->membership.lacks_contacts
       && router->now_us >= router->contacts_due_us)
     {
       router->contacts_due_us = router->now_us + CONTACTS_PERIOD_US;
       router->membership.lacks_contacts = false;
-      beacon.wants_contacts = true;
-    }
-  for (int i = AUDIENCE_DELEGATE; i < AUDIENCES; i++)
-    {
-      round->beacons[i] = beacon;
-      if (i == AUDIENCE_DELEGATE || round->is_delegate)
-        add_accounts (router, &news[i], &round->beacons[i]);
+      round->beacons[AUDIENCE_DELEGATE].wants_contacts = true;
     }
-  if (round->is_delegate && !round->only_accounts)
+  if (round->is_delegate && !round->only_accounts
+      && (round->to_all || router->tell_soon || router->beacon_turn % STATES_EACH == 0))
     pl_membership_fill_states (&router->membership, &round->beacons[AUDIENCE_DOMAIN],
                                router->now_us);
 }
@@ -337,6 +390,7 @@
       if (!member->noted_live || pl_member_is_live (&router->membership, member, router->now_us))
         continue;
       member->noted_live = false;
+      member->changed_us = router->now_us;
       router_note (router, PL_NOTE_BELIEF, "host-silent",
                    json_pack ("{s:s,s:s,s:b,s:I}", "host", member->contact.name, "domain",
                               member->contact.domain, "was_leaving", member->leaving, "silent_us",
@@ -361,12 +415,13 @@
 
   if (router->membership.self_active && asked_of_late (router) < ACTIVE_LEAST)
     router->membership.self_active = false;
-  if (router->has_news && !due)
+  if (router->has_news)
     tell_children (router);
   router->has_news = false;
   if (due || accounts)
     {
-      tell_round (router, router->tell_soon, !due);
+      tell_round (router, router->announce, !due);
+      router->announce = router->announce && !due;
       router->tell_accounts = false;
       router->accounts_due_us = router->now_us + ACCOUNTS_PERIOD_US;
     }
@@ -419,16 +474,13 @@
 static void
 judge_account (struct pl_router *router, const struct router_account *account)
 {
-  const struct pl_fleet_view *view = router_view (router);
-  const struct pl_quota *quota = &account->quota;
+  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+  struct account_news news[AUDIENCES];
 
-  if (router->tell_accounts)
-    return;
-  if (pl_quota_is_pressing (quota, PL_QUOTA_HOST, view->active, router->now_us)
-      || (pl_membership_is_delegate (&router->membership, router->now_us)
-          && (pl_quota_is_pressing (quota, PL_QUOTA_DOMAIN, view->domains, router->now_us)
-              || pl_quota_is_pressing (quota, PL_QUOTA_FLEET, SHARES_IN_DOMAIN, router->now_us))))
-    tell_accounts_soon (router);
+  list_account_news (router, news);
+  for (int i = AUDIENCE_DELEGATE; i < AUDIENCES && !router->tell_accounts; i++)
+    if ((i == AUDIENCE_DELEGATE || is_delegate) && is_to_be_told (router, &news[i], account, true))
+      tell_accounts_soon (router);
 }
 
 /* A request of ACCOUNT was admitted. */
@@ -518,47 +570,80 @@
     }
 }
 
-/* Tells MEMBER which hosts there are: all that it should know of one of this domain; a few of its
- * own domain, else delegates, to another. */
+/* A host that has just started learns at once what this one holds. */
 static void
-give_contacts (struct pl_router *router, const struct pl_member *member)
+greet (struct pl_router *router, const struct pl_member *member)
 {
-  struct pl_membership *membership = &router->membership;
-  bool is_near = pl_member_is_near (membership, member);
   struct pl_beacon beacon;
-  guint at = 0;
 
   fill_beacon (router, &beacon);
   beacon.has_identity = true;
-  if (!is_near)
-    {
-      pl_membership_fill_contacts (membership, member->domain, &at, &beacon, router->now_us);
-      if (membership->order->len > 0)
-        at = membership->contact_turn++ % membership->order->len;
-      pl_membership_fill_contacts (membership, PL_NONE, &at, &beacon, router->now_us);
-      tell (router, member->contact.peer_address, &beacon);
-      return;
-    }
-  while (pl_membership_fill_contacts (membership, PL_NONE, &at, &beacon, router->now_us))
-    {
-      tell (router, member->contact.peer_address, &beacon);
-      beacon.contact_count = 0;
-    }
+  tell (router, member->contact.peer_address, &beacon);
 }
 
-/* A host that has just started learns at once what this one holds. */
-static void
-greet (struct pl_router *router, const struct pl_member *member)
+/* Tells MEMBER of those hosts of DOMAIN that fit into one beacon, from *AT on. */
+static bool
+give_some_contacts (struct pl_router *router, const struct pl_member *member, int domain, guint *at)
 {
   struct pl_beacon beacon;
 
   fill_beacon (router, &beacon);
   beacon.has_identity = true;
+  if (!pl_membership_fill_contacts (&router->membership, domain, at, &beacon, router->now_us))
+    return false;
   tell (router, member->contact.peer_address, &beacon);
+  return true;
 }
 
-void
-fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon)
+/* Tells MEMBER which hosts there are: all that this host knows to one of its domain; some of its own
+ * domain, and delegates of others, to one of another. */
+static void
+give_contacts (struct pl_router *router, const struct pl_member *member)
+{
+  struct pl_membership *membership = &router->membership;
+  guint at = 0;
+
+  greet (router, member);
+  if (pl_member_is_near (membership, member))
+    {
+      while (give_some_contacts (router, member, PL_NONE, &at))
+        continue;
+      return;
+    }
+  give_some_contacts (router, member, member->domain, &at);
+  if (!give_some_contacts (router, member, PL_NONE, &membership->contact_turn))
+    membership->contact_turn = 0;
+}
+
+/* MEMBER takes this host for a delegate, which it is not. */
+static bool
+is_astray (const struct pl_router *router, const struct pl_member *member)
+{
+  return pl_member_is_near (&router->membership, member) && !member->is_delegate
+         && !pl_membership_is_delegate (&router->membership, router->now_us);
+}
+
+static bool
+may_guide (const struct pl_router *router, struct pl_member *member)
+{
+  if (router->now_us - member->guided_us < CONTACTS_PERIOD_US)
+    return false;
+  member->guided_us = router->now_us;
+  return true;
+}
+
+static void
+on_only_accounts (struct pl_router *router, const struct pl_beacon *beacon)
+{
+  const struct pl_member *member
+      = g_hash_table_lookup (router->membership.members, &beacon->host);
+
+  if (member != NULL && member->incarnation == beacon->incarnation)
+    on_accounts (router, member, beacon);
+}
+
+static void
+on_state (struct pl_router *router, const struct pl_beacon *beacon)
 {
   const struct pl_member *known = g_hash_table_lookup (router->membership.members, &beacon->host);
   bool is_known = known != NULL && known->direct_us > 0 && known->incarnation == beacon->incarnation
@@ -569,8 +654,6 @@
 
   if (member == NULL)
     return;
-  if (!is_known && !beacon->wants_contacts)
-    greet (router, member);
   if (!member->noted_live)
     {
       member->noted_live = true;
@@ -578,8 +661,10 @@
                    json_pack ("{s:s,s:s,s:b}", "host", member->contact.name, "domain",
                               member->contact.domain, "ready", beacon->ready));
     }
-  if (beacon->wants_contacts)
+  if (beacon->wants_contacts || (is_known && is_astray (router, member) && may_guide (router, member)))
     give_contacts (router, member);
+  else if (!is_known && beacon->has_identity)
+    greet (router, member);
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
   for (int t = 0; t < PL_TABLES_MAX; t++)
@@ -587,6 +672,15 @@
       router->due_us = router->now_us;
 }
 
+void
+fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon)
+{
+  if (beacon->only_accounts)
+    on_only_accounts (router, beacon);
+  else
+    on_state (router, beacon);
+}
+
 void
 fleet_note_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server, bool alone)
 {
--- a/core/router_news.c
+++ b/core/router_news.c
@@ -104,6 +104,7 @@
   if (router->routing != NULL && routing->version <= router->routing->version)
     return;
   router->tell_soon = router->tell_soon || router->routing == NULL;
+  router->announce = router->announce || router->routing == NULL;
   pl_routing_unref (router->routing);
   router->routing = pl_routing_ref (routing);
   adopt_accounts (router);
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -33,7 +33,7 @@
 struct pl_beacon_account
 {
   uint64_t account;
-  uint64_t admitted; /* requests since the start of the process */
+  uint32_t admitted; /* requests since the start of the process; it may wrap around */
 };
 
 /* What a delegate last heard of a host. */
@@ -44,6 +44,7 @@
   bool leaving;
   bool active;
   bool watching;
+  bool is_delegate;
   int busy_percent;
   int64_t age_us; /* since it was heard */
 };
@@ -61,6 +62,7 @@
 {
   uint64_t host;        /* id made of the sender's name */
   uint64_t incarnation; /* rises with each start of the process */
+  bool only_accounts;   /* nothing else is told but the two above */
   bool has_identity;    /* self is filled */
   struct pl_contact self;
   int busy_percent; /* of the time it was not waiting */
@@ -136,6 +138,7 @@
   int64_t returned_us; /* when that was after a silence; 0: never */
   int64_t known_us;    /* when its contact was last told */
   int64_t changed_us;  /* when its state last changed */
+  int64_t guided_us;   /* when it was last told of other hosts unasked */
   int64_t held[PL_TABLES_MAX];
 };
 
@@ -200,8 +203,8 @@
 void pl_membership_fill_states (struct pl_membership *membership, struct pl_beacon *beacon,
                                 int64_t now_us);
 
-/* Adds contacts of live hosts to BEACON, from *AT on, which is moved on: those of DOMAIN, or of this
- * domain and all delegates for PL_NONE.  Returns whether any were added. */
+/* Adds contacts and states of live hosts to BEACON, from *AT on, which is moved on: those of DOMAIN,
+ * or of this domain and all delegates for PL_NONE.  Returns whether any were added. */
 bool pl_membership_fill_contacts (const struct pl_membership *membership, int domain, guint *at,
                                   struct pl_beacon *beacon, int64_t now_us);
 
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -18,10 +18,19 @@
   PL_QUOTA_SCOPES,
 };
 
+/* How fast a count grows, smoothed. */
+struct pl_quota_pace
+{
+  double rate;      /* a second */
+  int64_t since_us; /* what came since is not in the rate yet */
+  double pending;
+};
+
 struct pl_quota_told
 {
   uint64_t count;
   int64_t at_us; /* 0: never */
+  struct pl_quota_pace pace;
 };
 
 struct pl_quota
@@ -55,7 +64,7 @@
   uint64_t group;       /* whose requests: a host, a domain, all; several peers may report on it */
   uint64_t sender;
   uint64_t incarnation; /* of the sender: its counts start anew with it */
-  uint64_t count;       /* requests since then */
+  uint32_t count;       /* requests since then; it wraps around */
   int64_t returned_us;  /* when the sender was last heard again after a silence; 0: never */
   bool is_followed;     /* else another report tells of the same requests */
 };
@@ -70,8 +79,8 @@
 /* Returns how many were admitted in the fleet but for those that HOST reported. */
 uint64_t pl_quota_count_without (const struct pl_quota *quota, uint64_t host);
 
-/* Returns whether peers know of fewer requests of SCOPE than the account can bear, when SHARES
- * hosts or domains count them. */
+/* Returns whether peers must know at once of what was admitted in SCOPE, when SHARES hosts or
+ * domains keep such a count: it is more than they expect, or than an even share of the rate. */
 bool pl_quota_is_pressing (const struct pl_quota *quota, enum pl_quota_scope scope, int shares,
                            int64_t now_us);
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -156,7 +156,8 @@
   int busy_percent;
   int64_t seeds_due_us;
   int64_t slow_due_us;
-  bool tell_soon; /* a beacon to all is due */
+  bool tell_soon; /* a beacon is due */
+  bool announce;  /* and goes to all of the domain */
   bool has_news;  /* rows came that peers may lack */
   bool tell_accounts;
   int64_t asked_us;   /* when a request came last; 0: never */
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -53,12 +53,6 @@
   return done;
 }
 
-static bool
-code_count (XDR *xdr, int *count, int most)
-{
-  return xdr_int (xdr, count) != 0 && *count >= 0 && *count <= most;
-}
-
 static bool
 code_contact (XDR *xdr, struct pl_contact *contact)
 {
@@ -83,16 +77,54 @@
   return true;
 }
 
+/* Flags, and the busy part above them. */
+#define BUSY_SHIFT 16
+#define BUSY_MASK 0x7fU
+
 static bool
 code_flags (XDR *xdr, struct pl_beacon *beacon)
 {
   bool *const flags[]
       = {&beacon->has_identity, &beacon->active,     &beacon->ready,      &beacon->leaving,
          &beacon->watching,     &beacon->store_lost, &beacon->store_away, &beacon->wants_contacts,
-         &beacon->is_delegate};
+         &beacon->is_delegate,  &beacon->only_accounts};
+  u_int number = ((u_int) beacon->busy_percent & BUSY_MASK) << BUSY_SHIFT;
+
+  if (!code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, 0))
+    return false;
+  beacon->busy_percent = (int) (number >> BUSY_SHIFT & BUSY_MASK);
+  return true;
+}
+
+/* The lengths of the lists, and whose counts the accounts have, in one number. */
+#define COUNT_BITS 7
+#define COUNT_MASK 0x7fU
+
+static bool
+code_counts (XDR *xdr, struct pl_beacon *beacon)
+{
+  const int most[] = {PL_BEACON_ACCOUNTS_MAX, PL_BEACON_STATES_MAX, PL_BEACON_CONTACTS_MAX,
+                      PL_BEACON_SUSPECTS_MAX, PL_QUOTA_SCOPES - 1};
+  int counts[] = {beacon->account_count, beacon->state_count, beacon->contact_count,
+                  beacon->suspect_count, (int) beacon->account_scope};
   u_int number = 0;
 
-  return code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    number |= ((u_int) counts[i] & COUNT_MASK) << (i * COUNT_BITS);
+  if (!xdr_u_int (xdr, &number))
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      counts[i] = (int) (number >> (i * COUNT_BITS) & COUNT_MASK);
+      if (counts[i] > most[i])
+        return false;
+    }
+  beacon->account_count = counts[0];
+  beacon->state_count = counts[1];
+  beacon->contact_count = counts[2];
+  beacon->suspect_count = counts[3];
+  beacon->account_scope = (enum pl_quota_scope) counts[4];
+  return true;
 }
 
 static bool
@@ -111,9 +143,7 @@
 static bool
 code_state (XDR *xdr, struct pl_beacon *beacon)
 {
-  bool done = code_u64 (xdr, &beacon->host) && code_u64 (xdr, &beacon->incarnation)
-              && code_flags (xdr, beacon) && xdr_int (xdr, &beacon->busy_percent) != 0
-              && code_i64 (xdr, &beacon->store_trouble_us)
+  bool done = code_i64 (xdr, &beacon->store_trouble_us)
               && (!beacon->has_identity || code_contact (xdr, &beacon->self))
               && (!beacon->is_delegate || code_delegate (xdr, beacon));
 
@@ -133,7 +163,8 @@
 static bool
 code_member_state (XDR *xdr, struct pl_beacon_state *state)
 {
-  bool *const flags[] = {&state->ready, &state->leaving, &state->active, &state->watching};
+  bool *const flags[] = {&state->ready, &state->leaving, &state->active, &state->watching,
+                         &state->is_delegate};
   u_int age = (u_int) MIN (state->age_us / STATE_AGE_UNIT_US, (int64_t) STATE_AGE_MAX);
   u_int number = age | ((u_int) state->busy_percent & STATE_BUSY_MASK) << STATE_BUSY_SHIFT;
 
@@ -148,33 +179,14 @@
 }
 
 static bool
-code_accounts (XDR *xdr, struct pl_beacon *beacon)
+code_lists (XDR *xdr, struct pl_beacon *beacon)
 {
-  int scope = (int) beacon->account_scope;
-  bool done = code_count (xdr, &scope, PL_QUOTA_SCOPES - 1)
-              && code_count (xdr, &beacon->account_count, PL_BEACON_ACCOUNTS_MAX);
-
-  beacon->account_scope = (enum pl_quota_scope) scope;
-  for (int i = 0; done && i < beacon->account_count; i++)
-    done = code_u64 (xdr, &beacon->accounts[i].account)
-           && code_u64 (xdr, &beacon->accounts[i].admitted);
-  return done;
-}
-
-static bool
-code_beacon (XDR *xdr, struct pl_beacon *beacon)
-{
-  int format = BEACON_FORMAT;
-  bool done = xdr_int (xdr, &format) != 0 && format == BEACON_FORMAT && code_state (xdr, beacon)
-              && code_accounts (xdr, beacon)
-              && code_count (xdr, &beacon->state_count, PL_BEACON_STATES_MAX);
+  bool done = true;
 
   for (int i = 0; done && i < beacon->state_count; i++)
     done = code_member_state (xdr, &beacon->states[i]);
-  done = done && code_count (xdr, &beacon->contact_count, PL_BEACON_CONTACTS_MAX);
   for (int i = 0; done && i < beacon->contact_count; i++)
     done = code_contact (xdr, &beacon->contacts[i]);
-  done = done && code_count (xdr, &beacon->suspect_count, PL_BEACON_SUSPECTS_MAX);
   for (int i = 0; done && i < beacon->suspect_count; i++)
     done = code_u64 (xdr, &beacon->suspects[i].fingerprint)
            && code_u64 (xdr, &beacon->suspects[i].server)
@@ -182,6 +194,22 @@
   return done;
 }
 
+static bool
+code_beacon (XDR *xdr, struct pl_beacon *beacon)
+{
+  int format = BEACON_FORMAT;
+  bool done = xdr_int (xdr, &format) != 0 && format == BEACON_FORMAT
+              && code_u64 (xdr, &beacon->host) && code_u64 (xdr, &beacon->incarnation)
+              && code_flags (xdr, beacon) && code_counts (xdr, beacon);
+
+  for (int i = 0; done && i < beacon->account_count; i++)
+    done = code_u64 (xdr, &beacon->accounts[i].account)
+           && xdr_uint32_t (xdr, &beacon->accounts[i].admitted) != 0;
+  if (!done || beacon->only_accounts)
+    return done;
+  return code_state (xdr, beacon) && code_lists (xdr, beacon);
+}
+
 int
 pl_beacon_encode (const struct pl_beacon *beacon, char *bytes, size_t room)
 {
--- /dev/null
+++ b/tests/router_fleet.c
@@ -0,0 +1,370 @@
+/* Routers that exchange beacons, relays and the store's rows, in virtual time. */
+#include "router_fleet.h"
+#include "internal/beacon_socket.h"
+#include "internal/keys.h"
+
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SEEDS 2
+#define DATAGRAM_US (2 * WORLD_MS)
+#define FAR_DATAGRAM_US (13 * WORLD_MS)
+/* Of IPv4 and UDP. */
+#define DATAGRAM_HEADER_BYTES 28
+#define STRONG_HOSTS 3
+#define STRONG_CAPACITY 500
+#define CAPACITY 100
+
+static const char *const seeds[SEEDS + 1] = {"10.0.0.0:7600", "10.0.0.1:7600", NULL};
+
+enum message_type
+{
+  MESSAGE_BEACON,
+  MESSAGE_STORE,
+  MESSAGE_RELAY,
+};
+
+struct message
+{
+  enum message_type type;
+  int64_t due_us;
+  int to;
+  int version; /* of the configuration; 0: none */
+  struct pl_beacon *beacon;
+};
+
+static int
+find_region (void *data, const char *region)
+{
+  struct fleet_host *host = data;
+
+  return pl_router_region (host->router, region);
+}
+
+static int
+find_host (const struct fleet *fleet, const char *address)
+{
+  return GPOINTER_TO_INT (g_hash_table_lookup (fleet->addresses, address)) - 1;
+}
+
+static void
+post (struct fleet *fleet, enum message_type type, int to, int version, int64_t delay_us)
+{
+  struct message message
+      = {.type = type, .to = to, .version = version, .due_us = fleet->now_us + delay_us};
+
+  g_array_append_val (fleet->messages, message);
+}
+
+int
+fleet_held (const struct fleet_host *host)
+{
+  return host->router != NULL ? (int) pl_router_held (host->router, PL_TABLE_CONTROL) : 0;
+}
+
+static const char *
+region_of (const struct fleet *fleet, int domain)
+{
+  return strchr (fleet->domains[domain], '=') + 1;
+}
+
+static void
+send_beacon (struct fleet *fleet, struct fleet_host *host, const struct pl_router_effect *effect)
+{
+  struct message message = {.type = MESSAGE_BEACON, .due_us = fleet->now_us + DATAGRAM_US};
+  char bytes[PL_BEACON_BYTES_MAX];
+  int length = pl_beacon_encode (effect->u.tell.beacon, bytes, sizeof bytes);
+  struct fleet_host *target;
+
+  assert (length > 0);
+  message.to = find_host (fleet, effect->u.tell.address);
+  host->bytes_sent += (uint64_t) length + DATAGRAM_HEADER_BYTES;
+  if (getenv ("DBG")) { const struct pl_beacon *b = effect->u.tell.beacon; fprintf (stderr, "B %d %d %d %d %d %d %d %d\n", (int)(fleet->now_us/1000), length, b->account_scope, b->account_count, b->state_count, b->contact_count, b->has_identity, b->wants_contacts); }
+  if (message.to < 0)
+    return;
+  target = &fleet->hosts[message.to];
+  if (target->domain != host->domain)
+    host->bytes_abroad += (uint64_t) length + DATAGRAM_HEADER_BYTES;
+  if (strcmp (region_of (fleet, target->domain), region_of (fleet, host->domain)) != 0)
+    message.due_us = fleet->now_us + FAR_DATAGRAM_US;
+  if (host->is_cut || target->is_cut)
+    return;
+  message.beacon = g_new0 (struct pl_beacon, 1);
+  assert (pl_beacon_decode (bytes, (size_t) length, message.beacon) == 0);
+  g_array_append_val (fleet->messages, message);
+}
+
+static void
+take_effect (struct fleet *fleet, int index, const struct pl_router_effect *effect)
+{
+  struct fleet_host *host = &fleet->hosts[index];
+  int peer;
+
+  switch (effect->type)
+    {
+    case PL_ROUTER_TELL:
+      send_beacon (fleet, host, effect);
+      break;
+    case PL_ROUTER_WATCH:
+      host->watching = effect->u.watch;
+      fleet->watches_begun += host->watching;
+      if (host->watching)
+        post (fleet, MESSAGE_STORE, index, fleet->version, FLEET_STORE_ANSWER_US);
+      break;
+    case PL_ROUTER_FETCH:
+      peer = find_host (fleet, effect->u.fetch.address);
+      fleet->hosts[peer].relayed++;
+      post (fleet, MESSAGE_RELAY, index,
+            host->is_cut || fleet->hosts[peer].is_cut ? 0 : fleet_held (&fleet->hosts[peer]),
+            2 * DATAGRAM_US);
+      break;
+    case PL_ROUTER_REFUSE:
+      fleet->refused += effect->u.refuse.status == 429;
+      fleet->admitted += effect->u.refuse.status == 503;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+step (struct fleet *fleet, int index, struct pl_router_event *event)
+{
+  struct fleet_host *host = &fleet->hosts[index];
+
+  event->now_us = fleet->now_us;
+  pl_router_step (host->router, event, &host->effects);
+  for (int i = 0; i < host->effects.count; i++)
+    take_effect (fleet, index, &host->effects.items[i]);
+  pl_router_effects_clear (&host->effects);
+}
+
+static void
+give_config (struct fleet *fleet, int index, int version, bool from_peer)
+{
+
+  g_autofree char *config
+      = g_strdup_printf ("{\"Version\":\"r%d\",\"Resources\":[%s]}", version,
+                         fleet->resources != NULL ? fleet->resources : "");
+  struct pl_row row = {"config", config, strlen (config), version};
+  struct pl_router_event event = {
+      .type = PL_ROUTER_ROWS,
+      .u.rows = {.table = PL_TABLE_CONTROL,
+                 .is_whole = true,
+                 .from_peer = from_peer,
+                 .version = version,
+                 .rows = &row,
+                 .count = 1},
+  };
+
+  step (fleet, index, &event);
+}
+
+static bool
+is_up (const struct fleet *fleet, const struct fleet_host *host)
+{
+  return host->router != NULL && fleet->now_us >= host->frozen_until_us;
+}
+
+static void
+deliver (struct fleet *fleet, const struct message *message)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_BEACON, .u.beacon = message->beacon};
+
+  if (!is_up (fleet, &fleet->hosts[message->to]))
+    return;
+  switch (message->type)
+    {
+    case MESSAGE_BEACON:
+      step (fleet, message->to, &event);
+      break;
+    case MESSAGE_STORE:
+      if (!fleet->hosts[message->to].is_cut)
+        give_config (fleet, message->to, message->version, false);
+      break;
+    case MESSAGE_RELAY:
+      if (message->version > 0)
+        give_config (fleet, message->to, message->version, true);
+      event.type = PL_ROUTER_RELAY_DONE;
+      step (fleet, message->to, &event);
+      break;
+    }
+}
+
+/* Messages that are posted meanwhile are due later. */
+static void
+deliver_due (struct fleet *fleet)
+{
+  GArray *pending = fleet->messages;
+
+  fleet->messages = g_array_new (FALSE, FALSE, sizeof (struct message));
+  for (guint i = 0; i < pending->len; i++)
+    {
+      struct message message = g_array_index (pending, struct message, i);
+
+      if (message.due_us > fleet->now_us)
+        {
+          g_array_append_val (fleet->messages, message);
+          continue;
+        }
+      deliver (fleet, &message);
+      g_free (message.beacon);
+    }
+  g_array_free (pending, TRUE);
+}
+
+static void
+start_host (struct fleet *fleet, int index)
+{
+  struct fleet_host *host = &fleet->hosts[index];
+  const char *pair = fleet->domains[host->domain];
+  g_autofree char *domain = g_strndup (pair, strcspn (pair, "="));
+  struct pl_router_options options = {
+      .name = host->name,
+      .domain = domain,
+      .caller_address = host->address,
+      .peer_address = host->address,
+      .relay_address = host->address,
+      .domains = fleet->domains,
+      .seeds = seeds,
+      .incarnation = ++host->incarnation,
+      .capacity = host->capacity,
+      .now_us = fleet->now_us,
+      .grace_us = 6 * WORLD_SECOND,
+      .retry_ratio = 0.2,
+      .retry_slack = 50,
+      .decode = pl_platform_dialect.decode_row,
+  };
+
+  host->regions.find = find_region;
+  host->regions.data = host;
+  options.decode_data = &host->regions;
+  host->router = pl_router_new (&options);
+  host->watching = false;
+}
+
+void
+fleet_run (struct fleet *fleet, int64_t us)
+{
+  int64_t until_us = fleet->now_us + us;
+  struct pl_router_event tick = {.type = PL_ROUTER_TICK};
+
+  for (; fleet->now_us < until_us; fleet->now_us += fleet->step_us)
+    {
+      deliver_due (fleet);
+      for (int i = 0; i < fleet->count; i++)
+        {
+          struct fleet_host *host = &fleet->hosts[i];
+
+          if (host->router == NULL && fleet->now_us >= host->starts_us)
+            start_host (fleet, i);
+          if (is_up (fleet, host) && pl_router_due_us (host->router) <= fleet->now_us)
+            step (fleet, i, &tick);
+        }
+    }
+}
+
+void
+fleet_kill (struct fleet *fleet, int index, int64_t returns_us)
+{
+  struct fleet_host *host = &fleet->hosts[index];
+
+  pl_router_free (host->router);
+  host->router = NULL;
+  host->watching = false;
+  host->starts_us = returns_us == INT64_MAX ? INT64_MAX : fleet->now_us + returns_us;
+}
+
+void
+fleet_change (struct fleet *fleet, int version)
+{
+  fleet->version = version;
+  for (int i = 0; i < fleet->count; i++)
+    if (fleet->hosts[i].watching)
+      post (fleet, MESSAGE_STORE, i, version, FLEET_STORE_ANSWER_US);
+}
+
+bool
+fleet_ask (struct fleet *fleet, int index, const char *key)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_CALL};
+  int refused = fleet->refused;
+
+  event.u.call.request = ++fleet->next_request;
+  event.u.call.label = "label";
+  event.u.call.host = "h";
+  event.u.call.path = "/read/1";
+  event.u.call.patience_us = 2 * WORLD_SECOND;
+  event.u.call.fingerprint = fleet->next_request;
+  event.u.call.has_key = true;
+  pl_key_hash (key, strlen (key), event.u.call.key_hash);
+  step (fleet, index, &event);
+  return fleet->refused == refused;
+}
+
+struct fleet *
+fleet_new (int count, const char *const *domains, bool mixed)
+{
+  struct fleet *fleet = g_new0 (struct fleet, 1);
+
+  assert (count <= FLEET_HOSTS_MAX);
+  fleet->count = count;
+  fleet->domains = domains;
+  while (domains[fleet->domain_count] != NULL)
+    fleet->domain_count++;
+  fleet->messages = g_array_new (FALSE, FALSE, sizeof (struct message));
+  fleet->addresses = g_hash_table_new (g_str_hash, g_str_equal);
+  fleet->now_us = WORLD_SECOND;
+  fleet->step_us = WORLD_MS;
+  fleet->version = FLEET_FIRST_VERSION;
+  for (int i = 0; i < count; i++)
+    {
+      struct fleet_host *host = &fleet->hosts[i];
+
+      host->domain = i % fleet->domain_count;
+      host->capacity
+          = mixed && i / fleet->domain_count < STRONG_HOSTS ? STRONG_CAPACITY : CAPACITY;
+      g_snprintf (host->name, sizeof host->name, "host-%d", i);
+      g_snprintf (host->address, sizeof host->address, "10.0.%d.%d:7600", i / 250, i % 250);
+      host->starts_us = fleet->now_us + FLEET_START_SPREAD_US * (i * 7 % count) / count;
+      g_hash_table_insert (fleet->addresses, host->address, GINT_TO_POINTER (i + 1));
+    }
+  return fleet;
+}
+
+void
+fleet_free (struct fleet *fleet)
+{
+  for (int i = 0; i < fleet->count; i++)
+    {
+      pl_router_free (fleet->hosts[i].router);
+      pl_router_effects_free (&fleet->hosts[i].effects);
+    }
+  for (guint i = 0; i < fleet->messages->len; i++)
+    g_free (g_array_index (fleet->messages, struct message, i).beacon);
+  g_array_free (fleet->messages, TRUE);
+  g_hash_table_destroy (fleet->addresses);
+  g_free (fleet);
+}
+
+int
+fleet_count_configured (const struct fleet *fleet)
+{
+  int configured = 0;
+
+  for (int i = 0; i < fleet->count; i++)
+    configured += fleet_held (&fleet->hosts[i]) == fleet->version;
+  return configured;
+}
+
+int
+fleet_count_watching (const struct fleet *fleet)
+{
+  int watching = 0;
+
+  for (int i = 0; i < fleet->count; i++)
+    watching += fleet->hosts[i].watching;
+  return watching;
+}
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -83,7 +83,7 @@
                                          .group = host,
                                          .sender = host,
                                          .incarnation = incarnation,
-                                         .count = admitted,
+                                         .count = (uint32_t) admitted,
                                          .returned_us = returned_us,
                                          .is_followed = true};
 
