--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -18,6 +18,7 @@
   const struct pl_dialect *dialect;
   struct pl_reactor *reactor;
   struct pl_http_client *client;
+  size_t memory_limit; /* bytes of bodies and answers held at once, of all callers; 0: 64 MiB */
   /* Hands an event to the router.  Never called from within pl_front_execute(). */
   void (*post) (void *data, struct pl_router_event *event);
   void *data;
@@ -32,6 +33,9 @@
 /* Returns how many requests are being read, run or answered. */
 unsigned pl_front_open_calls (const struct pl_front *front);
 
+/* Returns the bytes of bodies and answers that are held now; MOST: the most that ever were. */
+size_t pl_front_held_bytes (const struct pl_front *front, size_t *most);
+
 /* One caller's request with its attempt and answer; shared by front.c and front_attempts.c. */
 struct pl_front_call
 {
@@ -54,6 +58,8 @@
   uint64_t object;
   int64_t body_length; /* -1: chunked */
   bool too_large;
+  bool no_room; /* the body did not fit into what this host may hold */
+  size_t held;  /* bytes of body and answer */
   GByteArray *body;
 
   struct pl_http_call *attempt_call; /* the attempt under way */
@@ -72,6 +78,8 @@
   GHashTable *calls; /* id -> struct pl_front_call */
   uint64_t next_id;
   struct pl_caller_limits limits;
+  size_t held; /* bytes, over all calls and attempts */
+  size_t held_most;
   bool closing;
   bool resumed; /* connections were resumed since the daemon last ran */
   int watch_timer;
@@ -87,4 +95,9 @@
 /* front.c: the answer in CALL is ready. */
 void pl_front_finish (struct pl_front_call *call);
 
+/* front.c: adds BYTES to HELD, of a call or an attempt, and to what the front holds.  Returns
+ * false, and adds nothing, when that would be more than the front may hold. */
+bool pl_front_hold (struct pl_front *front, size_t *held, size_t bytes);
+void pl_front_release (struct pl_front *front, size_t *held);
+
 #endif
--- a/modules/front.c
+++ b/modules/front.c
@@ -7,9 +7,11 @@
 #include "internal/front.h"
 #include "internal/clock.h"
 #include "internal/keys.h"
+#include "internal/log.h"
 #include "internal/net.h"
 #include "internal/reactor.h"
 
+#include <assert.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/epoll.h>
@@ -25,6 +27,14 @@
 /* Longer than callers keep an idle connection, so that closing it never meets a request. */
 #define CONNECTION_TIMEOUT_S 60u
 #define BODY_MAX_DEFAULT ((int64_t) 64 << 20)
+/* Bytes of bodies and answers held at once, where the options do not tell. */
+#define MEMORY_LIMIT_DEFAULT ((size_t) 64 << 20)
+/* Bodies and answers above the first take no more than the second of that, so that those without
+ * end leave room for the others. */
+#define SMALL_BYTES ((size_t) 64 << 10)
+#define LARGE_PERCENT 75
+/* Until others' bodies have been sent on. */
+#define RETRY_AFTER_NO_ROOM_US INT64_C (300000)
 #define WATCH_PERIOD_US INT64_C (100000)
 #define WATCH_AFTER_US INT64_C (80000)
 
@@ -111,9 +121,41 @@
   return MHD_YES;
 }
 
+bool
+pl_front_hold (struct pl_front *front, size_t *held, size_t bytes)
+{
+  size_t limit
+      = front->options.memory_limit > 0 ? front->options.memory_limit : MEMORY_LIMIT_DEFAULT;
+
+  if (*held + bytes > SMALL_BYTES)
+    limit = limit / 100 * LARGE_PERCENT;
+  if (bytes > limit || front->held > limit - bytes)
+    return false;
+  front->held += bytes;
+  front->held_most = MAX (front->held_most, front->held);
+  *held += bytes;
+  return true;
+}
+
+void
+pl_front_release (struct pl_front *front, size_t *held)
+{
+  assert (front->held >= *held);
+  front->held -= *held;
+  *held = 0;
+}
+
+size_t
+pl_front_held_bytes (const struct pl_front *front, size_t *most)
+{
+  *most = front->held_most;
+  return front->held;
+}
+
 static void
 free_call (struct pl_front_call *call)
 {
+  pl_front_release (call->front, &call->held);
   g_free (call->method);
   g_free (call->target);
   g_free (call->label);
@@ -282,6 +324,37 @@
   return MHD_YES;
 }
 
+/* What does not fit is read on, so that the caller gets the refusal, and dropped. */
+static void
+take_body (struct pl_front_call *call, const char *bytes, size_t length)
+{
+  call->too_large = call->too_large || call->body->len + length > (size_t) body_max (call->front);
+  if (call->too_large || call->no_room)
+    return;
+  call->no_room = !pl_front_hold (call->front, &call->held, length);
+  if (!call->no_room)
+    g_byte_array_append (call->body, (const guint8 *) bytes, (guint) length);
+}
+
+/* Returns whether CALL is answered without the router. */
+static bool
+refuse_body (struct pl_front_call *call)
+{
+  if (call->too_large)
+    set_refusal (call, 413, "body-too-large", 0);
+  else if (call->no_room)
+    {
+      set_refusal (call, 503, "no-memory", RETRY_AFTER_NO_ROOM_US);
+      pl_log (PL_LOG_WARNING, "body-dropped",
+              json_pack ("{s:s,s:I}", "request", call->label, "held_bytes",
+                         (json_int_t) call->front->held));
+    }
+  else
+    return false;
+  call->done = true;
+  return true;
+}
+
 static enum MHD_Result
 on_request (void *data, struct MHD_Connection *connection, const char *url, const char *method,
             const char *version, const char *upload, size_t *upload_size, void **context)
@@ -296,21 +369,12 @@
     return begin (call, method);
   if (*upload_size > 0)
     {
-      call->too_large
-          = call->too_large || call->body->len + *upload_size > (size_t) body_max (call->front);
-      if (!call->too_large)
-        g_byte_array_append (call->body, (const guint8 *) upload, (guint) *upload_size);
+      take_body (call, upload, *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
-  if (call->done)
+  if (call->done || refuse_body (call))
     return queue_answer (call);
-  if (call->too_large)
-    {
-      set_refusal (call, 413, "body-too-large", 0);
-      call->done = true;
-      return queue_answer (call);
-    }
   if (call->submitted)
     return MHD_YES;
   /* On a busy host a request may be read long after its caller has given up. */
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -5,6 +5,7 @@
  */
 #include "internal/front.h"
 #include "internal/clock.h"
+#include "internal/log.h"
 #include "pomelolatch/error.h"
 
 #include <stdlib.h>
@@ -19,6 +20,8 @@
  * not cross that; one that may be repeated can take the risk. */
 #define IDLE_LIMIT_ONCE_S 3
 #define IDLE_LIMIT_S 8
+/* Bytes of an answer's head, of interim answers before it too; far more than servers send. */
+#define HEAD_MAX ((size_t) 64 << 10)
 #define ANSWER_MAX ((size_t) 64 << 20)
 
 struct pl_front_attempt
@@ -37,6 +40,8 @@
   GPtrArray *headers;
   GByteArray *body; /* of the request; a copy, as the caller may go first */
   size_t body_sent;
+  size_t head_length;
+  size_t held; /* bytes of head and answer */
   GByteArray *answer;
 };
 
@@ -79,6 +84,21 @@
          || attempt->status == attempt->front->options.dialect->other_server_status;
 }
 
+/* Returns whether LENGTH more bytes of an answer fit into what this host may hold.  A server whose
+ * answer does not end counts as failing, as one whose answer breaks off. */
+static bool
+make_room (struct pl_front_attempt *attempt, size_t length, const char *part)
+{
+  bool fits = pl_front_hold (attempt->front, &attempt->held, length);
+
+  if (!fits)
+    pl_log (PL_LOG_WARNING, "answer-dropped",
+            json_pack ("{s:s,s:s,s:I,s:I}", "request", attempt->label, "part", part, "answer_bytes",
+                       (json_int_t) attempt->held, "held_bytes",
+                       (json_int_t) attempt->front->held));
+  return fits;
+}
+
 static bool
 on_header (void *data, const char *line, size_t length)
 {
@@ -86,6 +106,9 @@
   g_autofree char *text = g_strchomp (g_strndup (line, length));
   char *colon;
 
+  attempt->head_length += length;
+  if (attempt->head_length > HEAD_MAX || !make_room (attempt, length, "head"))
+    return false;
   if (g_str_has_prefix (text, "HTTP/"))
     {
       const char *space = strchr (text, ' ');
@@ -110,7 +133,7 @@
 {
   struct pl_front_attempt *attempt = data;
 
-  if (attempt->answer->len + length > ANSWER_MAX)
+  if (attempt->answer->len + length > ANSWER_MAX || !make_room (attempt, length, "body"))
     return 0;
   g_byte_array_append (attempt->answer, (const guint8 *) bytes, (guint) length);
   return length;
@@ -144,6 +167,7 @@
 static void
 free_attempt (struct pl_front_attempt *attempt)
 {
+  pl_front_release (attempt->front, &attempt->held);
   g_free (attempt->label);
   g_ptr_array_free (attempt->headers, TRUE);
   g_byte_array_unref (attempt->body);
@@ -162,6 +186,8 @@
   call->answer = attempt->answer;
   attempt->headers = headers;
   attempt->answer = answer;
+  call->held += attempt->held;
+  attempt->held = 0;
 }
 
 static void
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -485,7 +485,8 @@
   void *data;
 };
 
-#define FETCH_ANSWER_MAX ((size_t) 64 << 20)
+/* Of the store or a peer: many times the rows of a large fleet, and little for a small host. */
+#define FETCH_ANSWER_MAX ((size_t) 16 << 20)
 
 static size_t
 fetch_write (void *data, const char *bytes, size_t length)
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -35,6 +35,10 @@
 #define RELAY_LINK_PART 0.5
 /* Of the time that a stopping process has: by then it ends, whatever is still open. */
 #define LAST_ANSWERS_PERCENT 94
+/* Of the memory that bodies and answers may take; the rest is for connections, rows and the
+ * sockets' own buffers. */
+#define HELD_MEMORY_PART 0.25
+#define BYTES_PER_MB 1e6
 #define BUSY_PERIOD_US INT64_C (1000000)
 
 static const struct pl_field settings_fields[] = {
@@ -53,6 +57,7 @@
     {"retry_slack", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"cpu_share", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"link_mbps", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"memory_mb", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"switches", PL_FIELD_NUMBER, false, 0, 65535, NULL},
     {"log_level", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"directory_ttl_ms", PL_FIELD_NUMBER, false, 100, 600000, NULL},
@@ -303,11 +308,15 @@
                 const char **type)
 {
   const struct entry *entry = data;
+  size_t held_most;
+  size_t held = pl_front_held_bytes (entry->front, &held_most);
 
   (void) connection;
   (void) path;
   *type = "text/plain";
   pl_router_metrics (entry->router, body);
+  g_string_append_printf (body, "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n",
+                          held, held_most);
   return 200;
 }
 
@@ -406,6 +415,8 @@
       .dialect = &pl_platform_dialect,
       .reactor = entry->reactor,
       .client = entry->traffic,
+      .memory_limit
+      = (size_t) (decimal_of (settings, "memory_mb") * BYTES_PER_MB * HELD_MEMORY_PART),
       .post = post,
       .data = entry,
   };
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -61,6 +61,32 @@
 }
 END_TEST
 
+#define ROUTE_OF_KIND                                                                              \
+  "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"kind\"},\"Spec\":{\"Host\":\"h\","        \
+  "\"Prefix\":\"/read/kind/\",\"Kind\":\"%s\",\"Timeout\":\"800ms\",\"TargetLatency\":\"200ms\","  \
+  "\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
+
+/* What may run more than once follows from the route's kind alone. */
+START_TEST (kinds_tell_what_may_be_repeated)
+{
+  static const struct
+  {
+    const char *kind;
+    bool repeatable;
+  } kinds[]
+      = {{"idempotent", true}, {"download", true}, {"non_idempotent", false}, {"upload", false}};
+  g_autofree char *route = g_strdup_printf (ROUTE_OF_KIND, kinds[_i].kind);
+  struct world_call *call;
+
+  world_config (world, 4, route);
+  call = world_call (world, "/read/kind/1", "key-1");
+  call->repeatable = kinds[_i].repeatable;
+  ck_assert (call->once == !kinds[_i].repeatable);
+  world_end (world, call, PL_ATTEMPT_BROKEN, 0);
+  ck_assert_int_eq (call->sends, kinds[_i].repeatable ? 2 : 1);
+}
+END_TEST
+
 START_TEST (without_a_configuration_nothing_is_denied)
 {
   struct world *empty = world_new ();
@@ -644,6 +670,7 @@
   tcase_add_test (tcase, a_request_is_sent_and_its_answer_delivered);
   tcase_add_test (tcase, unknown_routes_and_keys_are_refused);
   tcase_add_test (tcase, without_accounts_no_key_is_asked_for);
+  tcase_add_loop_test (tcase, kinds_tell_what_may_be_repeated, 0, 4);
   tcase_add_test (tcase, without_a_configuration_nothing_is_denied);
   tcase_add_test (tcase, work_that_runs_once_is_not_repeated_after_a_lost_answer);
   tcase_add_test (tcase, work_that_did_not_run_is_sent_to_another_server);
