Metrics count control datagrams and bytes by kind

Cost: two additions a datagram. Ruled out: counts by domain of the receiver, which the socket does not know. Measured: nothing yet; test_beacon as before.

--- a/include/internal/beacon_socket.h
+++ b/include/internal/beacon_socket.h
@@ -18,6 +18,16 @@
 /* Returns 0 or PL_ERR_INVALID; BYTES may be anything. */
 int pl_beacon_decode (const char *bytes, size_t length, struct pl_beacon *beacon);
 
+/* What a datagram mostly tells. */
+enum pl_beacon_kind
+{
+  PL_BEACON_ACCOUNTS,
+  PL_BEACON_CONTACTS,
+  PL_BEACON_STATES, /* of others */
+  PL_BEACON_PLAIN,
+  PL_BEACON_KINDS,
+};
+
 struct pl_beacon_socket;
 struct pl_beacon_socket_options
 {
@@ -32,4 +42,7 @@
 void pl_beacon_socket_send (struct pl_beacon_socket *socket, const char *address,
                             const struct pl_beacon *beacon);
 
+/* Appends what was sent and got, by kind, in the usual text format. */
+void pl_beacon_socket_metrics (const struct pl_beacon_socket *socket, GString *text);
+
 #endif
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -19,12 +19,47 @@
 #define BEACON_FORMAT 3
 #define DATAGRAMS_A_TURN 64
 
+/* Of IPv4 and UDP. */
+#define HEADER_BYTES 28
+
+struct traffic
+{
+  uint64_t datagrams;
+  uint64_t bytes;
+};
+
 struct pl_beacon_socket
 {
   struct pl_beacon_socket_options options;
   int fd;
+  struct traffic sent[PL_BEACON_KINDS];
+  struct traffic got[PL_BEACON_KINDS];
+};
+
+static const char *const kind_names[PL_BEACON_KINDS] = {
+    [PL_BEACON_ACCOUNTS] = "accounts",
+    [PL_BEACON_CONTACTS] = "contacts",
+    [PL_BEACON_STATES] = "states",
+    [PL_BEACON_PLAIN] = "plain",
 };
 
+static enum pl_beacon_kind
+kind_of (const struct pl_beacon *beacon)
+{
+  if (beacon->contact_count > 0)
+    return PL_BEACON_CONTACTS;
+  if (beacon->account_count > 0)
+    return PL_BEACON_ACCOUNTS;
+  return beacon->state_count > 0 ? PL_BEACON_STATES : PL_BEACON_PLAIN;
+}
+
+static void
+count (struct traffic *traffic, const struct pl_beacon *beacon, size_t length)
+{
+  traffic[kind_of (beacon)].datagrams++;
+  traffic[kind_of (beacon)].bytes += length + HEADER_BYTES;
+}
+
 static bool
 code_text (XDR *xdr, char *text, size_t room)
 {
@@ -249,7 +284,10 @@
       if (pl_beacon_decode (bytes, (size_t) length, &beacon) < 0)
         pl_log (PL_LOG_WARNING, "beacon-unreadable", json_pack ("{s:i}", "bytes", (int) length));
       else
-        socket->options.on_beacon (socket->options.data, &beacon);
+        {
+          count (socket->got, &beacon, (size_t) length);
+          socket->options.on_beacon (socket->options.data, &beacon);
+        }
     }
 }
 
@@ -286,6 +324,7 @@
       pl_log (PL_LOG_ERROR, "beacon-not-sent", json_pack ("{s:s}", "to", address));
       return;
     }
+  count (socket->sent, beacon, (size_t) length);
   /* A datagram may be lost anyway; the next beacon follows within half a second. */
   if (sendto (socket->fd, bytes, (size_t) length, MSG_DONTWAIT, (struct sockaddr *) &target,
               sizeof target)
@@ -293,3 +332,25 @@
     pl_log (PL_LOG_WARNING, "beacon-not-sent",
             json_pack ("{s:s,s:s}", "to", address, "error", g_strerror (errno)));
 }
+
+static void
+put_traffic (GString *text, const char *direction, const struct traffic *traffic)
+{
+  for (int i = 0; i < PL_BEACON_KINDS; i++)
+    g_string_append_printf (text,
+                            "pomelolatch_control_datagrams_total{kind=\"%s\",direction=\"%s\"} "
+                            "%" G_GUINT64_FORMAT "\n"
+                            "pomelolatch_control_bytes_total{kind=\"%s\",direction=\"%s\"} "
+                            "%" G_GUINT64_FORMAT "\n",
+                            kind_names[i], direction, traffic[i].datagrams, kind_names[i],
+                            direction, traffic[i].bytes);
+}
+
+void
+pl_beacon_socket_metrics (const struct pl_beacon_socket *socket, GString *text)
+{
+  g_string_append (text, "# TYPE pomelolatch_control_datagrams_total counter\n"
+                         "# TYPE pomelolatch_control_bytes_total counter\n");
+  put_traffic (text, "sent", socket->sent);
+  put_traffic (text, "got", socket->got);
+}
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -315,6 +315,7 @@
   (void) path;
   *type = "text/plain";
   pl_router_metrics (entry->router, body);
+  pl_beacon_socket_metrics (entry->beacons, body);
   g_string_append_printf (body, "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n",
                           held, held_most);
   return 200;
