Large requests go far only where there is no room near

Change: it goes away only when it would be refused.

Test: a_large_body_goes_far_only_when_there_is_no_room_near, which fails with the mechanism off (a request finds no place).

--- a/core/placement.c
+++ b/core/placement.c
@@ -451,16 +451,6 @@
   return NULL;
 }
 
-/* Returns whether an answer from BACKEND is likely to come later than the latency objective. */
-static bool
-is_likely_late (const struct pl_placement_service *service, const struct pl_placement_wish *wish,
-                const struct pl_backend *backend, int64_t now_us)
-{
-  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
-
-  return work_us * load_with_one (service, backend, now_us) > (double) wish->objective_us;
-}
-
 /* Weighted rendezvous hashing: the lowest cost, -log (unit) / weight, wins, so that each server
  * gets its weight's share.  Most servers are passed over by a lower bound of the cost, which needs
  * no logarithm. */
@@ -521,9 +511,9 @@
     }
 }
 
-/* A large request stays near while its answer comes in time there.  Else it goes where a small one
- * for its object would, so that it finds the object in memory, if that server has time to spare: a
- * domain with few servers for its callers would refuse what others could run. */
+/* A large request that has no room near goes where a small one for its object would, so that it may
+ * find the object in memory, if that server has time to spare: a domain with few servers for its
+ * callers would refuse what others could run. */
 static struct pl_backend *
 choose_far (struct pl_placement *placement, struct pl_placement_service *service,
             const struct pl_placement_wish *wish, pl_cold_share cold_share, void *data,
@@ -569,13 +559,8 @@
     best = choose_ranked (service, wish, &scan, now_us);
   else if (scan.idlest != NULL && scan.idlest_load <= 1 + FAR_LOAD)
     best = scan.idlest;
-  if (wish->object != 0 && wish->is_large
-      && (best == NULL || is_likely_late (service, wish, best, now_us)))
-    {
-      struct pl_backend *far = choose_far (placement, service, wish, cold_share, data, now_us);
-
-      best = far != NULL ? far : best;
-    }
+  if (best == NULL && wish->object != 0 && wish->is_large)
+    best = choose_far (placement, service, wish, cold_share, data, now_us);
   if (best == NULL)
     {
       note_awaited (&scan, choice);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -237,6 +237,64 @@
 }
 END_TEST
 
+#define NEAR_SERVERS 3
+/* Of an objective each, so a server of five slots has room for nine. */
+#define LARGE_REQUESTS 45
+
+/* A domain with three servers, whose callers send more photographs than that can take, beside a
+ * region with many: what has no room near is run far, one object always by the same server, and
+ * what comes when there is room again stays near. */
+START_TEST (a_large_body_goes_far_only_when_there_is_no_room_near)
+{
+  struct pl_backend *busy[LARGE_REQUESTS];
+  int near = 0;
+  int far = 0;
+
+  tear_down ();
+  pl_placement_init (&placement, "a-1", 0);
+  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  for (int i = 0; i < SERVERS; i++)
+    {
+      struct pl_server_entry entry = make_entry (i, i < NEAR_SERVERS ? "a-1" : "b-1");
+
+      pl_placement_put (&placement, &entry, i < NEAR_SERVERS ? 0 : 1, true, 0);
+    }
+  for (int i = 0; i < LARGE_REQUESTS; i++)
+    {
+      struct pl_placement_wish wish = wish_for ((uint64_t) i + 1);
+
+      wish.is_large = true;
+      if (i == 0)
+        finish (choose (&wish, 0), 200 * MS, 0);
+      busy[i] = choose (&wish, 0);
+      ck_assert_ptr_nonnull (busy[i]);
+      near += busy[i]->is_near;
+      far += !busy[i]->is_near;
+      if (!busy[i]->is_near)
+        {
+          struct pl_backend *again = choose (&wish, 0);
+
+          ck_assert_ptr_eq (again, busy[i]);
+          finish (again, 200 * MS, 0);
+        }
+    }
+  ck_assert_int_ge (near, SLOTS);
+  ck_assert_int_ge (far, SLOTS);
+  for (int i = 0; i < LARGE_REQUESTS; i++)
+    finish (busy[i], 200 * MS, 0);
+  for (uint64_t object = 1; object <= SLOTS; object++)
+    {
+      struct pl_placement_wish wish = wish_for (object + 100);
+      struct pl_backend *backend;
+
+      wish.is_large = true;
+      backend = choose (&wish, 0);
+      ck_assert (backend->is_near);
+      finish (backend, 200 * MS, 0);
+    }
+}
+END_TEST
+
 START_TEST (a_cold_server_gets_no_more_than_it_bears)
 {
   struct pl_server_entry entry = make_entry (0, "a-1");
@@ -401,6 +459,7 @@
   tcase_add_test (tcase, a_server_that_does_not_answer_gets_no_more);
   tcase_add_test (tcase, a_region_is_left_to_those_bound_to_it);
   tcase_add_test (tcase, a_large_body_stays_near);
+  tcase_add_test (tcase, a_large_body_goes_far_only_when_there_is_no_room_near);
   tcase_add_test (tcase, a_cold_server_gets_no_more_than_it_bears);
   tcase_add_test (tcase, a_cold_server_does_not_hold_up_its_objects);
   tcase_add_test (tcase, leaving_evacuated_and_gone_servers_are_not_used);
