Who speaks for the domain is worked out with the view, not for each account

Cause: found when reading the change: each account in a report and each request ranked all hosts of the domain against each other, some ten thousand steps, to learn whether this host is a delegate and which accounts are its part.

Ruled out: keeping ranks up to date with each change of a member (liveness changes by time alone).

--- a/core/membership.c
+++ b/core/membership.c
@@ -407,25 +407,42 @@
   return own_rank (membership, now_us) < PL_DELEGATES;
 }
 
+/* Keeps the first PL_DELEGATES in order.  Returns the new count. */
+static int
+insert_key (struct rank_key *first, int count, const struct rank_key *key)
+{
+  int at = count;
+
+  while (at > 0 && comes_before (key, &first[at - 1]))
+    at--;
+  if (at == PL_DELEGATES)
+    return count;
+  count = MIN (count + 1, PL_DELEGATES);
+  memmove (&first[at + 1], &first[at], sizeof *first * (size_t) (count - 1 - at));
+  first[at] = *key;
+  return count;
+}
+
 int
 pl_membership_delegates (const struct pl_membership *membership, uint64_t *ids, int64_t now_us)
 {
+  struct rank_key first[PL_DELEGATES] = {own_key (membership)};
+  int count = 1;
   int others = 0;
 
-  memset (ids, 0, sizeof *ids * PL_DELEGATES);
   for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = member_at (membership, i);
-      int rank;
+      struct rank_key key = key_of (member);
 
-      if (!pl_member_is_near (membership, member)
-          || !pl_member_is_live (membership, member, now_us))
-        continue;
-      rank = rank_of (membership, member, now_us);
-      if (rank >= PL_DELEGATES)
-        continue;
-      ids[rank] = member->id;
-      others++;
+      if (pl_member_is_near (membership, member) && pl_member_is_live (membership, member, now_us))
+        count = insert_key (first, count, &key);
+    }
+  memset (ids, 0, sizeof *ids * PL_DELEGATES);
+  for (int i = 0; i < count; i++)
+    {
+      ids[i] = first[i].id != membership->self ? first[i].id : 0;
+      others += ids[i] != 0;
     }
   return others;
 }
--- a/core/router.c
+++ b/core/router.c
@@ -83,11 +83,21 @@
 const struct pl_fleet_view *
 router_view (struct pl_router *router)
 {
-  if (router->now_us >= router->view_due_us)
-    {
-      router->view = pl_membership_view (&router->membership, router->store_lost, router->now_us);
-      router->view_due_us = router->now_us + VIEW_PERIOD_US;
-    }
+  const struct pl_membership *membership = &router->membership;
+  uint64_t delegates[PL_DELEGATES];
+  int others;
+
+  if (router->now_us < router->view_due_us)
+    return &router->view;
+  others = pl_membership_delegates (membership, delegates, router->now_us);
+  router->is_delegate = others < PL_DELEGATES;
+  /* One that speaks alone tells of all accounts. */
+  router->account_turn = PL_NONE;
+  for (int i = 0; others == PL_DELEGATES - 1 && i < PL_DELEGATES; i++)
+    if (delegates[i] == 0)
+      router->account_turn = i;
+  router->view = pl_membership_view (membership, router->store_lost, router->now_us);
+  router->view_due_us = router->now_us + VIEW_PERIOD_US;
   return &router->view;
 }
 
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -167,7 +167,7 @@
     beacon->held[t] = router->held[t].version;
   beacon->busy_percent = router->busy_percent;
   beacon->active = router->membership.self_active;
-  beacon->is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+  beacon->is_delegate = router->is_delegate;
   if (beacon->is_delegate)
     {
       pl_membership_count_domain (&router->membership, beacon, router->now_us);
@@ -264,20 +264,6 @@
   struct pl_beacon beacons[AUDIENCES];
 };
 
-static int
-account_turn (const struct pl_router *router)
-{
-  uint64_t delegates[PL_DELEGATES];
-
-  /* One that speaks alone tells of all accounts. */
-  if (pl_membership_delegates (&router->membership, delegates, router->now_us) < PL_DELEGATES - 1)
-    return PL_NONE;
-  for (int i = 0; i < PL_DELEGATES; i++)
-    if (delegates[i] == 0)
-      return i;
-  return PL_NONE;
-}
-
 static void
 list_account_news (struct pl_router *router, struct account_news *news)
 {
@@ -285,7 +271,7 @@
 
   news[AUDIENCE_DELEGATE] = (struct account_news){PL_QUOTA_HOST, view->active, PL_NONE};
   news[AUDIENCE_DOMAIN] = (struct account_news){PL_QUOTA_FLEET, 1, PL_NONE};
-  news[AUDIENCE_FAR] = (struct account_news){PL_QUOTA_DOMAIN, view->domains, account_turn (router)};
+  news[AUDIENCE_FAR] = (struct account_news){PL_QUOTA_DOMAIN, view->domains, router->account_turn};
 }
 
 static void
@@ -295,7 +281,8 @@
   struct pl_beacon beacon;
 
   pl_membership_delegates (&router->membership, round->delegates, router->now_us);
-  round->is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
+  router_view (router);
+  round->is_delegate = router->is_delegate;
   fill_beacon (router, &beacon);
   round->is_identity_turn = !round->only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0;
   beacon.only_accounts = round->only_accounts;
@@ -425,13 +412,12 @@
 static void
 note_promotion (struct pl_router *router)
 {
-  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
-
-  if (is_delegate == router->is_delegate)
+  router_view (router);
+  if (router->is_delegate == router->was_delegate)
     return;
-  router->is_delegate = is_delegate;
+  router->was_delegate = router->is_delegate;
   router->delegate_us = router->now_us;
-  router->tell_soon = router->tell_soon || is_delegate;
+  router->tell_soon = router->tell_soon || router->is_delegate;
 }
 
 void
@@ -503,12 +489,12 @@
 static void
 judge_account (struct pl_router *router, const struct router_account *account)
 {
-  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
   struct account_news news[AUDIENCES];
 
   list_account_news (router, news);
   for (int i = AUDIENCE_DELEGATE; i < AUDIENCES && !router->tell_accounts; i++)
-    if ((i == AUDIENCE_DELEGATE || is_delegate) && is_to_be_told (router, &news[i], account, true))
+    if ((i == AUDIENCE_DELEGATE || router->is_delegate)
+        && is_to_be_told (router, &news[i], account, true))
       tell_accounts_soon (router);
 }
 
@@ -543,11 +529,10 @@
 /* Returns whether this host goes by counts of SCOPE, or by others that tell of the same requests:
  * a delegate adds up hosts and domains, another host has the sum from its delegates. */
 static bool
-follows (const struct pl_router *router, enum pl_quota_scope scope)
+follows (struct pl_router *router, enum pl_quota_scope scope)
 {
-  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
-
-  return is_delegate != (scope == PL_QUOTA_FLEET);
+  router_view (router);
+  return router->is_delegate != (scope == PL_QUOTA_FLEET);
 }
 
 /* Returns the hosts that the counts of BEACON, from MEMBER, are of; 0: it may not tell of them. */
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -192,8 +192,8 @@
 /* Returns whether this host speaks for its domain. */
 bool pl_membership_is_delegate (const struct pl_membership *membership, int64_t now_us);
 
-/* Fills IDS, of PL_DELEGATES, with the hosts that speak for this domain, 0 where there are fewer.
- * Returns how many of them are other hosts. */
+/* Fills IDS, of PL_DELEGATES, with the hosts that speak for this domain in order, 0 for this host
+ * and where there are fewer.  Returns how many of them are other hosts. */
 int pl_membership_delegates (const struct pl_membership *membership, uint64_t *ids, int64_t now_us);
 
 /* Returns whether MEMBER is heard and speaks for another domain. */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -137,6 +137,8 @@
   struct pl_placement placement;
   struct pl_membership membership;
   struct pl_fleet_view view;
+  bool is_delegate;    /* as of the view */
+  int account_turn;    /* of a delegate: the part of the accounts that it tells of; PL_NONE: all */
   int64_t view_due_us; /* the view is taken anew from then on */
   struct quarantine quarantine;
 
@@ -149,7 +151,7 @@
   int64_t fetch_pause_us; /* no peer is asked again before */
   int64_t behind_us;      /* since when a peer is known to hold more; 0: none is */
   int64_t started_us;
-  bool is_delegate;    /* as of the last beacon */
+  bool was_delegate;   /* as of the last round of beacons */
   int64_t delegate_us; /* since when */
   int64_t beacon_due_us;
   int64_t accounts_due_us;
