--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -38,6 +38,7 @@
 /* Trouble of the store this long ago still explains missing entries; later ones are meant. */
 #define LAPSE_LOOK_BACK_US (3 * S_US)
 #define SUSPECT_RETELL_US (2 * S_US)
+
 static void
 add_suspect (void *data, uint64_t fingerprint, uint64_t server, bool convicted)
 {
