The first report of a new group counts, whatever its scope

What delegates told first of other domains, or of the fleet, only set the stream level with its group, so the requests of the first moments were never taken out of the bucket. Before, the first count of each host was taken when it was no larger than the bucket.

Change: the same holds for sums: a first count no larger than the bucket is taken.

--- a/core/quota.c
+++ b/core/quota.c
@@ -213,10 +213,10 @@
                           .incarnation = report->incarnation,
                           .count = report->count,
                           .total = group->counted};
-  bool is_new_host = report->scope == PL_QUOTA_HOST && group->streams->len == 0;
+  bool is_new_group = group->streams->len == 0;
 
   /* A large count is from before this host's own start, whose bucket was empty then. */
-  if (is_new_host && report->count <= capacity_of (quota))
+  if (is_new_group && report->count <= capacity_of (quota))
     stream.total += report->count;
   g_array_append_val (group->streams, stream);
   return stream.total - group->counted;
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -320,6 +320,32 @@
 }
 END_TEST
 
+/* Hosts that start together hear of each other's first requests as sums too. */
+START_TEST (the_first_report_of_a_new_group_counts)
+{
+  struct pl_quota_report report = {.scope = (enum pl_quota_scope) _i,
+                                   .group = 7,
+                                   .sender = 1,
+                                   .incarnation = 1,
+                                   .count = 5,
+                                   .is_followed = true};
+  struct pl_quota quota = {0};
+  double before;
+
+  pl_quota_init (&quota, 0);
+  pl_quota_limit (&quota, 40, 40, 0);
+  pl_quota_take (&quota, 0, SECOND);
+  before = quota.tokens;
+  pl_quota_on_report (&quota, &report, SECOND);
+  ck_assert_double_eq (quota.tokens, before - report.count);
+  /* Another that tells of the same requests brings nothing new. */
+  report.sender = 2;
+  pl_quota_on_report (&quota, &report, SECOND);
+  ck_assert_double_eq (quota.tokens, before - report.count);
+  pl_quota_clear (&quota);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -335,5 +361,6 @@
   tcase_add_test (tcase, hosts_that_start_again_do_not_spend_the_burst_again);
   tcase_add_test (tcase, lost_reports_are_made_up_by_the_next);
   tcase_add_test (tcase, an_old_report_changes_nothing);
+  tcase_add_loop_test (tcase, the_first_report_of_a_new_group_counts, 0, PL_QUOTA_SCOPES);
   return suite_run (suite);
 }
--- a/tests/test_router_scale.c
+++ b/tests/test_router_scale.c
@@ -8,7 +8,9 @@
 #define QUOTA_WINDOW_S 5
 #define QUOTA_OVERAGE 0.1
 #define QUOTA_SLACK 20
-#define ACCOUNTS_USED 5
+/* Requests of all accounts together, so that small rates are judged by as many as large ones. */
+#define ASKED_PER_SECOND 1000
+#define ACCOUNTS_MIN 5
 /* Of requests within the rate. */
 #define REFUSED_PART_MAX 0.001
 
@@ -55,6 +57,7 @@
 {
   static const double rates[] = {22, 120, 430};
   double rate = rates[_i];
+  int accounts = MAX (ACCOUNTS_MIN, (int) (ASKED_PER_SECOND / (rate * 0.62)));
   struct fleet *fleet = fleet_new (HOSTS, fleet_domains, true);
   g_autofree char *resources = fleet_make_resources (rate, rate);
   uint32_t state = 1;
@@ -67,10 +70,11 @@
   fleet_run (fleet, 8 * WORLD_SECOND);
   for (int tick = 0; tick < 200 * 23; tick++)
     {
-      for (due += rate * ACCOUNTS_USED * 0.62 * 0.005; due >= 1; due -= 1)
+      for (due += rate * accounts * 0.62 * 0.005; due >= 1; due -= 1)
         {
           int host = (int) (fleet_draw (&state) % (DOMAINS * FLEET_STRONG_PER_DOMAIN));
-          g_autofree char *key = g_strdup_printf ("key-%u", fleet_draw (&state) % ACCOUNTS_USED);
+          g_autofree char *key
+              = g_strdup_printf ("key-%u", fleet_draw (&state) % (uint32_t) accounts);
           bool is_admitted = fleet_ask (fleet, host, key);
 
           asked += tick >= 600;
