A bucket in debt refills a little slower

Change: below zero the refill is 0.93 of the rate. Only floods take a bucket there; use within the rate is refused no more than before (test_router_scale).

--- a/core/quota.c
+++ b/core/quota.c
@@ -36,6 +36,9 @@
 /* Requests of a small burst that are used all the same: the rest would not bear the lumps in which
  * news of use arrive. */
 #define BURST_USED_LEAST 10.0
+/* Of the refill while in debt: more use is likely to be on its way, and every host waits for the
+ * same moment to admit again. */
+#define DEBT_REFILL 0.93
 #define DEBT_SECONDS 2.0
 /* What all that keep a count may have admitted unknown to each other, in seconds of the rate: a
  * part of what the smaller bucket leaves. */
@@ -120,7 +123,7 @@
 refill (struct pl_quota *quota, int64_t now_us)
 {
   double seconds = (double) (now_us - quota->refilled_us) / 1e6;
-  double due = seconds * quota->rate;
+  double due = seconds * quota->rate * (quota->tokens < 0 ? DEBT_REFILL : 1);
 
   quota->tokens = fmin (quota->tokens + due * quota->heard_part,
                         capacity_of (quota) + unreported (quota, now_us));
