Second reading: one answer to who is a delegate, all dropped answers logged

Cause: found when reading the change again. Whether this host speaks for its domain was worked out anew in six places although the view of the fleet keeps it; a domain's id was hashed for each look-up of a cold server's owners and each report, though the table holds it; an answer whose head or body was over its own bound was broken off without the log line that one over the host's bound got; whom a round of beacons tells was decided in five places of one function; a function was used by nobody.

Change: router_is_delegate(); the id from the table; make_room() judges both bounds; is_told().

Ruled out: one harness for the floods of test_router_scale and test_quota, which run different fleets (routers on the wire, buckets alone).

--- a/core/membership.c
+++ b/core/membership.c
@@ -77,7 +77,7 @@
 int
 pl_membership_domain (struct pl_membership *membership, const char *name, int region)
 {
-  struct pl_domain domain = {.id = pl_id_of ("domains", name), .region = region};
+  struct pl_domain domain = {.region = region};
 
   for (guint i = 0; i < membership->domains->len; i++)
     {
@@ -89,6 +89,7 @@
         known->region = region;
       return (int) i;
     }
+  domain.id = pl_id_of ("domains", name);
   g_strlcpy (domain.name, name, sizeof domain.name);
   g_array_append_val (membership->domains, domain);
   return (int) membership->domains->len - 1;
@@ -447,14 +448,6 @@
   return others;
 }
 
-bool
-pl_member_is_far_delegate (const struct pl_membership *membership, const struct pl_member *member,
-                           int64_t now_us)
-{
-  return !pl_member_is_near (membership, member) && member->is_delegate
-         && pl_member_is_live (membership, member, now_us);
-}
-
 static void
 add_state (struct pl_beacon *beacon, const struct pl_member *member, int64_t now_us)
 {
--- a/core/router.c
+++ b/core/router.c
@@ -167,6 +167,13 @@
     }
 }
 
+bool
+router_is_delegate (struct pl_router *router)
+{
+  router_view (router);
+  return router->is_delegate;
+}
+
 /* All domains are known from the start, so that one that is not heard is missed. */
 static void
 name_domains (struct pl_router *router)
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -210,13 +210,10 @@
 /* The seeds are asked until this host has its place: a delegate in all domains, another host in its
  * own. */
 static bool
-needs_seeds (const struct pl_router *router, const uint64_t *delegates)
+needs_seeds (struct pl_router *router)
 {
-  bool is_delegate = delegates[0] == 0 || delegates[PL_DELEGATES - 1] == 0
-                     || pl_membership_is_delegate (&router->membership, router->now_us);
-
   return router->now_us - router->started_us < YOUNG_US
-         || (is_delegate && misses_a_domain (router));
+         || (router_is_delegate (router) && misses_a_domain (router));
 }
 
 static void
@@ -282,8 +279,7 @@
   struct pl_beacon beacon;
 
   pl_membership_delegates (&router->membership, round->delegates, router->now_us);
-  router_view (router);
-  round->is_delegate = router->is_delegate;
+  round->is_delegate = router_is_delegate (router);
   fill_beacon (router, &beacon);
   round->is_identity_turn = !round->only_accounts && router->beacon_turn++ % IDENTITY_EACH == 0;
   beacon.only_accounts = round->only_accounts;
@@ -321,30 +317,32 @@
     pl_membership_fill_reserves (membership, false, beacon, router->now_us);
 }
 
+/* Returns whether MEMBER, which stands at AUDIENCE, is told anything in this round. */
+static bool
+is_told (const struct pl_router *router, const struct round *round, enum audience audience,
+         const struct pl_member *member)
+{
+  /* Hosts of the domain learn at once of one that begins or ends to take callers. */
+  if (audience == AUDIENCE_NONE)
+    return round->to_all && pl_member_is_near (&router->membership, member);
+  /* One that fell silent may be back. */
+  return !member->heard || round->is_identity_turn || round->to_all
+         || pl_member_is_live (&router->membership, member, router->now_us);
+}
+
 static void
 tell_member (struct pl_router *router, const struct round *round, const struct pl_member *member)
 {
   enum audience audience = audience_of (router, member, round->delegates, round->is_delegate);
   struct pl_beacon beacon
       = round->beacons[audience == AUDIENCE_NONE ? AUDIENCE_DELEGATE : audience];
-  bool wants_accounts = audience != AUDIENCE_DOMAIN || member->active;
 
-  if (audience == AUDIENCE_NONE)
-    {
-      /* Hosts of the domain learn at once of one that begins or ends to take callers. */
-      if (!round->to_all || !pl_member_is_near (&router->membership, member))
-        return;
-      beacon.account_count = 0;
-    }
-  if (!wants_accounts)
+  if (audience == AUDIENCE_NONE || (audience == AUDIENCE_DOMAIN && !member->active))
     beacon.account_count = 0;
-  if (round->only_accounts && beacon.account_count == 0)
-    return;
-  if (!member->heard)
-    beacon.has_identity = true;
-  else if (!round->is_identity_turn && !round->to_all
-           && !pl_member_is_live (&router->membership, member, router->now_us))
+  if (!is_told (router, round, audience, member)
+      || (round->only_accounts && beacon.account_count == 0))
     return;
+  beacon.has_identity = beacon.has_identity || !member->heard;
   if (audience == AUDIENCE_DOMAIN)
     leave_out_own (router, member, &beacon);
   if (round->is_identity_turn && round->is_delegate)
@@ -362,8 +360,8 @@
   prepare_round (router, round);
   for (guint i = 0; i < router->membership.order->len; i++)
     tell_member (router, round, g_ptr_array_index (router->membership.order, i));
-  if (router->now_us >= router->seeds_due_us && needs_seeds (router, round->delegates))
-    ask_seeds (router, &round->beacons[AUDIENCE_NONE + 1]);
+  if (router->now_us >= router->seeds_due_us && needs_seeds (router))
+    ask_seeds (router, &round->beacons[AUDIENCE_DELEGATE]);
 }
 
 /* News came: those that get it from this host are told. */
@@ -413,12 +411,13 @@
 static void
 note_promotion (struct pl_router *router)
 {
-  router_view (router);
-  if (router->is_delegate == router->was_delegate)
+  bool is_delegate = router_is_delegate (router);
+
+  if (is_delegate == router->was_delegate)
     return;
-  router->was_delegate = router->is_delegate;
+  router->was_delegate = is_delegate;
   router->delegate_us = router->now_us;
-  router->tell_soon = router->tell_soon || router->is_delegate;
+  router->tell_soon = router->tell_soon || is_delegate;
 }
 
 void
@@ -475,7 +474,7 @@
   router->membership.self_active = true;
   router->tell_soon = true;
   /* Until now it was not told what others admit. */
-  if (!pl_membership_is_delegate (&router->membership, router->now_us))
+  if (!router_is_delegate (router))
     distrust_accounts (router);
 }
 
@@ -486,9 +485,9 @@
   router->due_us = MIN (router->due_us, MAX (router->accounts_due_us, router->now_us));
 }
 
-/* Tells of ACCOUNT soon when others must know more of it. */
-static void
-judge_account (struct pl_router *router, const struct router_account *account)
+/* More requests of ACCOUNT are known of: it is told of soon when others must know. */
+void
+fleet_note_admitted (struct pl_router *router, const struct router_account *account)
 {
   struct account_news news[AUDIENCES];
 
@@ -499,13 +498,6 @@
       tell_accounts_soon (router);
 }
 
-/* A request of ACCOUNT was admitted. */
-void
-fleet_note_admitted (struct pl_router *router, const struct router_account *account)
-{
-  judge_account (router, account);
-}
-
 /* A delegate passes on what is new to it. */
 static void
 on_suspects (struct pl_router *router, const struct pl_beacon *beacon)
@@ -523,7 +515,7 @@
         is_news |= quarantine_note_death (&router->quarantine, suspect->fingerprint,
                                           suspect->server, false, router->now_us);
     }
-  if (is_news && pl_membership_is_delegate (&router->membership, router->now_us))
+  if (is_news && router_is_delegate (router))
     router->tell_soon = true;
 }
 
@@ -532,8 +524,7 @@
 static bool
 follows (struct pl_router *router, enum pl_quota_scope scope)
 {
-  router_view (router);
-  return router->is_delegate != (scope == PL_QUOTA_FLEET);
+  return router_is_delegate (router) != (scope == PL_QUOTA_FLEET);
 }
 
 /* Returns the hosts that the counts of BEACON, from MEMBER, are of; 0: it may not tell of them. */
@@ -548,7 +539,9 @@
     case PL_QUOTA_HOST:
       return is_near ? member->id : 0;
     case PL_QUOTA_DOMAIN:
-      return is_near ? 0 : pl_id_of ("domains", member->contact.domain);
+      return is_near
+                 ? 0
+                 : g_array_index (router->membership.domains, struct pl_domain, member->domain).id;
     case PL_QUOTA_FLEET:
       return is_near ? pl_id_of ("fleet", "") : 0;
     case PL_QUOTA_SCOPES:
@@ -581,7 +574,7 @@
         continue;
       report.count = beacon->accounts[i].admitted;
       pl_quota_on_report (&account->quota, &report, router->now_us);
-      judge_account (router, account);
+      fleet_note_admitted (router, account);
     }
 }
 
@@ -632,10 +625,10 @@
 
 /* MEMBER takes this host for a delegate, which it is not. */
 static bool
-is_astray (const struct pl_router *router, const struct pl_member *member)
+is_astray (struct pl_router *router, const struct pl_member *member)
 {
   return pl_member_is_near (&router->membership, member) && !member->is_delegate
-         && !pl_membership_is_delegate (&router->membership, router->now_us);
+         && !router_is_delegate (router);
 }
 
 static bool
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -98,7 +98,7 @@
 struct pl_domain
 {
   char name[PL_BEACON_NAME_CHARS];
-  uint64_t id;
+  uint64_t id; /* made of its name */
   int region;
   int hosts;        /* that take callers */
   int active;       /* of these, that took requests of late */
@@ -196,10 +196,6 @@
  * and where there are fewer.  Returns how many of them are other hosts. */
 int pl_membership_delegates (const struct pl_membership *membership, uint64_t *ids, int64_t now_us);
 
-/* Returns whether MEMBER is heard and speaks for another domain. */
-bool pl_member_is_far_delegate (const struct pl_membership *membership,
-                                const struct pl_member *member, int64_t now_us);
-
 /* Adds to BEACON what this host knows of hosts of its domain and of other domains' delegates:
  * changes first, then others each time. */
 void pl_membership_fill_states (struct pl_membership *membership, struct pl_beacon *beacon,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -187,6 +187,8 @@
 void router_note (struct pl_router *router, enum pl_note_level level, const char *event,
                   json_t *fields);
 const struct pl_fleet_view *router_view (struct pl_router *router);
+/* Returns whether this host speaks for its domain, as of the view. */
+bool router_is_delegate (struct pl_router *router);
 int router_region (const struct pl_router *router, const char *domain);
 struct router_route *router_take_route (struct pl_router *router, const char *name);
 struct router_account *router_take_account (struct pl_router *router,
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -84,12 +84,14 @@
          || attempt->status == attempt->front->options.dialect->other_server_status;
 }
 
-/* Returns whether LENGTH more bytes of an answer fit into what this host may hold.  A server whose
- * answer does not end counts as failing, as one whose answer breaks off. */
+/* Returns whether LENGTH more bytes of PART of an answer, which has HELD of the MOST that it may
+ * have, fit into that and into what this host may hold.  A server whose answer does not end counts
+ * as failing, as one whose answer breaks off. */
 static bool
-make_room (struct pl_front_attempt *attempt, size_t length, const char *part)
+make_room (struct pl_front_attempt *attempt, const char *part, size_t held, size_t most,
+           size_t length)
 {
-  bool fits = pl_front_hold (attempt->front, &attempt->held, length);
+  bool fits = held + length <= most && pl_front_hold (attempt->front, &attempt->held, length);
 
   if (!fits)
     pl_log (PL_LOG_WARNING, "answer-dropped",
@@ -106,9 +108,9 @@
   g_autofree char *text = g_strchomp (g_strndup (line, length));
   char *colon;
 
-  attempt->head_length += length;
-  if (attempt->head_length > HEAD_MAX || !make_room (attempt, length, "head"))
+  if (!make_room (attempt, "head", attempt->head_length, HEAD_MAX, length))
     return false;
+  attempt->head_length += length;
   if (g_str_has_prefix (text, "HTTP/"))
     {
       const char *space = strchr (text, ' ');
@@ -133,7 +135,7 @@
 {
   struct pl_front_attempt *attempt = data;
 
-  if (attempt->answer->len + length > ANSWER_MAX || !make_room (attempt, length, "body"))
+  if (!make_room (attempt, "body", attempt->answer->len, ANSWER_MAX, length))
     return 0;
   g_byte_array_append (attempt->answer, (const guint8 *) bytes, (guint) length);
   return length;
