--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -67,6 +67,7 @@
 static int row_count;
 static int64_t version;
 static bool store_serves = true;
+static bool store_hangs;
 static struct rig_server servers[SERVERS_MAX];
 static rig_handler handlers[SERVERS_MAX];
 static int server_count;
@@ -287,6 +288,14 @@
   pthread_mutex_unlock (&lock);
 }
 
+void
+rig_store_hangs (bool hangs)
+{
+  pthread_mutex_lock (&lock);
+  store_hangs = hangs;
+  pthread_mutex_unlock (&lock);
+}
+
 static void
 write_row (const char *table, const char *key, const char *value)
 {
@@ -394,8 +403,29 @@
   return at != NULL ? strtoll (at + strlen (pattern), NULL, 10) : 0;
 }
 
-/* Answers a call to the store; changes are waited for. */
-static void
+/* While the store hangs, waits until it does not.  Returns whether it has waited. */
+static bool
+wait_while_hanging (void)
+{
+  bool has_waited = false;
+
+  for (;;)
+    {
+      bool hangs;
+
+      pthread_mutex_lock (&lock);
+      hangs = store_hangs;
+      pthread_mutex_unlock (&lock);
+      if (!hangs)
+        return has_waited;
+      has_waited = true;
+      rig_sleep_ms (20);
+    }
+}
+
+/* Answers a call to the store; changes are waited for.  Returns false when the connection has to
+ * end, since its answer is lost. */
+static bool
 answer_store_call (int fd, const char *head)
 {
   const char *table = strstr (head, "Table=servers") != NULL ? "servers" : "op";
@@ -418,7 +448,12 @@
         break;
       rig_sleep_ms (5);
     }
-  while (rig_now_ms () < until_ms);
+  while (rig_now_ms () < until_ms && !wait_while_hanging ());
+  if (wait_while_hanging () || (!is_snapshot && rig_now_ms () > until_ms + 1000))
+    {
+      free (text);
+      return false;
+    }
   if (!serves)
     snprintf (text, 3, "{}");
   snprintf (answer, sizeof answer,
@@ -428,6 +463,7 @@
   rig_send (fd, answer, strlen (answer));
   rig_send (fd, text, strlen (text));
   free (text);
+  return true;
 }
 
 static void *
@@ -436,8 +472,8 @@
   struct input *input = data;
   char *head = malloc (RIG_HEAD_MAX);
 
-  while (read_head (input, head, rig_now_ms () + 120000))
-    answer_store_call (input->fd, head);
+  while (read_head (input, head, rig_now_ms () + 120000) && answer_store_call (input->fd, head))
+    continue;
   close (input->fd);
   free (head);
   free (input);
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -94,6 +94,8 @@
 void rig_remove (const char *table, const char *key);
 /* Whether the store answers; otherwise calls to it get 503. */
 void rig_store_serves (bool serves);
+/* Whether calls to the store hang; their connections end without an answer when that is over. */
+void rig_store_hangs (bool hangs);
 
 /* Starts a server, listed in the store as ready. */
 struct rig_server *rig_start_server (const char *service, const char *domain, rig_handler handler);
