review: case 5, no host follows the configuration while the watchers are cut off

Cause: a silent cut from the store is noticed after up to 4.5 s, and no other host of a region watches before its watcher has said that it lost the store.

--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -25,6 +25,7 @@
 #define SERVERS_MAX 64
 #define HOSTS_MAX 16
 #define STORE_PORT 8205
+#define STORE_MEMBER 200 /* the store has an address for each host */
 #define SERVER_PORT 8080
 #define TEMPLATE "deploy/entry.yaml.in"
 #define PROGRAM "target/pomelolatch-entry"
@@ -67,7 +68,9 @@
 static int row_count;
 static int64_t version;
 static bool store_serves = true;
-static bool store_hangs;
+static bool store_hangs[HOSTS_MAX];
+static int polls[HOSTS_MAX]; /* calls to the store that wait for changes; atomic */
+static const char *zones = "\"north-a=north\",\"north-b=north\",\"south-a=south\"";
 static struct rig_server servers[SERVERS_MAX];
 static rig_handler handlers[SERVERS_MAX];
 static int server_count;
@@ -201,6 +204,7 @@
 struct input
 {
   int fd;
+  int host; /* of the store's connections: for which it listens */
   char buffer[RIG_HEAD_MAX];
   size_t length;
 };
@@ -289,13 +293,25 @@
 }
 
 void
-rig_store_hangs (bool hangs)
+rig_store_hangs (int host, bool hangs)
 {
   pthread_mutex_lock (&lock);
-  store_hangs = hangs;
+  store_hangs[host] = hangs;
   pthread_mutex_unlock (&lock);
 }
 
+int
+rig_store_polls (int host)
+{
+  return __atomic_load_n (&polls[host], __ATOMIC_SEQ_CST);
+}
+
+void
+rig_set_zones (const char *list)
+{
+  zones = list;
+}
+
 static void
 write_row (const char *table, const char *key, const char *value)
 {
@@ -403,9 +419,9 @@
   return at != NULL ? strtoll (at + strlen (pattern), NULL, 10) : 0;
 }
 
-/* While the store hangs, waits until it does not.  Returns whether it has waited. */
+/* While the store hangs for HOST, waits until it does not.  Returns whether it has waited. */
 static bool
-wait_while_hanging (void)
+wait_while_hanging (int host)
 {
   bool has_waited = false;
 
@@ -414,7 +430,7 @@
       bool hangs;
 
       pthread_mutex_lock (&lock);
-      hangs = store_hangs;
+      hangs = store_hangs[host];
       pthread_mutex_unlock (&lock);
       if (!hangs)
         return has_waited;
@@ -426,7 +442,7 @@
 /* Answers a call to the store; changes are waited for.  Returns false when the connection has to
  * end, since its answer is lost. */
 static bool
-answer_store_call (int fd, const char *head)
+answer_store_call (int host, int fd, const char *head)
 {
   const char *table = strstr (head, "Table=servers") != NULL ? "servers" : "op";
   bool is_snapshot = strstr (head, "/rows-get") != NULL;
@@ -448,8 +464,8 @@
         break;
       rig_sleep_ms (5);
     }
-  while (rig_now_ms () < until_ms && !wait_while_hanging ());
-  if (wait_while_hanging () || (!is_snapshot && rig_now_ms () > until_ms + 1000))
+  while (rig_now_ms () < until_ms && !wait_while_hanging (host));
+  if (wait_while_hanging (host) || (!is_snapshot && rig_now_ms () > until_ms + 1000))
     {
       free (text);
       return false;
@@ -471,9 +487,16 @@
 {
   struct input *input = data;
   char *head = malloc (RIG_HEAD_MAX);
+  bool goes_on = true;
 
-  while (read_head (input, head, rig_now_ms () + 120000) && answer_store_call (input->fd, head))
-    continue;
+  while (goes_on && read_head (input, head, rig_now_ms () + 120000))
+    {
+      bool is_poll = strstr (head, "/rows-feed") != NULL;
+
+      __atomic_add_fetch (&polls[input->host], is_poll ? 1 : 0, __ATOMIC_SEQ_CST);
+      goes_on = answer_store_call (input->host, input->fd, head);
+      __atomic_sub_fetch (&polls[input->host], is_poll ? 1 : 0, __ATOMIC_SEQ_CST);
+    }
   close (input->fd);
   free (head);
   free (input);
@@ -485,7 +508,8 @@
 {
   int fd;
   void *(*serve) (void *);
-  struct rig_server *server;
+  struct rig_server *server; /* NULL: the store */
+  int host;
 };
 
 struct server_connection
@@ -528,6 +552,7 @@
           struct input *input = calloc (1, sizeof *input);
 
           input->fd = fd;
+          input->host = listener->host;
           start_thread (listener->serve, input);
         }
       else
@@ -544,13 +569,14 @@
 }
 
 static void
-start_listener (const char *address, void *(*serve) (void *), struct rig_server *server)
+start_listener (const char *address, void *(*serve) (void *), struct rig_server *server, int host)
 {
   struct listener *listener = calloc (1, sizeof *listener);
 
   listener->fd = listen_on (address);
   listener->serve = serve;
   listener->server = server;
+  listener->host = host;
   if (listener->fd < 0)
     give_up (address);
   if (server != NULL)
@@ -699,7 +725,7 @@
   snprintf (server->id, sizeof server->id, "i-%04x", 0x7f30 + server_count);
   write_address (server->address, sizeof server->address, 50 + server_count, SERVER_PORT);
   server_count++;
-  start_listener (server->address, serve_server_connection, server);
+  start_listener (server->address, serve_server_connection, server, 0);
   rig_list_server (server, "ready");
   return server;
 }
@@ -739,7 +765,7 @@
   else if (strcmp (name, "Zone") == 0)
     snprintf (value, room, "%s", hosts[host].domain);
   else if (strcmp (name, "Platform.Address") == 0)
-    write_address (value, room, 1, STORE_PORT);
+    write_address (value, room, STORE_MEMBER + host, STORE_PORT);
   else if (strcmp (name, "Ip") == 0)
     snprintf (value, room, "127.%d.%d.%d", block[0], block[1], 10 + host);
   else if (strcmp (name, "InternalPorts.0") == 0)
@@ -756,7 +782,7 @@
 
   if (strncmp (line, "domains:", 8) == 0)
     {
-      fputs ("domains: [\"north-a=north\",\"north-b=north\",\"south-a=south\"]\n", out);
+      fprintf (out, "domains: [%s]\n", zones);
       return;
     }
   if (strncmp (line, "seeds:", 6) == 0)
@@ -935,7 +961,7 @@
 
       block[0] = 60 + seed % 100;
       block[1] = 1 + seed / 100 % 250;
-      write_address (address, sizeof address, 1, STORE_PORT);
+      write_address (address, sizeof address, STORE_MEMBER, STORE_PORT);
       fd = listen_on (address);
       if (fd < 0)
         continue;
@@ -962,8 +988,11 @@
       fprintf (stderr, "the case could not run: %s\n", strerror (errno));
       exit (RIG_NOT_RUN);
     }
-  write_address (address, sizeof address, 1, STORE_PORT);
-  start_listener (address, serve_store_connection, NULL);
+  for (int i = 0; i < HOSTS_MAX; i++)
+    {
+      write_address (address, sizeof address, STORE_MEMBER + i, STORE_PORT);
+      start_listener (address, serve_store_connection, NULL, i);
+    }
 }
 
 /* --- callers --- */
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -94,8 +94,15 @@
 void rig_remove (const char *table, const char *key);
 /* Whether the store answers; otherwise calls to it get 503. */
 void rig_store_serves (bool serves);
-/* Whether calls to the store hang; their connections end without an answer when that is over. */
-void rig_store_hangs (bool hangs);
+/* Whether HOST's calls to the store hang; their connections end without an answer when that is
+ * over.
+ */
+void rig_store_hangs (int host, bool hangs);
+/* Returns how many calls of HOST wait at the store for changes. */
+int rig_store_polls (int host);
+/* Sets the zones and their regions, as entries of the settings' list of domains, for hosts that are
+ * started from now on. */
+void rig_set_zones (const char *list);
 
 /* Starts a server, listed in the store as ready. */
 struct rig_server *rig_start_server (const char *service, const char *domain, rig_handler handler);
