--- a/review/1/case.c
+++ b/review/1/case.c
@@ -13,7 +13,7 @@
 #define FAULTY_SERVERS 3 /* share 0.5 */
 #define FAULTY_PERMILLE 15
 #define CALLERS 48
-#define SECONDS 40
+#define SECONDS 70
 #define WAVE_MS 100
 #define SLOTS 2
 #define QUEUE 3
