Front: a head within the configured limit is read, whatever its fields

Cause: libmicrohttpd parses a head in a pool of fixed size a connection and takes 64 bytes for each field. 32 KB were enough for about 230. The limit of the configuration was decoded and not used.

Ruled out: a larger pool. Any head of 16 KB takes 2 MB, and libmicrohttpd clears the whole pool between two requests, so that 800 kept connections would have 1.6 GB resident.

Change: the front waits for each head and measures it in the socket. Connections keep their 32 KB; a head that needs more is read by a second daemon, whose pool is resident only as far as it is used, counts against the memory for bodies and answers, and ends its connection with the answer. The configuration's limit decides on 431.

--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -46,13 +46,26 @@
 #define PL_FRONT_HANDOVER_HEADER "Pomelolatch-Handover"
 #define PL_FRONT_REFUSAL_HEADER "Pomelolatch-Refusal"
 
+/* The longest head of a request that a configuration may allow, in bytes, and what callers may send
+ * where it sets no limit. */
+#define PL_FRONT_HEAD_BYTES_MAX ((size_t) 64 << 10)
+#define PL_FRONT_HEAD_BYTES_DEFAULT ((size_t) 16 << 10)
+
+/* A connection of a caller or a peer; see front_connections.c. */
+struct pl_front_connection;
+
 /* A port on which the front listens. */
 struct pl_front_port
 {
   struct pl_front *front;
-  struct MHD_Daemon *daemon; /* NULL: not open */
-  int listener;              /* -1: closed */
-  bool accepts_later;        /* there was no descriptor for a connection */
+  struct MHD_Daemon *daemon;      /* NULL: not open */
+  struct MHD_Daemon *wide_daemon; /* for heads that take much memory; NULL: there was none yet */
+  unsigned wide_count;            /* connections that it has */
+  GHashTable *connections;        /* set of struct pl_front_connection */
+  GHashTable *joining;            /* descriptor -> the one that is being given to a daemon */
+  GPtrArray *between_requests;    /* those that have ended a request since the daemon last ran */
+  int listener;                   /* -1: closed */
+  bool accepts_later;             /* there was no descriptor for a connection */
   bool takes_handovers;
   bool needs_run; /* connections were resumed, or have more to read, since the daemon last ran */
 };
@@ -65,6 +78,7 @@
   struct pl_front_port *port;
   uint64_t id;
   struct MHD_Connection *connection;
+  struct pl_front_connection *link; /* the same connection, as the front knows it */
   bool suspended;
   bool submitted;
   bool answer_ready; /* an answer, made here or by a server, is ready to be sent */
@@ -115,8 +129,55 @@
   int spare_fd;            /* closed to accept a connection when no descriptor is left */
   int caller_check_timer;
   bool caller_check_armed;
+  int connections_timer;
+  int64_t connections_due_us; /* when that timer expires; 0: it is not armed */
+  char *peeked;               /* the bytes of a head that has not been read */
+};
+
+/* How much a request's head takes; see front_heads.c. */
+struct pl_head_size
+{
+  size_t bytes;
+  size_t fields;       /* headers, query parameters and cookies */
+  size_t copied_bytes; /* of cookies */
+  bool has_request_line;
 };
 
+/* front_heads.c: measures the head at the start of TEXT.  Returns whether it is whole; if not, SIZE
+ * covers what there is. */
+bool pl_front_measure_head (const char *text, size_t length, struct pl_head_size *size);
+
+/* front_connections.c: opens the daemons of PORT.  Returns a negative error number on failure. */
+int pl_front_open_daemons (struct pl_front_port *port);
+void pl_front_start_checks (struct pl_front *front);
+/* Takes the accepted connection FD, or closes it if there are too many. */
+void pl_front_add_connection (struct pl_front_port *port, int fd);
+unsigned pl_front_connections_open (const struct pl_front_port *port);
+/* Has the daemons read and write what they can. */
+void pl_front_run_daemons (struct pl_front_port *port);
+/* Returns whether that is to be repeated at once. */
+bool pl_front_has_more_to_read (const struct pl_front_port *port);
+/* A callback of libmicrohttpd: a connection has been added, or has ended. */
+void pl_front_on_connection (void *data, struct MHD_Connection *handle, void **context,
+                             enum MHD_ConnectionNotificationCode code);
+struct pl_front_connection *pl_front_connection_of (struct MHD_Connection *handle);
+void pl_front_on_request_begun (struct pl_front_connection *connection);
+void pl_front_on_request_ended (struct pl_front_connection *connection);
+/* Returns whether CONNECTION ends with its answer. */
+bool pl_front_connection_is_wide (const struct pl_front_connection *connection);
+/* Returns whether nothing more is to be read from CONNECTION. */
+bool pl_front_connection_is_spent (const struct pl_front_connection *connection);
+/* Returns how much of its connection's memory REQUEST takes at most. */
+size_t pl_front_measure_taken (const struct pl_front_request *request);
+/* Returns whether libmicrohttpd certainly has the memory to build the head of the answer. */
+bool pl_front_answer_head_fits (const struct pl_front_request *request);
+/* Returns whether the head of REQUEST exceeds the limit of the configuration. */
+bool pl_front_head_is_too_long (const struct pl_front_request *request);
+
+/* front.c: starts a daemon for connections of PORT with MEMORY bytes each.  Returns NULL on
+ * failure. */
+struct MHD_Daemon *pl_front_start_daemon (struct pl_front_port *port, size_t memory);
+
 /* front_attempts.c */
 void pl_front_start_attempt (struct pl_front *front, struct pl_front_request *request,
                              const struct pl_router_effect *effect);
--- a/modules/front.c
+++ b/modules/front.c
@@ -22,28 +22,13 @@
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
-/* Of a connection, in bytes.  It takes a head of 16 KB, which is what callers may send, and a copy
- * of 10 KB of cookies or 200 fields; what exceeds it libmicrohttpd refuses with 431.  All of it is
- * in use on kept connections.  Above 32 KB libmicrohttpd maps the memory for each connection. */
-#define CONNECTION_MEMORY ((size_t) 32 << 10)
-/* libmicrohttpd reads into half of that, and grows this buffer by parts of what is left while it
- * reads a head. */
-#define READ_BUFFER_BYTES (CONNECTION_MEMORY / 2)
-#define READ_BUFFER_GROWTH_BYTES (CONNECTION_MEMORY / 8)
-/* libmicrohttpd's record of a header, parameter or cookie. */
-#define FIELD_BYTES ((size_t) 64)
-/* Status line, Date, Connection and Content-Length of an answer. */
-#define ANSWER_HEAD_MARGIN_BYTES ((size_t) 1024)
-#define CONNECTION_LIMIT 3000u
-/* Of peers that hand requests over; with those of callers and to servers within a host's file
- * descriptors. */
-#define HANDOVER_CONNECTION_LIMIT 500u
 /* Above this number of open connections each answer closes its connection.  Otherwise a flood of
  * callers that open a connection for each attempt would use up the file descriptors. */
 #define KEEPALIVE_CONNECTIONS_MAX 800u
-/* Longer than callers keep an idle connection, so that the front never closes one on which a
- * request is arriving. */
+/* A connection on which nothing arrives, or of which the caller reads nothing, for this long. */
 #define CONNECTION_TIMEOUT_S 60u
+/* Above what the front admits, connections that share a socket counted twice. */
+#define DAEMON_CONNECTION_LIMIT 8192u
 #define BODY_MAX_DEFAULT ((int64_t) 64 << 20)
 /* Bytes of bodies and answers buffered at once, where the options set no limit. */
 #define MEMORY_LIMIT_DEFAULT ((size_t) 64 << 20)
@@ -213,6 +198,9 @@
   request->port = port;
   request->id = ++front->next_id;
   request->connection = connection;
+  request->link = pl_front_connection_of (connection);
+  pl_front_on_request_begun (request->link);
+  request->closes = pl_front_connection_is_spent (request->link);
   request->target = g_strdup (target);
   request->correlation_id = g_strdup ("");
   request->headers = g_ptr_array_new_with_free_func (g_free);
@@ -224,51 +212,6 @@
   return request;
 }
 
-static unsigned
-connections_open (const struct pl_front_port *port)
-{
-  return MHD_get_daemon_info (port->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS)->num_connections;
-}
-
-static enum MHD_Result
-add_field_bytes (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
-{
-  size_t *bytes = data;
-
-  *bytes += FIELD_BYTES;
-  if (kind == MHD_HEADER_KIND && value != NULL && g_ascii_strcasecmp (name, "Cookie") == 0)
-    *bytes += strlen (value) + FIELD_BYTES; /* a copy */
-  return MHD_YES;
-}
-
-/* Returns how much of the connection's memory REQUEST takes at most, with the bytes that its caller
- * may send behind it. */
-static size_t
-measure_taken_bytes (const struct pl_front_request *request)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
-  size_t fields = 0;
-
-  if (info == NULL)
-    return CONNECTION_MEMORY;
-  MHD_get_connection_values (request->connection,
-                             MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
-                             add_field_bytes, &fields);
-  return MAX (READ_BUFFER_BYTES, info->header_size + READ_BUFFER_GROWTH_BYTES) + fields;
-}
-
-/* Returns whether libmicrohttpd certainly has the memory to build the head of the answer. */
-static bool
-answer_head_fits (const struct pl_front_request *request)
-{
-  size_t bytes = request->taken_bytes + ANSWER_HEAD_MARGIN_BYTES;
-
-  for (guint i = 0; i < request->answer_headers->len; i++)
-    bytes += strlen (g_ptr_array_index (request->answer_headers, i)) + 2;
-  return bytes <= CONNECTION_MEMORY;
-}
-
 static enum MHD_Result
 queue_response (struct pl_front_request *request)
 {
@@ -284,8 +227,8 @@
       *colon = '\0';
       MHD_add_response_header (response, line, g_strchug (colon + 1));
     }
-  if (request->front->keepalive_disabled
-      || connections_open (request->port) > KEEPALIVE_CONNECTIONS_MAX)
+  if (request->front->keepalive_disabled || pl_front_connection_is_wide (request->link)
+      || pl_front_connections_open (request->port) > KEEPALIVE_CONNECTIONS_MAX)
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (request->connection, (unsigned) request->status, response);
   MHD_destroy_response (response);
@@ -305,7 +248,7 @@
 static enum MHD_Result
 queue_answer (struct pl_front_request *request)
 {
-  if (answer_head_fits (request))
+  if (pl_front_answer_head_fits (request))
     return queue_response (request);
   pl_front_send_directly (request);
   arm_caller_check (request->front);
@@ -412,8 +355,14 @@
 {
   request->begun_us = pl_clock_now_us ();
   request->method = g_strdup (method);
-  request->taken_bytes = measure_taken_bytes (request);
+  request->taken_bytes = pl_front_measure_taken (request);
   MHD_get_connection_values (request->connection, MHD_HEADER_KIND, parse_header, request);
+  if (pl_front_head_is_too_long (request))
+    {
+      set_refusal (request, 431, "head-too-large", 0, 0);
+      request->answer_ready = true;
+      return queue_answer (request);
+    }
   if (request->body_length > body_limit (request->front))
     {
       set_refusal (request, 413, "body-too-large", 0, 0);
@@ -518,6 +467,7 @@
   if (request->submitted && !request->answer_ready)
     report_caller_gone (request);
   pl_front_cancel_attempt (request);
+  pl_front_on_request_ended (request->link);
   g_hash_table_remove (request->front->requests, &request->id);
   free_request (request);
   *context = NULL;
@@ -560,13 +510,12 @@
 run_port (void *data, int fd, uint32_t ready)
 {
   struct pl_front_port *port = data;
-  MHD_UNSIGNED_LONG_LONG wait_ms;
 
   (void) fd;
   (void) ready;
   port->needs_run = false;
-  MHD_run (port->daemon);
-  if (MHD_get_timeout (port->daemon, &wait_ms) != MHD_YES || wait_ms > 0)
+  pl_front_run_daemons (port);
+  if (!pl_front_has_more_to_read (port))
     return;
   port->needs_run = true;
   pl_reactor_skip_wait (port->front->options.reactor);
@@ -610,8 +559,8 @@
   return fd >= 0;
 }
 
-/* Accepts what the kernel has completed.  libmicrohttpd would leave connections beyond its limit in
- * the queue, where they are neither read nor refused; given to it, it closes them. */
+/* Accepts what the kernel has completed.  Connections beyond the limit are closed, as in the queue
+ * they would be neither read nor refused. */
 static void
 accept_connections (void *data, int listener, uint32_t ready)
 {
@@ -620,13 +569,10 @@
   (void) ready;
   for (;;)
     {
-      struct sockaddr_in address;
-      socklen_t length = sizeof address;
-      int fd
-          = accept4 (listener, (struct sockaddr *) &address, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
+      int fd = accept4 (listener, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
       if (fd >= 0)
-        MHD_add_connection (port->daemon, fd, (struct sockaddr *) &address, length);
+        pl_front_add_connection (port, fd);
       else if (errno == EMFILE || errno == ENFILE)
         {
           if (drop_connection (port))
@@ -640,8 +586,6 @@
       else if (errno != EINTR && errno != ECONNABORTED)
         break;
     }
-  port->needs_run = true;
-  pl_reactor_skip_wait (port->front->options.reactor);
 }
 
 /* Watches the listening socket again after a lack of descriptors. */
@@ -656,30 +600,39 @@
                       port);
 }
 
+struct MHD_Daemon *
+pl_front_start_daemon (struct pl_front_port *port, size_t memory)
+{
+  struct MHD_Daemon *daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+      on_request, port->front, MHD_OPTION_URI_LOG_CALLBACK, on_request_target, port,
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, port->front, MHD_OPTION_NOTIFY_CONNECTION,
+      pl_front_on_connection, port, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
+      MHD_OPTION_CONNECTION_LIMIT, DAEMON_CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
+      CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+  const union MHD_DaemonInfo *info;
+
+  if (daemon == NULL)
+    return NULL;
+  info = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  pl_reactor_watch (port->front->options.reactor, info->epoll_fd, EPOLLIN, run_port, port);
+  return daemon;
+}
+
 /* Opens PORT at ADDRESS.  Returns false if that fails. */
 static bool
 open_port (struct pl_front *front, struct pl_front_port *port, const char *address)
 {
   struct sockaddr_in parsed;
-  const union MHD_DaemonInfo *info;
 
   port->front = front;
   if (pl_net_parse (address, &parsed) < 0 || (port->listener = pl_net_listen (&parsed)) < 0)
     return false;
-  port->daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
-      on_request, front, MHD_OPTION_URI_LOG_CALLBACK, on_request_target, port,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, front, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-      CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
-      port->takes_handovers ? HANDOVER_CONNECTION_LIMIT : CONNECTION_LIMIT,
-      MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S, MHD_OPTION_END);
-  if (port->daemon == NULL)
+  if (pl_front_open_daemons (port) < 0)
     {
       close (port->listener);
       return false;
     }
-  info = MHD_get_daemon_info (port->daemon, MHD_DAEMON_INFO_EPOLL_FD);
-  pl_reactor_watch (front->options.reactor, info->epoll_fd, EPOLLIN, run_port, port);
   fcntl (port->listener, F_SETFL, fcntl (port->listener, F_GETFL) | O_NONBLOCK);
   pl_reactor_watch (front->options.reactor, port->listener, EPOLLIN, accept_connections, port);
   return true;
@@ -725,6 +678,7 @@
       return NULL;
     }
   pl_reactor_add_wait_hook (options->reactor, run_ports, front);
+  pl_front_start_checks (front);
   front->caller_check_timer = pl_reactor_add_timer (options->reactor, check_callers, front);
   return front;
 }
@@ -771,6 +725,10 @@
       break;
     case PL_ROUTER_SET_LIMITS:
       front->limits = effect->u.limits;
+      if (front->limits.header_bytes_max > (int64_t) PL_FRONT_HEAD_BYTES_MAX)
+        pl_log (PL_LOG_WARNING, "head-limit-capped",
+                json_pack ("{s:I,s:I}", "configured", (json_int_t) front->limits.header_bytes_max,
+                           "bytes", (json_int_t) PL_FRONT_HEAD_BYTES_MAX));
       break;
     case PL_ROUTER_DISABLE_KEEPALIVE:
       front->keepalive_disabled = true;
--- /dev/null
+++ b/modules/front_connections.c
@@ -0,0 +1,563 @@
+/* Which of two libmicrohttpd daemons reads a request.
+ *
+ * libmicrohttpd parses a request in a memory pool of fixed size that belongs to its connection, and
+ * refuses with 431 what does not fit.  A pool for any head within the limit has megabytes, since a
+ * field of one byte takes a record of 64.  It takes no real memory before it is used, but
+ * libmicrohttpd clears all of it between two requests, so kept connections can not have one.
+ *
+ * So the front waits for each head itself and measures it with MSG_PEEK.  Connections have a
+ * small pool, in the narrow daemon; a head that does not fit there is read by the wide daemon,
+ * whose connections end with their answer.  Until its first head is there, a connection belongs to
+ * no daemon.  Between two requests it stays with the narrow daemon, suspended.  If the next head is
+ * wide, the wide daemon gets a second descriptor of the socket, and the narrow one closes its own
+ * when the answer is sent.
+ */
+#include "internal/clock.h"
+#include "internal/front.h"
+#include "internal/log.h"
+#include "internal/reactor.h"
+#include "pomelolatch/error.h"
+
+#include <assert.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <string.h>
+#include <netinet/in.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* Of a connection, in bytes: a head of 16 KB, and what most heads take beside it.  Above 32 KB
+ * libmicrohttpd maps the memory for each connection. */
+#define NARROW_MEMORY ((size_t) 32 << 10)
+/* Half of it is for reading, the other half for a record for each byte of the longest head. */
+#define WIDE_MEMORY (2 * (HEAD_BYTES_MAX * (FIELD_BYTES + 1)))
+/* libmicrohttpd reads into half of a connection's memory, and grows this buffer by parts of what is
+ * left while it reads a head. */
+#define READ_BUFFER_PART 2
+#define READ_BUFFER_GROWTH_PART 8
+/* libmicrohttpd's record of a header, parameter or cookie. */
+#define FIELD_BYTES ((size_t) 64)
+/* Status line, Date, Connection and Content-Length of an answer. */
+#define ANSWER_HEAD_MARGIN_BYTES ((size_t) 1024)
+#define CONNECTION_LIMIT 3000u
+/* Of peers that hand requests over; with those of callers and to servers within a host's file
+ * descriptors. */
+#define HANDOVER_CONNECTION_LIMIT 500u
+/* Longer than callers keep an idle connection, so that the front never closes one on which a
+ * request is arriving. */
+#define IDLE_TIMEOUT_US INT64_C (60000000)
+/* A peer that hands a request over adds fields to its head. */
+#define HANDOVER_HEAD_MARGIN_BYTES ((size_t) 4096)
+#define HEAD_BYTES_MAX (PL_FRONT_HEAD_BYTES_MAX + HANDOVER_HEAD_MARGIN_BYTES)
+#define CHECK_PERIOD_US INT64_C (1000000)
+/* By then the wide heads of other requests may have been answered. */
+#define MEMORY_RETRY_US INT64_C (50000)
+/* A head that waits for memory for longer than this is refused. */
+#define MEMORY_WAIT_US INT64_C (300000)
+#define DISCARD_BYTES 16384
+
+struct pl_front_connection
+{
+  struct pl_front_port *port;
+  int fd;
+  struct MHD_Connection *handle; /* NULL: no daemon has it yet */
+  /* The kept connection of which a wide one has taken the socket; NULL: none. */
+  struct pl_front_connection *origin;
+  bool is_wide;
+  bool awaits_head;
+  bool is_spent; /* nothing more is read from it */
+  /* Since when its head waits for the memory to have it read; 0: it does not. */
+  int64_t lacks_memory_since_us;
+  int64_t awaits_since_us;
+  size_t reserved_bytes; /* of the front's memory limit */
+};
+
+static size_t
+memory_of (const struct pl_front_connection *connection)
+{
+  return connection->is_wide ? WIDE_MEMORY : NARROW_MEMORY;
+}
+
+/* Returns how much of a pool of MEMORY bytes a head takes at most, with the bytes that its caller
+ * may send behind it. */
+static size_t
+taken_bytes (size_t memory, size_t head_bytes, size_t field_bytes)
+{
+  return MAX (memory / READ_BUFFER_PART, head_bytes + memory / READ_BUFFER_GROWTH_PART)
+         + field_bytes;
+}
+
+static size_t
+field_bytes (const struct pl_head_size *size)
+{
+  return size->fields * FIELD_BYTES + size->copied_bytes;
+}
+
+static bool
+is_narrow (const struct pl_head_size *size)
+{
+  return taken_bytes (NARROW_MEMORY, size->bytes, field_bytes (size)) + ANSWER_HEAD_MARGIN_BYTES
+         <= NARROW_MEMORY;
+}
+
+static size_t
+head_limit (const struct pl_front_port *port)
+{
+  int64_t configured = port->front->limits.header_bytes_max;
+  size_t limit = configured > 0 ? (size_t) MIN (configured, (int64_t) PL_FRONT_HEAD_BYTES_MAX)
+                                : PL_FRONT_HEAD_BYTES_DEFAULT;
+
+  return port->takes_handovers ? limit + HANDOVER_HEAD_MARGIN_BYTES : limit;
+}
+
+bool
+pl_front_head_is_too_long (const struct pl_front_request *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+  return info != NULL && info->header_size > head_limit (request->port);
+}
+
+static int64_t
+idle_timeout_us (const struct pl_front *front)
+{
+  return MAX (front->limits.idle_us, IDLE_TIMEOUT_US);
+}
+
+static enum MHD_Result
+add_field_bytes (void *data, enum MHD_ValueKind kind, const char *name, const char *value)
+{
+  size_t *bytes = data;
+
+  *bytes += FIELD_BYTES;
+  if (kind == MHD_HEADER_KIND && value != NULL && g_ascii_strcasecmp (name, "Cookie") == 0)
+    *bytes += strlen (value) + FIELD_BYTES; /* a copy */
+  return MHD_YES;
+}
+
+size_t
+pl_front_measure_taken (const struct pl_front_request *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  size_t memory = memory_of (request->link);
+  size_t fields = 0;
+
+  if (info == NULL)
+    return memory;
+  MHD_get_connection_values (request->connection,
+                             MHD_HEADER_KIND | MHD_COOKIE_KIND | MHD_GET_ARGUMENT_KIND,
+                             add_field_bytes, &fields);
+  return taken_bytes (memory, info->header_size, fields);
+}
+
+bool
+pl_front_answer_head_fits (const struct pl_front_request *request)
+{
+  size_t bytes = request->taken_bytes + ANSWER_HEAD_MARGIN_BYTES;
+
+  for (guint i = 0; i < request->answer_headers->len; i++)
+    bytes += strlen (g_ptr_array_index (request->answer_headers, i)) + 2;
+  return bytes <= memory_of (request->link);
+}
+
+bool
+pl_front_connection_is_wide (const struct pl_front_connection *connection)
+{
+  return connection->is_wide;
+}
+
+bool
+pl_front_connection_is_spent (const struct pl_front_connection *connection)
+{
+  return connection->is_spent;
+}
+
+unsigned
+pl_front_connections_open (const struct pl_front_port *port)
+{
+  return g_hash_table_size (port->connections);
+}
+
+static void
+free_connection (struct pl_front_connection *connection)
+{
+  pl_front_release_memory (connection->port->front, &connection->reserved_bytes);
+  g_hash_table_remove (connection->port->connections, connection);
+  g_free (connection);
+}
+
+/* Has the daemon read what has arrived on CONNECTION, which it has suspended. */
+static void
+resume (struct pl_front_connection *connection)
+{
+  connection->port->needs_run = true;
+  MHD_resume_connection (connection->handle);
+  pl_reactor_skip_wait (connection->port->front->options.reactor);
+}
+
+static void
+stop_awaiting (struct pl_front_connection *connection)
+{
+  connection->awaits_head = false;
+  connection->lacks_memory_since_us = 0;
+  pl_reactor_watch (connection->port->front->options.reactor, connection->fd, 0, NULL, NULL);
+}
+
+/* Forgets CONNECTION, whose descriptor is closed. */
+static void
+end_connection (struct pl_front_connection *connection)
+{
+  struct pl_front_connection *origin = connection->origin;
+
+  connection->port->wide_count -= connection->is_wide;
+  if (origin != NULL)
+    {
+      origin->is_spent = true;
+      shutdown (origin->fd, SHUT_RDWR);
+      resume (origin);
+    }
+  free_connection (connection);
+}
+
+/* Gives CONNECTION to DAEMON. */
+static void
+add_to_daemon (struct pl_front_connection *connection, struct MHD_Daemon *daemon)
+{
+  struct pl_front_port *port = connection->port;
+  /* No use is made of the address. */
+  struct sockaddr_in address = {.sin_family = AF_INET};
+
+  g_hash_table_insert (port->joining, GINT_TO_POINTER (connection->fd), connection);
+  /* The daemon closes the descriptor if it fails. */
+  if (MHD_add_connection (daemon, connection->fd, (struct sockaddr *) &address, sizeof address)
+      != MHD_YES)
+    {
+      pl_log (PL_LOG_WARNING, "connection-dropped",
+              json_pack ("{s:b,s:i}", "wide", connection->is_wide, "error", errno));
+      g_hash_table_remove (port->joining, GINT_TO_POINTER (connection->fd));
+      end_connection (connection);
+      return;
+    }
+  port->needs_run = true;
+  pl_reactor_skip_wait (port->front->options.reactor);
+}
+
+static void
+read_by_narrow (struct pl_front_connection *connection)
+{
+  stop_awaiting (connection);
+  if (connection->handle != NULL)
+    resume (connection);
+  else
+    add_to_daemon (connection, connection->port->daemon);
+}
+
+/* Returns a connection of the wide daemon for the socket of CONNECTION, which is itself if no
+ * daemon has it yet; NULL without a descriptor. */
+static struct pl_front_connection *
+widen (struct pl_front_connection *connection)
+{
+  struct pl_front_connection *wide = connection;
+
+  if (connection->handle != NULL)
+    {
+      int fd = fcntl (connection->fd, F_DUPFD_CLOEXEC, 0);
+
+      if (fd < 0)
+        return NULL;
+      wide = g_new0 (struct pl_front_connection, 1);
+      wide->port = connection->port;
+      wide->fd = fd;
+      wide->origin = connection;
+      g_hash_table_add (wide->port->connections, wide);
+    }
+  wide->is_wide = true;
+  return wide;
+}
+
+/* Returns false if there is no wide daemon and it can not be started. */
+static bool
+start_wide_daemon (struct pl_front_port *port)
+{
+  if (port->wide_daemon == NULL)
+    port->wide_daemon = pl_front_start_daemon (port, WIDE_MEMORY);
+  return port->wide_daemon != NULL;
+}
+
+static void
+arm_check (struct pl_front *front, int64_t due_us)
+{
+  if (front->connections_due_us != 0 && front->connections_due_us <= due_us)
+    return;
+  front->connections_due_us = due_us;
+  pl_reactor_arm_timer (front->options.reactor, front->connections_timer, due_us);
+}
+
+/* Nothing more is to be read from CONNECTION, which awaits a head. */
+static void
+end_awaiting (struct pl_front_connection *connection)
+{
+  if (connection->handle != NULL)
+    {
+      connection->is_spent = true;
+      shutdown (connection->fd, SHUT_RDWR);
+      read_by_narrow (connection); /* finds the end, and closes */
+      return;
+    }
+  stop_awaiting (connection);
+  close (connection->fd);
+  free_connection (connection);
+}
+
+/* Refuses a request that has not been read. */
+static void
+refuse_unread (struct pl_front_connection *connection)
+{
+  static const char answer[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\n"
+                               "Connection: close\r\nContent-Length: 0\r\n\r\n";
+  char bytes[DISCARD_BYTES];
+
+  pl_log (PL_LOG_WARNING, "head-dropped",
+          json_pack ("{s:I}", "held_bytes", (json_int_t) connection->port->front->buffered_bytes));
+  /* Closing the connection while there are unread bytes would reset it. */
+  while (recv (connection->fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+    continue;
+  if (send (connection->fd, answer, strlen (answer), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
+    pl_log (PL_LOG_INFO, "caller-unreachable", json_pack ("{s:i}", "error", errno));
+  end_awaiting (connection);
+}
+
+static void
+await_memory (struct pl_front_connection *connection)
+{
+  int64_t now_us = pl_clock_now_us ();
+
+  if (connection->lacks_memory_since_us == 0)
+    connection->lacks_memory_since_us = now_us;
+  if (now_us - connection->lacks_memory_since_us > MEMORY_WAIT_US)
+    refuse_unread (connection);
+  else
+    arm_check (connection->port->front, now_us + MEMORY_RETRY_US);
+}
+
+/* Has the wide daemon read a head of SIZE.  Without memory or a descriptor for it the connection
+ * goes on waiting. */
+static void
+read_by_wide (struct pl_front_connection *connection, const struct pl_head_size *size)
+{
+  struct pl_front_port *port = connection->port;
+  size_t reserved = 0;
+  struct pl_front_connection *wide = NULL;
+
+  if (start_wide_daemon (port)
+      && pl_front_reserve_memory (port->front, &reserved, size->bytes + field_bytes (size)))
+    wide = widen (connection);
+  if (wide == NULL)
+    {
+      pl_front_release_memory (port->front, &reserved);
+      await_memory (connection);
+      return;
+    }
+  wide->reserved_bytes = reserved;
+  port->wide_count++;
+  stop_awaiting (connection);
+  add_to_daemon (wide, port->wide_daemon);
+}
+
+/* READY: events of the socket. */
+static void
+look_at_head (struct pl_front_connection *connection, uint32_t ready)
+{
+  struct pl_front *front = connection->port->front;
+  /* One byte more than the limit tells a head that exceeds it. */
+  size_t limit = head_limit (connection->port) + 1;
+  ssize_t received = recv (connection->fd, front->peeked, limit, MSG_PEEK | MSG_DONTWAIT);
+  struct pl_head_size size;
+  bool is_whole;
+
+  if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
+    return;
+  is_whole = received > 0 && pl_front_measure_head (front->peeked, (size_t) received, &size);
+  if (is_whole && size.has_request_line && !is_narrow (&size))
+    read_by_wide (connection, &size);
+  /* What is no request, or too long, libmicrohttpd refuses. */
+  else if (is_whole || received == (ssize_t) limit)
+    read_by_narrow (connection);
+  else if (received <= 0 || (ready & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+    end_awaiting (connection);
+}
+
+static void
+on_readable (void *data, int fd, uint32_t ready)
+{
+  (void) fd;
+  look_at_head (data, ready);
+}
+
+static void
+await_head (struct pl_front_connection *connection)
+{
+  struct pl_front *front = connection->port->front;
+
+  connection->awaits_head = true;
+  connection->awaits_since_us = pl_clock_now_us ();
+  /* Edge-triggered, as the bytes of an incomplete head stay in the socket. */
+  pl_reactor_watch (front->options.reactor, connection->fd, EPOLLIN | EPOLLRDHUP | EPOLLET,
+                    on_readable, connection);
+  arm_check (front, connection->awaits_since_us + CHECK_PERIOD_US);
+}
+
+void
+pl_front_add_connection (struct pl_front_port *port, int fd)
+{
+  struct pl_front_connection *connection;
+
+  if (pl_front_connections_open (port)
+      >= (port->takes_handovers ? HANDOVER_CONNECTION_LIMIT : CONNECTION_LIMIT))
+    {
+      close (fd);
+      return;
+    }
+  connection = g_new0 (struct pl_front_connection, 1);
+  connection->port = port;
+  connection->fd = fd;
+  g_hash_table_add (port->connections, connection);
+  await_head (connection);
+}
+
+void
+pl_front_on_connection (void *data, struct MHD_Connection *handle, void **context,
+                        enum MHD_ConnectionNotificationCode code)
+{
+  struct pl_front_port *port = data;
+  struct pl_front_connection *connection = *context;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      int fd = MHD_get_connection_info (handle, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+
+      connection = g_hash_table_lookup (port->joining, GINT_TO_POINTER (fd));
+      assert (connection != NULL);
+      g_hash_table_remove (port->joining, GINT_TO_POINTER (fd));
+      connection->handle = handle;
+      *context = connection;
+      return;
+    }
+  if (connection == NULL)
+    return;
+  assert (!connection->awaits_head);
+  g_ptr_array_remove (port->between_requests, connection);
+  end_connection (connection);
+}
+
+struct pl_front_connection *
+pl_front_connection_of (struct MHD_Connection *handle)
+{
+  return MHD_get_connection_info (handle, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
+void
+pl_front_on_request_begun (struct pl_front_connection *connection)
+{
+  g_ptr_array_remove (connection->port->between_requests, connection);
+}
+
+void
+pl_front_on_request_ended (struct pl_front_connection *connection)
+{
+  if (!connection->is_wide && !connection->is_spent)
+    g_ptr_array_add (connection->port->between_requests, connection);
+}
+
+void
+pl_front_run_daemons (struct pl_front_port *port)
+{
+  MHD_run (port->daemon);
+  if (port->wide_count > 0)
+    MHD_run (port->wide_daemon);
+  /* Connections that have ended are gone by now, and in one run libmicrohttpd reads a connection
+   * once, so that it has read nothing on those that are left. */
+  for (guint i = 0; i < port->between_requests->len; i++)
+    {
+      struct pl_front_connection *connection = g_ptr_array_index (port->between_requests, i);
+
+      /* Its manual asks for calls from handlers only; here the daemon is at rest, on its thread. */
+      MHD_suspend_connection (connection->handle);
+      await_head (connection);
+    }
+  g_ptr_array_set_size (port->between_requests, 0);
+}
+
+static bool
+has_more (struct MHD_Daemon *daemon)
+{
+  MHD_UNSIGNED_LONG_LONG wait_ms;
+
+  return MHD_get_timeout (daemon, &wait_ms) == MHD_YES && wait_ms == 0;
+}
+
+bool
+pl_front_has_more_to_read (const struct pl_front_port *port)
+{
+  return has_more (port->daemon) || (port->wide_count > 0 && has_more (port->wide_daemon));
+}
+
+static void
+check_port (struct pl_front_port *port, int64_t now_us)
+{
+  g_autoptr (GPtrArray) waiting = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  if (port->connections == NULL)
+    return;
+  g_hash_table_iter_init (&iter, port->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (((struct pl_front_connection *) key)->awaits_head)
+      g_ptr_array_add (waiting, key);
+  for (guint i = 0; i < waiting->len; i++)
+    {
+      struct pl_front_connection *connection = g_ptr_array_index (waiting, i);
+
+      if (now_us - connection->awaits_since_us > idle_timeout_us (port->front))
+        end_awaiting (connection);
+      else if (connection->lacks_memory_since_us > 0)
+        look_at_head (connection, 0);
+    }
+  if (waiting->len > 0)
+    arm_check (port->front, now_us + CHECK_PERIOD_US);
+}
+
+static void
+check_connections (void *data)
+{
+  struct pl_front *front = data;
+  int64_t now_us = pl_clock_now_us ();
+
+  front->connections_due_us = 0;
+  check_port (&front->callers, now_us);
+  check_port (&front->handovers, now_us);
+}
+
+int
+pl_front_open_daemons (struct pl_front_port *port)
+{
+  port->daemon = pl_front_start_daemon (port, NARROW_MEMORY);
+  if (port->daemon == NULL)
+    return PL_ERR_UNAVAILABLE;
+  port->connections = g_hash_table_new (NULL, NULL);
+  port->joining = g_hash_table_new (NULL, NULL);
+  port->between_requests = g_ptr_array_new ();
+  return PL_OK;
+}
+
+void
+pl_front_start_checks (struct pl_front *front)
+{
+  front->peeked = g_malloc (HEAD_BYTES_MAX + 1);
+  front->connections_timer
+      = pl_reactor_add_timer (front->options.reactor, check_connections, front);
+}
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -40,6 +40,8 @@
   GQueue effects; /* of struct pl_router_effect */
   char caller_address[PL_ADDRESS_CHARS];
   uint16_t caller_port;
+  char handover_address[PL_ADDRESS_CHARS];
+  uint16_t handover_port;
   int finished_fd; /* of the caller's thread */
   int timer;
   bool timed_out;
@@ -186,13 +188,18 @@
   memset (fixture, 0, sizeof *fixture);
   fd = loopback_listen (&fixture->caller_port);
   close (fd);
+  fd = loopback_listen (&fixture->handover_port);
+  close (fd);
   fixture->answer = answer;
   g_queue_init (&fixture->effects);
   fixture->reactor = pl_reactor_new ();
   fixture->client = pl_http_client_new_on_reactor (fixture->reactor);
   g_snprintf (fixture->caller_address, sizeof fixture->caller_address, "127.0.0.1:%u",
               fixture->caller_port);
+  g_snprintf (fixture->handover_address, sizeof fixture->handover_address, "127.0.0.1:%u",
+              fixture->handover_port);
   options.address = fixture->caller_address;
+  options.handover_address = fixture->handover_address;
   options.reactor = fixture->reactor;
   options.client = fixture->client;
   options.post = on_event;
@@ -217,11 +224,10 @@
 }
 
 static int
-connect_caller (const struct fixture *fixture)
+connect_to (uint16_t port)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
-                                .sin_port = htons (fixture->caller_port)};
+  struct sockaddr_in address = {
+      .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK), .sin_port = htons (port)};
   struct timeval limit = {.tv_sec = TEST_LIMIT_US / SECOND / 2};
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
@@ -230,14 +236,23 @@
   return fd;
 }
 
+static int
+connect_caller (const struct fixture *fixture)
+{
+  return connect_to (fixture->caller_port);
+}
+
 /* What a caller does, in a thread of its own, and what it gets. */
 struct caller
 {
   struct fixture *fixture;
   int fd;
-  const char *text; /* requests, with their heads */
-  bool shuts_down;  /* its sending side, when the request is at its server */
-  int answers;      /* that it waits for */
+  const char *before; /* a request that is answered first; NULL: none */
+  const char *text;   /* requests, with their heads */
+  bool is_peer;       /* hands the request over */
+  bool is_slow;       /* sends in parts */
+  bool shuts_down;    /* its sending side, when the request is at its server */
+  int answers;        /* that it waits for */
   GString *received;
   int whole;  /* answers that came whole, with status 200 */
   int status; /* of the last one */
@@ -272,7 +287,22 @@
   char bytes[4096];
   ssize_t received;
 
-  send (caller->fd, caller->text, strlen (caller->text), MSG_NOSIGNAL);
+  if (caller->before != NULL)
+    {
+      send (caller->fd, caller->before, strlen (caller->before), MSG_NOSIGNAL);
+      while (take_answer (caller->received) == 0
+             && (received = read (caller->fd, bytes, sizeof bytes)) > 0)
+        g_string_append_len (caller->received, bytes, received);
+    }
+  for (const char *at = caller->text; *at != '\0';)
+    {
+      size_t length = caller->is_slow ? MIN (strlen (at), strlen (caller->text) / 5) : strlen (at);
+
+      send (caller->fd, at, length, MSG_NOSIGNAL);
+      at += length;
+      if (caller->is_slow)
+        g_usleep (G_USEC_PER_SEC / 50);
+    }
   while (caller->shuts_down && caller->fixture->runs == 0)
     g_usleep (G_USEC_PER_SEC / 100);
   if (caller->shuts_down)
@@ -299,7 +329,7 @@
   pthread_t thread;
 
   caller->fixture = fixture;
-  caller->fd = connect_caller (fixture);
+  caller->fd = connect_to (caller->is_peer ? fixture->handover_port : fixture->caller_port);
   caller->received = g_string_new (NULL);
   pl_reactor_arm_timer (fixture->reactor, fixture->timer, g_get_monotonic_time () + TEST_LIMIT_US);
   pthread_create (&thread, NULL, call, caller);
@@ -427,6 +457,237 @@
 }
 END_TEST
 
+enum field_kind
+{
+  HEADERS_OF_36,
+  HEADERS_OF_14,
+  HEADERS_OF_5,
+  EMPTY_PARAMETERS,
+  PARAMETERS,
+  COOKIES,
+  COOKIE_FIELDS,
+  FIELD_KINDS,
+};
+
+/* Returns a request with a head of LIMIT bytes at most, made of fields of one kind. */
+static char *
+build_wide_request (enum field_kind kind, size_t limit)
+{
+  static const char *const formats[FIELD_KINDS] = {"X-Attribute-%04d: abcdefghijklmnopq\r\n",
+                                                   "X-%04d: abcd\r\n",
+                                                   "a:b\r\n",
+                                                   "&",
+                                                   "&a=%d",
+                                                   "; c%04d=1",
+                                                   "Cookie: c%04d=1\r\n"};
+  bool is_target = kind == EMPTY_PARAMETERS || kind == PARAMETERS;
+  GString *fields = g_string_new (is_target ? "?" : kind == COOKIES ? "Cookie: c=1" : "");
+  size_t room = limit - 120;
+  GString *request;
+
+  for (int i = 0; fields->len < room; i++)
+    g_string_append_printf (fields, formats[kind], i);
+  request = build_head (is_target ? "POST /a" : "POST /a HTTP/1.1", 0, 0);
+  if (is_target)
+    {
+      g_string_insert (fields, (gssize) fields->len, " HTTP/1.1");
+      g_string_insert (request, (gssize) strlen ("POST /a"), fields->str);
+    }
+  g_string_append (request, "Host: h\r\nContent-Length: 0\r\n");
+  if (!is_target)
+    g_string_append (request, fields->str);
+  g_string_append (request, kind == COOKIES ? "\r\n\r\n" : "\r\n");
+  g_string_free (fields, TRUE);
+  ck_assert_uint_le (request->len, limit);
+  return g_string_free (request, FALSE);
+}
+
+enum connection_kind
+{
+  NEW_CONNECTION,
+  KEPT_CONNECTION,
+  HANDOVER_CONNECTION,
+  CONNECTION_KINDS,
+};
+
+/* Guards against refusals (431) of heads that callers may send, for the number of their fields. */
+START_TEST (a_head_within_the_limit_is_answered_whatever_its_fields)
+{
+  enum connection_kind kind = (enum connection_kind) (_i % CONNECTION_KINDS);
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *before = build_request (SHORT_HEAD);
+  g_autofree char *request
+      = build_wide_request ((enum field_kind) (_i / CONNECTION_KINDS), HEADER_BYTES_MAX);
+  struct caller caller = {.before = kind == KEPT_CONNECTION ? before : NULL,
+                          .is_peer = kind == HANDOVER_CONNECTION,
+                          .text = request,
+                          .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, 200);
+  ck_assert_int_eq (fixture.runs, kind == KEPT_CONNECTION ? 2 : 1);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
+/* The configuration's limit decides, not the memory of a connection. */
+START_TEST (a_head_is_judged_by_the_limit_of_the_configuration)
+{
+  static const struct
+  {
+    int64_t limit;
+    size_t bytes;
+    int status;
+  } cases[] = {{1024, 2000, 431}, {1024, 1000, 200}, {40000, 39000, 200}, {40000, 42000, 431}};
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *request = build_wide_request (HEADERS_OF_14, cases[_i].bytes);
+  struct pl_router_effect limits
+      = {.type = PL_ROUTER_SET_LIMITS, .u.limits.header_bytes_max = cases[_i].limit};
+  struct caller caller = {.text = request, .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  pl_front_execute (fixture.front, &limits);
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, cases[_i].status);
+  ck_assert_int_eq (fixture.runs, cases[_i].status == 200);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
+/* Sends the head of a request in parts. */
+START_TEST (a_head_that_arrives_in_parts_is_answered)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *request
+      = _i == 0 ? build_request (SHORT_HEAD) : build_wide_request (HEADERS_OF_5, HEADER_BYTES_MAX);
+  struct caller caller = {.text = request, .answers = 1, .is_slow = true};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, 200);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
+/* A request that can not be read for lack of memory does not wait for its deadline. */
+START_TEST (a_head_without_memory_is_refused)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *before = build_request (SHORT_HEAD);
+  g_autofree char *request = build_wide_request (HEADERS_OF_5, HEADER_BYTES_MAX);
+  struct caller caller = {.before = _i == 0 ? NULL : before, .text = request, .answers = 1};
+  size_t held = 0;
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  while (pl_front_reserve_memory (fixture.front, &held, 64 << 10))
+    continue;
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, 503);
+  ck_assert_int_eq (fixture.runs, _i);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
+#define MIXED_CALLERS 20
+#define MIXED_REQUESTS 100
+
+struct mixed_caller
+{
+  struct fixture *fixture;
+  const char *const *requests; /* two, with different heads */
+  int number;
+  int answered;
+  atomic_int *running;
+};
+
+/* Sends requests one after the other, on one connection while it is kept. */
+static void *
+call_mixed (void *data)
+{
+  struct mixed_caller *mixed = data;
+  GString *received = g_string_new (NULL);
+  char bytes[4096];
+  int fd = -1;
+
+  for (int i = 0; i < MIXED_REQUESTS; i++)
+    {
+      const char *text = mixed->requests[(i * (mixed->number + 1)) % 7 == 3];
+      bool closes = false;
+      ssize_t length;
+      int status;
+
+      if (fd < 0)
+        fd = connect_caller (mixed->fixture);
+      send (fd, text, strlen (text), MSG_NOSIGNAL);
+      g_string_set_size (received, 0);
+      do
+        {
+          if ((length = read (fd, bytes, sizeof bytes)) > 0)
+            g_string_append_len (received, bytes, length);
+          closes = length <= 0 || strcasestr (received->str, "Connection: close") != NULL;
+          status = take_answer (received);
+        }
+      while (status == 0 && length > 0);
+      mixed->answered += status == 200;
+      if (!closes)
+        continue;
+      close (fd);
+      fd = -1;
+    }
+  if (fd >= 0)
+    close (fd);
+  g_string_free (received, TRUE);
+  if (--*mixed->running > 0)
+    return NULL;
+  g_usleep (G_USEC_PER_SEC / 5); /* the front closes what its callers have closed */
+  eventfd_write (mixed->fixture->finished_fd, 1);
+  return NULL;
+}
+
+/* Guards against connections that are lost as they pass between the daemons. */
+START_TEST (requests_with_wide_and_narrow_heads_follow_each_other)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *narrow = build_request (SHORT_HEAD);
+  g_autofree char *wide = build_wide_request (HEADERS_OF_14, HEADER_BYTES_MAX);
+  const char *const requests[] = {narrow, wide};
+  struct mixed_caller callers[MIXED_CALLERS];
+  pthread_t threads[MIXED_CALLERS];
+  atomic_int running = MIXED_CALLERS;
+  struct fixture fixture;
+  size_t peak;
+
+  set_up (&fixture, answer);
+  pl_reactor_arm_timer (fixture.reactor, fixture.timer,
+                        g_get_monotonic_time () + 4 * TEST_LIMIT_US);
+  for (int i = 0; i < MIXED_CALLERS; i++)
+    {
+      callers[i] = (struct mixed_caller){
+          .fixture = &fixture, .requests = requests, .number = i, .running = &running};
+      pthread_create (&threads[i], NULL, call_mixed, &callers[i]);
+    }
+  pl_reactor_run (fixture.reactor);
+  ck_assert (!fixture.timed_out);
+  for (int i = 0; i < MIXED_CALLERS; i++)
+    {
+      pthread_join (threads[i], NULL);
+      ck_assert_int_eq (callers[i].answered, MIXED_REQUESTS);
+    }
+  ck_assert_uint_eq (pl_front_buffered_bytes (fixture.front, &peak), 0);
+  ck_assert_uint_eq (pl_front_connections_open (&fixture.front->callers), 0);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* Returns the resident memory of this process. */
 static size_t
 resident_bytes (void)
@@ -734,6 +995,12 @@
   for (size_t i = 0; i < G_N_ELEMENTS (field_counts); i++)
     tcase_add_loop_test (tcase, a_head_of_too_many_fields_reaches_no_server, field_counts[i],
                          field_counts[i] + 1);
+  tcase_add_loop_test (tcase, a_head_within_the_limit_is_answered_whatever_its_fields, 0,
+                       FIELD_KINDS * CONNECTION_KINDS);
+  tcase_add_loop_test (tcase, a_head_is_judged_by_the_limit_of_the_configuration, 0, 4);
+  tcase_add_loop_test (tcase, a_head_that_arrives_in_parts_is_answered, 0, 2);
+  tcase_add_loop_test (tcase, a_head_without_memory_is_refused, 0, 2);
+  tcase_add_test (tcase, requests_with_wide_and_narrow_heads_follow_each_other);
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
   tcase_add_test (tcase, connections_up_to_the_limit_fit_in_the_memory_of_a_host);
