Outages of the store: what a missing row means is counted from the store's return

Cause: while an error of the store was less than 3 s old, each row that went missing was taken for a lapse, and its server used for 2.5 s from when the host read that. The error was dated by when the host noticed the return: up to 0.8 s late when calls were refused, and 3 s late when the first call that was answered was a poll without changes. So a departure that the store acknowledged up to 4 s after its return, when it was long stable, was one more lapse.

Ruled out: a shorter grace, which would drop lapsed servers before they can register again; versions of rows, since a first answer after the return can hold lapses and departures alike, in either order.

The return is the first answer that any watcher gets to a call that was sent after the last one that failed. Failures are dated by when their call was sent. An outage shorter than a row takes to lapse explains nothing, nor does one whose end can not be dated. After a failure the reader asks without waiting for changes, repeats the other table's poll as soon as one is answered, and checks when a peer loses or regains the store.

--- a/core/membership.c
+++ b/core/membership.c
@@ -148,7 +148,8 @@
     return member;
   member = g_new0 (struct pl_member, 1);
   member->id = id;
-  member->store_error_us = -1;
+  member->store = (struct pl_store_access){
+      .lost_since_us = -1, .failed_us = -1, .back_us = -1, .watching_since_us = -1};
   set_contact (membership, member, contact, region);
   g_hash_table_insert (membership->members, &member->id, member);
   g_ptr_array_add (membership->order, member);
@@ -222,12 +223,12 @@
   member->is_delegate = beacon->is_delegate;
   if (member->domain != membership->self_domain)
     domain->heard_us = now_us;
+  member->store_down = beacon->is_delegate && beacon->store_down;
   if (!beacon->is_delegate)
     return;
   domain->hosts = beacon->domain_hosts;
   domain->active = beacon->domain_active;
   domain->silent = beacon->domain_silent;
-  member->store_down = beacon->store_down;
   if (member->domain != membership->self_domain)
     return;
   membership->reported = (struct pl_fleet_view){
@@ -306,8 +307,6 @@
   member->heard_us = now_us;
   member->last_beacon_us = now_us;
   member->contact_seen_us = now_us;
-  member->store_lost = beacon->store_lost;
-  member->store_error_us = beacon->store_error_us < 0 ? -1 : now_us - beacon->store_error_us;
   memcpy (member->held, beacon->held, sizeof member->held);
   member->retained_configuration = beacon->retained_configuration;
   update_from_delegate (membership, member, beacon, now_us);
@@ -692,8 +691,8 @@
       struct rank_key other = rank_key_of (member);
 
       if ((!member->is_delegate && !member->watching)
-          || !is_heard_directly (member, LIVE_US, now_us) || member->leaving || member->store_lost
-          || member->region != membership->self_region)
+          || !is_heard_directly (member, LIVE_US, now_us) || member->leaving
+          || member->store.is_lost || member->region != membership->self_region)
         continue;
       /* A current watcher ranks first and keeps watching: each change of watcher costs calls. */
       if (store_lost || ranks_before (&other, &self))
--- a/core/placement.c
+++ b/core/placement.c
@@ -143,7 +143,7 @@
 }
 
 struct pl_backend *
-pl_placement_find (struct pl_placement *placement, const char *id)
+pl_placement_find (const struct pl_placement *placement, const char *id)
 {
   return g_hash_table_lookup (placement->backends, id);
 }
--- a/core/router.c
+++ b/core/router.c
@@ -102,7 +102,7 @@
   for (int i = 0; others == PL_DELEGATES - 1 && i < PL_DELEGATES; i++)
     if (delegates[i] == 0)
       router->account_shard = i;
-  router->view = pl_membership_view (membership, router->store_lost, router->now_us);
+  router->view = pl_membership_view (membership, router->store.is_lost, router->now_us);
   router->view_due_us = router->now_us + VIEW_PERIOD_US;
   return &router->view;
 }
@@ -202,7 +202,8 @@
   router->options = *options;
   router->now_us = options->now_us;
   router->started_us = options->now_us;
-  router->store_error_us = -1;
+  router->store = (struct pl_store_access){
+      .lost_since_us = -1, .failed_us = -1, .back_us = -1, .watching_since_us = -1};
   router->region_names = g_ptr_array_new_with_free_func (g_free);
   router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_account);
@@ -211,7 +212,9 @@
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->waiting = g_ptr_array_new ();
   for (int i = 0; i < PL_TABLES_MAX; i++)
-    router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
+    {
+      router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
+    }
   load_domains (router, options->domains);
   region = router_domain_region (router, options->domain);
   pl_placement_init (&router->placement, options->domain, region);
@@ -312,7 +315,7 @@
   if (!pl_reach_is_cut_off (&router->reach))
     probe_servers (router);
   pl_placement_expire (&router->placement, router->now_us);
-  pl_membership_expire (&router->membership, router->store_lost, router->now_us);
+  pl_membership_expire (&router->membership, router->store.is_lost, router->now_us);
   quarantine_expire (&router->quarantine, router->now_us);
 }
 
@@ -410,7 +413,7 @@
     case PL_ROUTER_STORE_FAILED:
     case PL_ROUTER_STORE_OK:
       router->view_due_us = 0;
-      rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK);
+      rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK, event->u.call_age_us);
       break;
     case PL_ROUTER_FETCH_DONE:
       router->fetching = false;
@@ -466,7 +469,7 @@
       .domain = domain,
       .region = router_domain_region (router, domain),
       .self_address = pl_router_is_ready (router) ? router->options.caller_address : NULL,
-      .store_lost = router->store_lost,
+      .store_lost = router->store.is_lost,
       .servers_lost = pl_reach_is_cut_off (&router->reach),
   };
 
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -37,9 +37,6 @@
 /* Contacts are requested from the seeds when another domain has been silent for this long. */
 #define DOMAIN_SILENT_US (2 * US_PER_S)
 #define CONTACTS_PERIOD_US (500 * US_PER_MS)
-/* A store error this recent still explains missing entries; entries that go missing later were
- * removed on purpose. */
-#define STORE_ERROR_RECENT_US (3 * US_PER_S)
 #define SUSPECT_RESEND_US (2 * US_PER_S)
 
 static void
@@ -126,36 +123,6 @@
     }
 }
 
-static bool
-is_recent_store_error (const struct pl_router *router, int64_t error_us)
-{
-  return error_us >= 0 && router->now_us - error_us < STORE_ERROR_RECENT_US;
-}
-
-/* Returns whether the store was down for the fleet and not only for some hosts; then servers could
- * not register there either.  Only the few hosts that watch the store know this. */
-bool
-fleet_store_was_down (const struct pl_router *router)
-{
-  bool is_delegate = pl_membership_is_delegate (&router->membership, router->now_us);
-  int with_errors = is_recent_store_error (router, router->store_error_us);
-  int watchers = router->watching || with_errors > 0;
-
-  for (guint i = 0; i < router->membership.order->len; i++)
-    {
-      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
-      bool has_error = is_recent_store_error (router, member->store_error_us);
-
-      if (!pl_member_is_live (&router->membership, member, router->now_us))
-        continue;
-      if (!is_delegate && pl_member_is_local (&router->membership, member) && member->store_down)
-        return true;
-      watchers += member->watching || has_error;
-      with_errors += has_error;
-    }
-  return with_errors > 0 && with_errors * 4 >= watchers * 3;
-}
-
 static void
 fill_beacon (struct pl_router *router, struct pl_beacon *beacon)
 {
@@ -166,10 +133,10 @@
   beacon->ready = pl_router_is_ready (router);
   beacon->leaving = router->stopping;
   beacon->watching = router->watching;
-  beacon->store_lost = router->store_lost;
+  beacon->store_lost = router->store.is_lost;
   beacon->servers_lost = pl_reach_is_cut_off (&router->reach);
   beacon->store_error_us
-      = router->store_error_us < 0 ? -1 : router->now_us - router->store_error_us;
+      = router->store.failed_us < 0 ? -1 : router->now_us - router->store.failed_us;
   for (int t = 0; t < PL_TABLES_MAX; t++)
     beacon->held[t] = router->held[t].version;
   beacon->retained_configuration = eras_retained_configuration (router);
@@ -179,7 +146,7 @@
   if (beacon->is_delegate)
     {
       pl_membership_count_domain (&router->membership, beacon, router->now_us);
-      beacon->store_down = fleet_store_was_down (router);
+      beacon->store_down = outages_store_was_down (router);
       beacon->fleet_hosts = view->hosts;
       beacon->fleet_active = view->active;
       beacon->fleet_domains = view->domains;
@@ -705,6 +672,7 @@
     send_contacts (router, member);
   else if (!is_known && beacon->has_identity)
     send_identity (router, member);
+  outages_on_beacon (router, member, beacon);
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
   limits_on_beacon (router, beacon);
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -11,18 +11,17 @@
  *
  * After an outage of the store, entries of live servers may have expired.  They return
  * with the servers' next registration, so servers whose entries are missing then are
- * used for a grace period.
+ * used for a grace period: router_outages.c.  A host that gets the rows from a peer uses these
+ * servers for as long as the peer does.
  */
 #include "internal/router_state.h"
 
 #include <assert.h>
 #include <string.h>
 
-/* A server registers again within two seconds after the store is back. */
-#define OUTAGE_GRACE_US (2500 * US_PER_MS)
 /* When several entries are deleted at once, they may have expired in an outage that no host
  * noticed, so their servers are used for this long.  That is safe for servers that shut down, too:
- * they keep running for two seconds. */
+ * they keep running for two seconds, and the store's answer takes less than half a second. */
 #define MASS_DELETION_GRACE_US (1200 * US_PER_MS)
 #define MASS_DELETION_MIN 3
 #define FETCH_INTERVAL_US (150 * US_PER_MS)
@@ -56,12 +55,31 @@
   return is_snapshot ? value->bytes != NULL : value->position > after;
 }
 
+/* Returns for how long the server of ROW, which is deleted, is still used. */
+static int64_t
+remaining_use (const struct pl_router *router, const struct held_row *row)
+{
+  const struct pl_backend *backend
+      = row->type == PL_ROW_UPDATE_SERVER ? pl_placement_find (&router->placement, row->key) : NULL;
+
+  return backend != NULL ? MAX (backend->expires_us - router->now_us, 0) : 0;
+}
+
+/* A snapshot lists a deleted row only while its server is used. */
+static bool
+is_used_without_row (const struct pl_router *router, const struct held_row *row)
+{
+  return row->current.bytes == NULL && row->current.position > 0 && remaining_use (router, row) > 0;
+}
+
 static void
-visit_value (const struct held_row *row, const struct row_value *value, enum pl_table table,
-             pl_row_visitor visit, void *data)
+visit_value (const struct pl_router *router, const struct held_row *row,
+             const struct row_value *value, enum pl_table table, pl_row_visitor visit, void *data)
 {
-  struct pl_row shown = {row->key, value->bytes, value->length, value->position};
+  struct pl_row shown = {row->key, value->bytes, value->length, value->position, 0};
 
+  if (value->bytes == NULL)
+    shown.used_for_us = remaining_use (router, row);
   visit (data, table, &shown);
 }
 
@@ -81,10 +99,11 @@
       const struct held_row *row = value;
 
       if (row->restored.bytes != NULL && should_relay (&row->restored, after, *is_snapshot))
-        visit_value (row, &row->restored, table, visit, data);
+        visit_value (router, row, &row->restored, table, visit, data);
       if (should_relay (&row->current, after, *is_snapshot)
-          || (row_is_contested (row) && row->current.bytes != NULL))
-        visit_value (row, &row->current, table, visit, data);
+          || (row_is_contested (row) && row->current.bytes != NULL)
+          || is_used_without_row (router, row))
+        visit_value (router, row, &row->current, table, visit, data);
     }
   return held->version;
 }
@@ -94,14 +113,14 @@
 bool
 rows_are_stale (const struct pl_router *router)
 {
-  if (!router->store_lost)
+  if (!router->store.is_lost)
     return false;
   for (guint i = 0; i < router->membership.order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
       if (pl_member_is_live (&router->membership, member, router->now_us) && member->watching
-          && !member->store_lost)
+          && !member->store.is_lost)
         return false;
     }
   return true;
@@ -151,14 +170,19 @@
                          "accounts", (int) routing->accounts->len));
 }
 
+/* Returns until when the servers of DELETED_COUNT rows are used that EVENT lacks or deletes. */
 static int64_t
-server_grace_until (const struct pl_router *router, int deleted_count)
+server_grace_until (const struct pl_router *router, const struct pl_rows_event *event,
+                    int deleted_count)
 {
-  if (fleet_store_was_down (router))
-    return router->now_us + OUTAGE_GRACE_US;
+  int64_t until_us
+      = event->from_peer ? outages_reported_use_until (router) : outages_lapsed_use_until (router);
+
+  if (event->tells_use)
+    return router->now_us;
   if (deleted_count >= MASS_DELETION_MIN)
-    return router->now_us + MASS_DELETION_GRACE_US;
-  return router->now_us;
+    until_us = MAX (until_us, router->now_us + MASS_DELETION_GRACE_US);
+  return until_us;
 }
 
 static void
@@ -372,6 +396,8 @@
 
   if (known != NULL && row->version == known->current.position)
     return;
+  if (event->tells_use)
+    until_us = router->now_us + row->used_for_us;
   decode_row (router, event->table, row, &decoded);
   switch (row_judge (known, row, &decoded.origin, event->is_snapshot,
                      pl_position_era (MAX (event->version, held->version))))
@@ -455,7 +481,7 @@
 drop_missing (struct pl_router *router, const struct pl_rows_event *event, bool at_start)
 {
   g_autoptr (GPtrArray) missing = find_missing (&router->held[event->table], event);
-  int64_t until_us = server_grace_until (router, (int) missing->len);
+  int64_t until_us = server_grace_until (router, event, (int) missing->len);
 
   for (guint i = 0; i < missing->len; i++)
     {
@@ -496,7 +522,7 @@
   bool at_start = held->version == 0;
   bool is_outdated = pl_position_era (event->version) < pl_position_era (held->version);
   bool is_new_era = pl_position_era (event->version) > pl_position_era (held->version);
-  int64_t until_us = server_grace_until (router, count_deleted (event));
+  int64_t until_us = server_grace_until (router, event, count_deleted (event));
 
   for (int i = 0; i < event->count; i++)
     receive_row (router, event, &event->rows[i], at_start, until_us);
@@ -528,16 +554,18 @@
 }
 
 void
-rows_on_store_state (struct pl_router *router, bool is_reachable)
+rows_on_store_state (struct pl_router *router, bool is_reachable, int64_t call_age_us)
 {
-  if (router->store_lost || !is_reachable)
-    router->store_error_us = router->now_us;
-  if (router->store_lost == !is_reachable)
+  bool was_lost = router->store.is_lost;
+
+  outages_on_call (router, is_reachable, router->now_us - call_age_us);
+  if (was_lost == !is_reachable)
     return;
-  router->store_lost = !is_reachable;
   router->beacon_pending = true;
   router_log (router, PL_ROUTER_LOG_WARNING, is_reachable ? "store-regained" : "store-lost",
-              json_pack ("{s:o}", "held", held_positions (router)));
+              json_pack ("{s:o,s:I,s:I}", "held", held_positions (router), "call_us",
+                         (json_int_t) call_age_us, "lost_us",
+                         (json_int_t) (router->now_us - router->store.lost_since_us)));
 }
 
 static bool
@@ -589,7 +617,7 @@
 static int64_t
 fetch_delay (const struct pl_router *router, bool is_parent)
 {
-  if (router->watching && !router->store_lost)
+  if (router->watching && !router->store.is_lost)
     return FETCH_DELAY_US;
   if (is_parent)
     return 0;
@@ -638,7 +666,7 @@
                      || router->now_us - router->delegate_since_us >= SETTLE_DELEGATE_US);
   bool should_watch
       = settled && !router->stopping
-        && pl_membership_should_watch (&router->membership, router->store_lost, router->now_us);
+        && pl_membership_should_watch (&router->membership, router->store.is_lost, router->now_us);
 
   if (!settled)
     router->due_us = MIN (router->due_us, router->started_us + settle_us);
@@ -646,9 +674,10 @@
     return;
   router->watching = should_watch;
   router->membership.self_watching = should_watch;
+  router->store.watching_since_us = should_watch ? router->now_us : -1;
   router_add_effect (router, PL_ROUTER_WATCH_STORE)->u.watch = should_watch;
   router_log (router, PL_ROUTER_LOG_STATE, should_watch ? "store-watch-begun" : "store-watch-ended",
-              json_pack ("{s:b,s:b,s:i,s:o}", "store_lost", router->store_lost, "stopping",
+              json_pack ("{s:b,s:b,s:i,s:o}", "store_lost", router->store.is_lost, "stopping",
                          router->stopping, "hosts", router_view (router)->hosts, "held",
                          held_positions (router)));
 }
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -65,7 +65,8 @@
   struct pl_http_client *client;
   struct pl_reactor *reactor;
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  void (*on_state) (void *data, bool succeeded); /* after each call to the store */
+  /* After each call to the store, which was sent CALL_AGE_US ago. */
+  void (*on_state) (void *data, bool succeeded, int64_t call_age_us);
   void *data;
 };
 
@@ -73,6 +74,8 @@
 {
   struct pl_store_reader *(*start) (const struct pl_store_reader_options *options);
   void (*watch) (struct pl_store_reader *reader, bool on);
+  /* Finds out at once whether the store answers: polls that may hang are given up and repeated. */
+  void (*check) (struct pl_store_reader *reader);
 };
 
 /* The built-in adapter. */
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -96,7 +96,9 @@
   bool watching;     /* watches the platform's store itself */
   bool store_lost;   /* cannot reach the store */
   bool servers_lost; /* cannot reach backend servers */
-  bool store_down; /* a delegate considers the store down for the fleet, not only for some hosts */
+  /* A delegate considers rows to have lapsed in an outage of the store.  Only earlier versions use
+   * this. */
+  bool store_down;
   bool wants_contacts; /* the sender lacks contacts of hosts that it should know */
   bool is_delegate;    /* as the sender sees it; it then fills the fields up to silent_permille */
   int domain_hosts;    /* hosts of its domain that accept callers */
@@ -106,7 +108,8 @@
   int fleet_active;
   int fleet_domains;
   int silent_permille;
-  int64_t store_error_us;         /* time since the sender's last store error; -1: none */
+  int64_t store_error_us;         /* time since the sender's last failed call to the store was sent;
+                                     -1: none */
   int64_t held[PL_TABLES_MAX];    /* position held of each watched table */
   int64_t retained_configuration; /* version of the sender's configuration, if the store does not
                                      have it (again); 0: it has */
@@ -146,6 +149,16 @@
   double silent; /* fraction of the active hosts that became silent without announcing a shutdown */
 };
 
+/* A host's access to the platform's store; times are -1 for never. */
+struct pl_store_access
+{
+  bool is_lost;              /* its last call has failed */
+  int64_t lost_since_us;     /* when the first call that failed since its last success was sent */
+  int64_t failed_us;         /* when the last call that failed was sent */
+  int64_t back_us;           /* its first answer to a call sent after the last one that failed */
+  int64_t watching_since_us; /* since when it watches the store */
+};
+
 struct pl_member
 {
   uint64_t id;
@@ -160,12 +173,11 @@
   bool ready;
   bool leaving;
   bool watching;
-  bool store_lost;
   bool store_down;
   bool servers_lost;
   bool is_delegate;
+  struct pl_store_access store;
   int64_t handover_due_us;  /* no requests are handed over to it before */
-  int64_t store_error_us;   /* its last store error; -1: none */
   int64_t heard_us;         /* when its state was current, from a beacon or a delegate's report */
   int64_t last_beacon_us;   /* its last own beacon; 0: none */
   int64_t reported_us;      /* the last report of it by a delegate; 0: none */
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -141,7 +141,7 @@
 /* Starts or ends the evacuation of DOMAIN, whose servers get no new requests meanwhile. */
 void pl_placement_evacuate (struct pl_placement *placement, const char *domain, bool on);
 
-struct pl_backend *pl_placement_find (struct pl_placement *placement, const char *id);
+struct pl_backend *pl_placement_find (const struct pl_placement *placement, const char *id);
 struct pl_backend *pl_placement_find_by_hash (struct pl_placement *placement, uint64_t hash);
 
 /* Whether this host may send a request to a server with a rate limit. */
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -191,6 +191,7 @@
   const char *value; /* NULL: the row is deleted */
   size_t length;
   int64_t version;
+  int64_t used_for_us; /* deleted, in an event that tells: how long its server is still used */
 };
 
 struct pl_rows_event
@@ -198,6 +199,7 @@
   enum pl_table table;
   bool is_snapshot; /* all rows of the table: those that are missing are deleted */
   bool from_peer;
+  bool tells_use;  /* used_for_us of deleted rows is set; servers of missing rows are not used */
   int64_t version; /* of the table */
   const struct pl_row *rows;
   int count;
@@ -240,6 +242,7 @@
     } probed;
     const struct pl_beacon *beacon;
     struct pl_rows_event rows;
+    int64_t call_age_us; /* STORE_FAILED, STORE_OK: since the call was sent */
   } u;
 };
 
@@ -254,6 +257,7 @@
   PL_ROUTER_SEND_BEACON,       /* send a beacon to a peer */
   PL_ROUTER_FETCH_ROWS,        /* fetch rows from a peer */
   PL_ROUTER_WATCH_STORE,       /* start or stop watching the store */
+  PL_ROUTER_CHECK_STORE,       /* find out at once whether the store answers */
   PL_ROUTER_SET_LIMITS,        /* apply changed limits on callers' requests */
   PL_ROUTER_DISABLE_KEEPALIVE, /* close each connection after its answer from now on */
   PL_ROUTER_STOP_LISTENING,    /* accept no new connections */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -207,8 +207,8 @@
 
   struct held_table held[PL_TABLES_MAX];
   bool watching;
-  bool store_lost;
-  int64_t store_error_us; /* when this host's access to the store last failed; -1: never */
+  struct pl_store_access store;
+  int64_t store_check_due_us; /* no check of the store before */
   bool fetching;
   uint64_t fetches;
   int64_t next_fetch_us;   /* no rows are fetched from a peer before */
@@ -347,12 +347,26 @@
 
 /* router_rows.c */
 void rows_on_update (struct pl_router *router, const struct pl_rows_event *event);
-void rows_on_store_state (struct pl_router *router, bool is_reachable);
+/* A call to the store, sent CALL_AGE_US ago, has ended. */
+void rows_on_store_state (struct pl_router *router, bool is_reachable, int64_t call_age_us);
 void rows_run_timers (struct pl_router *router);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
 void rows_settle (struct pl_router *router, enum pl_table table, const char *key);
 
+/* router_outages.c */
+/* A call of this host to the store, sent at SENT_US, has ended. */
+void outages_on_call (struct pl_router *router, bool is_answered, int64_t sent_us);
+/* BEACON, of MEMBER, tells of its access to the store. */
+void outages_on_beacon (struct pl_router *router, struct pl_member *member,
+                        const struct pl_beacon *beacon);
+/* Returns until when the servers are used whose rows the store turns out to lack now; the present
+ * time if no outage explains that. */
+int64_t outages_lapsed_use_until (const struct pl_router *router);
+/* The same for rows from a peer that does not tell, as it runs an earlier version. */
+int64_t outages_reported_use_until (const struct pl_router *router);
+bool outages_store_was_down (const struct pl_router *router);
+
 /* router_eras.c */
 bool row_is_contested (const struct held_row *row);
 /* Judges ROW, with ORIGIN, which is part of a snapshot if IS_SNAPSHOT; KNOWN is the row held, or
@@ -370,7 +384,6 @@
 void fleet_on_beacon (struct pl_router *router, const struct pl_beacon *beacon);
 void fleet_run_timers (struct pl_router *router);
 void fleet_record_request (struct pl_router *router);
-bool fleet_store_was_down (const struct pl_router *router);
 void fleet_record_admitted (struct pl_router *router, const struct router_account *account);
 void fleet_record_suspect (struct pl_router *router, uint64_t fingerprint, uint64_t server,
                            bool is_only_suspect);
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -138,6 +138,9 @@
     case PL_ROUTER_WATCH_STORE:
       pl_platform_store.watch (entry->store, effect->u.watch);
       break;
+    case PL_ROUTER_CHECK_STORE:
+      pl_platform_store.check (entry->store);
+      break;
     case PL_ROUTER_STOPPED:
       entry->router_stopped = true;
       break;
@@ -250,9 +253,10 @@
 }
 
 static void
-handle_store_state (void *data, bool succeeded)
+handle_store_state (void *data, bool succeeded, int64_t call_age_us)
 {
-  struct pl_router_event event = {.type = succeeded ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED};
+  struct pl_router_event event = {.type = succeeded ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED,
+                                  .u.call_age_us = call_age_us};
 
   post_event (data, &event);
 }
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -168,6 +168,9 @@
     case PL_ROUTER_LOG:
       world->warnings += effect->u.log_line.level == PL_ROUTER_LOG_WARNING;
       break;
+    case PL_ROUTER_CHECK_STORE:
+      world->store_checks++;
+      break;
     case PL_ROUTER_SET_LIMITS:
     case PL_ROUTER_STOP_LISTENING:
       break;
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -49,6 +49,7 @@
   struct pl_beacon last_beacon;
   int fetches;
   bool watching;
+  int store_checks;
   bool stopped;
   bool keepalive_disabled;
   int warnings;  /* log lines of level warning */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -540,8 +540,11 @@
   struct pl_router_event failed = {.type = PL_ROUTER_STORE_FAILED};
   struct pl_router_event recovered = {.type = PL_ROUTER_STORE_OK};
 
-  world_step (world, &failed);
-  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < 5; i++)
+    {
+      world_step (world, &failed);
+      world_advance (world, 800 * WORLD_MS);
+    }
   world_step (world, &recovered);
   for (int i = 0; i < 4; i++)
     {
--- a/tests/test_store_eras.c
+++ b/tests/test_store_eras.c
@@ -433,10 +433,11 @@
 }
 
 static void
-ignore_state (void *data, bool succeeded)
+ignore_state (void *data, bool succeeded, int64_t call_age_us)
 {
   (void) data;
   (void) succeeded;
+  (void) call_age_us;
 }
 
 START_TEST (rows_of_a_restored_store_are_newer_than_those_before)
--- /dev/null
+++ b/tests/test_store_outages.c
@@ -0,0 +1,320 @@
+/* Rows that go missing around outages of the store: servers that could not renew their rows are
+ * used until they register again, servers that have left are not. */
+#include "internal/router_state.h"
+#include "router_world.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* Bounds of the users. */
+#define DRAIN_US (2 * WORLD_SECOND)
+#define STABLE_WINDOW_US (3 * WORLD_SECOND)
+#define REGISTERED_US (2 * WORLD_SECOND)
+
+#define OUTAGE_US (4500 * WORLD_MS)
+#define SERVERS 6
+#define PEERS 2
+#define BEACON_PERIOD_US (500 * WORLD_MS)
+
+static struct world *world;
+static struct pl_beacon peers[PEERS];
+static bool has_peers;
+
+static void
+set_up (void)
+{
+  static const char *const domains[] = {"a-1", "b-1"};
+
+  world = world_new ();
+  has_peers = false;
+  world_put_config (world, 7, NULL);
+  for (int i = 0; i < SERVERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_put_server (world, id, domains[i % 2], "ready", 1);
+    }
+  world_advance (world, 5 * WORLD_SECOND);
+  ck_assert (world->watching);
+}
+
+static void
+tear_down (void)
+{
+  world_free (world);
+}
+
+/* A call to the store that was sent AGE_US ago ends. */
+static void
+end_call (bool is_answered, int64_t age_us)
+{
+  struct pl_router_event event = {.type = is_answered ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED,
+                                  .u.call_age_us = age_us};
+
+  world_step (world, &event);
+}
+
+static bool
+is_used (const char *id)
+{
+  const struct pl_backend *backend = pl_placement_find (&world->router->placement, id);
+
+  return backend != NULL
+         && pl_placement_is_usable (&world->router->placement, backend, world->now_us);
+}
+
+/* Feeds the deletion of COUNT servers from FIRST on, as one change. */
+static void
+delete_servers (int first, int count)
+{
+  struct pl_row rows[SERVERS] = {0};
+  char keys[SERVERS][8];
+
+  for (int i = 0; i < count; i++)
+    {
+      g_snprintf (keys[i], sizeof keys[i], "s-%d", first + i);
+      rows[i] = (struct pl_row){.key = keys[i], .version = ++world->version};
+    }
+  world_feed_rows (world, &(struct pl_rows_event){.table = PL_TABLE_SERVERS,
+                                                  .version = world->version,
+                                                  .rows = rows,
+                                                  .count = count});
+}
+
+/* How an outage shows. */
+enum outage_kind
+{
+  BUSY,    /* calls are refused at once */
+  SILENT,  /* calls hang, the last one from before the return on */
+  HANGING, /* no call is made but the poll that was sent before, which hangs through the end */
+  OUTAGE_KINDS,
+};
+
+/* A call that fails, in milliseconds from the start of the outage. */
+struct failing_call
+{
+  int ended;
+  int age;
+};
+
+static const struct failing_call failing_calls[OUTAGE_KINDS][12] = {
+    [BUSY]
+    = {{0, 0}, {100, 0}, {300, 0}, {700, 0}, {1500, 0}, {2300, 0}, {3100, 0}, {3900, 0}, {-1, 0}},
+    [SILENT] = {{1500, 2000}, {3200, 1500}, {5500, 1500}, {-1, 0}},
+    [HANGING] = {{4400, 4500}, {-1, 0}},
+};
+/* When the first call is answered. */
+static const int answered_ms[OUTAGE_KINDS] = {[BUSY] = 4700, [SILENT] = 6300, [HANGING] = 4510};
+
+static void
+send_peer_beacons (void)
+{
+  for (int i = 0; has_peers && i < PEERS; i++)
+    world_receive_beacon (world, &peers[i]);
+}
+
+static void
+meet_peers (void)
+{
+  peers[0] = world_peer_beacon ("peer-1", "a-2");
+  peers[1] = world_peer_beacon ("peer-2", "b-1");
+  has_peers = true;
+  send_peer_beacons ();
+}
+
+/* The peers' calls to the store fail, or are answered again. */
+static void
+set_peers_lost (bool is_lost)
+{
+  for (int i = 0; i < PEERS; i++)
+    {
+      peers[i].store_lost = is_lost;
+      peers[i].store_error_us = 0;
+    }
+  send_peer_beacons ();
+}
+
+static void
+advance_to (int64_t us)
+{
+  while (world->now_us < us)
+    {
+      world_advance (world, MIN (us - world->now_us, BEACON_PERIOD_US));
+      for (int i = 0; i < PEERS; i++)
+        if (!peers[i].store_lost && peers[i].store_error_us >= 0)
+          peers[i].store_error_us += BEACON_PERIOD_US;
+      send_peer_beacons ();
+    }
+}
+
+/* Runs an outage that begins now, up to the first answer.  Returns when the store came back. */
+static int64_t
+run_outage (enum outage_kind kind, bool for_peers)
+{
+  int64_t begun_us = world->now_us;
+
+  for (const struct failing_call *call = failing_calls[kind]; call->ended >= 0; call++)
+    {
+      advance_to (begun_us + call->ended * WORLD_MS);
+      end_call (false, call->age * WORLD_MS);
+      if (for_peers)
+        set_peers_lost (true);
+    }
+  advance_to (begun_us + answered_ms[kind] * WORLD_MS);
+  end_call (true, 5 * WORLD_MS);
+  return begun_us + OUTAGE_US;
+}
+
+/* Guards against the use of servers that left when the store had been back for long: each
+ * departure within four seconds of an outage was taken for a lapse (DRAIN). */
+START_TEST (a_server_that_leaves_after_an_outage_is_not_used)
+{
+  int64_t back_us;
+
+  if (_i / OUTAGE_KINDS == 1)
+    meet_peers ();
+  back_us = run_outage ((enum outage_kind) (_i % OUTAGE_KINDS), _i / OUTAGE_KINDS == 1);
+  advance_to (back_us + STABLE_WINDOW_US + 50 * WORLD_MS);
+  end_call (true, 50 * WORLD_MS);
+  delete_servers (0, 1);
+  advance_to (world->now_us + DRAIN_US - 200 * WORLD_MS);
+  ck_assert (!is_used ("s-0"));
+  ck_assert (is_used ("s-1"));
+}
+END_TEST
+
+/* Guards against services without servers while those register again. */
+START_TEST (servers_whose_rows_lapsed_are_used_until_they_register_again)
+{
+  enum outage_kind kind = (enum outage_kind) _i;
+  int64_t back_us = run_outage (kind, false);
+
+  delete_servers (0, 4);
+  ck_assert (is_used ("s-0") && is_used ("s-3"));
+  if (kind != HANGING) /* nobody knows when the store came back */
+    advance_to (MAX (back_us + REGISTERED_US, world->now_us));
+  ck_assert (is_used ("s-0") && is_used ("s-3"));
+  world_put_server (world, "s-0", "a-1", "ready", 1);
+  advance_to (back_us + STABLE_WINDOW_US + DRAIN_US - 200 * WORLD_MS);
+  ck_assert (is_used ("s-0"));
+  ck_assert (!is_used ("s-3"));
+}
+END_TEST
+
+/* A row that is reported late has lapsed no later. */
+START_TEST (rows_that_are_reported_late_are_used_no_longer)
+{
+  int64_t back_us = run_outage (BUSY, false);
+
+  advance_to (back_us + 2 * WORLD_SECOND);
+  delete_servers (0, 2);
+  ck_assert (is_used ("s-0"));
+  advance_to (back_us + STABLE_WINDOW_US);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* The store refuses the calls of this host only. */
+START_TEST (an_outage_for_one_host_explains_no_missing_row)
+{
+  meet_peers ();
+  run_outage (BUSY, false);
+  delete_servers (0, 1);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* Guards against the second outage being taken for one of the store, since all hosts met the
+ * first. */
+START_TEST (an_outage_for_one_host_behind_one_of_the_store_explains_no_missing_row)
+{
+  meet_peers ();
+  run_outage (BUSY, true);
+  set_peers_lost (false);
+  advance_to (world->now_us + 2500 * WORLD_MS);
+  end_call (false, 0);
+  advance_to (world->now_us + 1500 * WORLD_MS);
+  end_call (false, 0);
+  advance_to (world->now_us + 500 * WORLD_MS);
+  end_call (true, 5 * WORLD_MS);
+  delete_servers (0, 1);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* Connections that are reset once are no outage in which a row can lapse. */
+START_TEST (a_single_failure_explains_no_missing_row)
+{
+  end_call (false, 0);
+  world_advance (world, 100 * WORLD_MS);
+  end_call (true, 5 * WORLD_MS);
+  delete_servers (0, 1);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+START_TEST (each_outage_of_a_row_of_them_counts_from_its_own_end)
+{
+  int64_t back_us;
+
+  run_outage (BUSY, false);
+  world_advance (world, STABLE_WINDOW_US);
+  back_us = run_outage (SILENT, false);
+  delete_servers (0, 2);
+  advance_to (back_us + REGISTERED_US);
+  ck_assert (is_used ("s-0"));
+  advance_to (back_us + STABLE_WINDOW_US + DRAIN_US - 200 * WORLD_MS);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* Several rows that go missing at once may have lapsed in an outage that no host has met. */
+START_TEST (removals_at_once_stay_within_the_time_for_draining)
+{
+  int64_t told_us = 600 * WORLD_MS; /* by a slow store, to a host that reads it */
+
+  world_advance (world, told_us);
+  delete_servers (0, 4);
+  ck_assert (is_used ("s-0"));
+  world_advance (world, DRAIN_US - told_us - 100 * WORLD_MS);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* A watcher whose polls hang learns from its peers that it should ask again. */
+START_TEST (a_peers_loss_or_return_makes_a_watcher_check_the_store)
+{
+  meet_peers ();
+  ck_assert_int_eq (world->store_checks, 0);
+  set_peers_lost (true);
+  ck_assert_int_eq (world->store_checks, 1);
+  advance_to (world->now_us + 1200 * WORLD_MS);
+  set_peers_lost (false);
+  ck_assert_int_eq (world->store_checks, 2);
+  end_call (false, 0);
+  advance_to (world->now_us + 1200 * WORLD_MS);
+  set_peers_lost (true); /* it knows already */
+  ck_assert_int_eq (world->store_checks, 2);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "store_outages");
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase, a_server_that_leaves_after_an_outage_is_not_used, 0,
+                       2 * OUTAGE_KINDS);
+  tcase_add_loop_test (tcase, servers_whose_rows_lapsed_are_used_until_they_register_again, 0,
+                       OUTAGE_KINDS);
+  tcase_add_test (tcase, rows_that_are_reported_late_are_used_no_longer);
+  tcase_add_test (tcase, an_outage_for_one_host_explains_no_missing_row);
+  tcase_add_test (tcase, an_outage_for_one_host_behind_one_of_the_store_explains_no_missing_row);
+  tcase_add_test (tcase, a_single_failure_explains_no_missing_row);
+  tcase_add_test (tcase, each_outage_of_a_row_of_them_counts_from_its_own_end);
+  tcase_add_test (tcase, removals_at_once_stay_within_the_time_for_draining);
+  tcase_add_test (tcase, a_peers_loss_or_return_makes_a_watcher_check_the_store);
+  return suite_run (suite);
+}
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -20,6 +20,16 @@
 static const char changes[] = "{\"Rows\":[],\"Ver\":12}";
 static const char empty_page[] = "{\"Rows\":[],\"HasMore\":false,\"Ver\":10,\"Now\":1}";
 
+#define HANGING_MAX 16
+
+/* What the store does with polls for changes. */
+enum poll_mode
+{
+  POLLS_ANSWERED,
+  POLLS_HANG,   /* those that wait for changes */
+  POLLS_REFUSED /* the next poll of the servers' table; the others hang */
+};
+
 struct server
 {
   int listener;
@@ -33,6 +43,12 @@
   int rows;             /* number of rows in the snapshot that the reader reported */
   int64_t version;
   bool client_closing; /* pending calls fail when the client is freed */
+  enum poll_mode mode;
+  int hanging[HANGING_MAX]; /* connections of polls that are not answered */
+  int hanging_count;
+  int immediate_polls[PL_TABLES_MAX]; /* that wait for no changes */
+  int failures;
+  bool is_back; /* the last call was answered */
 };
 
 static struct server server;
@@ -50,12 +66,33 @@
 static void
 record_request (const char *request)
 {
+  if (strstr (request, "WaitMs=0 ") != NULL)
+    server.immediate_polls[strstr (request, "Table=servers") != NULL ? PL_TABLE_SERVERS
+                                                                     : PL_TABLE_CONTROL]++;
   if (strstr (request, "rows-feed?Table=servers") == NULL)
     return;
   if (server.feeds++ == 0)
     g_strlcpy (server.first_feed, request, sizeof server.first_feed);
 }
 
+static bool
+is_poll (const char *request)
+{
+  return strstr (request, "rows-feed") != NULL && strstr (request, "WaitMs=0 ") == NULL;
+}
+
+/* Returns whether the connection of REQUEST is kept without an answer. */
+static bool
+hangs (const char *request, int fd)
+{
+  if (server.mode == POLLS_ANSWERED || !is_poll (request) || server.hanging_count == HANGING_MAX)
+    return false;
+  if (server.mode == POLLS_REFUSED && strstr (request, "Table=servers") != NULL)
+    return false;
+  server.hanging[server.hanging_count++] = fd;
+  return true;
+}
+
 static void
 serve_request (int fd)
 {
@@ -72,10 +109,20 @@
     }
   g_mutex_lock (&server.lock);
   record_request (request);
-  g_mutex_unlock (&server.lock);
+  if (hangs (request, fd))
+    {
+      g_mutex_unlock (&server.lock);
+      return;
+    }
   body = select_answer (request);
-  reply = g_strdup_printf ("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
-                           strlen (body), body);
+  if (server.mode == POLLS_REFUSED && is_poll (request))
+    {
+      server.mode = POLLS_HANG;
+      body = "";
+    }
+  g_mutex_unlock (&server.lock);
+  reply = g_strdup_printf ("HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
+                           body[0] != '\0' ? "200 OK" : "503 Busy", strlen (body), body);
   if (write (fd, reply, strlen (reply)) < 0)
     g_printerr ("could not write the answer\n");
   close (fd);
@@ -132,9 +179,10 @@
 }
 
 static void
-on_state (void *data, bool succeeded)
+on_state (void *data, bool succeeded, int64_t call_age_us)
 {
   (void) data;
+  (void) call_age_us;
   ck_assert (succeeded || server.client_closing);
   g_mutex_lock (&server.lock);
   if (server.feeds > 0)
@@ -165,6 +213,86 @@
 }
 END_TEST
 
+static void
+count_state (void *data, bool succeeded, int64_t call_age_us)
+{
+  (void) data;
+  ck_assert_int_ge (call_age_us, 0);
+  g_mutex_lock (&server.lock);
+  server.failures += !succeeded;
+  server.is_back = succeeded;
+  g_mutex_unlock (&server.lock);
+}
+
+static void
+quit (void *data)
+{
+  (void) data;
+  pl_reactor_quit (server.reactor);
+}
+
+static void
+check_again (void *data)
+{
+  pl_platform_store.check (data);
+}
+
+/* Runs a reader for a second, with polls in MODE; in the middle it is told to check the store if
+ * CHECKS. */
+static void
+run_reader (enum poll_mode mode, bool checks)
+{
+  struct pl_http_client *client = pl_http_client_new_on_reactor (server.reactor);
+  struct pl_store_reader_options options = {
+      .address = server.address,
+      .client = client,
+      .reactor = server.reactor,
+      .on_rows = on_rows,
+      .on_state = count_state,
+  };
+  struct pl_store_reader *reader = pl_platform_store.start (&options);
+  int64_t now_us = g_get_monotonic_time ();
+
+  server.mode = mode;
+  pl_reactor_arm_timer (server.reactor, pl_reactor_add_timer (server.reactor, quit, NULL),
+                        now_us + G_USEC_PER_SEC);
+  if (checks)
+    pl_reactor_arm_timer (server.reactor,
+                          pl_reactor_add_timer (server.reactor, check_again, reader),
+                          now_us + G_USEC_PER_SEC / 2);
+  pl_platform_store.watch (reader, true);
+  pl_reactor_run (server.reactor);
+  for (int i = 0; i < server.hanging_count; i++)
+    close (server.hanging[i]);
+}
+
+/* Guards against a return of the store that is seen only when a poll ends, three seconds later. */
+START_TEST (the_call_after_a_failure_waits_for_no_changes)
+{
+  run_reader (POLLS_REFUSED, false);
+  ck_assert_int_eq (server.failures, 1);
+  ck_assert (server.is_back);
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_SERVERS], 1);
+}
+END_TEST
+
+/* Guards against polls that hang since an outage, while the store answers other calls. */
+START_TEST (polls_that_were_sent_before_a_failure_are_repeated)
+{
+  run_reader (POLLS_REFUSED, false);
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_CONTROL], 1);
+}
+END_TEST
+
+START_TEST (a_check_repeats_polls_that_may_hang)
+{
+  run_reader (POLLS_HANG, true);
+  ck_assert_int_eq (server.failures, 0);
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_CONTROL], 1);
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_SERVERS], 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -174,5 +302,8 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_set_timeout (tcase, 60);
   tcase_add_test (tcase, change_between_two_pages_is_not_missed);
+  tcase_add_test (tcase, the_call_after_a_failure_waits_for_no_changes);
+  tcase_add_test (tcase, polls_that_were_sent_before_a_failure_are_repeated);
+  tcase_add_test (tcase, a_check_repeats_polls_that_may_hang);
   return suite_run (suite);
 }
