Eras: the store decides once on rows that it has lost

After a restore of the store a host keeps rows that the copy lacks for 2.5 s, until their writers have written again.

Cause: each contested row, also one that a peer sent later, began these 2.5 s anew for the whole table, and a host that the store had overruled took the row again from a peer that was not overruled yet. So servers that had left could stay in use for as long as hosts went on telling one another.

Change: the time runs from the first contested row of an era; when the store has decided, rows of earlier eras are no longer taken from peers in that era. Configurations keep their own order, as before.

Evidence: the_store_decides_once_on_rows_that_it_has_lost failed before: a server that the restored store lacks was still used after 3 s. test_store_eras passes unchanged.

--- a/core/router.c
+++ b/core/router.c
@@ -214,6 +214,7 @@
   for (int i = 0; i < PL_TABLES_MAX; i++)
     {
       router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
+      router->held[i].settled_era = PL_NONE;
     }
   load_domains (router, options->domains);
   region = router_domain_region (router, options->domain);
--- a/core/router_eras.c
+++ b/core/router_eras.c
@@ -155,7 +155,8 @@
 void
 eras_on_contested (struct pl_router *router, struct held_table *held, const char *key)
 {
-  held->contest_until_us = router->now_us + CONTEST_GRACE_US;
+  if (held->contest_until_us == 0)
+    held->contest_until_us = router->now_us + CONTEST_GRACE_US;
   router->due_us = MIN (router->due_us, held->contest_until_us);
   router_log (
       router, PL_ROUTER_LOG_STATE, "row-kept",
@@ -188,6 +189,7 @@
   g_autoptr (GPtrArray) keys = find_contested (held);
 
   held->contest_until_us = 0;
+  held->settled_era = pl_position_era (held->version);
   for (guint i = 0; i < keys->len; i++)
     rows_settle (router, table, g_ptr_array_index (keys, i));
   if (keys->len > 0)
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -385,6 +385,15 @@
                            event->from_peer, "in_snapshot", event->is_snapshot));
 }
 
+/* Returns whether the store has already decided on rows that it lost, so that a peer which kept one
+ * for longer does not bring it back. */
+static bool
+is_settled (const struct held_table *held, const struct decoded_row *decoded)
+{
+  return decoded->origin.type != PL_ROW_UPDATE_ROUTING
+         && held->settled_era == pl_position_era (held->version);
+}
+
 /* Judges ROW of EVENT and acts on the verdict. */
 static void
 receive_row (struct pl_router *router, const struct pl_rows_event *event, const struct pl_row *row,
@@ -418,6 +427,8 @@
       eras_on_contested (router, held, row->key);
       break;
     case ROW_KEPT_BY_PEER:
+      if (is_settled (held, &decoded))
+        break;
       put_kept_row (router, event, &decoded);
       apply_row (router, &decoded, at_start, until_us);
       break;
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -153,6 +153,7 @@
   GHashTable *rows;             /* key -> struct held_row */
   int tombstones;               /* in rows */
   int64_t contest_until_us;     /* when contested rows are replaced by restored ones; 0: none is */
+  int64_t settled_era;          /* the last era in which that was done; PL_NONE: none */
 };
 
 enum row_verdict
--- a/tests/test_store_outages.c
+++ b/tests/test_store_outages.c
@@ -281,6 +281,45 @@
 }
 END_TEST
 
+static void
+feed_kept_row (const struct pl_row *row)
+{
+  world_feed_rows (world, &(struct pl_rows_event){.table = PL_TABLE_SERVERS,
+                                                  .from_peer = true,
+                                                  .tells_use = true,
+                                                  .version = pl_position (1, 30),
+                                                  .rows = row,
+                                                  .count = 1});
+}
+
+/* Guards against hosts that keep what a restored store has lost for longer and longer, as each
+ * brings it back to the others, while servers that have left stay in use. */
+START_TEST (the_store_decides_once_on_rows_that_it_has_lost)
+{
+  g_autofree char *ready = world_make_server ("s-0", "a-1", "ready", 1, 1);
+  g_autofree char *draining = world_make_server ("s-0", "a-1", "draining", 1, 9);
+  struct pl_row copied = {"s-0", ready, strlen (ready), pl_position (1, 3), 0};
+  struct pl_row kept = {"s-0", draining, strlen (draining), world->version + 5, 0};
+  int64_t restored_us = world->now_us;
+
+  world_feed_rows (world, &(struct pl_rows_event){.table = PL_TABLE_SERVERS,
+                                                  .is_snapshot = true,
+                                                  .version = pl_position (1, 30),
+                                                  .rows = &copied,
+                                                  .count = 1});
+  ck_assert (is_used ("s-0") && is_used ("s-1"));
+  /* What a peer knows arrives later than the store's own rows. */
+  advance_to (restored_us + WORLD_SECOND);
+  feed_kept_row (&kept);
+  ck_assert (!is_used ("s-0") && is_used ("s-1"));
+  advance_to (restored_us + STABLE_WINDOW_US);
+  ck_assert (is_used ("s-0") && !is_used ("s-1"));
+  feed_kept_row (&kept);
+  ck_assert (is_used ("s-0"));
+  ck_assert_int_eq (eras_count_contested (world->router), 0);
+}
+END_TEST
+
 /* A watcher whose polls hang learns from its peers that it should ask again. */
 START_TEST (a_peers_loss_or_return_makes_a_watcher_check_the_store)
 {
@@ -315,6 +354,7 @@
   tcase_add_test (tcase, a_single_failure_explains_no_missing_row);
   tcase_add_test (tcase, each_outage_of_a_row_of_them_counts_from_its_own_end);
   tcase_add_test (tcase, removals_at_once_stay_within_the_time_for_draining);
+  tcase_add_test (tcase, the_store_decides_once_on_rows_that_it_has_lost);
   tcase_add_test (tcase, a_peers_loss_or_return_makes_a_watcher_check_the_store);
   return suite_run (suite);
 }
