Relay: a host uses the server of a deleted row for as long as the peer that sent it

Cause: most hosts get rows from peers, and judged each deletion anew from when they got it. A host that is no delegate took the word of its delegates for an outage, and a host that ceased to be a delegate while it said so never took it back: update_from_delegate() returned before the flag was cleared. Each hop also began the grace of 1.2 s for removals of three or more rows at once again.

Change: who reads the store judges; with a deleted row a peer gets the time for which its server is still used, which shrinks on the way.

Evidence: test_store_outages: rows_from_a_peer_are_used_for_as_long_as_the_peer_uses_them (2), peers_are_told_the_rest_of_the_time and a_former_delegate_reports_no_outage (1 of 2) failed before.

--- a/modules/relay.c
+++ b/modules/relay.c
@@ -13,6 +13,8 @@
 /* Enough for all rows of a large fleet over the slowest link. */
 #define FETCH_TIMEOUT_US INT64_C (3000000)
 #define BUSY_STATUS 503
+/* Above what any host uses a server whose row is gone. */
+#define USED_FOR_MAX_US INT64_C (5000000)
 
 static void
 append_row (void *data, enum pl_table table, const struct pl_row *row)
@@ -26,7 +28,10 @@
       pl_log (PL_LOG_WARNING, "row-not-relayed", json_pack ("{s:s}", "row", row->key));
       return;
     }
-  json_array_append_new (rows, json_pack ("[s,o,I]", row->key, value, (json_int_t) row->version));
+  json_array_append_new (
+      rows, row->value != NULL ? json_pack ("[s,o,I]", row->key, value, (json_int_t) row->version)
+                               : json_pack ("[s,o,I,I]", row->key, value, (json_int_t) row->version,
+                                            (json_int_t) row->used_for_us));
 }
 
 /* Refills the byte budget and returns whether it is overdrawn.  When many peers request rows at
@@ -69,8 +74,9 @@
       version = pl_router_rows_after (relay->router, (enum pl_table) t,
                                       after != NULL ? g_ascii_strtoll (after, NULL, 10) : 0,
                                       &is_snapshot, append_row, rows);
-      json_array_append_new (tables, json_pack ("{s:I,s:b,s:o}", "version", (json_int_t) version,
-                                                "whole", is_snapshot, "rows", rows));
+      json_array_append_new (tables,
+                             json_pack ("{s:I,s:b,s:b,s:o}", "version", (json_int_t) version,
+                                        "whole", is_snapshot, "tells_use", true, "rows", rows));
     }
   text = json_dumps (tables, JSON_COMPACT);
   g_string_append (body, text);
@@ -96,6 +102,7 @@
       .table = table,
       .from_peer = true,
       .is_snapshot = json_is_true (json_object_get (answer, "whole")),
+      .tells_use = json_is_true (json_object_get (answer, "tells_use")),
       .version = json_integer_value (json_object_get (answer, "version")),
       .rows = rows,
   };
@@ -111,6 +118,7 @@
     next->value = json_string_value (value);
     next->length = json_string_length (value);
     next->version = json_integer_value (json_array_get (row, 2));
+    next->used_for_us = CLAMP (json_integer_value (json_array_get (row, 3)), 0, USED_FOR_MAX_US);
     event.count += next->key != NULL;
   }
   if (event.version > 0)
--- a/tests/test_store_outages.c
+++ b/tests/test_store_outages.c
@@ -14,6 +14,7 @@
 #define OUTAGE_US (4500 * WORLD_MS)
 #define SERVERS 6
 #define PEERS 2
+#define STRONG_CAPACITY 10000
 #define BEACON_PERIOD_US (500 * WORLD_MS)
 
 static struct world *world;
@@ -268,6 +269,102 @@
 }
 END_TEST
 
+/* A peer tells with the rows how long their servers are used. */
+START_TEST (rows_from_a_peer_are_used_for_as_long_as_the_peer_uses_them)
+{
+  struct pl_row rows[]
+      = {{.key = "s-0", .version = world->version + 1, .used_for_us = 0},
+         {.key = "s-1", .version = world->version + 2, .used_for_us = 700 * WORLD_MS},
+         {.key = "s-2", .version = world->version + 3, .used_for_us = 0}};
+
+  if (_i == 1) /* whatever this host has met itself */
+    run_outage (BUSY, false);
+  world_feed_rows (world, &(struct pl_rows_event){.table = PL_TABLE_SERVERS,
+                                                  .from_peer = true,
+                                                  .tells_use = true,
+                                                  .version = world->version + 3,
+                                                  .rows = rows,
+                                                  .count = G_N_ELEMENTS (rows)});
+  ck_assert (!is_used ("s-0") && is_used ("s-1") && !is_used ("s-2"));
+  world_advance (world, 600 * WORLD_MS);
+  ck_assert (is_used ("s-1"));
+  world_advance (world, 200 * WORLD_MS);
+  ck_assert (!is_used ("s-1"));
+}
+END_TEST
+
+struct relayed
+{
+  int deleted;
+  int64_t longest_us;
+};
+
+static void
+record_relayed (void *data, enum pl_table table, const struct pl_row *row)
+{
+  struct relayed *relayed = data;
+
+  if (table != PL_TABLE_SERVERS || row->value != NULL)
+    return;
+  relayed->deleted++;
+  relayed->longest_us = MAX (relayed->longest_us, row->used_for_us);
+}
+
+/* What is told to peers shrinks with time, so that no host uses a server for longer than the one
+ * that has read the store. */
+START_TEST (peers_are_told_the_rest_of_the_time)
+{
+  struct relayed first = {0};
+  struct relayed second = {0};
+  struct relayed whole = {0};
+  int64_t before = world->version;
+  bool is_snapshot;
+
+  run_outage (BUSY, false);
+  delete_servers (0, 4);
+  pl_router_rows_after (world->router, PL_TABLE_SERVERS, before, &is_snapshot, record_relayed,
+                        &first);
+  world_advance (world, WORLD_SECOND);
+  pl_router_rows_after (world->router, PL_TABLE_SERVERS, before, &is_snapshot, record_relayed,
+                        &second);
+  ck_assert_int_eq (first.deleted, 4);
+  ck_assert_int_eq (second.deleted, 4);
+  ck_assert_int_eq (second.longest_us, first.longest_us - WORLD_SECOND);
+  pl_router_rows_after (world->router, PL_TABLE_SERVERS, -1, &is_snapshot, record_relayed, &whole);
+  ck_assert_int_eq (whole.deleted, 4);
+  ck_assert_int_eq (whole.longest_us, second.longest_us);
+}
+END_TEST
+
+/* Guards against a report of an outage that a host gave as a delegate and never took back. */
+START_TEST (a_former_delegate_reports_no_outage)
+{
+  struct pl_beacon delegate = world_peer_beacon ("peer-1", "a-1");
+  struct pl_row row = {.key = "s-0", .version = world->version + 1};
+  struct pl_rows_event of_earlier_version = {.table = PL_TABLE_SERVERS,
+                                             .from_peer = true,
+                                             .version = world->version + 1,
+                                             .rows = &row,
+                                             .count = 1};
+
+  /* This host is no delegate itself. */
+  for (int i = 0; i < PL_DELEGATES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("strong-%d", i);
+      struct pl_beacon strong = world_peer_beacon (name, "a-1");
+
+      strong.self.capacity = STRONG_CAPACITY;
+      world_receive_beacon (world, &strong);
+    }
+  delegate.is_delegate = delegate.store_down = true;
+  world_receive_beacon (world, &delegate);
+  delegate.is_delegate = delegate.store_down = _i == 1;
+  world_receive_beacon (world, &delegate);
+  world_feed_rows (world, &of_earlier_version);
+  ck_assert (is_used ("s-0") == (_i == 1));
+}
+END_TEST
+
 /* Several rows that go missing at once may have lapsed in an outage that no host has met. */
 START_TEST (removals_at_once_stay_within_the_time_for_draining)
 {
@@ -353,6 +450,9 @@
   tcase_add_test (tcase, an_outage_for_one_host_behind_one_of_the_store_explains_no_missing_row);
   tcase_add_test (tcase, a_single_failure_explains_no_missing_row);
   tcase_add_test (tcase, each_outage_of_a_row_of_them_counts_from_its_own_end);
+  tcase_add_loop_test (tcase, rows_from_a_peer_are_used_for_as_long_as_the_peer_uses_them, 0, 2);
+  tcase_add_test (tcase, peers_are_told_the_rest_of_the_time);
+  tcase_add_loop_test (tcase, a_former_delegate_reports_no_outage, 0, 2);
   tcase_add_test (tcase, removals_at_once_stay_within_the_time_for_draining);
   tcase_add_test (tcase, the_store_decides_once_on_rows_that_it_has_lost);
   tcase_add_test (tcase, a_peers_loss_or_return_makes_a_watcher_check_the_store);
