Outages of the store: a call that is reset dates the failure itself

Cause: since failures are dated by when their call was sent, a poll that was reset at the return dated the outage up to 3 s too early, so that its end counted as unknown and lapsed servers were dropped before they could register.

Change: the reader tells whether a call timed out. Only then does its sending date the failure; a refusal or a reset counts when it comes, but for one of a call that was sent before the store returned for another host.

Evidence: a_reset_dates_the_failure failed before; a_reset_after_the_return_is_no_new_failure guards the other side.

--- a/core/router.c
+++ b/core/router.c
@@ -414,7 +414,7 @@
     case PL_ROUTER_STORE_FAILED:
     case PL_ROUTER_STORE_OK:
       router->view_due_us = 0;
-      rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK, event->u.call_age_us);
+      rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK, &event->u.store_call);
       break;
     case PL_ROUTER_FETCH_DONE:
       router->fetching = false;
--- a/core/router_outages.c
+++ b/core/router_outages.c
@@ -7,10 +7,10 @@
  * had the time to register, counted from the return and not from when a host reads the rows.  What
  * goes missing later was removed.
  *
- * The return is the first answer that any host gets to a call that was sent after the last one that
- * failed.  A failure is dated by when its call was sent, since a call may hang long after the store
- * is back.  An outage is one of the store, and not of some hosts' links, if nearly all of the few
- * hosts that watch the store have met it.
+ * The return is the first answer that any host gets to a call that was sent after the last failure.
+ * A call that is refused or reset dates the failure itself.  One that times out does so by when it
+ * was sent, as it may hang long after the store is back.  An outage is one of the store, and not of
+ * some hosts' links, if nearly all of the few hosts that watch the store have met it.
  *
  * Only hosts that read the store judge; the others are told with the rows how long their servers
  * are used.
@@ -131,21 +131,50 @@
   return MAX (router->now_us, back_us + REGISTRATION_US);
 }
 
+/* Returns when the store was last seen to return, by any host; -1: never. */
+static int64_t
+last_return (const struct pl_router *router)
+{
+  int64_t last_us = router->store.back_us;
+
+  for (guint i = 0; i < router->membership.order->len; i++)
+    {
+      const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
+
+      last_us = MAX (last_us, member->store.back_us);
+    }
+  return last_us;
+}
+
+static void
+on_failure (struct pl_router *router, const struct pl_store_call_event *call)
+{
+  struct pl_store_access *access = &router->store;
+  int64_t sent_us = router->now_us - call->age_us;
+  /* The connection of a call that was lost in an outage may be reset when that is over. */
+  bool is_of_outage_before = last_return (router) > sent_us;
+
+  if (!access->is_lost || !is_recent (router, access->failed_us))
+    access->lost_since_us = sent_us;
+  access->failed_us
+      = MAX (access->failed_us, call->timed_out || is_of_outage_before ? sent_us : router->now_us);
+  access->is_lost = true;
+}
+
 void
-outages_on_call (struct pl_router *router, bool is_answered, int64_t sent_us)
+outages_on_call (struct pl_router *router, bool is_answered, const struct pl_store_call_event *call)
 {
   struct pl_store_access *access = &router->store;
+  int64_t failed_us;
 
   if (!is_answered)
     {
-      if (!access->is_lost || !is_recent (router, access->failed_us))
-        access->lost_since_us = sent_us;
-      access->failed_us = MAX (access->failed_us, sent_us);
-      access->is_lost = true;
+      on_failure (router, call);
       return;
     }
   access->is_lost = false;
-  if (access->back_us <= last_failure (router) && sent_us > last_failure (router))
+  failed_us = last_failure (router);
+  if (access->back_us <= failed_us && router->now_us - call->age_us > failed_us)
     access->back_us = router->now_us;
 }
 
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -565,17 +565,18 @@
 }
 
 void
-rows_on_store_state (struct pl_router *router, bool is_reachable, int64_t call_age_us)
+rows_on_store_state (struct pl_router *router, bool is_reachable,
+                     const struct pl_store_call_event *call)
 {
   bool was_lost = router->store.is_lost;
 
-  outages_on_call (router, is_reachable, router->now_us - call_age_us);
+  outages_on_call (router, is_reachable, call);
   if (was_lost == !is_reachable)
     return;
   router->beacon_pending = true;
   router_log (router, PL_ROUTER_LOG_WARNING, is_reachable ? "store-regained" : "store-lost",
               json_pack ("{s:o,s:I,s:I}", "held", held_positions (router), "call_us",
-                         (json_int_t) call_age_us, "lost_us",
+                         (json_int_t) call->age_us, "lost_us",
                          (json_int_t) (router->now_us - router->store.lost_since_us)));
 }
 
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -65,8 +65,8 @@
   struct pl_http_client *client;
   struct pl_reactor *reactor;
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  /* After each call to the store, which was sent CALL_AGE_US ago. */
-  void (*on_state) (void *data, bool succeeded, int64_t call_age_us);
+  /* After each call to the store. */
+  void (*on_state) (void *data, bool succeeded, const struct pl_store_call_event *call);
   void *data;
 };
 
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -108,8 +108,8 @@
   int fleet_active;
   int fleet_domains;
   int silent_permille;
-  int64_t store_error_us;         /* time since the sender's last failed call to the store was sent;
-                                     -1: none */
+  int64_t store_error_us;         /* time since the sender's last failure to reach the store; -1:
+                                     none */
   int64_t held[PL_TABLES_MAX];    /* position held of each watched table */
   int64_t retained_configuration; /* version of the sender's configuration, if the store does not
                                      have it (again); 0: it has */
@@ -152,10 +152,10 @@
 /* A host's access to the platform's store; times are -1 for never. */
 struct pl_store_access
 {
-  bool is_lost;              /* its last call has failed */
-  int64_t lost_since_us;     /* when the first call that failed since its last success was sent */
-  int64_t failed_us;         /* when the last call that failed was sent */
-  int64_t back_us;           /* its first answer to a call sent after the last one that failed */
+  bool is_lost;          /* its last call has failed */
+  int64_t lost_since_us; /* when the first call that failed since its last success was sent */
+  int64_t failed_us;     /* its last failure: refused, reset, or not answered since then */
+  int64_t back_us;       /* its first answer to a call sent after the last failure of any host */
   int64_t watching_since_us; /* since when it watches the store */
 };
 
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -205,6 +205,13 @@
   int count;
 };
 
+/* The end of a call to the store. */
+struct pl_store_call_event
+{
+  int64_t age_us; /* since it was sent */
+  bool timed_out; /* it failed as nothing came for too long; otherwise it was refused or reset */
+};
+
 enum pl_router_event_type
 {
   PL_ROUTER_TICK,
@@ -242,7 +249,7 @@
     } probed;
     const struct pl_beacon *beacon;
     struct pl_rows_event rows;
-    int64_t call_age_us; /* STORE_FAILED, STORE_OK: since the call was sent */
+    struct pl_store_call_event store_call; /* STORE_FAILED, STORE_OK */
   } u;
 };
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -348,16 +348,18 @@
 
 /* router_rows.c */
 void rows_on_update (struct pl_router *router, const struct pl_rows_event *event);
-/* A call to the store, sent CALL_AGE_US ago, has ended. */
-void rows_on_store_state (struct pl_router *router, bool is_reachable, int64_t call_age_us);
+/* A call to the store has ended. */
+void rows_on_store_state (struct pl_router *router, bool is_reachable,
+                          const struct pl_store_call_event *call);
 void rows_run_timers (struct pl_router *router);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
 void rows_settle (struct pl_router *router, enum pl_table table, const char *key);
 
 /* router_outages.c */
-/* A call of this host to the store, sent at SENT_US, has ended. */
-void outages_on_call (struct pl_router *router, bool is_answered, int64_t sent_us);
+/* A call of this host to the store has ended. */
+void outages_on_call (struct pl_router *router, bool is_answered,
+                      const struct pl_store_call_event *call);
 /* BEACON, of MEMBER, tells of its access to the store. */
 void outages_on_beacon (struct pl_router *router, struct pl_member *member,
                         const struct pl_beacon *beacon);
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -253,10 +253,10 @@
 }
 
 static void
-handle_store_state (void *data, bool succeeded, int64_t call_age_us)
+handle_store_state (void *data, bool succeeded, const struct pl_store_call_event *call)
 {
-  struct pl_router_event event = {.type = succeeded ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED,
-                                  .u.call_age_us = call_age_us};
+  struct pl_router_event event
+      = {.type = succeeded ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED, .u.store_call = *call};
 
   post_event (data, &event);
 }
--- a/tests/test_store_eras.c
+++ b/tests/test_store_eras.c
@@ -433,11 +433,11 @@
 }
 
 static void
-ignore_state (void *data, bool succeeded, int64_t call_age_us)
+ignore_state (void *data, bool succeeded, const struct pl_store_call_event *call)
 {
   (void) data;
   (void) succeeded;
-  (void) call_age_us;
+  (void) call;
 }
 
 START_TEST (rows_of_a_restored_store_are_newer_than_those_before)
--- a/tests/test_store_outages.c
+++ b/tests/test_store_outages.c
@@ -45,16 +45,24 @@
   world_free (world);
 }
 
-/* A call to the store that was sent AGE_US ago ends. */
 static void
-end_call (bool is_answered, int64_t age_us)
+feed_call (enum pl_router_event_type type, int64_t age_us, bool timed_out)
 {
-  struct pl_router_event event = {.type = is_answered ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED,
-                                  .u.call_age_us = age_us};
+  struct pl_router_event event
+      = {.type = type, .u.store_call = {.age_us = age_us, .timed_out = timed_out}};
 
   world_step (world, &event);
 }
 
+/* A call to the store that was sent AGE_US ago is answered; or it fails, by a timeout if it is not
+ * new. */
+static void
+end_call (bool is_answered, int64_t age_us)
+{
+  feed_call (is_answered ? PL_ROUTER_STORE_OK : PL_ROUTER_STORE_FAILED, age_us,
+             !is_answered && age_us > 0);
+}
+
 static bool
 is_used (const char *id)
 {
@@ -166,6 +174,45 @@
   return begun_us + OUTAGE_US;
 }
 
+/* Polls that hang are reset when the store is back. */
+START_TEST (a_reset_dates_the_failure)
+{
+  int64_t back_us = world->now_us + OUTAGE_US;
+
+  advance_to (back_us);
+  feed_call (PL_ROUTER_STORE_FAILED, 4200 * WORLD_MS, false);
+  advance_to (back_us + 110 * WORLD_MS);
+  end_call (true, 5 * WORLD_MS);
+  delete_servers (0, 1);
+  advance_to (back_us + REGISTERED_US);
+  ck_assert (is_used ("s-0"));
+  advance_to (back_us + STABLE_WINDOW_US);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
+/* One watcher's poll hangs on when the others have been answered, and is then reset. */
+START_TEST (a_reset_after_the_return_is_no_new_failure)
+{
+  int64_t back_us;
+
+  meet_peers ();
+  back_us = world->now_us + OUTAGE_US;
+  advance_to (back_us - 500 * WORLD_MS);
+  set_peers_lost (true);
+  advance_to (back_us + 100 * WORLD_MS);
+  set_peers_lost (false);
+  advance_to (back_us + 1500 * WORLD_MS);
+  feed_call (PL_ROUTER_STORE_FAILED, 4000 * WORLD_MS, false);
+  world_advance (world, 100 * WORLD_MS);
+  end_call (true, 5 * WORLD_MS);
+  delete_servers (0, 1);
+  ck_assert (is_used ("s-0"));
+  advance_to (back_us + STABLE_WINDOW_US);
+  ck_assert (!is_used ("s-0"));
+}
+END_TEST
+
 /* Guards against the use of servers that left when the store had been back for long: each
  * departure within four seconds of an outage was taken for a lapse (DRAIN). */
 START_TEST (a_server_that_leaves_after_an_outage_is_not_used)
@@ -445,6 +492,8 @@
                        2 * OUTAGE_KINDS);
   tcase_add_loop_test (tcase, servers_whose_rows_lapsed_are_used_until_they_register_again, 0,
                        OUTAGE_KINDS);
+  tcase_add_test (tcase, a_reset_dates_the_failure);
+  tcase_add_test (tcase, a_reset_after_the_return_is_no_new_failure);
   tcase_add_test (tcase, rows_that_are_reported_late_are_used_no_longer);
   tcase_add_test (tcase, an_outage_for_one_host_explains_no_missing_row);
   tcase_add_test (tcase, an_outage_for_one_host_behind_one_of_the_store_explains_no_missing_row);
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -179,10 +179,10 @@
 }
 
 static void
-on_state (void *data, bool succeeded, int64_t call_age_us)
+on_state (void *data, bool succeeded, const struct pl_store_call_event *call)
 {
   (void) data;
-  (void) call_age_us;
+  (void) call;
   ck_assert (succeeded || server.client_closing);
   g_mutex_lock (&server.lock);
   if (server.feeds > 0)
@@ -214,10 +214,10 @@
 END_TEST
 
 static void
-count_state (void *data, bool succeeded, int64_t call_age_us)
+count_state (void *data, bool succeeded, const struct pl_store_call_event *call)
 {
   (void) data;
-  ck_assert_int_ge (call_age_us, 0);
+  ck_assert_int_ge (call->age_us, 0);
   g_mutex_lock (&server.lock);
   server.failures += !succeeded;
   server.is_back = succeeded;
