Reactor: an event loop that is held up says so, with the processor time that it had

Change: the loop reports a time of more than 0.2 s in which it did not wait for events, or in which its wait ended late: how late, how long in its own work, and the thread's processor time. It reads one clock more every 0.1 s.

--- a/include/internal/reactor.h
+++ b/include/internal/reactor.h
@@ -42,6 +42,22 @@
  * the elapsed time was spent in callbacks, or waiting for the processor. */
 int64_t pl_reactor_waited_us (const struct pl_reactor *reactor);
 
+/* A time in which the loop did not wait for events, or did not get to run; all in microseconds. */
+struct pl_reactor_stall
+{
+  int64_t late_us; /* from when a wait was to end to when it ended */
+  int64_t busy_us; /* in callbacks since then */
+  /* The thread's processor time in the last SAMPLED_US.  Much less than busy_us: it was blocked,
+   * stopped or not scheduled. */
+  int64_t cpu_us;
+  int64_t sampled_us;
+};
+typedef void (*pl_reactor_stall_function) (void *data, const struct pl_reactor_stall *stall);
+
+/* FUNCTION is called, before the next wait, when such a time has been longer than STALL_US. */
+void pl_reactor_report_stalls (struct pl_reactor *reactor, int64_t stall_us,
+                               pl_reactor_stall_function function, void *data);
+
 /* Runs until pl_reactor_quit(). */
 void pl_reactor_run (struct pl_reactor *reactor);
 void pl_reactor_quit (struct pl_reactor *reactor);
--- a/modules/reactor.c
+++ b/modules/reactor.c
@@ -10,11 +10,14 @@
 #include <assert.h>
 #include <glib.h>
 #include <sys/epoll.h>
+#include <time.h>
 #include <unistd.h>
 
 #define TIMERS_MAX 16
 #define HOOKS_MAX 8
 #define READY_MAX 64
+/* The thread's processor time is read once in this time, as that costs a call to the kernel. */
+#define CPU_SAMPLE_PERIOD_US INT64_C (100000)
 
 struct watch
 {
@@ -47,6 +50,13 @@
   bool skip_wait;
   bool quit;
   int64_t waited_us;
+  pl_reactor_stall_function on_stall; /* NULL: stalls are not reported */
+  void *stall_data;
+  int64_t stall_us; /* the shortest that is reported */
+  int64_t due_us;   /* when the last wait was to end at the latest */
+  int64_t woke_us;  /* when it ended */
+  int64_t sample_us;
+  int64_t sample_cpu_us; /* processor time then */
 };
 
 struct pl_reactor *
@@ -171,6 +181,45 @@
     }
 }
 
+static int64_t
+thread_cpu_us (void)
+{
+  struct timespec used;
+
+  clock_gettime (CLOCK_THREAD_CPUTIME_ID, &used);
+  return (int64_t) used.tv_sec * 1000000 + used.tv_nsec / 1000;
+}
+
+void
+pl_reactor_report_stalls (struct pl_reactor *reactor, int64_t stall_us,
+                          pl_reactor_stall_function function, void *data)
+{
+  reactor->on_stall = function;
+  reactor->stall_data = data;
+  reactor->stall_us = stall_us;
+}
+
+/* Reports the time since the last wait was to end, if it was long; NOW_US is when the next one
+ * begins. */
+static void
+check_stall (struct pl_reactor *reactor, int64_t now_us)
+{
+  struct pl_reactor_stall stall = {.late_us = MAX (reactor->woke_us - reactor->due_us, 0),
+                                   .busy_us = now_us - reactor->woke_us,
+                                   .sampled_us = now_us - reactor->sample_us};
+  bool is_stall = stall.late_us + stall.busy_us > reactor->stall_us;
+  int64_t cpu_us;
+
+  if (!is_stall && stall.sampled_us < CPU_SAMPLE_PERIOD_US)
+    return;
+  cpu_us = thread_cpu_us ();
+  stall.cpu_us = cpu_us - reactor->sample_cpu_us;
+  reactor->sample_us = now_us;
+  reactor->sample_cpu_us = cpu_us;
+  if (is_stall)
+    reactor->on_stall (reactor->stall_data, &stall);
+}
+
 void
 pl_reactor_run (struct pl_reactor *reactor)
 {
@@ -179,6 +228,7 @@
   while (!reactor->quit)
     {
       int64_t started_us;
+      int timeout_ms;
       int count;
 
       for (int i = 0; i < reactor->hook_count; i++)
@@ -186,8 +236,13 @@
       if (reactor->quit)
         break; /* what is read now would not be processed */
       started_us = pl_clock_now_us ();
-      count = epoll_wait (reactor->epoll, events, READY_MAX, wait_ms (reactor));
-      reactor->waited_us += pl_clock_now_us () - started_us;
+      if (reactor->on_stall != NULL && reactor->woke_us > 0)
+        check_stall (reactor, started_us);
+      timeout_ms = wait_ms (reactor);
+      count = epoll_wait (reactor->epoll, events, READY_MAX, timeout_ms);
+      reactor->woke_us = pl_clock_now_us ();
+      reactor->due_us = timeout_ms < 0 ? INT64_MAX : started_us + timeout_ms * INT64_C (1000);
+      reactor->waited_us += reactor->woke_us - started_us;
       reactor->skip_wait = false;
       run_ready (reactor, events, count);
       run_timers (reactor);
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -41,6 +41,8 @@
 #define BUFFER_MEMORY_RATIO 0.25
 #define BYTES_PER_MB 1e6
 #define BUSY_PERIOD_US INT64_C (1000000)
+/* A delay of the event loop that callers notice. */
+#define STALL_US INT64_C (200000)
 
 static const struct pl_field settings_fields[] = {
     {"name", PL_FIELD_NAME, true, 0, 0, NULL},
@@ -261,6 +263,16 @@
   post_event (data, &event);
 }
 
+static void
+log_stall (void *data, const struct pl_reactor_stall *stall)
+{
+  (void) data;
+  pl_log (PL_LOG_WARNING, "loop-stalled",
+          json_pack ("{s:I,s:I,s:I,s:I}", "late_us", (json_int_t) stall->late_us, "busy_us",
+                     (json_int_t) stall->busy_us, "cpu_us", (json_int_t) stall->cpu_us,
+                     "sampled_us", (json_int_t) stall->sampled_us));
+}
+
 static void
 handle_beacon (void *data, const struct pl_beacon *beacon)
 {
@@ -544,6 +556,7 @@
   };
 
   entry->reactor = pl_reactor_new ();
+  pl_reactor_report_stalls (entry->reactor, STALL_US, log_stall, NULL);
   g_queue_init (&entry->events);
   watch_signals (entry);
   entry->request_client = pl_http_client_new_on_reactor (entry->reactor);
