HTTP client: a request's target is sent as the caller sent it

Cause: the target was part of a URL, and libcurl normalizes URLs: dot segments and what follows a '#' are removed.

Change: the target is given to libcurl as the request target.

--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -47,6 +47,7 @@
 {
   const char *method;
   const char *url;
+  const char *target;         /* sent unchanged in place of the URL's path and query; NULL: those */
   const char *const *headers; /* "Name: value", NULL-terminated */
   int64_t body_length;        /* -1: chunked; 0: no body */
   int64_t timeout_us;
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -352,8 +352,7 @@
                   const struct pl_effect *effect)
 {
   struct attempt *attempt;
-  g_autofree char *url
-      = g_strdup_printf ("http://%s%s", effect->u.send_request.address, exchange->target);
+  g_autofree char *url = g_strdup_printf ("http://%s/", effect->u.send_request.address);
   g_autoptr (GPtrArray) headers = NULL;
   struct pl_http_call_options options = {0};
 
@@ -378,6 +377,7 @@
     exchange->body.read_offset = 0;
   options.method = exchange->method;
   options.url = url;
+  options.target = exchange->target;
   options.headers = (const char *const *) headers->pdata;
   options.body_length = exchange->body_length;
   options.timeout_us = effect->u.send_request.deadline_us - pl_clock_now_us ();
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -394,7 +394,7 @@
                GPtrArray *headers, const struct attempt_options *wanted)
 {
   struct pl_front_attempt *attempt = g_new0 (struct pl_front_attempt, 1);
-  g_autofree char *url = g_strdup_printf ("http://%s%s", wanted->address, request->target);
+  g_autofree char *url = g_strdup_printf ("http://%s/", wanted->address);
   struct pl_http_call_options options = {0};
 
   g_ptr_array_add (headers, NULL);
@@ -413,6 +413,7 @@
   request->attempt_state = attempt;
   options.method = request->method;
   options.url = url;
+  options.target = request->target;
   options.headers = (const char *const *) headers->pdata;
   options.body_length = request->body->len;
   /* The router cancels an attempt at its deadline; this only bounds an attempt that it failed to
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -674,6 +674,9 @@
   set_body (call, options);
   curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, options->method);
   curl_easy_setopt (call->easy, CURLOPT_URL, options->url);
+  /* libcurl would remove dot segments and what follows a '#'. */
+  if (options->target != NULL)
+    curl_easy_setopt (call->easy, CURLOPT_REQUEST_TARGET, options->target);
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
   curl_easy_setopt (call->easy, CURLOPT_PRIVATE, call);
   curl_easy_setopt (call->easy, CURLOPT_HEADERFUNCTION, on_header);
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -30,6 +30,7 @@
 #define CONNECTIONS_MEMORY ((size_t) 195000000)
 
 #define WAITING_CALLERS 200
+#define REQUEST_LINE_CHARS 256
 #define FEW_DESCRIPTORS 64
 
 struct fixture
@@ -49,14 +50,16 @@
   int listener;
   uint16_t server_port;
   pthread_t server_thread;
-  const char *answer; /* of the server, with its head */
-  int64_t work_us;    /* before it answers */
-  atomic_int runs;    /* requests that have reached it */
+  const char *answer;                    /* of the server, with its head */
+  int64_t work_us;                       /* before it answers */
+  atomic_int runs;                       /* requests that have reached it */
+  char request_line[REQUEST_LINE_CHARS]; /* of the last one */
 };
 
-/* Reads the head of a request without a body.  Returns whether it is whole. */
+/* Reads the head of a request without a body, of which LINE gets the first line.  Returns whether
+ * it is whole. */
 static bool
-read_request (int fd)
+read_request (int fd, char *line)
 {
   g_autofree char *text = g_malloc0 (SERVER_HEAD_MAX + 1);
   size_t length = 0;
@@ -69,6 +72,8 @@
         return false;
       length += (size_t) received;
     }
+  g_strlcpy (line, text, REQUEST_LINE_CHARS);
+  line[strcspn (line, "\r\n")] = '\0';
   return true;
 }
 
@@ -84,7 +89,7 @@
   struct server_connection *connection = data;
   struct fixture *fixture = connection->fixture;
 
-  while (read_request (connection->fd))
+  while (read_request (connection->fd, fixture->request_line))
     {
       fixture->runs++;
       g_usleep ((gulong) fixture->work_us);
@@ -688,6 +693,32 @@
 }
 END_TEST
 
+static const char *const targets[] = {
+    "/order/pane/../door", "/order/../keys/7", "/order/./pane",
+    "/order/pane/..",      "/order//a",        "/order/a#b",
+    "/order/x%20y?a=1",    "/a?b=../c",        "/a?",
+    "http://h/a/../b",
+};
+
+/* Guards against a server that runs another request than was sent, and was routed. */
+START_TEST (a_target_reaches_the_server_unchanged)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *line = g_strdup_printf ("POST %s HTTP/1.1", targets[_i]);
+  g_autofree char *text = g_strdup_printf ("%s\r\nHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n\r\n",
+                                           line, pl_platform_dialect.request_id);
+  struct caller caller = {.text = text, .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, 200);
+  ck_assert_str_eq (fixture.request_line, line);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* Returns the resident memory of this process. */
 static size_t
 resident_bytes (void)
@@ -1001,6 +1032,8 @@
   tcase_add_loop_test (tcase, a_head_that_arrives_in_parts_is_answered, 0, 2);
   tcase_add_loop_test (tcase, a_head_without_memory_is_refused, 0, 2);
   tcase_add_test (tcase, requests_with_wide_and_narrow_heads_follow_each_other);
+  tcase_add_loop_test (tcase, a_target_reaches_the_server_unchanged, 0,
+                       (int) G_N_ELEMENTS (targets));
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
   tcase_add_test (tcase, connections_up_to_the_limit_fit_in_the_memory_of_a_host);
