--- a/core/router_outages.c
+++ b/core/router_outages.c
@@ -20,8 +20,8 @@
 /* A server registers again within two seconds after the store is back; the row takes as long as any
  * change to arrive. */
 #define REGISTRATION_US (2300 * US_PER_MS)
-/* An outage is over for good when no call has failed for this long, longer than a call that hangs
- * and the time in which its servers' rows return. */
+/* Failures this recent belong to an outage that may still explain missing rows: a call that hangs
+ * and the time in which servers register are shorter together. */
 #define FAILURE_RECENT_US (8 * US_PER_S)
 /* Rows lapse when they have not been renewed for several seconds. */
 #define LAPSING_OUTAGE_MIN_US (1 * US_PER_S)
@@ -36,7 +36,7 @@
   return failed_us >= 0 && router->now_us - failed_us < FAILURE_RECENT_US;
 }
 
-/* Returns when the last call that failed at any host was sent; -1: none recently. */
+/* Returns the last failure of any host; -1: none recently. */
 static int64_t
 last_failure (const struct pl_router *router)
 {
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -102,7 +102,7 @@
         visit_value (router, row, &row->restored, table, visit, data);
       if (should_relay (&row->current, after, *is_snapshot)
           || (row_is_contested (row) && row->current.bytes != NULL)
-          || is_used_without_row (router, row))
+          || (*is_snapshot && is_used_without_row (router, row)))
         visit_value (router, row, &row->current, table, visit, data);
     }
   return held->version;
@@ -175,11 +175,12 @@
 server_grace_until (const struct pl_router *router, const struct pl_rows_event *event,
                     int deleted_count)
 {
-  int64_t until_us
-      = event->from_peer ? outages_reported_use_until (router) : outages_lapsed_use_until (router);
+  int64_t until_us;
 
   if (event->tells_use)
     return router->now_us;
+  until_us
+      = event->from_peer ? outages_reported_use_until (router) : outages_lapsed_use_until (router);
   if (deleted_count >= MASS_DELETION_MIN)
     until_us = MAX (until_us, router->now_us + MASS_DELETION_GRACE_US);
   return until_us;
