--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 mkdir -p "$out"
 flags="-std=c11 -D_GNU_SOURCE -O1 -g -Wall -Wextra"
 packages="glib-2.0 jansson"
-for program in names; do
+for program in names weights; do
   cc $flags $(pkg-config --cflags $packages) review/rig2/rig.c "review/rig2/$program.c" \
     -o "$out/$program" $(pkg-config --libs $packages) -pthread
 done
