--- a/core/router.c
+++ b/core/router.c
@@ -113,6 +113,15 @@
   return GPOINTER_TO_INT (g_hash_table_lookup (router->domain_regions, domain)) - 1;
 }
 
+static void
+free_route (gpointer data)
+{
+  struct router_route *route = data;
+
+  g_free (route->name);
+  g_free (route);
+}
+
 struct router_route *
 router_ensure_route (struct pl_router *router, const char *name)
 {
@@ -121,7 +130,7 @@
   if (route != NULL)
     return route;
   route = g_new0 (struct router_route, 1);
-  g_strlcpy (route->name, name, sizeof route->name);
+  route->name = g_strdup (name);
   g_hash_table_insert (router->routes, route->name, route);
   return route;
 }
@@ -207,7 +216,7 @@
   router->region_names = g_ptr_array_new_with_free_func (g_free);
   router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_account);
-  router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   router->retry_budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->waiting = g_ptr_array_new ();
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -57,9 +57,10 @@
   struct router_counts counts;
 };
 
+/* The state of a route, which outlives configurations: calls in progress refer to it. */
 struct router_route
 {
-  char name[PL_ID_CHARS];
+  char *name;
   double credit[PL_ROUTING_PARTS_MAX]; /* smooth weighted round robin */
   int64_t longest_caller_timeout_us;
   struct router_counts counts;
--- /dev/null
+++ b/tests/test_long_texts.c
@@ -0,0 +1,86 @@
+/* Tests that texts of the platform are used whole, whatever their length: each test gives two
+ * things texts that are alike but for the last byte, and compares what servers, callers, peers and
+ * operators get byte by byte. */
+#include "router_world.h"
+#include "suite.h"
+
+#include <string.h>
+
+/* Around the sizes of fixed fields that once held such texts, the longest key of a row, and a text
+ * that only the length of a row's value bounds. */
+static const int lengths[] = {1, 63, 64, 65, 72, 200, 3000};
+
+static struct world *world;
+
+static void
+set_up (void)
+{
+  world = world_new ();
+  world_put_config (world, 3, NULL);
+  world_put_server (world, "s-0", "a-1", "ready", 1);
+  world_advance (world, 4 * WORLD_SECOND);
+}
+
+static void
+tear_down (void)
+{
+  world_free (world);
+}
+
+/* Returns a text of LENGTH bytes that ends with LAST. */
+static char *
+make_text (int length, char last)
+{
+  char *text = g_strnfill ((gsize) length, 'x');
+
+  text[length - 1] = last;
+  return text;
+}
+
+/* Guards against LOST: the state of a route was stored under the first 63 characters of its name
+ * and looked up by the whole one, so that each request replaced the state that calls in progress
+ * used, and the host crashed. */
+START_TEST (calls_on_a_route_with_a_long_name_share_its_state)
+{
+  g_autofree char *names[] = {make_text (lengths[_i], 'a'), make_text (lengths[_i], 'b')};
+  g_autoptr (GString) routes = g_string_new (NULL);
+  g_autoptr (GString) metrics = g_string_new (NULL);
+  struct world_call *calls[16];
+
+  for (int i = 0; i < 2; i++)
+    g_string_append_printf (
+        routes,
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"%s\"},\"Spec\":{\"Host\":\"h\","
+        "\"Prefix\":\"/read/%d/\",\"Kind\":\"idempotent\",\"Service\":\"stock\"}},",
+        names[i], i);
+  world_put_config (world, 4, routes->str);
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    calls[i] = world_send_request (world, i % 4 == 0 ? "/read/0/1" : "/read/1/1", "key-1");
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    if (calls[i]->at_server)
+      world_end_attempt (world, calls[i], PL_ATTEMPT_ANSWERED, 200);
+  world_advance (world, WORLD_SECOND);
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    ck_assert_int_eq (calls[i]->answers, 1);
+  pl_router_metrics (world->router, metrics);
+  for (int i = 0; i < 2; i++)
+    {
+      g_autofree char *line = g_strdup_printf ("pomelolatch_requests_total{route=\"%s\"} %d\n",
+                                               names[i], i == 0 ? 4 : 12);
+
+      ck_assert_ptr_nonnull (strstr (metrics->str, line));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "long_texts");
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_loop_test (tcase, calls_on_a_route_with_a_long_name_share_its_state, 0,
+                       G_N_ELEMENTS (lengths));
+  return suite_run (suite);
+}
