--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -49,6 +49,11 @@
 /* Number of entry hosts that share the rate of a cold server, as a ratio of that rate per second.
  * Each holds at most one token, so the number bounds what they can send at once. */
 #define COLD_OWNERS_RATIO 0.5
+/* More than there are hosts. */
+#define COLD_OWNERS_MAX 1e6
+/* Steps of a split's sequence, times its parts, among which its first request is chosen: enough for
+ * a part of a thousandth to begin at any of them. */
+#define SPLIT_STEPS_MAX 65536
 
 const char *const router_refusal_names[ROUTER_REFUSAL_COUNT] = {
     [ROUTER_NO_ROUTING] = "no-configuration",
@@ -62,6 +67,7 @@
     [ROUTER_SERVERS_LIMITED] = "servers-limited",
     [ROUTER_SERVERS_REFUSED] = "servers-refused",
     [ROUTER_SERVERS_LOST] = "servers-lost",
+    [ROUTER_UNUSABLE_RULE] = "unusable-configuration",
     [ROUTER_OLD_ROUTING] = "old-configuration",
     [ROUTER_STOPPING] = "stopping",
     [ROUTER_PEER_REFUSED] = "peer-refused",
@@ -83,7 +89,7 @@
     [ROUTER_STOPPING] = {503, 502},        [ROUTER_PEER_REFUSED] = {503, 502},
     [ROUTER_TIMED_OUT] = {504, 504},       [ROUTER_NO_TIME] = {503, 504},
     [ROUTER_ANSWER_LOST] = {502, 502},     [ROUTER_UNSAFE_STATUS] = {502, 502},
-    [ROUTER_CALLER_GONE] = {503, 502},
+    [ROUTER_CALLER_GONE] = {503, 502},     [ROUTER_UNUSABLE_RULE] = {503, 502},
 };
 
 static void
@@ -188,15 +194,13 @@
   return true;
 }
 
-/* Smooth weighted round robin: each service gets its exact share, evenly spread over time. */
-static const char *
-choose_service (struct router_route *state, const struct pl_route_rule *rule)
+/* Smooth weighted round robin: each part gets its exact share, evenly spread over time. */
+static int
+choose_part (struct router_route *state, const struct pl_route_rule *rule)
 {
   double total = 0;
   int best = 0;
 
-  if (rule->part_count == 1)
-    return rule->parts[0].service_name;
   for (int i = 0; i < rule->part_count; i++)
     {
       state->credit[i] += rule->parts[i].weight;
@@ -205,7 +209,34 @@
         best = i;
     }
   state->credit[best] -= total;
-  return rule->parts[best].service_name;
+  return best;
+}
+
+/* Begins the split of RULE at a point of its sequence that differs between hosts and their starts.
+ * If all began at the same point, and each had only a few requests, a small part would get none. */
+static void
+begin_split (const struct pl_router *router, struct router_route *state,
+             const struct pl_route_rule *rule)
+{
+  uint64_t random = pl_hash_pair (rule->split, router->self.incarnation ^ router->membership.self);
+  uint64_t steps = random % (SPLIT_STEPS_MAX / (uint64_t) rule->part_count);
+
+  state->split = rule->split;
+  memset (state->credit, 0, sizeof state->credit);
+  while (steps-- > 0)
+    choose_part (state, rule);
+}
+
+/* Returns the next part of RULE that gets a request. */
+static const struct pl_route_part *
+next_part (const struct pl_router *router, struct router_route *state,
+           const struct pl_route_rule *rule)
+{
+  if (rule->part_count == 1)
+    return &rule->parts[0];
+  if (state->split != rule->split)
+    begin_split (router, state, rule);
+  return &rule->parts[choose_part (state, rule)];
 }
 
 /* Returns this host's share of a cold server's rate, reduced by the fraction of the active hosts
@@ -214,7 +245,7 @@
 cold_share (void *data, const struct pl_backend *backend, double cold_per_second)
 {
   struct pl_router *router = data;
-  int owners = MAX (1, (int) (cold_per_second * COLD_OWNERS_RATIO));
+  int owners = (int) CLAMP (cold_per_second * COLD_OWNERS_RATIO, 1, COLD_OWNERS_MAX);
   int found = pl_membership_owners (&router->membership, backend->hash, backend->entry.domain,
                                     backend->region, owners, router->now_us);
 
@@ -331,6 +362,17 @@
   return result;
 }
 
+/* Returns why a request is refused whose route or key this host does not find; IS_INCOMPLETE: the
+ * configuration has more of them, which can not be read. */
+static int
+refusal_of_unknown (const struct pl_router *router, bool is_incomplete,
+                    enum router_refusal if_unknown)
+{
+  if (rows_are_stale (router))
+    return ROUTER_STALE;
+  return is_incomplete ? ROUTER_UNUSABLE_RULE : (int) if_unknown;
+}
+
 /* Checks a CALL that has just arrived and fills in its fields.  Returns the refusal, or -1 when it
  * is admitted. */
 static int
@@ -338,6 +380,7 @@
 {
   int index;
   const struct pl_route_rule *route;
+  const struct pl_route_part *part;
   const struct pl_account_rule *account = NULL;
 
   if (router->routing == NULL)
@@ -346,7 +389,7 @@
     return ROUTER_OLD_ROUTING;
   index = pl_routing_find_route (router->routing, event->host, event->path);
   if (index == PL_NONE)
-    return rows_are_stale (router) ? ROUTER_STALE : ROUTER_NO_ROUTE;
+    return refusal_of_unknown (router, router->routing->lacks_routes, ROUTER_NO_ROUTE);
   route = PL_RULE_ROUTE (router->routing, index);
   call->route = router_ensure_route (router, route->name);
   call->route->counts.requests++;
@@ -354,7 +397,10 @@
   if (index != PL_NONE)
     account = PL_RULE_ACCOUNT (router->routing, index);
   if (account == NULL && pl_routing_needs_key (router->routing, route))
-    return rows_are_stale (router) ? ROUTER_STALE : ROUTER_NO_KEY;
+    return refusal_of_unknown (router, router->routing->lacks_accounts, ROUTER_NO_KEY);
+  part = route->is_unusable ? NULL : next_part (router, call->route, route);
+  if (part == NULL || part->service == PL_NONE || (account != NULL && account->is_unusable))
+    return ROUTER_UNUSABLE_RULE;
   call->repeatable = route->repeatable;
   call->sticky = route->sticky;
   call->has_home_regions = route->has_home_regions;
@@ -382,7 +428,7 @@
     return ROUTER_OVER_RATE;
   if (call->account != NULL && !call->is_handover)
     fleet_record_admitted (router, call->account);
-  g_strlcpy (call->service, choose_service (call->route, route), sizeof call->service);
+  g_strlcpy (call->service, part->service_name, sizeof call->service);
   return -1;
 }
 
@@ -405,6 +451,7 @@
     {
     case ROUTER_NO_ROUTING:
     case ROUTER_STALE:
+    case ROUTER_UNUSABLE_RULE:
       return RETRY_AFTER_NO_ROUTING_US;
     case ROUTER_OVER_RATE:
       return MAX (pl_quota_token_wait_us (&call->account->quota), 100 * US_PER_MS);
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -113,6 +113,8 @@
                          "# TYPE pomelolatch_latency_seconds histogram\n");
   g_string_append_printf (text, "pomelolatch_configuration_version %" G_GINT64_FORMAT "\n",
                           router->routing != NULL ? router->routing->version : 0);
+  g_string_append_printf (text, "pomelolatch_configuration_findings %d\n",
+                          router->routing != NULL ? router->routing->findings : 0);
   g_string_append_printf (text, "pomelolatch_store_lost %d\n", router->store.is_lost);
   g_string_append_printf (text,
                           "pomelolatch_store_era %" G_GINT64_FORMAT "\n"
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -165,9 +165,10 @@
     }
   router_add_effect (router, PL_ROUTER_SET_LIMITS)->u.limits = routing->limits;
   router_log (router, PL_ROUTER_LOG_STATE, "configuration-adopted",
-              json_pack ("{s:I,s:i,s:i,s:i}", "version", (json_int_t) routing->version, "routes",
-                         (int) routing->routes->len, "services", (int) routing->services->len,
-                         "accounts", (int) routing->accounts->len));
+              json_pack ("{s:I,s:i,s:i,s:i,s:i}", "version", (json_int_t) routing->version,
+                         "routes", (int) routing->routes->len, "services",
+                         (int) routing->services->len, "accounts", (int) routing->accounts->len,
+                         "findings", routing->findings));
 }
 
 /* Returns until when the servers of DELETED_COUNT rows are used that EVENT lacks or deletes. */
@@ -214,8 +215,7 @@
                          update->server.draining, "cold_us", (json_int_t) update->server.cold_us));
 }
 
-/* Logs findings on a row.  A configuration with an entry of unknown kind is applied without that
- * entry. */
+/* Logs findings on a row.  A configuration is applied as far as it can be used. */
 static void
 log_findings (struct pl_router *router, const char *key, bool rejected,
               const struct pl_findings *findings)
--- a/core/routing.c
+++ b/core/routing.c
@@ -8,7 +8,10 @@
 #include "internal/keys.h"
 #include "pomelolatch/error.h"
 
+#include <assert.h>
+#include <math.h>
 #include <string.h>
+#include <xxhash.h>
 
 static guint
 hash_key_hash (gconstpointer key)
@@ -125,48 +128,92 @@
   return (length_a < length_b) - (length_a > length_b);
 }
 
+/* Scales the weights of ROUTE so that the largest is at least 0.5 and below 1: their sum is finite
+ * then.  A power of two keeps the proportions exactly.  Returns false when all weights are 0. */
+static bool
+scale_weights (struct pl_route_rule *route)
+{
+  double largest = 0;
+  int exponent;
+
+  for (int i = 0; i < route->part_count; i++)
+    {
+      assert (isfinite (route->parts[i].weight) && route->parts[i].weight >= 0);
+      largest = fmax (largest, route->parts[i].weight);
+    }
+  frexp (largest, &exponent);
+  for (int i = 0; i < route->part_count; i++)
+    route->parts[i].weight = ldexp (route->parts[i].weight, -exponent);
+  return largest > 0;
+}
+
+static uint64_t
+hash_split (const struct pl_route_rule *route)
+{
+  uint64_t hash = 0;
+
+  for (int i = 0; i < route->part_count; i++)
+    {
+      const struct pl_route_part *part = &route->parts[i];
+
+      hash = XXH3_64bits_withSeed (part->service_name, strlen (part->service_name), hash);
+      hash = XXH3_64bits_withSeed (&part->weight, sizeof part->weight, hash);
+    }
+  return hash;
+}
+
 static void
-resolve_parts (struct pl_routing *routing, struct pl_route_rule *route,
-               struct pl_findings *findings)
+seal_route (struct pl_routing *routing, struct pl_route_rule *route, struct pl_findings *findings)
 {
   const struct pl_location no_location = {0, 0};
 
+  if (!scale_weights (route) && !route->is_unusable)
+    {
+      pl_findings_add (findings, no_location, "route '%s' has no service with a weight above 0",
+                       route->name);
+      route->is_unusable = true;
+    }
   for (int i = 0; i < route->part_count; i++)
     {
-      route->parts[i].service = pl_routing_find_service (routing, route->parts[i].service_name);
-      if (route->parts[i].service == PL_NONE)
+      struct pl_route_part *part = &route->parts[i];
+
+      part->service = pl_routing_find_service (routing, part->service_name);
+      if (part->service == PL_NONE)
         pl_findings_add (findings, no_location, "route '%s' refers to unknown service '%s'",
-                         route->name, route->parts[i].service_name);
+                         route->name, part->service_name);
     }
-  if (route->part_count == 0)
-    pl_findings_add (findings, no_location, "route '%s' has no service", route->name);
+  route->split = hash_split (route);
 }
 
-int
+static void
+group_route (struct pl_routing *routing, int index)
+{
+  const char *host = PL_RULE_ROUTE (routing, index)->host;
+  GArray *group = g_hash_table_lookup (routing->hosts, host);
+
+  if (group == NULL)
+    {
+      group = g_array_new (FALSE, FALSE, sizeof (int));
+      g_hash_table_insert (routing->hosts, (gpointer) host, group);
+    }
+  g_array_append_val (group, index);
+}
+
+void
 pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings)
 {
-  guint initial_count = pl_findings_count (findings);
   GHashTableIter iter;
   gpointer group;
 
   for (guint i = 0; i < routing->routes->len; i++)
     {
-      struct pl_route_rule *route = PL_RULE_ROUTE (routing, i);
-      int index = (int) i;
-
-      resolve_parts (routing, route, findings);
-      group = g_hash_table_lookup (routing->hosts, route->host);
-      if (group == NULL)
-        {
-          group = g_array_new (FALSE, FALSE, sizeof (int));
-          g_hash_table_insert (routing->hosts, (gpointer) route->host, group);
-        }
-      g_array_append_val ((GArray *) group, index);
+      seal_route (routing, PL_RULE_ROUTE (routing, i), findings);
+      group_route (routing, (int) i);
     }
   g_hash_table_iter_init (&iter, routing->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &group))
     g_array_sort_with_data (group, by_longest_prefix, routing);
-  return pl_findings_count (findings) == initial_count ? PL_OK : PL_ERR_INVALID;
+  routing->findings = (int) pl_findings_count (findings);
 }
 
 int
@@ -202,5 +249,5 @@
 bool
 pl_routing_needs_key (const struct pl_routing *routing, const struct pl_route_rule *route)
 {
-  return !route->open && routing->accounts->len > 0;
+  return !route->open && (routing->accounts->len > 0 || routing->lacks_accounts);
 }
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -29,6 +29,7 @@
   ROUTER_SERVERS_REFUSED,
   ROUTER_SERVERS_LOST,  /* neither this host nor a peer that could take the request reaches servers
                          */
+  ROUTER_UNUSABLE_RULE, /* the part of the configuration that decides on it can not be used */
   ROUTER_OLD_ROUTING,   /* handed over by a peer that has a newer configuration */
   ROUTER_STOPPING,      /* this host may exit before the request ends */
   ROUTER_PEER_REFUSED,  /* the peer that it was handed over to could not take it */
@@ -61,6 +62,7 @@
 struct router_route
 {
   char *name;
+  uint64_t split;                      /* of which the credits are; see struct pl_route_rule */
   double credit[PL_ROUTING_PARTS_MAX]; /* smooth weighted round robin */
   int64_t longest_caller_timeout_us;
   struct router_counts counts;
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -4,6 +4,9 @@
  *
  * A routing table is filled by an adapter and immutable after pl_routing_seal().
  * Entries refer to each other by index.
+ *
+ * A version is in force as soon as it is known, also where a host can not use all of it: an entry
+ * that is marked as unusable refuses the requests that it is about, and nothing else.
  */
 #ifndef POMELOLATCH_ROUTING_H
 #define POMELOLATCH_ROUTING_H
@@ -18,13 +21,14 @@
 struct pl_route_part
 {
   const char *service_name;
-  int service; /* set by pl_routing_seal() */
-  int weight;
+  int service;   /* set by pl_routing_seal(); PL_NONE: unknown, its share is refused */
+  double weight; /* finite, not negative; pl_routing_seal() scales the weights of a route */
 };
 
 struct pl_route_rule
 {
   const char *name;
+  bool is_unusable;      /* its requests are refused */
   const char *host;      /* HTTP host name */
   const char *prefix;    /* of the path */
   bool repeatable;       /* may run more than once */
@@ -38,6 +42,7 @@
   int64_t objective_us;  /* latency objective */
   int part_count;
   struct pl_route_part parts[PL_ROUTING_PARTS_MAX];
+  uint64_t split; /* set by pl_routing_seal(): hash of the parts */
 };
 
 struct pl_service_rule
@@ -53,7 +58,8 @@
 {
   const char *name;
   uint64_t id;
-  int priority; /* PL_NONE: the route's priority applies */
+  bool is_unusable; /* requests with its keys are refused */
+  int priority;     /* PL_NONE: the route's priority applies */
   bool has_home_regions;
   uint32_t home_regions;
   double rate;  /* requests per second over all entry hosts; 0: unlimited */
@@ -78,6 +84,11 @@
   GHashTable *keys;  /* hash of a key -> account index + 1 */
   GHashTable *hosts; /* HTTP host name -> GArray of route indices, longest prefix first */
   struct pl_caller_limits limits;
+  /* An entry was left out of which it is not known which requests it is about.  Those without a
+   * route, or with an unknown key, may be meant. */
+  bool lacks_routes;
+  bool lacks_accounts;
+  int findings; /* number of findings about the document */
 };
 
 /* Returns an empty table with one reference, owned by the caller. */
@@ -91,9 +102,9 @@
 void pl_routing_add_account (struct pl_routing *routing, const struct pl_account_rule *account,
                              const char *const *keys);
 
-/* Resolves names, sorts prefixes and makes the table immutable.  Returns 0, or PL_ERR_INVALID with
- * findings added. */
-int pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings);
+/* Resolves names, sorts prefixes and makes the table immutable.  Adds a finding for each route of
+ * which no part, or only some, can be used. */
+void pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings);
 
 /* These functions return an index, or PL_NONE. */
 int pl_routing_find_route (const struct pl_routing *routing, const char *host, const char *path);
--- a/programs/operator/explain.c
+++ b/programs/operator/explain.c
@@ -179,6 +179,9 @@
     {"servers-refused", "Each server that was tried rejected the request or was unreachable."},
     {"servers-lost",
      "The host could connect to no server, and no peer that can was known; nothing was sent."},
+    {"unusable-configuration",
+     "The configuration in force has no usable route, service or account for it: see row-findings; "
+     "nothing was sent."},
     {"old-configuration",
      "A host with a newer configuration handed the request over; nothing was sent."},
     {"peer-refused", "The request was handed over to a host that could not take it."},
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -15,8 +15,8 @@
   return pl_router_ensure_region (world->router, region);
 }
 
-struct world *
-world_new_with (unsigned switches)
+static struct world *
+start_world (unsigned switches, uint64_t incarnation)
 {
   struct world *world = g_new0 (struct world, 1);
   struct pl_router_options options = {
@@ -28,7 +28,7 @@
       .relay_address = "10.0.0.1:7600",
       .handover_port = "7700",
       .domains = domains,
-      .incarnation = 1,
+      .incarnation = incarnation,
       .capacity = 200,
       .now_us = WORLD_SECOND,
       .grace_us = 6 * WORLD_SECOND,
@@ -46,6 +46,18 @@
   return world;
 }
 
+struct world *
+world_new_with (unsigned switches)
+{
+  return start_world (switches, 1);
+}
+
+struct world *
+world_new_started_as (uint64_t incarnation)
+{
+  return start_world (0, incarnation);
+}
+
 struct world *
 world_new (void)
 {
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -64,6 +64,7 @@
 /* Returns a world whose router has no rows yet; freed with world_free(). */
 struct world *world_new (void);
 struct world *world_new_with (unsigned switches); /* of enum pl_router_switch */
+struct world *world_new_started_as (uint64_t incarnation); /* of the host */
 void world_free (struct world *world);
 
 void world_step (struct world *world, struct pl_router_event *event);
