--- a/core/placement.c
+++ b/core/placement.c
@@ -94,6 +94,7 @@
   struct pl_placement_service *service = data;
 
   g_ptr_array_free (service->backends, TRUE);
+  g_free (service->name);
   g_free (service);
 }
 
@@ -102,7 +103,8 @@
 {
   placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   placement->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
-  placement->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_service);
+  placement->services = g_ptr_array_new_with_free_func (free_service);
+  placement->handles = g_hash_table_new (g_str_hash, g_str_equal);
   placement->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_strlcpy (placement->domain, domain, sizeof placement->domain);
   placement->region = region;
@@ -112,34 +114,48 @@
 void
 pl_placement_clear (struct pl_placement *placement)
 {
-  g_hash_table_destroy (placement->services);
+  g_hash_table_destroy (placement->handles);
+  g_ptr_array_free (placement->services, TRUE);
   g_hash_table_destroy (placement->by_hash);
   g_hash_table_destroy (placement->backends);
   g_hash_table_destroy (placement->evacuated);
 }
 
-static struct pl_placement_service *
-ensure_service (struct pl_placement *placement, const char *name)
+int
+pl_placement_ensure_service (struct pl_placement *placement, const char *name)
 {
-  struct pl_placement_service *service = g_hash_table_lookup (placement->services, name);
+  int handle = GPOINTER_TO_INT (g_hash_table_lookup (placement->handles, name)) - 1;
+  struct pl_placement_service *service;
 
-  if (service != NULL)
-    return service;
+  if (handle >= 0)
+    return handle;
   service = g_new0 (struct pl_placement_service, 1);
-  g_strlcpy (service->name, name, sizeof service->name);
+  service->name = g_strdup (name);
   service->backends = g_ptr_array_new ();
-  g_hash_table_insert (placement->services, service->name, service);
-  return service;
+  g_ptr_array_add (placement->services, service);
+  g_hash_table_insert (placement->handles, service->name,
+                       GINT_TO_POINTER ((int) placement->services->len));
+  return (int) placement->services->len - 1;
+}
+
+static struct pl_placement_service *
+service_at (const struct pl_placement *placement, int service)
+{
+  return g_ptr_array_index (placement->services, service);
+}
+
+const char *
+pl_placement_service_name (const struct pl_placement *placement, int service)
+{
+  return service_at (placement, service)->name;
 }
 
 void
-pl_placement_set_service (struct pl_placement *placement, const char *name, int64_t cold_time_us,
+pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                           double cold_per_second)
 {
-  struct pl_placement_service *service = ensure_service (placement, name);
-
-  service->cold_time_us = cold_time_us;
-  service->cold_per_second = cold_per_second;
+  service_at (placement, service)->cold_time_us = cold_time_us;
+  service_at (placement, service)->cold_per_second = cold_per_second;
 }
 
 struct pl_backend *
@@ -180,15 +196,16 @@
                   bool at_start, int64_t now_us)
 {
   struct pl_backend *backend = pl_placement_find (placement, entry->id);
-  struct pl_placement_service *service = ensure_service (placement, entry->service);
+  int handle = pl_placement_ensure_service (placement, entry->service);
+  struct pl_placement_service *service = service_at (placement, handle);
   bool is_known = backend != NULL;
   bool is_new = !is_known || backend->entry.born != entry->born
                 || strcmp (backend->entry.address, entry->address) != 0;
   int64_t cold_us = entry->cold_us;
 
-  if (backend != NULL && strcmp (backend->entry.service, entry->service) != 0)
+  if (backend != NULL && backend->service != handle)
     {
-      g_ptr_array_remove (ensure_service (placement, backend->entry.service)->backends, backend);
+      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
       g_ptr_array_add (service->backends, backend);
     }
   if (backend == NULL)
@@ -201,6 +218,8 @@
       g_ptr_array_add (service->backends, backend);
     }
   backend->entry = *entry;
+  backend->entry.service = service->name;
+  backend->service = handle;
   backend->region = region;
   backend->is_local = strcmp (entry->domain, placement->domain) == 0;
   backend->expires_us = INT64_MAX;
@@ -642,16 +661,13 @@
                      const struct pl_placement_shares *shares, void *data,
                      struct pl_placement_choice *choice, int64_t now_us)
 {
-  struct pl_placement_service *service
-      = g_hash_table_lookup (placement->services, request->service);
+  struct pl_placement_service *service = service_at (placement, request->service);
   struct scan scan = {.least_loaded = NULL};
   struct pl_backend *best = NULL;
 
   memset (choice, 0, sizeof *choice);
   if (placement->is_cut_off)
     return PL_PLACE_CUT_OFF;
-  if (service == NULL)
-    return PL_PLACE_NONE;
   update_reservations (service, now_us);
   scan_servers (placement, service, request, &scan, shares, data, now_us);
   if (scan.eligible_count == 0)
@@ -703,7 +719,7 @@
 static void
 update_failure_ratio (struct pl_placement *placement, struct pl_backend *backend, double failed)
 {
-  struct pl_placement_service *service = ensure_service (placement, backend->entry.service);
+  struct pl_placement_service *service = service_at (placement, backend->service);
 
   backend->failure_ratio += FAILURE_SMOOTHING * (failed - backend->failure_ratio);
   service->failure_ratio += FAILURE_SMOOTHING / 4 * (failed - service->failure_ratio);
@@ -713,7 +729,7 @@
 pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
                             const struct pl_placement_answer *answer)
 {
-  struct pl_placement_service *service = ensure_service (placement, backend->entry.service);
+  struct pl_placement_service *service = service_at (placement, backend->service);
   double work_us = (double) answer->latency_us / fmax (answer->load, 1);
 
   backend->failures = 0;
@@ -820,7 +836,7 @@
       if (backend->expires_us > now_us - EXPIRED_KEPT_US || backend->in_flight > 0
           || backend->probe_pending)
         continue;
-      g_ptr_array_remove (ensure_service (placement, backend->entry.service)->backends, backend);
+      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
       g_hash_table_remove (placement->by_hash, &backend->hash);
       g_hash_table_iter_remove (&iter);
     }
--- a/core/router.c
+++ b/core/router.c
@@ -217,7 +217,7 @@
   router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   router->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_account);
   router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
-  router->retry_budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  router->retry_budgets = g_array_new (FALSE, FALSE, sizeof (struct router_retry_budget));
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->waiting = g_ptr_array_new ();
   for (int i = 0; i < PL_TABLES_MAX; i++)
@@ -265,7 +265,7 @@
   quarantine_free (&router->quarantine);
   pl_membership_clear (&router->membership);
   pl_placement_clear (&router->placement);
-  g_hash_table_destroy (router->retry_budgets);
+  g_array_free (router->retry_budgets, TRUE);
   g_hash_table_destroy (router->routes);
   g_hash_table_destroy (router->accounts);
   g_hash_table_destroy (router->domain_regions);
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -158,35 +158,31 @@
 }
 
 static struct router_retry_budget *
-ensure_retry_budget (struct pl_router *router, const char *service)
+retry_budget_of (struct pl_router *router, int service)
 {
-  struct router_retry_budget *budget = g_hash_table_lookup (router->retry_budgets, service);
+  static const struct router_retry_budget initial = {.tokens = 1};
 
-  if (budget == NULL)
-    {
-      budget = g_new0 (struct router_retry_budget, 1);
-      budget->tokens = 1;
-      g_hash_table_insert (router->retry_budgets, g_strdup (service), budget);
-    }
-  return budget;
+  while (router->retry_budgets->len <= (guint) service)
+    g_array_append_val (router->retry_budgets, initial);
+  return &g_array_index (router->retry_budgets, struct router_retry_budget, service);
 }
 
 /* Adds a fraction of a retry to the budget of SERVICE, for a request that has just arrived. */
 static void
-add_retry_credit (struct pl_router *router, const char *service)
+add_retry_credit (struct pl_router *router, int service)
 {
   int hosts = router_view (router)->hosts;
   double tokens_max = MAX (router->options.retry_slack * RETRY_BUDGET_RATIO / hosts, 1.0);
-  struct router_retry_budget *budget = ensure_retry_budget (router, service);
+  struct router_retry_budget *budget = retry_budget_of (router, service);
 
   budget->tokens
       = MIN (budget->tokens + router->options.retry_ratio * RETRY_BUDGET_RATIO, tokens_max);
 }
 
 static bool
-spend_retry_token (struct pl_router *router, const char *service)
+spend_retry_token (struct pl_router *router, int service)
 {
-  struct router_retry_budget *budget = ensure_retry_budget (router, service);
+  struct router_retry_budget *budget = retry_budget_of (router, service);
 
   if (budget->tokens < 1)
     return false;
@@ -428,7 +424,7 @@
     return ROUTER_OVER_RATE;
   if (call->account != NULL && !call->is_handover)
     fleet_record_admitted (router, call->account);
-  g_strlcpy (call->service, part->service_name, sizeof call->service);
+  call->service = pl_placement_ensure_service (&router->placement, part->service_name);
   return -1;
 }
 
@@ -477,6 +473,7 @@
   int refusal;
 
   call->id = event->request;
+  call->service = PL_NONE;
   g_strlcpy (call->correlation_id, event->correlation_id, sizeof call->correlation_id);
   call->object = event->object;
   call->fingerprint = event->fingerprint;
@@ -516,7 +513,7 @@
 is_waiting_for (const struct call *call, const struct pl_backend *backend)
 {
   if (call->choice.awaited_count == 0)
-    return strcmp (call->service, backend->entry.service) == 0;
+    return call->service == backend->service;
   for (int i = 0; i < call->choice.awaited_count; i++)
     if (call->choice.awaited[i] == backend->hash)
       return true;
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -160,8 +160,9 @@
     {
       const struct pl_service_rule *rule = PL_RULE_SERVICE (routing, i);
 
-      pl_placement_set_service (&router->placement, rule->name, rule->cold_time_us,
-                                rule->cold_per_second);
+      pl_placement_set_service (&router->placement,
+                                pl_placement_ensure_service (&router->placement, rule->name),
+                                rule->cold_time_us, rule->cold_per_second);
     }
   router_add_effect (router, PL_ROUTER_SET_LIMITS)->u.limits = routing->limits;
   router_log (router, PL_ROUTER_LOG_STATE, "configuration-adopted",
@@ -224,6 +225,14 @@
               json_pack ("{s:s,s:o}", "row", key, "findings", pl_findings_to_json (findings)));
 }
 
+void
+pl_row_update_clear (struct pl_row_update *update)
+{
+  pl_routing_unref (update->routing);
+  json_decref (update->document);
+  *update = (struct pl_row_update){0};
+}
+
 /* A received row with its decoded content. */
 struct decoded_row
 {
@@ -434,7 +443,7 @@
       apply_row (router, &decoded, at_start, until_us);
       break;
     }
-  pl_routing_unref (decoded.update.routing);
+  pl_row_update_clear (&decoded.update);
 }
 
 void
@@ -450,7 +459,7 @@
   decode_row (router, table, &store_row, &decoded);
   put_row (held, &decoded);
   apply_row (router, &decoded, false, router->now_us);
-  pl_routing_unref (decoded.update.routing);
+  pl_row_update_clear (&decoded.update);
   g_free (restored.bytes);
 }
 
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -4,6 +4,9 @@
  *
  * Does no I/O and keeps no state of single requests: a caller of this interface
  * describes each request and reports its outcome.
+ *
+ * A service is known by a handle, its number in the table, which holds the name once.  Services are
+ * never removed, so that a handle is valid for as long as the placement.
  */
 #ifndef POMELOLATCH_PLACEMENT_H
 #define POMELOLATCH_PLACEMENT_H
@@ -17,11 +20,12 @@
 /* The first server for an object, and two that may take its overflow. */
 #define PL_PLACEMENT_RANKED_MAX 3
 
-/* The registration of a server. */
+/* The registration of a server.  Its texts are borrowed; those of a backend belong to the
+ * placement. */
 struct pl_server_entry
 {
   char id[PL_SERVER_ID_CHARS];
-  char service[PL_ID_CHARS];
+  const char *service;
   char address[PL_ADDRESS_CHARS];
   char domain[PL_ID_CHARS];
   int slots;
@@ -35,6 +39,7 @@
 {
   struct pl_server_entry entry;
   uint64_t hash;
+  int service; /* handle */
   int region;
   bool is_local;      /* in this host's domain */
   int64_t expires_us; /* end of use after its removal; INT64_MAX: it is registered */
@@ -73,7 +78,7 @@
 
 struct pl_placement_service
 {
-  char name[PL_ID_CHARS];
+  char *name;
   GPtrArray *backends; /* of struct pl_backend */
   /* moving averages over all its servers */
   double work_us; /* 0: unknown */
@@ -90,7 +95,8 @@
 {
   GHashTable *backends;     /* id -> struct pl_backend */
   GHashTable *by_hash;      /* the same by their hash */
-  GHashTable *services;     /* name -> struct pl_placement_service */
+  GPtrArray *services;      /* of struct pl_placement_service, by handle */
+  GHashTable *handles;      /* name of a service -> its handle + 1 */
   GHashTable *evacuated;    /* domain name -> itself */
   char domain[PL_ID_CHARS]; /* of this host */
   int region;
@@ -100,7 +106,7 @@
 /* The request to be placed. */
 struct pl_placement_request
 {
-  const char *service;
+  int service;          /* handle */
   uint64_t object;      /* hash of the object concerned; 0: none */
   bool is_large;        /* its body is expensive to transfer to another domain */
   int64_t objective_us; /* latency objective, which limits the use of queues */
@@ -125,9 +131,14 @@
 void pl_placement_init (struct pl_placement *placement, const char *domain, int region);
 void pl_placement_clear (struct pl_placement *placement);
 
-/* Sets how cold servers of the service NAME are treated. */
-void pl_placement_set_service (struct pl_placement *placement, const char *name,
-                               int64_t cold_time_us, double cold_per_second);
+/* Returns the handle of the service NAME, which is added if it is new. */
+int pl_placement_ensure_service (struct pl_placement *placement, const char *name);
+/* Returns the name of SERVICE, owned by PLACEMENT. */
+const char *pl_placement_service_name (const struct pl_placement *placement, int service);
+
+/* Sets how cold servers of SERVICE are treated. */
+void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
+                               double cold_per_second);
 
 /* Adds or updates a server.  AT_START: it was registered before this host started, so that it does
  * not count as newly started. */
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -56,14 +56,19 @@
   PL_ROW_UPDATE_SERVER,
 };
 
+/* Texts point into the key of the row or into DOCUMENT. */
 struct pl_row_update
 {
   enum pl_row_update_type type;
-  struct pl_routing *routing;    /* owned by the caller of the decoder */
+  json_t *document;              /* a reference, or NULL; see pl_row_update_clear() */
+  struct pl_routing *routing;    /* a reference, or NULL */
   char domain[PL_ID_CHARS];      /* evacuation */
   struct pl_server_entry server; /* only the id is set for a deleted row */
 };
 
+/* Releases what UPDATE refers to. */
+void pl_row_update_clear (struct pl_row_update *update);
+
 /* Decodes a row; VALUE is NULL for a deleted one.  Must be a pure function.  Returns 0, or
  * PL_ERR_INVALID with findings added; the row is then ignored. */
 typedef int (*pl_row_decoder) (void *data, enum pl_table table, const char *key, const char *value,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -88,7 +88,7 @@
   enum call_state state;
   struct router_account *account; /* NULL: an open route */
   struct router_route *route;
-  char service[PL_ID_CHARS];
+  int service; /* handle; PL_NONE: not chosen yet */
   bool repeatable;
   bool sticky;
   bool is_caller_retry; /* the caller's retry after a refusal */
@@ -200,7 +200,7 @@
   GHashTable *domain_regions; /* domain name -> region index + 1 */
   GHashTable *accounts;       /* id -> struct router_account */
   GHashTable *routes;         /* name -> struct router_route */
-  GHashTable *retry_budgets;  /* service name -> struct router_retry_budget */
+  GArray *retry_budgets;      /* of struct router_retry_budget, by handle of the service */
   struct pl_placement placement;
   struct pl_membership membership;
   struct pl_fleet_view view;
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -37,16 +37,43 @@
   return text;
 }
 
+/* Fills TEXTS with two texts of LENGTH bytes. */
+static void
+make_texts (char **texts, int length)
+{
+  texts[0] = make_text (length, 'a');
+  texts[1] = make_text (length, 'b');
+}
+
+static void
+free_texts (char **texts)
+{
+  g_free (texts[0]);
+  g_free (texts[1]);
+}
+
+static void
+put_server (const char *id, const char *service, const char *domain)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"Address\":\"10.1.0.%d:80\",\"born\":1,\"Info\":{\"Service\":\"%s\",\"Zone\":\"%s\","
+      "\"Slots\":4},\"Status\":{\"State\":\"ready\",\"Sequence\":1}}",
+      (int) (g_str_hash (id) % 250) + 1, service, domain);
+
+  world_put_row (world, PL_TABLE_SERVERS, id, text);
+}
+
 /* Guards against LOST: the state of a route was stored under the first 63 characters of its name
  * and looked up by the whole one, so that each request replaced the state that calls in progress
  * used, and the host crashed. */
 START_TEST (calls_on_a_route_with_a_long_name_share_its_state)
 {
-  g_autofree char *names[] = {make_text (lengths[_i], 'a'), make_text (lengths[_i], 'b')};
+  char *names[2];
   g_autoptr (GString) routes = g_string_new (NULL);
   g_autoptr (GString) metrics = g_string_new (NULL);
   struct world_call *calls[16];
 
+  make_texts (names, lengths[_i]);
   for (int i = 0; i < 2; i++)
     g_string_append_printf (
         routes,
@@ -70,6 +97,56 @@
 
       ck_assert_ptr_nonnull (strstr (metrics->str, line));
     }
+  free_texts (names);
+}
+END_TEST
+
+static void
+put_config_with_services (int version, char **names)
+{
+  g_autoptr (GString) extra = g_string_new (NULL);
+
+  for (int i = 0; i < 2; i++)
+    g_string_append_printf (
+        extra,
+        "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"%s\"},\"Spec\":{"
+        "\"HealthPath\":\"/health\"}},"
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"r-%d\"},\"Spec\":{\"Host\":\"h\","
+        "\"Prefix\":\"/read/%d/\",\"Kind\":\"idempotent\",\"Service\":\"%s\",\"Attempts\":2}},",
+        names[i], i, i, names[i]);
+  world_put_config (world, version, extra->str);
+}
+
+/* Guards against ROUTE: two services whose names are alike in their first 63 characters were one,
+ * and a later configuration took its servers away. */
+START_TEST (a_request_is_run_by_the_service_of_its_route_whatever_the_names)
+{
+  char *names[2];
+
+  make_texts (names, lengths[_i]);
+  put_config_with_services (4, names);
+  put_server ("0-first", names[0], "a-1");
+  put_server ("1-first", names[1], "a-1");
+  put_server ("0-second", names[0], "b-1");
+  put_server ("1-second", names[1], "b-1");
+  for (int i = 0; i < 60; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d/%d", i % 2, i);
+      struct world_call *call = world_send_request (world, path, "key-1");
+
+      if (i == 30)
+        put_config_with_services (5, names);
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert_int_eq (call->server[0] - '0', i % 2);
+      if (i < 2) /* the next try */
+        world_end_attempt (world, call, PL_ATTEMPT_NOT_RUN, 503);
+      ck_assert_int_eq (call->server[0] - '0', i % 2);
+      if (call->at_server)
+        world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+      ck_assert (call->delivered);
+      world_advance (world, 100 * WORLD_MS);
+    }
+  free_texts (names);
 }
 END_TEST
 
@@ -82,5 +159,7 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_add_loop_test (tcase, calls_on_a_route_with_a_long_name_share_its_state, 0,
                        G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_request_is_run_by_the_service_of_its_route_whatever_the_names, 0,
+                       G_N_ELEMENTS (lengths));
   return suite_run (suite);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -12,15 +12,15 @@
 #define SECOND INT64_C (1000000)
 
 static struct pl_placement placement;
+static int stock; /* handle of the service of all servers */
 
 static struct pl_server_entry
 make_entry (int number, const char *domain)
 {
-  struct pl_server_entry entry = {.slots = SLOTS, .born = 1};
+  struct pl_server_entry entry = {.service = "stock", .slots = SLOTS, .born = 1};
 
   g_snprintf (entry.id, sizeof entry.id, "server-%d", number);
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", number + 1);
-  g_strlcpy (entry.service, "stock", sizeof entry.service);
   g_strlcpy (entry.domain, domain, sizeof entry.domain);
   return entry;
 }
@@ -41,7 +41,8 @@
 set_up (void)
 {
   pl_placement_init (&placement, "a-1", 0);
-  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  stock = pl_placement_ensure_service (&placement, "stock");
+  pl_placement_set_service (&placement, stock, 3 * SECOND, 14);
   add_servers (SERVERS);
 }
 
@@ -54,7 +55,7 @@
 static struct pl_placement_request
 make_request (uint64_t object)
 {
-  return (struct pl_placement_request){.service = "stock",
+  return (struct pl_placement_request){.service = stock,
                                        .object = object,
                                        .objective_us = 200 * MS,
                                        .time_left_us = SECOND,
@@ -259,7 +260,8 @@
 
   tear_down ();
   pl_placement_init (&placement, "a-1", 0);
-  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  stock = pl_placement_ensure_service (&placement, "stock");
+  pl_placement_set_service (&placement, stock, 3 * SECOND, 14);
   for (int i = 0; i < SERVERS; i++)
     {
       struct pl_server_entry entry = make_entry (i, i < LOCAL_SERVERS ? "a-1" : "b-1");
@@ -311,7 +313,8 @@
 
   tear_down ();
   pl_placement_init (&placement, "a-1", 0);
-  pl_placement_set_service (&placement, "stock", 3 * SECOND, 14);
+  stock = pl_placement_ensure_service (&placement, "stock");
+  pl_placement_set_service (&placement, stock, 3 * SECOND, 14);
   pl_placement_put (&placement, &entry, 0, false, 0);
   for (int64_t now = SECOND; now < 2 * SECOND; now += MS)
     {
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -15,6 +15,7 @@
 
 #include <errno.h>
 #include <stdio.h>
+#include <assert.h>
 #include <string.h>
 
 #define RECORDING "tests/data/burst.csv"
@@ -194,9 +195,8 @@
 static int
 choose_placement (struct replay *replay, struct request *request)
 {
-  static const char *const names[SERVICES] = {"0", "1", "2"};
   struct pl_placement_request placement_request
-      = {.service = names[request->service],
+      = {.service = request->service,
          .object = request->object,
          .objective_us = OBJECTIVE_US,
          .time_left_us = request->arrived_us + CALLER_TIMEOUT_US - replay->now_us,
@@ -224,6 +224,7 @@
 add_server (struct replay *replay, int service, int region)
 {
   struct server *server = &replay->servers[replay->server_count];
+  static const char *const names[SERVICES] = {"0", "1", "2"};
   struct pl_server_entry entry = {.slots = services[service].slots, .born = 1};
 
   server->number = replay->server_count++;
@@ -231,11 +232,17 @@
   server->region = region;
   g_queue_init (&server->waiting);
   g_snprintf (entry.id, sizeof entry.id, "%d", server->number);
-  g_snprintf (entry.service, sizeof entry.service, "%d", service);
+  entry.service = names[service];
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", server->number);
   g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", region, server->number % 2);
   for (int host = 0; host < HOSTS; host++)
-    server->hash = pl_placement_put (&replay->placements[host], &entry, region, true, 0)->hash;
+    {
+      struct pl_backend *backend
+          = pl_placement_put (&replay->placements[host], &entry, region, true, 0);
+
+      assert (backend->service == service);
+      server->hash = backend->hash;
+    }
 }
 
 static struct replay *
--- a/tools/bench_placement.c
+++ b/tools/bench_placement.c
@@ -42,15 +42,17 @@
 measure (int servers)
 {
   struct pl_placement placement;
-  struct pl_placement_request request = {.service = "stock",
-                                         .objective_us = SECOND,
-                                         .time_left_us = SECOND,
-                                         .home_regions = UINT32_MAX};
+  struct pl_placement_request request
+      = {.service = pl_placement_ensure_service (&placement, "stock"),
+         .objective_us = SECOND,
+         .time_left_us = SECOND,
+         .home_regions = UINT32_MAX};
   double started;
   int placed = 0;
 
   pl_placement_init (&placement, "0-0", 0);
-  pl_placement_set_service (&placement, "stock", SECOND, 14);
+  pl_placement_set_service (&placement, pl_placement_ensure_service (&placement, "stock"), SECOND,
+                            14);
   add_servers (&placement, servers);
   started = processor_seconds ();
   for (int i = 0; i < CHOICES; i++)
