--- a/core/router.c
+++ b/core/router.c
@@ -141,21 +141,23 @@
   struct router_account *account = data;
 
   pl_quota_clear (&account->quota);
+  g_free (account->name);
   g_free (account);
 }
 
 struct router_account *
 router_ensure_account (struct pl_router *router, const struct pl_account_rule *rule)
 {
-  struct router_account *account = g_hash_table_lookup (router->accounts, &rule->id);
+  struct router_account *account = g_hash_table_lookup (router->accounts, rule->name);
 
   if (account != NULL)
     return account;
   account = g_new0 (struct router_account, 1);
   account->id = rule->id;
-  g_strlcpy (account->name, rule->name, sizeof account->name);
+  account->name = g_strdup (rule->name);
   pl_quota_init (&account->quota, router->now_us);
-  g_hash_table_insert (router->accounts, &account->id, account);
+  g_hash_table_insert (router->accounts, account->name, account);
+  g_hash_table_insert (router->accounts_by_id, &account->id, account);
   return account;
 }
 
@@ -215,7 +217,8 @@
       .lost_since_us = -1, .failed_us = -1, .back_us = -1, .watching_since_us = -1};
   router->region_names = g_ptr_array_new_with_free_func (g_free);
   router->domain_regions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  router->accounts = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_account);
+  router->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
+  router->accounts_by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   router->retry_budgets = g_array_new (FALSE, FALSE, sizeof (struct router_retry_budget));
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
@@ -267,6 +270,7 @@
   pl_placement_clear (&router->placement);
   g_array_free (router->retry_budgets, TRUE);
   g_hash_table_destroy (router->routes);
+  g_hash_table_destroy (router->accounts_by_id);
   g_hash_table_destroy (router->accounts);
   g_hash_table_destroy (router->domain_regions);
   g_ptr_array_free (router->region_names, TRUE);
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -273,8 +273,7 @@
   effect->attempt = call->attempt;
   g_strlcpy (effect->u.send.server, backend->entry.id, sizeof effect->u.send.server);
   g_strlcpy (effect->u.send.address, backend->entry.address, sizeof effect->u.send.address);
-  if (call->account != NULL)
-    g_strlcpy (effect->u.send.account, call->account->name, sizeof effect->u.send.account);
+  effect->u.send.account = call->account != NULL ? call->account->name : NULL;
   effect->u.send.time_left_us = call->deadline_us - router->now_us;
   effect->u.send.at_most_once = !call->repeatable;
   effect->u.send.only_kept_connection = router->reach.state == PL_REACH_KEPT_ONLY;
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -116,7 +116,7 @@
   for (int i = 0; i < beacon->account_count; i++)
     {
       const struct router_account *account
-          = g_hash_table_lookup (router->accounts, &beacon->accounts[i].account);
+          = g_hash_table_lookup (router->accounts_by_id, &beacon->accounts[i].account);
 
       beacon->accounts[i].admitted
           = (uint32_t) pl_quota_count_excluding (&account->quota, member->id);
@@ -552,7 +552,7 @@
   for (int i = 0; i < beacon->account_count; i++)
     {
       struct router_account *account
-          = g_hash_table_lookup (router->accounts, &beacon->accounts[i].account);
+          = g_hash_table_lookup (router->accounts_by_id, &beacon->accounts[i].account);
 
       if (account == NULL)
         continue;
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -284,6 +284,7 @@
   PL_ROUTER_LOG_WARNING, /* a problem */
 };
 
+/* Texts are borrowed until the next step. */
 struct pl_router_effect
 {
   enum pl_router_effect_type type;
@@ -295,7 +296,7 @@
     {
       char server[PL_SERVER_ID_CHARS];
       char address[PL_ADDRESS_CHARS];
-      char account[PL_ID_CHARS]; /* empty: none */
+      const char *account; /* NULL: none */
       int64_t time_left_us;      /* left until the timeout of the caller or of the route */
       bool at_most_once;
       bool only_kept_connection; /* the attempt fails if a new one is required */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -49,10 +49,11 @@
   struct pl_histogram latency;
 };
 
+/* The state of an account, which outlives configurations: calls in progress refer to it. */
 struct router_account
 {
-  uint64_t id;
-  char name[PL_ID_CHARS];
+  char *name;
+  uint64_t id; /* in beacons: a hash of the name */
   struct pl_quota quota;
   bool listed; /* in the current configuration */
   struct router_counts counts;
@@ -198,7 +199,8 @@
   struct pl_routing *routing;
   GPtrArray *region_names;
   GHashTable *domain_regions; /* domain name -> region index + 1 */
-  GHashTable *accounts;       /* id -> struct router_account */
+  GHashTable *accounts;       /* name -> struct router_account */
+  GHashTable *accounts_by_id; /* the same by their id */
   GHashTable *routes;         /* name -> struct router_route */
   GArray *retry_budgets;      /* of struct router_retry_budget, by handle of the service */
   struct pl_placement placement;
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -451,7 +451,7 @@
 
   g_ptr_array_add (headers,
                    g_strdup_printf ("%s: %s", dialect->expected_server, effect->u.send.server));
-  if (effect->u.send.account[0] != '\0')
+  if (effect->u.send.account != NULL)
     g_ptr_array_add (headers, g_strdup_printf ("%s: %s", dialect->account, effect->u.send.account));
   start_attempt (front, request, effect->attempt, headers, &options);
 }
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -111,6 +111,7 @@
   call->time_left_us = effect->u.send.time_left_us;
   call->at_most_once = effect->u.send.at_most_once;
   g_strlcpy (call->server, effect->u.send.server, sizeof call->server);
+  call->account = g_intern_string (effect->u.send.account != NULL ? effect->u.send.account : "");
   g_strlcpy (call->address, effect->u.send.address, sizeof call->address);
   if (world->on_attempt != NULL)
     world->on_attempt (world->data, call);
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -18,6 +18,7 @@
   bool is_handover; /* a peer has handed it over */
   int sends;        /* to servers */
   char server[PL_SERVER_ID_CHARS];
+  const char *account; /* whose request the server got; interned; empty: none */
   char address[PL_ADDRESS_CHARS];
   uint32_t attempt;
   int64_t sent_us;
@@ -63,7 +64,7 @@
 
 /* Returns a world whose router has no rows yet; freed with world_free(). */
 struct world *world_new (void);
-struct world *world_new_with (unsigned switches); /* of enum pl_router_switch */
+struct world *world_new_with (unsigned switches);          /* of enum pl_router_switch */
 struct world *world_new_started_as (uint64_t incarnation); /* of the host */
 void world_free (struct world *world);
 
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -274,6 +274,29 @@
 }
 END_TEST
 
+/* In JSON. */
+static const char *const unsendable_names[]
+    = {"", " ", "a ", "\\ta", "a\\r\\nX-Other: b", "a\\u007f"};
+
+/* Guards against UNASKED: a name that a header cannot carry as it is reached servers as another
+ * one, or brought headers of its own. */
+START_TEST (an_account_whose_name_no_header_can_carry_is_refused)
+{
+  g_autofree char *account = g_strdup_printf (
+      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"%s\"},\"Spec\":{\"ApiKeys\":"
+      "[\"key-new\"]}},",
+      unsendable_names[_i]);
+  struct world_call *call;
+
+  world_put_config (world, 5, account);
+  call = world_send_request (world, "/read/1", "key-new");
+  ck_assert_int_eq (call->sends, 0);
+  ck_assert_int_eq (call->status, 503);
+  ck_assert_str_eq (call->reason, "unusable-configuration");
+  ck_assert_int_eq (world->warnings, 1);
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -373,6 +396,8 @@
   tcase_add_loop_test (tcase, a_request_on_an_unusable_route_is_refused_as_not_run, 0,
                        G_N_ELEMENTS (unusable_routes));
   tcase_add_test (tcase, an_account_without_a_known_rate_is_refused_as_not_run);
+  tcase_add_loop_test (tcase, an_account_whose_name_no_header_can_carry_is_refused, 0,
+                       G_N_ELEMENTS (unsendable_names));
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -30,7 +30,6 @@
 #define CONNECTIONS_MEMORY ((size_t) 195000000)
 
 #define WAITING_CALLERS 200
-#define REQUEST_LINE_CHARS 256
 #define FEW_DESCRIPTORS 64
 
 struct fixture
@@ -50,16 +49,17 @@
   int listener;
   uint16_t server_port;
   pthread_t server_thread;
-  const char *answer;                    /* of the server, with its head */
-  int64_t work_us;                       /* before it answers */
-  atomic_int runs;                       /* requests that have reached it */
-  char request_line[REQUEST_LINE_CHARS]; /* of the last one */
+  const char *answer;  /* of the server, with its head */
+  int64_t work_us;     /* before it answers */
+  atomic_int runs;     /* requests that have reached it */
+  char *head;          /* of the last one */
+  const char *account; /* whose requests are sent; NULL: none */
 };
 
-/* Reads the head of a request without a body, of which LINE gets the first line.  Returns whether
- * it is whole. */
+/* Reads a request without a body into *HEAD, in place of the one before.  Returns whether it is
+ * whole. */
 static bool
-read_request (int fd, char *line)
+read_request (int fd, char **head)
 {
   g_autofree char *text = g_malloc0 (SERVER_HEAD_MAX + 1);
   size_t length = 0;
@@ -72,8 +72,7 @@
         return false;
       length += (size_t) received;
     }
-  g_strlcpy (line, text, REQUEST_LINE_CHARS);
-  line[strcspn (line, "\r\n")] = '\0';
+  text = g_atomic_pointer_exchange (head, g_steal_pointer (&text));
   return true;
 }
 
@@ -89,7 +88,7 @@
   struct server_connection *connection = data;
   struct fixture *fixture = connection->fixture;
 
-  while (read_request (connection->fd, fixture->request_line))
+  while (read_request (connection->fd, &fixture->head))
     {
       fixture->runs++;
       g_usleep ((gulong) fixture->work_us);
@@ -134,6 +133,7 @@
       g_strlcpy (effect.u.send.server, "s-1", sizeof effect.u.send.server);
       g_snprintf (effect.u.send.address, sizeof effect.u.send.address, "127.0.0.1:%u",
                   fixture->server_port);
+      effect.u.send.account = fixture->account;
       effect.u.send.time_left_us = TEST_LIMIT_US;
       effect.u.send.at_most_once = true;
     }
@@ -701,11 +701,13 @@
 };
 
 /* Guards against a server that runs another request than was sent, and was routed. */
+static const int name_lengths[] = {1, 63, 64, 200, 3000};
+
 START_TEST (a_target_reaches_the_server_unchanged)
 {
   g_autofree char *answer = build_answer (1024);
-  g_autofree char *line = g_strdup_printf ("POST %s HTTP/1.1", targets[_i]);
-  g_autofree char *text = g_strdup_printf ("%s\r\nHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n\r\n",
+  g_autofree char *line = g_strdup_printf ("POST %s HTTP/1.1\r\n", targets[_i]);
+  g_autofree char *text = g_strdup_printf ("%sHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n\r\n",
                                            line, pl_platform_dialect.request_id);
   struct caller caller = {.text = text, .answers = 1};
   struct fixture fixture;
@@ -713,7 +715,29 @@
   set_up (&fixture, answer);
   run_caller (&fixture, &caller);
   ck_assert_int_eq (caller.status, 200);
-  ck_assert_str_eq (fixture.request_line, line);
+  ck_assert (g_str_has_prefix (fixture.head, line));
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
+/* Guards against a server that cannot tell two accounts apart. */
+START_TEST (the_server_gets_the_whole_name_of_the_account)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *name = g_strnfill ((gsize) name_lengths[_i], 'x');
+  g_autofree char *line = g_strdup_printf ("\r\n%s: %s\r\n", pl_platform_dialect.account, name);
+  g_autofree char *text
+      = g_strdup_printf ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n\r\n",
+                         pl_platform_dialect.request_id);
+  struct caller caller = {.text = text, .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  fixture.account = name;
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (caller.status, 200);
+  ck_assert_ptr_nonnull (strstr (fixture.head, line));
   close (caller.fd);
   tear_down (&fixture);
 }
@@ -1034,6 +1058,8 @@
   tcase_add_test (tcase, requests_with_wide_and_narrow_heads_follow_each_other);
   tcase_add_loop_test (tcase, a_target_reaches_the_server_unchanged, 0,
                        (int) G_N_ELEMENTS (targets));
+  tcase_add_loop_test (tcase, the_server_gets_the_whole_name_of_the_account, 0,
+                       (int) G_N_ELEMENTS (name_lengths));
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
   tcase_add_test (tcase, connections_up_to_the_limit_fit_in_the_memory_of_a_host);
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -18,6 +18,8 @@
   world = world_new ();
   world_put_config (world, 3, NULL);
   world_put_server (world, "s-0", "a-1", "ready", 1);
+  world_put_server (world, "s-1", "a-1", "ready", 1);
+  world_put_server (world, "s-2", "b-1", "ready", 1);
   world_advance (world, 4 * WORLD_SECOND);
 }
 
@@ -150,6 +152,40 @@
 }
 END_TEST
 
+/* Guards against UNASKED: servers got the first 63 characters of the name of an account, the same
+ * for two accounts that are alike in them. */
+START_TEST (a_request_runs_for_the_account_of_its_key_whatever_the_names)
+{
+  g_autoptr (GString) accounts = g_string_new (NULL);
+  char *names[2];
+
+  make_texts (names, lengths[_i]);
+  for (int i = 0; i < 2; i++)
+    g_string_append_printf (accounts,
+                            "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"%s\"},"
+                            "\"Spec\":{\"ApiKeys\":[\"key-%s\"]}},",
+                            names[i], names[i]);
+  world_put_config (world, 4, accounts->str);
+  for (int i = 0; i < 10; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%s", names[i % 2]);
+      struct world_call *call = world_send_request (world, "/read/1", key);
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert_str_eq (call->account, names[i % 2]);
+      /* Calls in progress keep their account when a configuration takes it away. */
+      if (i == 9)
+        world_put_config (world, 5, NULL);
+      world_end_attempt (world, call, i < 2 ? PL_ATTEMPT_NOT_RUN : PL_ATTEMPT_ANSWERED, 200);
+      ck_assert_str_eq (call->account, names[i % 2]);
+      if (call->at_server)
+        world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+      world_advance (world, 2 * WORLD_SECOND);
+    }
+  free_texts (names);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -161,5 +197,7 @@
                        G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, a_request_is_run_by_the_service_of_its_route_whatever_the_names, 0,
                        G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_request_runs_for_the_account_of_its_key_whatever_the_names, 0,
+                       G_N_ELEMENTS (lengths));
   return suite_run (suite);
 }
