--- a/core/placement.c
+++ b/core/placement.c
@@ -98,10 +98,19 @@
   g_free (service);
 }
 
+static void
+free_backend (gpointer data)
+{
+  struct pl_backend *backend = data;
+
+  g_free ((char *) backend->entry.id);
+  g_free (backend);
+}
+
 void
 pl_placement_init (struct pl_placement *placement, const char *domain, int region)
 {
-  placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_backend);
   placement->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
   placement->services = g_ptr_array_new_with_free_func (free_service);
   placement->handles = g_hash_table_new (g_str_hash, g_str_equal);
@@ -165,7 +174,7 @@
 }
 
 struct pl_backend *
-pl_placement_find_by_hash (struct pl_placement *placement, uint64_t hash)
+pl_placement_find_by_hash (const struct pl_placement *placement, uint64_t hash)
 {
   return g_hash_table_lookup (placement->by_hash, &hash);
 }
@@ -191,6 +200,23 @@
   backend->cold_refilled_us = now_us;
 }
 
+uint64_t
+pl_server_hash (const char *id)
+{
+  return pl_id_of ("servers", id);
+}
+
+/* Copies ENTRY; SERVICE is the name that the table of services holds. */
+static void
+set_entry (struct pl_backend *backend, const struct pl_server_entry *entry, const char *service)
+{
+  const char *id = backend->entry.id;
+
+  backend->entry = *entry;
+  backend->entry.id = id;
+  backend->entry.service = service;
+}
+
 struct pl_backend *
 pl_placement_put (struct pl_placement *placement, const struct pl_server_entry *entry, int region,
                   bool at_start, int64_t now_us)
@@ -211,14 +237,13 @@
   if (backend == NULL)
     {
       backend = g_new0 (struct pl_backend, 1);
-      backend->entry = *entry;
-      backend->hash = pl_id_of ("servers", entry->id);
-      g_hash_table_insert (placement->backends, backend->entry.id, backend);
+      backend->entry.id = g_strdup (entry->id);
+      backend->hash = pl_server_hash (entry->id);
+      g_hash_table_insert (placement->backends, (gpointer) backend->entry.id, backend);
       g_hash_table_insert (placement->by_hash, &backend->hash, backend);
       g_ptr_array_add (service->backends, backend);
     }
-  backend->entry = *entry;
-  backend->entry.service = service->name;
+  set_entry (backend, entry, service->name);
   backend->service = handle;
   backend->region = region;
   backend->is_local = strcmp (entry->domain, placement->domain) == 0;
--- a/core/router.c
+++ b/core/router.c
@@ -288,7 +288,8 @@
 
   backend->probe_pending = true;
   effect->u.probe.on_new_connection = on_new_connection;
-  g_strlcpy (effect->u.probe.server, backend->entry.id, sizeof effect->u.probe.server);
+  effect->u.probe.server = backend->hash;
+  effect->u.probe.server_id = backend->entry.id;
   g_strlcpy (effect->u.probe.address, backend->entry.address, sizeof effect->u.probe.address);
   g_strlcpy (effect->u.probe.path,
              service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path : "/",
@@ -380,7 +381,8 @@
 static void
 on_probed (struct pl_router *router, const struct pl_router_event *event)
 {
-  struct pl_backend *backend = pl_placement_find (&router->placement, event->u.probed.server);
+  struct pl_backend *backend
+      = pl_placement_find_by_hash (&router->placement, event->u.probed.server);
 
   if (backend == NULL)
     return;
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -52,6 +52,8 @@
 pack_call (const struct pl_router *router, const struct call *call, const char *outcome, int status)
 {
   const struct pl_backend *backend = call->backend;
+  const struct pl_backend *passed_over
+      = pl_placement_find_by_hash (&router->placement, call->passed_over);
   json_t *fields = json_pack (
       "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I}", "request", call->correlation_id, "outcome",
       outcome, "route", call->route != NULL ? call->route->name : "", "account",
@@ -76,8 +78,8 @@
     json_object_update_new (fields,
                             json_pack ("{s:f,s:I}", "server_limit", backend->limit.per_second,
                                        "sent_under_limit", (json_int_t) backend->limit.sent));
-  if (call->passed_over[0] != '\0')
-    json_object_set_new (fields, "passed_over", json_string (call->passed_over));
+  if (passed_over != NULL)
+    json_object_set_new (fields, "passed_over", json_string (passed_over->entry.id));
   if (call->is_handover)
     json_object_set_new (fields, "handed_over", json_true ());
   if (call->peer != 0)
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -271,7 +271,7 @@
     call->tried[call->tried_count++] = backend->hash;
   effect->request = call->id;
   effect->attempt = call->attempt;
-  g_strlcpy (effect->u.send.server, backend->entry.id, sizeof effect->u.send.server);
+  effect->u.send.server = backend->entry.id;
   g_strlcpy (effect->u.send.address, backend->entry.address, sizeof effect->u.send.address);
   effect->u.send.account = call->account != NULL ? call->account->name : NULL;
   effect->u.send.time_left_us = call->deadline_us - router->now_us;
@@ -320,10 +320,9 @@
 {
   struct pl_backend *backend = call->choice.unpermitted;
 
-  call->passed_over[0] = '\0';
+  call->passed_over = backend != NULL ? backend->hash : 0;
   if (backend == NULL)
     return;
-  g_strlcpy (call->passed_over, backend->entry.id, sizeof call->passed_over);
   if (!call->missed_permit)
     limits_on_missed (router, backend);
   call->missed_permit = true;
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -14,7 +14,6 @@
 #include "internal/server_limit.h"
 #include "pomelolatch/event.h"
 
-#define PL_SERVER_ID_CHARS 64
 #define PL_TRIED_MAX 8
 #define PL_PLACEMENT_REGIONS_MAX 32
 /* The first server for an object, and two that may take its overflow. */
@@ -24,7 +23,7 @@
  * placement. */
 struct pl_server_entry
 {
-  char id[PL_SERVER_ID_CHARS];
+  const char *id;
   const char *service;
   char address[PL_ADDRESS_CHARS];
   char domain[PL_ID_CHARS];
@@ -38,8 +37,8 @@
 struct pl_backend
 {
   struct pl_server_entry entry;
-  uint64_t hash;
-  int service; /* handle */
+  uint64_t hash; /* of its id; names the server in events and beacons */
+  int service;   /* handle */
   int region;
   bool is_local;      /* in this host's domain */
   int64_t expires_us; /* end of use after its removal; INT64_MAX: it is registered */
@@ -140,6 +139,9 @@
 void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                                double cold_per_second);
 
+/* Returns the hash of the server with this ID. */
+uint64_t pl_server_hash (const char *id);
+
 /* Adds or updates a server.  AT_START: it was registered before this host started, so that it does
  * not count as newly started. */
 struct pl_backend *pl_placement_put (struct pl_placement *placement,
@@ -153,7 +155,7 @@
 void pl_placement_evacuate (struct pl_placement *placement, const char *domain, bool on);
 
 struct pl_backend *pl_placement_find (const struct pl_placement *placement, const char *id);
-struct pl_backend *pl_placement_find_by_hash (struct pl_placement *placement, uint64_t hash);
+struct pl_backend *pl_placement_find_by_hash (const struct pl_placement *placement, uint64_t hash);
 
 /* Whether this host may send a request to a server with a rate limit. */
 enum pl_permit
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -245,8 +245,8 @@
     struct pl_attempt_event attempt;
     struct
     {
-      char server[PL_SERVER_ID_CHARS];
-      bool connected; /* a connection was established, whatever the answer */
+      uint64_t server; /* hash of its id */
+      bool connected;  /* a connection was established, whatever the answer */
       bool healthy;
       int64_t cold_us;
       enum pl_rate_limit_report rate_limit_report;
@@ -294,10 +294,10 @@
   {
     struct
     {
-      char server[PL_SERVER_ID_CHARS];
+      const char *server; /* its id */
       char address[PL_ADDRESS_CHARS];
-      const char *account; /* NULL: none */
-      int64_t time_left_us;      /* left until the timeout of the caller or of the route */
+      const char *account;  /* NULL: none */
+      int64_t time_left_us; /* left until the timeout of the caller or of the route */
       bool at_most_once;
       bool only_kept_connection; /* the attempt fails if a new one is required */
     } send;
@@ -318,7 +318,8 @@
     } refuse;
     struct
     {
-      char server[PL_SERVER_ID_CHARS];
+      uint64_t server; /* hash of its id */
+      const char *server_id;
       char address[PL_ADDRESS_CHARS];
       char path[PL_PATH_CHARS];
       bool on_new_connection;
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -102,14 +102,14 @@
   uint64_t fingerprint;
   int64_t body_bytes;
   int64_t arrived_us;
-  int64_t wait_until_us;                /* refused when it has no slot by then */
-  bool is_placeable;                    /* not tried yet, or a slot may have become free since */
-  struct pl_placement_choice choice;    /* of the last try: the servers that it waits for */
-  bool missed_permit;                   /* counted as demand for a server with a rate limit */
-  char passed_over[PL_SERVER_ID_CHARS]; /* such a server, at the last try; empty: none */
-  int64_t deadline_us;                  /* answered by then in any case */
-  uint32_t attempt;                     /* number of the latest one */
-  int attempts;                         /* servers it was sent to */
+  int64_t wait_until_us;             /* refused when it has no slot by then */
+  bool is_placeable;                 /* not tried yet, or a slot may have become free since */
+  struct pl_placement_choice choice; /* of the last try: the servers that it waits for */
+  bool missed_permit;                /* counted as demand for a server with a rate limit */
+  uint64_t passed_over;              /* hash of such a server, at the last try; 0: none */
+  int64_t deadline_us;               /* answered by then in any case */
+  uint32_t attempt;                  /* number of the latest one */
+  int attempts;                      /* servers it was sent to */
   uint64_t tried[PL_TRIED_MAX];
   int tried_count;
   bool may_have_run; /* on some server */
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -55,7 +55,7 @@
   struct pl_front *front;
   uint64_t request; /* by id, since the request may be freed before the attempt */
   uint32_t number;
-  char server[PL_SERVER_ID_CHARS];
+  char *server; /* its id; NULL: a hand-over */
   struct answer_head head;
   bool is_handover; /* to a peer */
   char *correlation_id;
@@ -277,6 +277,7 @@
 free_attempt (struct pl_front_attempt *attempt)
 {
   pl_front_release_memory (attempt->front, &attempt->buffered_bytes);
+  g_free (attempt->server);
   g_free (attempt->correlation_id);
   g_ptr_array_free (attempt->headers, TRUE);
   g_byte_array_unref (attempt->body);
@@ -403,8 +404,7 @@
   attempt->request = request->id;
   attempt->number = number;
   attempt->is_handover = wanted->server == NULL;
-  if (wanted->server != NULL)
-    g_strlcpy (attempt->server, wanted->server, sizeof attempt->server);
+  attempt->server = g_strdup (wanted->server);
   attempt->correlation_id = g_strdup (request->correlation_id);
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
   attempt->body = g_byte_array_ref (request->body);
@@ -502,7 +502,8 @@
 struct probe
 {
   struct pl_front *front;
-  char server[PL_SERVER_ID_CHARS];
+  uint64_t server; /* hash of its id */
+  char *server_id;
   struct probe_head head;
 };
 
@@ -537,11 +538,11 @@
     head->cold_us = g_ascii_strtoll (colon + 1, NULL, 10) * 1000;
   if (g_ascii_strcasecmp (text, dialect->rate_limit) == 0)
     head->rate_limit_report
-        = parse_rate_limit (dialect, probe->server, g_strchug (colon + 1), &head->rate_limit);
+        = parse_rate_limit (dialect, probe->server_id, g_strchug (colon + 1), &head->rate_limit);
   if (g_ascii_strcasecmp (text, dialect->server_id) == 0)
     {
       head->names_server = true;
-      head->is_other_server = strcmp (g_strchug (colon + 1), probe->server) != 0;
+      head->is_other_server = strcmp (g_strchug (colon + 1), probe->server_id) != 0;
     }
   return true;
 }
@@ -554,7 +555,7 @@
   struct pl_front *front = probe->front;
   struct pl_router_event event = {.type = PL_ROUTER_PROBED};
 
-  g_strlcpy (event.u.probed.server, probe->server, sizeof event.u.probed.server);
+  event.u.probed.server = probe->server;
   event.u.probed.connected = end != PL_HTTP_NOT_SENT;
   event.u.probed.healthy = end == PL_HTTP_COMPLETE && status == 200 && !head->is_other_server;
   if (end == PL_HTTP_COMPLETE)
@@ -565,6 +566,7 @@
       event.u.probed.rate_limit = head->rate_limit;
     }
   front->options.post (front->options.data, &event);
+  g_free (probe->server_id);
   g_free (probe);
 }
 
@@ -587,6 +589,7 @@
   };
 
   probe->front = front;
-  g_strlcpy (probe->server, effect->u.probe.server, sizeof probe->server);
+  probe->server = effect->u.probe.server;
+  probe->server_id = g_strdup (effect->u.probe.server_id);
   pl_http_call_unref (pl_http_client_start (front->options.client, &options));
 }
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -88,7 +88,7 @@
 {
   effect->type = PL_ROUTER_SEND;
   effect->attempt = attempt;
-  g_strlcpy (effect->u.send.server, "s-1", sizeof effect->u.send.server);
+  effect->u.send.server = "s-1";
   g_snprintf (effect->u.send.address, sizeof effect->u.send.address, "127.0.0.1:%u", fixture->port);
   effect->u.send.time_left_us = 5 * SECOND;
   effect->u.send.at_most_once = fixture->at_most_once;
@@ -138,7 +138,7 @@
 {
   struct pl_router_effect effect = {.type = PL_ROUTER_PROBE};
 
-  g_strlcpy (effect.u.probe.server, "s-1", sizeof effect.u.probe.server);
+  effect.u.probe.server_id = "s-1";
   g_snprintf (effect.u.probe.address, sizeof effect.u.probe.address, "127.0.0.1:%u", fixture->port);
   g_strlcpy (effect.u.probe.path, "/health", sizeof effect.u.probe.path);
   pl_front_execute (fixture->front, &effect);
--- a/tests/limited_servers.c
+++ b/tests/limited_servers.c
@@ -369,7 +369,7 @@
       send_to_server (servers, index, effect->u.send.server, false, effect);
       break;
     case PL_ROUTER_PROBE:
-      send_to_server (servers, index, effect->u.probe.server, true, effect);
+      send_to_server (servers, index, effect->u.probe.server_id, true, effect);
       break;
     case PL_ROUTER_HAND_OVER:
       send_to_peer (servers, index, effect);
@@ -503,8 +503,7 @@
 
   event.u.probed.connected = answer->end == PL_ATTEMPT_ANSWERED;
   event.u.probed.healthy = answer->end == PL_ATTEMPT_ANSWERED;
-  g_strlcpy (event.u.probed.server, servers->servers[answer->server].id,
-             sizeof event.u.probed.server);
+  event.u.probed.server = pl_server_hash (servers->servers[answer->server].id);
   router_fleet_step_host (servers->fleet, answer->host, &event);
 }
 
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -110,7 +110,7 @@
   call->sends++;
   call->time_left_us = effect->u.send.time_left_us;
   call->at_most_once = effect->u.send.at_most_once;
-  g_strlcpy (call->server, effect->u.send.server, sizeof call->server);
+  call->server = g_intern_string (effect->u.send.server);
   call->account = g_intern_string (effect->u.send.account != NULL ? effect->u.send.account : "");
   g_strlcpy (call->address, effect->u.send.address, sizeof call->address);
   if (world->on_attempt != NULL)
@@ -160,7 +160,7 @@
       break;
     case PL_ROUTER_PROBE:
       world->probes++;
-      g_queue_push_tail (&world->probed, g_strdup (effect->u.probe.server));
+      g_queue_push_tail (&world->probed, g_strdup (effect->u.probe.server_id));
       break;
     case PL_ROUTER_SEND_BEACON:
       world->beacons++;
@@ -285,6 +285,8 @@
   struct pl_router_event event = {.type = PL_ROUTER_CALL};
 
   call->id = ++world->next_request;
+  call->server = "";
+  call->account = "";
   call->repeatable = g_str_has_prefix (path, "/read/");
   call->is_handover = is_handover;
   g_hash_table_insert (world->calls, &call->id, call);
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -15,9 +15,9 @@
 {
   uint64_t id;
   bool repeatable;
-  bool is_handover; /* a peer has handed it over */
-  int sends;        /* to servers */
-  char server[PL_SERVER_ID_CHARS];
+  bool is_handover;    /* a peer has handed it over */
+  int sends;           /* to servers */
+  const char *server;  /* interned */
   const char *account; /* whose request the server got; interned; empty: none */
   char address[PL_ADDRESS_CHARS];
   uint32_t attempt;
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -297,6 +297,26 @@
 }
 END_TEST
 
+/* Guards against a server that rejects each request, since it gets another id than its own. */
+START_TEST (a_server_whose_id_no_header_can_carry_is_not_used)
+{
+  static const char *const ids[] = {"", "s 1 ", "s\r\nX-Other: 1", "\ts"};
+
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    put_server (world, ids[i], "stock");
+  ck_assert_int_eq (world->warnings, (int) G_N_ELEMENTS (ids));
+  for (int i = 0; i < 40; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-2");
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert (strcmp (call->server, "s-0") == 0 || strcmp (call->server, "s-1") == 0);
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -398,6 +418,7 @@
   tcase_add_test (tcase, an_account_without_a_known_rate_is_refused_as_not_run);
   tcase_add_loop_test (tcase, an_account_whose_name_no_header_can_carry_is_refused, 0,
                        G_N_ELEMENTS (unsendable_names));
+  tcase_add_test (tcase, a_server_whose_id_no_header_can_carry_is_not_used);
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
--- a/tests/test_front_limits.c
+++ b/tests/test_front_limits.c
@@ -182,7 +182,7 @@
       effect.type = PL_ROUTER_SEND;
       effect.request = event->u.call.request;
       effect.attempt = 1;
-      g_strlcpy (effect.u.send.server, "s-1", sizeof effect.u.send.server);
+      effect.u.send.server = "s-1";
       g_snprintf (effect.u.send.address, sizeof effect.u.send.address, "127.0.0.1:%u",
                   fixture->targets[fixture->requests++]);
       effect.u.send.time_left_us = TEST_LIMIT_US;
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -49,10 +49,11 @@
   int listener;
   uint16_t server_port;
   pthread_t server_thread;
-  const char *answer;  /* of the server, with its head */
-  int64_t work_us;     /* before it answers */
-  atomic_int runs;     /* requests that have reached it */
-  char *head;          /* of the last one */
+  const char *answer; /* of the server, with its head */
+  int64_t work_us;    /* before it answers */
+  atomic_int runs;    /* requests that have reached it */
+  char *head;         /* of the last one */
+  const char *server_id;
   const char *account; /* whose requests are sent; NULL: none */
 };
 
@@ -130,7 +131,7 @@
       effect.type = PL_ROUTER_SEND;
       effect.request = event->u.call.request;
       effect.attempt = 1;
-      g_strlcpy (effect.u.send.server, "s-1", sizeof effect.u.send.server);
+      effect.u.send.server = fixture->server_id;
       g_snprintf (effect.u.send.address, sizeof effect.u.send.address, "127.0.0.1:%u",
                   fixture->server_port);
       effect.u.send.account = fixture->account;
@@ -196,6 +197,7 @@
   fd = loopback_listen (&fixture->handover_port);
   close (fd);
   fixture->answer = answer;
+  fixture->server_id = "s-1";
   g_queue_init (&fixture->effects);
   fixture->reactor = pl_reactor_new ();
   fixture->client = pl_http_client_new_on_reactor (fixture->reactor);
@@ -721,12 +723,16 @@
 }
 END_TEST
 
-/* Guards against a server that cannot tell two accounts apart. */
-START_TEST (the_server_gets_the_whole_name_of_the_account)
+/* Guards against servers that cannot tell two accounts apart, or reject requests that are meant for
+ * them. */
+START_TEST (the_server_gets_its_id_and_the_name_of_the_account_whole)
 {
   g_autofree char *answer = build_answer (1024);
   g_autofree char *name = g_strnfill ((gsize) name_lengths[_i], 'x');
-  g_autofree char *line = g_strdup_printf ("\r\n%s: %s\r\n", pl_platform_dialect.account, name);
+  g_autofree char *account_line
+      = g_strdup_printf ("\r\n%s: %s\r\n", pl_platform_dialect.account, name);
+  g_autofree char *server_line
+      = g_strdup_printf ("\r\n%s: %s\r\n", pl_platform_dialect.expected_server, name);
   g_autofree char *text
       = g_strdup_printf ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n\r\n",
                          pl_platform_dialect.request_id);
@@ -735,9 +741,11 @@
 
   set_up (&fixture, answer);
   fixture.account = name;
+  fixture.server_id = name;
   run_caller (&fixture, &caller);
   ck_assert_int_eq (caller.status, 200);
-  ck_assert_ptr_nonnull (strstr (fixture.head, line));
+  ck_assert_ptr_nonnull (strstr (fixture.head, account_line));
+  ck_assert_ptr_nonnull (strstr (fixture.head, server_line));
   close (caller.fd);
   tear_down (&fixture);
 }
@@ -1058,7 +1066,7 @@
   tcase_add_test (tcase, requests_with_wide_and_narrow_heads_follow_each_other);
   tcase_add_loop_test (tcase, a_target_reaches_the_server_unchanged, 0,
                        (int) G_N_ELEMENTS (targets));
-  tcase_add_loop_test (tcase, the_server_gets_the_whole_name_of_the_account, 0,
+  tcase_add_loop_test (tcase, the_server_gets_its_id_and_the_name_of_the_account_whole, 0,
                        (int) G_N_ELEMENTS (name_lengths));
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
--- a/tests/test_handovers.c
+++ b/tests/test_handovers.c
@@ -95,7 +95,7 @@
 set_send (const struct test *test, struct pl_router_effect *effect)
 {
   effect->type = PL_ROUTER_SEND;
-  g_strlcpy (effect->u.send.server, "s-1", sizeof effect->u.send.server);
+  effect->u.send.server = "s-1";
   effect->u.send.account = "shop";
   g_snprintf (effect->u.send.address, sizeof effect->u.send.address, "127.0.0.1:%u", test->port);
   effect->u.send.time_left_us = SECOND;
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -10,6 +10,9 @@
  * that only the length of a row's value bounds. */
 static const int lengths[] = {1, 63, 64, 65, 72, 200, 3000};
 
+/* Of a row, by the platform's protocol. */
+#define KEY_BYTES_MAX 200
+
 static struct world *world;
 
 static void
@@ -186,6 +189,74 @@
 }
 END_TEST
 
+/* Guards against refusals: servers whose ids have 64 characters or more were told that the requests
+ * are for another server, and rejected them all; of two that were alike in 63 one was not known. */
+START_TEST (a_server_is_named_by_its_whole_id)
+{
+  int length = MIN (lengths[_i], KEY_BYTES_MAX);
+  int sends[2] = {0, 0};
+  char *ids[2];
+
+  make_texts (ids, length);
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *other = g_strdup_printf ("s-%d", i);
+
+      world_put_row (world, PL_TABLE_SERVERS, other, NULL);
+    }
+  for (int i = 0; i < 2; i++)
+    world_put_server (world, ids[i], "a-1", "ready", 1);
+  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < 40; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-1");
+
+      ck_assert_int_eq (call->sends, 1);
+      for (int j = 0; j < 2; j++)
+        sends[j] += strcmp (call->server, ids[j]) == 0;
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  ck_assert_int_gt (sends[0], 0);
+  ck_assert_int_gt (sends[1], 0);
+  ck_assert_int_eq (sends[0] + sends[1], 40);
+  world_put_row (world, PL_TABLE_SERVERS, ids[0], NULL);
+  ck_assert_str_eq (world_send_request (world, "/read/1", "key-1")->server, ids[1]);
+  free_texts (ids);
+}
+END_TEST
+
+/* A server that is down is probed by its id, and the outcome counts for that server. */
+START_TEST (a_probe_names_the_server_by_its_whole_id)
+{
+  int length = MIN (lengths[_i], KEY_BYTES_MAX);
+  char *ids[2];
+  const char *down = NULL;
+
+  make_texts (ids, length);
+  for (int i = 0; i < 2; i++)
+    world_put_server (world, ids[i], "a-1", "ready", 1);
+  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < 200 && down == NULL; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/write/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-1");
+
+      if (strcmp (call->server, ids[0]) != 0)
+        world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+      else
+        {
+          world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+          down = ids[0];
+        }
+    }
+  ck_assert_ptr_nonnull (down);
+  world_advance (world, WORLD_SECOND);
+  ck_assert_str_eq (g_queue_peek_head (&world->probed), ids[0]);
+  free_texts (ids);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -199,5 +270,7 @@
                        G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, a_request_runs_for_the_account_of_its_key_whatever_the_names, 0,
                        G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_server_is_named_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_probe_names_the_server_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
   return suite_run (suite);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -18,8 +18,9 @@
 make_entry (int number, const char *domain)
 {
   struct pl_server_entry entry = {.service = "stock", .slots = SLOTS, .born = 1};
+  g_autofree char *id = g_strdup_printf ("server-%d", number);
 
-  g_snprintf (entry.id, sizeof entry.id, "server-%d", number);
+  entry.id = g_intern_string (id);
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", number + 1);
   g_strlcpy (entry.domain, domain, sizeof entry.domain);
   return entry;
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -226,12 +226,13 @@
   struct server *server = &replay->servers[replay->server_count];
   static const char *const names[SERVICES] = {"0", "1", "2"};
   struct pl_server_entry entry = {.slots = services[service].slots, .born = 1};
+  g_autofree char *id = g_strdup_printf ("%d", replay->server_count);
 
   server->number = replay->server_count++;
   server->service = service;
   server->region = region;
   g_queue_init (&server->waiting);
-  g_snprintf (entry.id, sizeof entry.id, "%d", server->number);
+  entry.id = id;
   entry.service = names[service];
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", server->number);
   g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", region, server->number % 2);
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -87,7 +87,7 @@
       world_advance (world, 500 * WORLD_MS);
       if (world->probes == before)
         continue;
-      g_strlcpy (probed.u.probed.server, call->server, sizeof probed.u.probed.server);
+      probed.u.probed.server = pl_server_hash (call->server);
       world_step (world, &probed);
     }
   ck_assert_int_ge (world->probes, 1);
@@ -219,9 +219,8 @@
 START_TEST (a_request_that_did_not_run_is_sent_to_another_server)
 {
   struct world_call *call = world_send_request (world, "/write/1", "key-1");
-  char first[PL_SERVER_ID_CHARS];
+  const char *first = call->server;
 
-  strcpy (first, call->server);
   world_end_attempt (world, call, PL_ATTEMPT_NOT_RUN, 503);
   ck_assert_int_eq (call->sends, 2);
   ck_assert_str_ne (call->server, first);
@@ -304,7 +303,7 @@
     {
       struct pl_router_event event = {.type = PL_ROUTER_PROBED};
 
-      g_strlcpy (event.u.probed.server, server, sizeof event.u.probed.server);
+      event.u.probed.server = pl_server_hash (server);
       world_step (world, &event);
       g_free (server);
     }
@@ -523,9 +522,8 @@
 START_TEST (a_server_whose_row_is_deleted_gets_no_requests)
 {
   struct world_call *call = world_send_request (world, "/read/1", "key-1");
-  char first[PL_SERVER_ID_CHARS];
+  const char *first = call->server;
 
-  strcpy (first, call->server);
   world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
   world_put_row (world, PL_TABLE_SERVERS, first, NULL);
   call = world_send_request (world, "/read/1", "key-1");
--- a/tests/test_router_fuzz.c
+++ b/tests/test_router_fuzz.c
@@ -326,7 +326,7 @@
 
   if (server == NULL)
     return;
-  g_strlcpy (event.u.probed.server, server, sizeof event.u.probed.server);
+  event.u.probed.server = pl_server_hash (server);
   event.u.probed.connected = !run->cut;
   event.u.probed.healthy = !run->cut && random_below (run, 20) > 0;
   world_step (run->world, &event);
--- a/tools/bench_placement.c
+++ b/tools/bench_placement.c
@@ -21,8 +21,9 @@
   for (int i = 0; i < count; i++)
     {
       struct pl_server_entry entry = {.service = "stock", .slots = 4, .born = 1};
+      g_autofree char *id = g_strdup_printf ("server-%d", i);
 
-      g_snprintf (entry.id, sizeof entry.id, "server-%d", i);
+      entry.id = id;
       g_snprintf (entry.address, sizeof entry.address, "10.0.%d.%d:80", i / 250, i % 250);
       g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", i % REGIONS, i / REGIONS % 3);
       pl_placement_put (placement, &entry, i % REGIONS, true, 0);
