--- a/core/placement.c
+++ b/core/placement.c
@@ -104,6 +104,7 @@
   struct pl_backend *backend = data;
 
   g_free ((char *) backend->entry.id);
+  g_free ((char *) backend->entry.domain);
   g_free (backend);
 }
 
@@ -115,7 +116,7 @@
   placement->services = g_ptr_array_new_with_free_func (free_service);
   placement->handles = g_hash_table_new (g_str_hash, g_str_equal);
   placement->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  g_strlcpy (placement->domain, domain, sizeof placement->domain);
+  placement->domain = g_strdup (domain);
   placement->region = region;
   placement->is_cut_off = false;
 }
@@ -128,6 +129,7 @@
   g_hash_table_destroy (placement->by_hash);
   g_hash_table_destroy (placement->backends);
   g_hash_table_destroy (placement->evacuated);
+  g_free (placement->domain);
 }
 
 int
@@ -211,10 +213,17 @@
 set_entry (struct pl_backend *backend, const struct pl_server_entry *entry, const char *service)
 {
   const char *id = backend->entry.id;
+  char *domain = (char *) backend->entry.domain;
 
+  if (g_strcmp0 (domain, entry->domain) != 0)
+    {
+      g_free (domain);
+      domain = g_strdup (entry->domain);
+    }
   backend->entry = *entry;
   backend->entry.id = id;
   backend->entry.service = service;
+  backend->entry.domain = domain;
 }
 
 struct pl_backend *
--- a/core/schema.c
+++ b/core/schema.c
@@ -16,6 +16,8 @@
 #define HASH_DIGITS 64
 #define PORT_MAX 65535
 #define PREFIX_BITS_MAX 32
+/* Of a port; longer numbers have leading zeros. */
+#define SUFFIX_DIGITS_MAX 5
 
 struct pl_location
 pl_schema_location (const yaml_node_t *node)
@@ -52,7 +54,7 @@
   memcpy (host, text, (size_t) (at - text));
   number = strtol (at + 1, &end, 10);
   return at[1] >= '0' && at[1] <= '9' && *end == '\0' && number <= maximum
-         && inet_pton (AF_INET, host, &address) == 1;
+         && end - at <= SUFFIX_DIGITS_MAX + 1 && inet_pton (AF_INET, host, &address) == 1;
 }
 
 static bool
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -12,6 +12,8 @@
 /* An active host counts as silent when no beacon of it arrived for this long: two beacon periods of
  * 500 ms, plus a margin for delays. */
 #define PL_MEMBER_SILENT_AFTER_US INT64_C (1100000)
+/* Longest name of a host or of its domain; that of a key in the platform's store. */
+#define PL_HOST_NAME_BYTES_MAX 200
 #define PL_BEACON_NAME_CHARS 64
 #define PL_BEACON_ACCOUNTS_MAX 96
 #define PL_BEACON_CONTACTS_MAX 8
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -26,7 +26,7 @@
   const char *id;
   const char *service;
   char address[PL_ADDRESS_CHARS];
-  char domain[PL_ID_CHARS];
+  const char *domain;
   int slots;
   bool draining;
   int64_t cold_us;  /* remaining time in which its cache is cold; 0: warm */
@@ -92,12 +92,12 @@
 
 struct pl_placement
 {
-  GHashTable *backends;     /* id -> struct pl_backend */
-  GHashTable *by_hash;      /* the same by their hash */
-  GPtrArray *services;      /* of struct pl_placement_service, by handle */
-  GHashTable *handles;      /* name of a service -> its handle + 1 */
-  GHashTable *evacuated;    /* domain name -> itself */
-  char domain[PL_ID_CHARS]; /* of this host */
+  GHashTable *backends;  /* id -> struct pl_backend */
+  GHashTable *by_hash;   /* the same by their hash */
+  GPtrArray *services;   /* of struct pl_placement_service, by handle */
+  GHashTable *handles;   /* name of a service -> its handle + 1 */
+  GHashTable *evacuated; /* domain name -> itself */
+  char *domain;          /* of this host */
   int region;
   bool is_cut_off; /* this host reaches no server: none is chosen */
 };
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -62,7 +62,7 @@
   enum pl_row_update_type type;
   json_t *document;              /* a reference, or NULL; see pl_row_update_clear() */
   struct pl_routing *routing;    /* a reference, or NULL */
-  char domain[PL_ID_CHARS];      /* evacuation */
+  const char *domain;            /* evacuation */
   struct pl_server_entry server; /* only the id is set for a deleted row */
 };
 
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -15,20 +15,20 @@
   return pl_router_ensure_region (world->router, region);
 }
 
-static struct world *
-start_world (unsigned switches, uint64_t incarnation)
+struct world *
+world_new_from (const struct world_options *wanted)
 {
   struct world *world = g_new0 (struct world, 1);
   struct pl_router_options options = {
-      .switches = switches,
-      .name = "host-a",
-      .domain = "a-1",
+      .switches = wanted->switches,
+      .name = wanted->name != NULL ? wanted->name : "host-a",
+      .domain = wanted->domain != NULL ? wanted->domain : "a-1",
       .caller_address = "10.0.0.1:80",
       .peer_address = "10.0.0.1:7600",
       .relay_address = "10.0.0.1:7600",
       .handover_port = "7700",
       .domains = domains,
-      .incarnation = incarnation,
+      .incarnation = MAX (wanted->incarnation, 1),
       .capacity = 200,
       .now_us = WORLD_SECOND,
       .grace_us = 6 * WORLD_SECOND,
@@ -49,13 +49,7 @@
 struct world *
 world_new_with (unsigned switches)
 {
-  return start_world (switches, 1);
-}
-
-struct world *
-world_new_started_as (uint64_t incarnation)
-{
-  return start_world (0, incarnation);
+  return world_new_from (&(struct world_options){.switches = switches});
 }
 
 struct world *
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -62,10 +62,18 @@
   void *data;
 };
 
+struct world_options
+{
+  unsigned switches;    /* of enum pl_router_switch */
+  uint64_t incarnation; /* 0: 1 */
+  const char *name;     /* of the host; NULL: host-a */
+  const char *domain;   /* NULL: a-1 */
+};
+
 /* Returns a world whose router has no rows yet; freed with world_free(). */
 struct world *world_new (void);
-struct world *world_new_with (unsigned switches);          /* of enum pl_router_switch */
-struct world *world_new_started_as (uint64_t incarnation); /* of the host */
+struct world *world_new_with (unsigned switches); /* of enum pl_router_switch */
+struct world *world_new_from (const struct world_options *options);
 void world_free (struct world *world);
 
 void world_step (struct world *world, struct pl_router_event *event);
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -119,7 +119,8 @@
 
   for (int i = 0; i < hosts; i++)
     {
-      struct world *host = world_new_started_as ((uint64_t) i + 1);
+      struct world *host
+          = world_new_from (&(struct world_options){.incarnation = (uint64_t) i + 1});
 
       put_split (host, 4, 0.9, 0.1);
       put_servers (host);
@@ -317,6 +318,17 @@
 }
 END_TEST
 
+/* Guards against an address that is cut, and so names another port. */
+START_TEST (a_server_with_an_overlong_address_is_not_used)
+{
+  world_put_row (world, PL_TABLE_SERVERS, "odd",
+                 "{\"Address\":\"10.1.0.9:00000000000000000080\",\"born\":1,\"Info\":{\"Service\":"
+                 "\"stock\",\"Zone\":\"a-1\",\"Slots\":4},\"Status\":{\"State\":\"ready\","
+                 "\"Sequence\":1}}");
+  ck_assert_int_eq (world->warnings, 1);
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -419,6 +431,7 @@
   tcase_add_loop_test (tcase, an_account_whose_name_no_header_can_carry_is_refused, 0,
                        G_N_ELEMENTS (unsendable_names));
   tcase_add_test (tcase, a_server_whose_id_no_header_can_carry_is_not_used);
+  tcase_add_test (tcase, a_server_with_an_overlong_address_is_not_used);
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -257,6 +257,43 @@
 }
 END_TEST
 
+#define EVACUATE "evacuate/"
+
+/* Guards against an evacuation that empties another domain too, or none. */
+START_TEST (an_evacuation_is_of_the_domain_with_the_whole_name)
+{
+  int length = MIN (lengths[_i], KEY_BYTES_MAX - (int) strlen (EVACUATE));
+  g_autofree char *key = NULL;
+  char *domains[2];
+
+  make_texts (domains, length);
+  key = g_strconcat (EVACUATE, domains[0], NULL);
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *other = g_strdup_printf ("s-%d", i);
+
+      world_put_row (world, PL_TABLE_SERVERS, other, NULL);
+    }
+  put_server ("0", "stock", domains[0]);
+  put_server ("1", "stock", domains[1]);
+  world_advance (world, 4 * WORLD_SECOND);
+  world_put_row (world, PL_TABLE_CONTROL, key, "{}");
+  for (int i = 0; i < 40; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-1");
+
+      ck_assert_str_eq (call->server, "1");
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  world_put_row (world, PL_TABLE_CONTROL, key, NULL);
+  put_server ("1", "stock", domains[0]);
+  world_put_row (world, PL_TABLE_SERVERS, "1", NULL);
+  ck_assert_str_eq (world_send_request (world, "/read/1", "key-1")->server, "0");
+  free_texts (domains);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -272,5 +309,7 @@
                        G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, a_server_is_named_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, a_probe_names_the_server_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, an_evacuation_is_of_the_domain_with_the_whole_name, 0,
+                       G_N_ELEMENTS (lengths));
   return suite_run (suite);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -22,7 +22,7 @@
 
   entry.id = g_intern_string (id);
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", number + 1);
-  g_strlcpy (entry.domain, domain, sizeof entry.domain);
+  entry.domain = domain;
   return entry;
 }
 
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -227,6 +227,7 @@
   static const char *const names[SERVICES] = {"0", "1", "2"};
   struct pl_server_entry entry = {.slots = services[service].slots, .born = 1};
   g_autofree char *id = g_strdup_printf ("%d", replay->server_count);
+  g_autofree char *domain = g_strdup_printf ("%d-%d", region, replay->server_count % 2);
 
   server->number = replay->server_count++;
   server->service = service;
@@ -235,7 +236,7 @@
   entry.id = id;
   entry.service = names[service];
   g_snprintf (entry.address, sizeof entry.address, "10.0.0.%d:80", server->number);
-  g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", region, server->number % 2);
+  entry.domain = domain;
   for (int host = 0; host < HOSTS; host++)
     {
       struct pl_backend *backend
--- a/tools/bench_placement.c
+++ b/tools/bench_placement.c
@@ -22,10 +22,11 @@
     {
       struct pl_server_entry entry = {.service = "stock", .slots = 4, .born = 1};
       g_autofree char *id = g_strdup_printf ("server-%d", i);
+      g_autofree char *domain = g_strdup_printf ("%d-%d", i % REGIONS, i / REGIONS % 3);
 
       entry.id = id;
       g_snprintf (entry.address, sizeof entry.address, "10.0.%d.%d:80", i / 250, i % 250);
-      g_snprintf (entry.domain, sizeof entry.domain, "%d-%d", i % REGIONS, i / REGIONS % 3);
+      entry.domain = domain;
       pl_placement_put (placement, &entry, i % REGIONS, true, 0);
     }
 }
@@ -44,16 +45,13 @@
 {
   struct pl_placement placement;
   struct pl_placement_request request
-      = {.service = pl_placement_ensure_service (&placement, "stock"),
-         .objective_us = SECOND,
-         .time_left_us = SECOND,
-         .home_regions = UINT32_MAX};
+      = {.objective_us = SECOND, .time_left_us = SECOND, .home_regions = UINT32_MAX};
   double started;
   int placed = 0;
 
   pl_placement_init (&placement, "0-0", 0);
-  pl_placement_set_service (&placement, pl_placement_ensure_service (&placement, "stock"), SECOND,
-                            14);
+  request.service = pl_placement_ensure_service (&placement, "stock");
+  pl_placement_set_service (&placement, request.service, SECOND, 14);
   add_servers (&placement, servers);
   started = processor_seconds ();
   for (int i = 0; i < CHOICES; i++)
