--- a/core/membership.c
+++ b/core/membership.c
@@ -66,6 +66,12 @@
   return pl_id_of ("entry_hosts", name);
 }
 
+static void
+clear_domain (gpointer domain)
+{
+  g_free (((struct pl_domain *) domain)->name);
+}
+
 int
 pl_membership_ensure_domain (struct pl_membership *membership, const char *name, int region)
 {
@@ -82,7 +88,7 @@
       return (int) i;
     }
   domain.id = pl_id_of ("domains", name);
-  g_strlcpy (domain.name, name, sizeof domain.name);
+  domain.name = g_strdup (name);
   g_array_append_val (membership->domains, domain);
   return (int) membership->domains->len - 1;
 }
@@ -112,6 +118,7 @@
   membership->members = g_hash_table_new (g_int64_hash, g_int64_equal);
   membership->order = g_ptr_array_new_with_free_func (g_free);
   membership->domains = g_array_new (FALSE, FALSE, sizeof (struct pl_domain));
+  g_array_set_clear_func (membership->domains, clear_domain);
   membership->self = pl_host_id (self_name);
   membership->self_domain = pl_membership_ensure_domain (membership, domain, region);
   membership->self_region = region;
--- a/core/router.c
+++ b/core/router.c
@@ -8,6 +8,7 @@
  */
 #include "internal/router_state.h"
 
+#include <assert.h>
 #include <string.h>
 
 #define MAINTENANCE_PERIOD_US (250 * US_PER_MS)
@@ -235,6 +236,9 @@
   register_domains (router);
   quarantine_init (&router->quarantine);
   router->self.host = router->membership.self;
+  /* The settings are checked for what fits into a beacon. */
+  assert (strlen (options->name) <= PL_HOST_NAME_BYTES_MAX
+          && strlen (options->domain) <= PL_HOST_NAME_BYTES_MAX);
   g_strlcpy (router->self.self.name, options->name, sizeof router->self.self.name);
   g_strlcpy (router->self.self.peer_address, options->peer_address,
              sizeof router->self.self.peer_address);
--- a/core/schema.c
+++ b/core/schema.c
@@ -174,8 +174,15 @@
     return json_true ();
   if (field->type == PL_FIELD_BOOL && strcmp (text, "false") == 0)
     return json_false ();
+  if (field->max > 0 && (int64_t) node->data.scalar.length > field->max)
+    {
+      pl_findings_add (findings, pl_schema_location (node),
+                       "'%s' must have at most %" G_GINT64_FORMAT " bytes", field->name,
+                       field->max);
+      return NULL;
+    }
   if (field->type != PL_FIELD_BOOL && strlen (text) == node->data.scalar.length
-      && pl_schema_text_is_valid (field->type, text))
+      && (int64_t) strlen (text) >= field->min && pl_schema_text_is_valid (field->type, text))
     return json_string (text);
   pl_findings_add (findings, pl_schema_location (node), "'%s' must be %s, not '%.64s'", field->name,
                    type_name (field->type), text_is_printable (text) ? text : "?");
--- a/include/internal/beacon_socket.h
+++ b/include/internal/beacon_socket.h
@@ -10,7 +10,8 @@
 
 #include <stddef.h>
 
-#define PL_BEACON_BYTES_MAX 4096
+/* Enough for the fullest beacon with the longest names. */
+#define PL_BEACON_BYTES_MAX 8192
 
 /* Returns the number of bytes written, or PL_ERR_FULL. */
 int pl_beacon_encode (const struct pl_beacon *beacon, char *bytes, size_t size);
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -12,9 +12,10 @@
 /* An active host counts as silent when no beacon of it arrived for this long: two beacon periods of
  * 500 ms, plus a margin for delays. */
 #define PL_MEMBER_SILENT_AFTER_US INT64_C (1100000)
-/* Longest name of a host or of its domain; that of a key in the platform's store. */
+/* Longest name of a host, and of the domain of one: that of a key of the platform's store. Settings
+ * with a longer one are refused, so that beacons carry each name whole. */
 #define PL_HOST_NAME_BYTES_MAX 200
-#define PL_BEACON_NAME_CHARS 64
+#define PL_BEACON_NAME_CHARS (PL_HOST_NAME_BYTES_MAX + 1)
 #define PL_BEACON_ACCOUNTS_MAX 96
 #define PL_BEACON_CONTACTS_MAX 8
 #define PL_BEACON_SUSPECTS_MAX 8
@@ -133,7 +134,7 @@
 /* A failure domain, as reported by its delegates. */
 struct pl_domain
 {
-  char name[PL_BEACON_NAME_CHARS];
+  char *name;
   uint64_t id; /* derived from its name */
   int region;
   int hosts;        /* that accept callers */
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -88,7 +88,7 @@
 struct pl_router_options
 {
   unsigned switches; /* of enum pl_router_switch */
-  const char *name;
+  const char *name;  /* at most PL_HOST_NAME_BYTES_MAX bytes, like the domain */
   const char *domain;
   const char *caller_address;
   const char *peer_address;
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -45,8 +45,8 @@
 #define STALL_US INT64_C (200000)
 
 static const struct pl_field settings_fields[] = {
-    {"name", PL_FIELD_NAME, true, 0, 0, NULL},
-    {"domain", PL_FIELD_NAME, true, 0, 0, NULL},
+    {"name", PL_FIELD_TEXT, true, 1, PL_HOST_NAME_BYTES_MAX, NULL},
+    {"domain", PL_FIELD_TEXT, true, 1, PL_HOST_NAME_BYTES_MAX, NULL},
     {"caller", PL_FIELD_ADDRESS, true, 0, 0, NULL},
     {"ready", PL_FIELD_ADDRESS, true, 0, 0, NULL},
     {"directory", PL_FIELD_ADDRESS, true, 0, 0, NULL},
--- /dev/null
+++ b/tests/system/test_entry_settings.sh
@@ -0,0 +1,31 @@
+#!/usr/bin/env bash
+# Checks the settings of pomelolatch-entry: names that beacons can not carry whole are refused with
+# the name of their field.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+entry=${BUILD:-build}/pomelolatch-entry
+folder=$(mktemp -d)
+trap 'rm -rf "$folder"' EXIT
+
+# Checks settings with a host and a domain whose names have $1 and $2 characters.
+check () {
+  {
+    printf 'name: %0*d\ndomain: %0*d\n' "$1" 0 "$2" 0
+    for field in caller ready directory peer metrics store; do
+      printf '%s: 127.0.0.1:9000\n' "$field"
+    done
+    printf 'domains: ["a=b"]\n'
+    for field in grace retry_ratio retry_slack cpu_share link_mbps; do
+      printf '%s: "1s"\n' "$field"
+    done
+  } > "$folder/entry.yaml"
+  "$entry" --settings "$folder/entry.yaml" --check 2> "$folder/findings"
+}
+
+for length in 1 63 64 200; do
+  check $length $length || { echo "refused: $length"; cat "$folder/findings"; exit 1; }
+done
+! check 201 3
+grep -q "'name' must have at most 200 bytes" "$folder/findings"
+! check 3 201
+grep -q "'domain' must have at most 200 bytes" "$folder/findings"
--- a/tests/test_beacon.c
+++ b/tests/test_beacon.c
@@ -78,6 +78,47 @@
 }
 END_TEST
 
+static struct pl_contact
+make_longest_contact (char last)
+{
+  struct pl_contact contact = {.capacity = 200};
+
+  memset (contact.name, 'x', PL_HOST_NAME_BYTES_MAX);
+  contact.name[PL_HOST_NAME_BYTES_MAX - 1] = last;
+  memcpy (contact.domain, contact.name, sizeof contact.domain);
+  memset (contact.peer_address, '9', sizeof contact.peer_address - 1);
+  memset (contact.caller_address, '9', sizeof contact.caller_address - 1);
+  memset (contact.relay_address, '9', sizeof contact.relay_address - 1);
+  return contact;
+}
+
+/* Guards against hosts with long names that never hear of each other. */
+START_TEST (the_fullest_beacon_with_the_longest_names_is_sent_whole)
+{
+  struct pl_beacon original = make_beacon (true);
+  struct pl_beacon decoded;
+  char bytes[PL_BEACON_BYTES_MAX];
+  int length;
+
+  original.is_delegate = true;
+  original.self = make_longest_contact ('0');
+  original.account_count = PL_BEACON_ACCOUNTS_MAX;
+  original.state_count = PL_BEACON_STATES_MAX;
+  original.suspect_count = PL_BEACON_SUSPECTS_MAX;
+  original.limit_count = PL_BEACON_LIMITS_MAX;
+  original.permits_count = PL_BEACON_PERMITS_MAX;
+  original.retained_configuration = 1;
+  original.contact_count = PL_BEACON_CONTACTS_MAX;
+  for (int i = 0; i < PL_BEACON_CONTACTS_MAX; i++)
+    original.contacts[i] = make_longest_contact ((char) ('a' + i));
+  length = pl_beacon_encode (&original, bytes, sizeof bytes);
+  ck_assert_int_gt (length, 0);
+  ck_assert_int_eq (pl_beacon_decode (bytes, (size_t) length, &decoded), 0);
+  ck_assert_mem_eq (&decoded.self, &original.self, sizeof decoded.self);
+  ck_assert_mem_eq (decoded.contacts, original.contacts, sizeof decoded.contacts);
+}
+END_TEST
+
 START_TEST (state_without_identity_is_small)
 {
   struct pl_beacon beacon = make_beacon (false);
@@ -182,6 +223,7 @@
   TCase *tcase = suite_new_case (&suite, "beacon");
 
   tcase_add_loop_test (tcase, decode_returns_the_encoded_beacon, 0, 2);
+  tcase_add_test (tcase, the_fullest_beacon_with_the_longest_names_is_sent_whole);
   tcase_add_test (tcase, state_without_identity_is_small);
   tcase_add_test (tcase, limits_and_permits_take_no_bytes_when_there_are_none);
   tcase_add_test (tcase, truncated_beacon_is_rejected);
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -1,6 +1,7 @@
 /* Tests that texts of the platform are used whole, whatever their length: each test gives two
  * things texts that are alike but for the last byte, and compares what servers, callers, peers and
  * operators get byte by byte. */
+#include "internal/beacon_socket.h"
 #include "router_world.h"
 #include "suite.h"
 
@@ -294,6 +295,58 @@
 }
 END_TEST
 
+/* Returns what BEACON is at the host that receives it. */
+static struct pl_beacon
+transmit (const struct pl_beacon *beacon)
+{
+  char bytes[PL_BEACON_BYTES_MAX];
+  int length = pl_beacon_encode (beacon, bytes, sizeof bytes);
+  struct pl_beacon received;
+
+  ck_assert_int_gt (length, 0);
+  ck_assert_int_eq (pl_beacon_decode (bytes, (size_t) length, &received), 0);
+  return received;
+}
+
+/* Guards against two hosts that are one to their peers. */
+START_TEST (hosts_and_their_domains_are_told_apart_whatever_their_names)
+{
+  int length = MIN (lengths[_i], PL_HOST_NAME_BYTES_MAX);
+  const char *addresses[8];
+  char *names[2];
+
+  make_texts (names, length);
+  for (int i = 0; i < 2; i++)
+    {
+      struct world *host = world_new_from (
+          &(struct world_options){.name = names[i], .domain = names[i], .incarnation = 2});
+      struct pl_beacon beacon = world_peer_beacon ("peer", "a-2");
+
+      beacon.wants_contacts = true;
+      world_receive_beacon (host, &beacon);
+      ck_assert_str_eq (host->last_beacon.self.name, names[i]);
+      ck_assert_str_eq (host->last_beacon.self.domain, names[i]);
+      beacon = transmit (&host->last_beacon);
+      ck_assert_str_eq (beacon.self.name, names[i]);
+      beacon.ready = true;
+      g_snprintf (beacon.self.caller_address, sizeof beacon.self.caller_address, "10.0.2.%d:80", i);
+      world_receive_beacon (world, &beacon);
+      world_free (host);
+    }
+  for (int i = 0; i < 2; i++)
+    {
+      int found
+          = pl_router_select_hosts (world->router, names[i], "b", addresses, 8, world->now_us);
+      bool is_named = false;
+
+      for (int j = 0; j < found; j++)
+        is_named = is_named || addresses[j][strlen ("10.0.2.")] == '0' + i;
+      ck_assert (is_named);
+    }
+  free_texts (names);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -311,5 +364,7 @@
   tcase_add_loop_test (tcase, a_probe_names_the_server_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, an_evacuation_is_of_the_domain_with_the_whole_name, 0,
                        G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, hosts_and_their_domains_are_told_apart_whatever_their_names, 0,
+                       G_N_ELEMENTS (lengths));
   return suite_run (suite);
 }
