--- a/core/router.c
+++ b/core/router.c
@@ -120,6 +120,7 @@
   struct router_route *route = data;
 
   g_free (route->name);
+  g_free (route->credit);
   g_free (route);
 }
 
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -53,7 +53,7 @@
 #define COLD_OWNERS_MAX 1e6
 /* Steps of a split's sequence, times its parts, among which its first request is chosen: enough for
  * a part of a thousandth to begin at any of them. */
-#define SPLIT_STEPS_MAX 65536
+#define SPLIT_STEPS_MAX UINT64_C (65536)
 
 const char *const router_refusal_names[ROUTER_REFUSAL_COUNT] = {
     [ROUTER_NO_ROUTING] = "no-configuration",
@@ -215,10 +215,11 @@
              const struct pl_route_rule *rule)
 {
   uint64_t random = pl_hash_pair (rule->split, router->self.incarnation ^ router->membership.self);
-  uint64_t steps = random % (SPLIT_STEPS_MAX / (uint64_t) rule->part_count);
+  uint64_t steps = random % MAX (SPLIT_STEPS_MAX / (uint64_t) rule->part_count, 1);
 
   state->split = rule->split;
-  memset (state->credit, 0, sizeof state->credit);
+  g_free (state->credit);
+  state->credit = g_new0 (double, rule->part_count);
   while (steps-- > 0)
     choose_part (state, rule);
 }
--- a/core/routing.c
+++ b/core/routing.c
@@ -28,6 +28,12 @@
   return memcmp (a, b, PL_KEY_HASH_BYTES) == 0;
 }
 
+static void
+clear_route (gpointer route)
+{
+  g_free (((struct pl_route_rule *) route)->parts);
+}
+
 static void
 free_group (gpointer group)
 {
@@ -43,6 +49,7 @@
   routing->version = version;
   routing->texts = g_string_chunk_new (4096);
   routing->routes = g_array_new (FALSE, FALSE, sizeof (struct pl_route_rule));
+  g_array_set_clear_func (routing->routes, clear_route);
   routing->services = g_array_new (FALSE, FALSE, sizeof (struct pl_service_rule));
   routing->accounts = g_array_new (FALSE, FALSE, sizeof (struct pl_account_rule));
   routing->keys = g_hash_table_new_full (hash_key_hash, key_hashes_equal, g_free, NULL);
@@ -85,6 +92,7 @@
   copy.name = copy_text (routing, route->name);
   copy.host = copy_text (routing, route->host);
   copy.prefix = copy_text (routing, route->prefix);
+  copy.parts = g_memdup2 (route->parts, (gsize) route->part_count * sizeof *route->parts);
   for (int i = 0; i < copy.part_count; i++)
     copy.parts[i].service_name = copy_text (routing, route->parts[i].service_name);
   g_array_append_val (routing->routes, copy);
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -63,8 +63,8 @@
 struct router_route
 {
   char *name;
-  uint64_t split;                      /* of which the credits are; see struct pl_route_rule */
-  double credit[PL_ROUTING_PARTS_MAX]; /* smooth weighted round robin */
+  uint64_t split; /* of which the credits are; see struct pl_route_rule */
+  double *credit; /* smooth weighted round robin */
   int64_t longest_caller_timeout_us;
   struct router_counts counts;
 };
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -14,7 +14,6 @@
 #include "pomelolatch/config.h"
 #include "pomelolatch/findings.h"
 
-#define PL_ROUTING_PARTS_MAX 8
 #define PL_ROUTING_REGIONS_MAX 32
 
 /* One of the services that a route splits its requests over. */
@@ -41,8 +40,8 @@
   int64_t timeout_us;    /* longest time until the answer */
   int64_t objective_us;  /* latency objective */
   int part_count;
-  struct pl_route_part parts[PL_ROUTING_PARTS_MAX];
-  uint64_t split; /* set by pl_routing_seal(): hash of the parts */
+  struct pl_route_part *parts; /* owned by the table */
+  uint64_t split;              /* set by pl_routing_seal(): hash of the parts */
 };
 
 struct pl_service_rule
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -329,6 +329,65 @@
 }
 END_TEST
 
+/* Guards against a caller whose key is in the configuration and who gets 401. */
+START_TEST (an_account_may_have_any_number_of_keys)
+{
+  g_autoptr (GString) account = g_string_new (
+      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"new\"},\"Spec\":{\"ApiKeys\":[");
+
+  for (int i = 0; i < 1000; i++)
+    g_string_append_printf (account, "%s\"key-%d-of-many\"", i > 0 ? "," : "", i);
+  g_string_append (account, "]}},");
+  world_put_config (world, 5, account->str);
+  ck_assert_int_eq (world->warnings, 0);
+  for (int i = 0; i < 1000; i += 37)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%d-of-many", i);
+      struct world_call *call = world_send_request (world, "/read/1", key);
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert_str_eq (call->account, "new");
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+}
+END_TEST
+
+/* Guards against parts without requests, and others with more than their share. */
+START_TEST (a_split_may_have_any_number_of_parts)
+{
+  const int parts = 40;
+  g_autoptr (GString) extra = g_string_new (NULL);
+  g_autoptr (GString) split = g_string_new (NULL);
+  int counts[40] = {0};
+
+  for (int i = 0; i < parts; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%d", i);
+      g_autofree char *service = g_strdup_printf ("part-%d", i);
+
+      g_string_append_printf (extra,
+                              "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"%s\"},"
+                              "\"Spec\":{\"HealthPath\":\"/health\"}},",
+                              service);
+      g_string_append_printf (split, "%s{\"Service\":\"%s\",\"Weight\":%d}", i > 0 ? "," : "",
+                              service, i % 2 + 1);
+      put_server (world, id, service);
+    }
+  g_string_append_printf (extra, ROUTE ("\"Public\":true,\"TrafficSplit\":[%s]"), split->str);
+  world_put_config (world, 5, extra->str);
+  for (int i = 0; i < 30 * parts; i++)
+    {
+      struct world_call *call = world_send_request (world, "/read/new/1", NULL);
+
+      ck_assert_int_eq (call->sends, 1);
+      counts[atoi (call->server)]++;
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  for (int i = 0; i < parts; i++)
+    ck_assert_int_eq (counts[i], 20 * (i % 2 + 1));
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -432,6 +491,8 @@
                        G_N_ELEMENTS (unsendable_names));
   tcase_add_test (tcase, a_server_whose_id_no_header_can_carry_is_not_used);
   tcase_add_test (tcase, a_server_with_an_overlong_address_is_not_used);
+  tcase_add_test (tcase, an_account_may_have_any_number_of_keys);
+  tcase_add_test (tcase, a_split_may_have_any_number_of_parts);
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
