--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -188,6 +188,15 @@
   return until_us;
 }
 
+static void
+remove_server (struct pl_router *router, const char *id, int64_t until_us)
+{
+  pl_placement_remove (&router->placement, id, until_us);
+  router_log (router, PL_ROUTER_LOG_STATE, "server-gone",
+              json_pack ("{s:s,s:I}", "server", id, "used_for_us",
+                         (json_int_t) (until_us - router->now_us)));
+}
+
 static void
 apply_server (struct pl_router *router, const struct pl_row_update *update, bool is_deleted,
               bool at_start, int64_t until_us)
@@ -200,12 +209,7 @@
     return;
   if (is_deleted)
     {
-      if (was_draining)
-        until_us = router->now_us;
-      pl_placement_remove (&router->placement, update->server.id, until_us);
-      router_log (router, PL_ROUTER_LOG_STATE, "server-gone",
-                  json_pack ("{s:s,s:I}", "server", update->server.id, "used_for_us",
-                             (json_int_t) (until_us - router->now_us)));
+      remove_server (router, update->server.id, was_draining ? router->now_us : until_us);
       return;
     }
   pl_placement_put (&router->placement, &update->server,
@@ -239,6 +243,7 @@
   const struct pl_row *row;
   struct pl_row_update update;
   struct row_origin origin;
+  bool names_no_server; /* the entry of a server, which can not be read */
 };
 
 static void
@@ -255,6 +260,7 @@
   if (pl_findings_count (findings) > 0)
     log_findings (router, row->key, result < 0, findings);
   pl_findings_free (findings);
+  decoded->names_no_server = result < 0 && table == PL_TABLE_SERVERS;
   decoded->origin.type = update->type;
   if (update->type == PL_ROW_UPDATE_ROUTING)
     decoded->origin.start = update->routing->version;
@@ -276,6 +282,8 @@
   switch (update->type)
     {
     case PL_ROW_UPDATE_NONE:
+      if (decoded->names_no_server)
+        remove_server (router, decoded->row->key, router->now_us);
       break;
     case PL_ROW_UPDATE_ROUTING:
       if (!is_deleted)
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -70,7 +70,7 @@
 void pl_row_update_clear (struct pl_row_update *update);
 
 /* Decodes a row; VALUE is NULL for a deleted one.  Must be a pure function.  Returns 0, or
- * PL_ERR_INVALID with findings added; the row is then ignored. */
+ * PL_ERR_INVALID with findings added: the row says nothing, and an entry of a server names none. */
 typedef int (*pl_row_decoder) (void *data, enum pl_table table, const char *key, const char *value,
                                size_t length, struct pl_row_update *update,
                                struct pl_findings *findings);
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -388,6 +388,45 @@
 }
 END_TEST
 
+static const char *const unreadable_entries[]
+    = {"not json",
+       "[]",
+       "{}",
+       "\xff\xfe",
+       "{\"Address\":7}",
+       "{\"Address\":\"10.1.0.9:80\",\"Info\":{\"Service\":\"stock\",\"Zone\":\"a-1\"},"
+       "\"Status\":{\"State\":\"resting\"}}"};
+
+/* Guards against a server that is used by an entry that another writer has replaced. */
+START_TEST (an_entry_that_can_not_be_read_names_no_server)
+{
+  struct pl_row rows[] = {{"s-0", unreadable_entries[_i], strlen (unreadable_entries[_i]), 100},
+                          {"s-9", NULL, 0, 101}};
+  g_autofree char *good = world_make_server ("s-9", "a-1", "ready", 1, 1);
+
+  rows[1].value = good;
+  rows[1].length = strlen (good);
+  world->version = 101;
+  world_feed_rows (world, &(struct pl_rows_event){
+                              .table = PL_TABLE_SERVERS, .version = 101, .rows = rows, .count = 2});
+  world_advance (world, 4 * WORLD_SECOND);
+  ck_assert_int_eq (pl_router_held_version (world->router, PL_TABLE_SERVERS), 101);
+  for (int i = 0; i < 40; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-2");
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert_str_ne (call->server, "s-0");
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  put_server (world, "s-0", "stock");
+  put_server (world, "s-1", "next");
+  world_put_row (world, PL_TABLE_SERVERS, "s-9", NULL);
+  ck_assert_str_eq (world_send_request (world, "/read/1", "key-2")->server, "s-0");
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -493,6 +532,8 @@
   tcase_add_test (tcase, a_server_with_an_overlong_address_is_not_used);
   tcase_add_test (tcase, an_account_may_have_any_number_of_keys);
   tcase_add_test (tcase, a_split_may_have_any_number_of_parts);
+  tcase_add_loop_test (tcase, an_entry_that_can_not_be_read_names_no_server, 0,
+                       G_N_ELEMENTS (unreadable_entries));
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
