--- a/modules/relay.c
+++ b/modules/relay.c
@@ -1,7 +1,7 @@
 /* Relay of rows: a host that cannot reach the store fetches the rows that it lacks from a peer.
  *
  * Values are JSON texts of the platform and are sent as JSON strings.  A value that is not valid
- * UTF-8 cannot be parsed by any host and is left out.
+ * UTF-8 cannot be parsed by any host; it is replaced by an empty one, which says as little.
  */
 #include "internal/relay.h"
 #include "internal/clock.h"
@@ -25,8 +25,8 @@
   (void) table;
   if (value == NULL)
     {
-      pl_log (PL_LOG_WARNING, "row-not-relayed", json_pack ("{s:s}", "row", row->key));
-      return;
+      pl_log (PL_LOG_WARNING, "row-relayed-empty", json_pack ("{s:s}", "row", row->key));
+      value = json_string ("");
     }
   json_array_append_new (
       rows, row->value != NULL ? json_pack ("[s,o,I]", row->key, value, (json_int_t) row->version)
@@ -129,7 +129,8 @@
 on_answer (void *data, enum pl_http_end end, int status, const char *text)
 {
   struct fetch *fetch = data;
-  json_t *tables = end == PL_HTTP_COMPLETE && status == 200 ? json_loads (text, 0, NULL) : NULL;
+  json_t *tables
+      = end == PL_HTTP_COMPLETE && status == 200 ? json_loads (text, JSON_ALLOW_NUL, NULL) : NULL;
 
   if (end == PL_HTTP_COMPLETE && status == BUSY_STATUS)
     pl_log (PL_LOG_INFO, "relay-busy", json_object ());
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -159,6 +159,8 @@
     ROUTE ("\"Service\":7"),
     ROUTE ("\"Service\":\"stock\",\"HomeRegions\":\"a\""),
     ROUTE ("\"Priority\":1"),
+    ROUTE ("\"Service\":\"stock\\u0000\""),
+    ROUTE ("\"Service\":\"stock\",\"Attempts\":123456789012345678901234567890"),
     "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"odd\"},\"Spec\":{\"ColdPerS\":-1}},",
     "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":7},\"Spec\":{}},",
     "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"odd\"}},",
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -17,6 +17,16 @@
 static const char page_2[]
     = "{\"Rows\":[{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"b\","
       "\"Value\":\"e30=\",\"Ver\":6}],\"HasMore\":false,\"Ver\":12,\"Now\":2}";
+/* The same beside keys with a NUL byte, one of them the last of the first page. */
+static const char odd_page_1[]
+    = "{\"Rows\":[{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"a\",\"Value\":\"e30=\",\"Ver\":5},"
+      "{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"a\\u0000b\",\"Value\":\"e30=\",\"Ver\":5}],"
+      "\"HasMore\":true,\"Ver\":10,\"Now\":1}";
+static const char odd_page_2[]
+    = "{\"Rows\":[{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"\\u0000\",\"Value\":\"e30=\","
+      "\"Ver\":6},"
+      "{\"Table\":\"servers\",\"part\":\"\",\"Key\":\"b\",\"Value\":\"e30=\",\"Ver\":6}],"
+      "\"HasMore\":false,\"Ver\":12,\"Now\":2}";
 static const char changes[] = "{\"Rows\":[],\"Ver\":12}";
 static const char empty_page[] = "{\"Rows\":[],\"HasMore\":false,\"Ver\":10,\"Now\":1}";
 
@@ -44,6 +54,7 @@
   int64_t version;
   bool client_closing; /* pending calls fail when the client is freed */
   enum poll_mode mode;
+  bool has_odd_keys;
   int hanging[HANGING_MAX]; /* connections of polls that are not answered */
   int hanging_count;
   int immediate_polls[PL_TABLES_MAX]; /* that wait for no changes */
@@ -60,6 +71,8 @@
     return changes;
   if (strstr (request, "Table=servers") == NULL)
     return empty_page;
+  if (server.has_odd_keys)
+    return strstr (request, "From=a%00b%00") == NULL ? odd_page_1 : odd_page_2;
   return strstr (request, "From=") == NULL ? page_1 : page_2;
 }
 
@@ -192,7 +205,8 @@
 
 /* Guards against losing a change that is made while a snapshot is read: the reader must poll for
  * changes from the version of the first page on, not of the last. */
-START_TEST (change_between_two_pages_is_not_missed)
+static void
+read_two_pages (void)
 {
   struct pl_http_client *client = pl_http_client_new_on_reactor (server.reactor);
   struct pl_store_reader_options options = {
@@ -211,6 +225,19 @@
   ck_assert_ptr_nonnull (strstr (server.first_feed, "after=10&"));
   pl_http_client_free (client);
 }
+
+START_TEST (change_between_two_pages_is_not_missed)
+{
+  read_two_pages ();
+}
+END_TEST
+
+/* Guards against one row with an odd key that hides all others of its table. */
+START_TEST (a_key_with_a_nul_byte_does_not_hold_up_other_rows)
+{
+  server.has_odd_keys = true;
+  read_two_pages ();
+}
 END_TEST
 
 static void
@@ -301,6 +328,7 @@
 
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_set_timeout (tcase, 60);
+  tcase_add_test (tcase, a_key_with_a_nul_byte_does_not_hold_up_other_rows);
   tcase_add_test (tcase, change_between_two_pages_is_not_missed);
   tcase_add_test (tcase, the_call_after_a_failure_waits_for_no_changes);
   tcase_add_test (tcase, polls_that_were_sent_before_a_failure_are_repeated);
