--- a/core/routing.c
+++ b/core/routing.c
@@ -84,13 +84,26 @@
   return g_string_chunk_insert_const (routing->texts, text != NULL ? text : "");
 }
 
+char *
+pl_routing_normalize_host (const char *text)
+{
+  /* The colons of an IPv6 address stand in brackets. */
+  size_t address = text[0] == '[' ? strcspn (text, "]") : 0;
+  size_t length = address + strcspn (text + address, ":");
+
+  if (length > 0 && text[length - 1] == '.')
+    length--;
+  return g_ascii_strdown (text, (gssize) length);
+}
+
 void
 pl_routing_add_route (struct pl_routing *routing, const struct pl_route_rule *route)
 {
   struct pl_route_rule copy = *route;
+  g_autofree char *host = pl_routing_normalize_host (route->host);
 
   copy.name = copy_text (routing, route->name);
-  copy.host = copy_text (routing, route->host);
+  copy.host = copy_text (routing, host);
   copy.prefix = copy_text (routing, route->prefix);
   copy.parts = g_memdup2 (route->parts, (gsize) route->part_count * sizeof *route->parts);
   for (int i = 0; i < copy.part_count; i++)
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -111,7 +111,7 @@
 {
   uint64_t request;
   const char *correlation_id; /* the caller's id of the request, for logs */
-  const char *host;           /* from the Host header, in lower case, without port */
+  const char *host;           /* from the Host header, normalized */
   const char *path;
   bool has_key;
   uint8_t key_hash[PL_KEY_HASH_BYTES];
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -28,7 +28,7 @@
 {
   const char *name;
   bool is_unusable;      /* its requests are refused */
-  const char *host;      /* HTTP host name */
+  const char *host;      /* HTTP host name; the table holds it normalized */
   const char *prefix;    /* of the path */
   bool repeatable;       /* may run more than once */
   bool open;             /* requires no API key */
@@ -105,7 +105,11 @@
  * which no part, or only some, can be used. */
 void pl_routing_seal (struct pl_routing *routing, struct pl_findings *findings);
 
-/* These functions return an index, or PL_NONE. */
+/* Returns TEXT, of a Host header or a route, in the form in which hosts are compared: in lower
+ * case, without port and the dot of the root.  Owned by the caller. */
+char *pl_routing_normalize_host (const char *text);
+
+/* These functions return an index, or PL_NONE.  HOST is normalized. */
 int pl_routing_find_route (const struct pl_routing *routing, const char *host, const char *path);
 int pl_routing_find_service (const struct pl_routing *routing, const char *name);
 int pl_routing_find_account (const struct pl_routing *routing, const uint8_t *key_hash);
--- a/modules/front.c
+++ b/modules/front.c
@@ -320,10 +320,9 @@
   struct pl_front *front = request->front;
   struct pl_router_event event = {.type = PL_ROUTER_CALL};
   const char *host = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, "Host");
-  g_autofree char *host_name = g_ascii_strdown (host != NULL ? host : "", -1);
+  g_autofree char *host_name = pl_routing_normalize_host (host != NULL ? host : "");
   g_autofree char *path = g_strndup (request->target, strcspn (request->target, "?"));
 
-  host_name[strcspn (host_name, ":")] = '\0';
   event.u.call.request = request->id;
   event.u.call.correlation_id = request->correlation_id;
   event.u.call.host = host_name;
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -429,6 +429,31 @@
 }
 END_TEST
 
+/* What a Host header and a route have for the same host. */
+static const char *const hosts[][2] = {
+    {"h", "h"},     {"H", "h"},         {"h:8080", "H"},       {"h.", "h"},
+    {"h", "h.:80"}, {"[::1]", "[::1]"}, {"[::1]:80", "[::1]"}, {"[A::1]", "[a::1]:80"},
+};
+
+/* Guards against a route that is never found, as its host is written in another way. */
+START_TEST (hosts_are_compared_as_host_names)
+{
+  struct pl_routing *routing = pl_routing_new (1);
+  struct pl_findings *findings = pl_findings_new ("test");
+  struct pl_route_part part = {.service_name = "stock", .weight = 1};
+  struct pl_route_rule route
+      = {.name = "r", .host = hosts[_i][1], .prefix = "/a/", .parts = &part, .part_count = 1};
+  g_autofree char *host = pl_routing_normalize_host (hosts[_i][0]);
+
+  pl_routing_add_route (routing, &route);
+  pl_routing_seal (routing, findings);
+  ck_assert_int_eq (pl_routing_find_route (routing, host, "/a/1"), 0);
+  ck_assert_int_eq (pl_routing_find_route (routing, "other", "/a/1"), PL_NONE);
+  pl_findings_free (findings);
+  pl_routing_unref (routing);
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -536,6 +561,7 @@
   tcase_add_test (tcase, a_split_may_have_any_number_of_parts);
   tcase_add_loop_test (tcase, an_entry_that_can_not_be_read_names_no_server, 0,
                        G_N_ELEMENTS (unreadable_entries));
+  tcase_add_loop_test (tcase, hosts_are_compared_as_host_names, 0, G_N_ELEMENTS (hosts));
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
