--- a/core/router.c
+++ b/core/router.c
@@ -48,6 +48,8 @@
 
       if (effect->type == PL_ROUTER_SEND_BEACON)
         g_free (effect->u.datagram.beacon);
+      if (effect->type == PL_ROUTER_PROBE)
+        g_free (effect->u.probe.path);
       if (effect->type == PL_ROUTER_LOG)
         json_decref (effect->u.log_line.fields);
     }
@@ -296,9 +298,8 @@
   effect->u.probe.server = backend->hash;
   effect->u.probe.server_id = backend->entry.id;
   g_strlcpy (effect->u.probe.address, backend->entry.address, sizeof effect->u.probe.address);
-  g_strlcpy (effect->u.probe.path,
-             service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path : "/",
-             sizeof effect->u.probe.path);
+  effect->u.probe.path = g_strdup (
+      service != PL_NONE ? PL_RULE_SERVICE (router->routing, service)->health_path : "/");
 }
 
 /* Probes the servers that are due.  A probe takes a slot like a request, so it requires a permit
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -466,14 +466,15 @@
 void
 calls_on_arrival (struct pl_router *router, const struct pl_call_event *event)
 {
-  struct call *call = g_new0 (struct call, 1);
+  size_t id_size = strlen (event->correlation_id) + 1;
+  struct call *call = g_malloc0 (sizeof *call + id_size);
   int64_t caller_timeout_us
       = event->caller_timeout_us > 0 ? event->caller_timeout_us : CALLER_TIMEOUT_DEFAULT_US;
   int refusal;
 
   call->id = event->request;
   call->service = PL_NONE;
-  g_strlcpy (call->correlation_id, event->correlation_id, sizeof call->correlation_id);
+  memcpy (call->correlation_id, event->correlation_id, id_size);
   call->object = event->object;
   call->fingerprint = event->fingerprint;
   call->body_bytes = event->body_bytes;
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -8,6 +8,18 @@
 
 #define OCTAVE_BUCKETS (1U << PL_HISTOGRAM_SUB_BITS)
 
+/* Returns NAME as the value of a label. */
+static char *
+escape_label (const char *name)
+{
+  GString *text = g_string_new (name);
+
+  g_string_replace (text, "\\", "\\\\", 0);
+  g_string_replace (text, "\"", "\\\"", 0);
+  g_string_replace (text, "\n", "\\n", 0);
+  return g_string_free (text, FALSE);
+}
+
 static void
 append_latency (GString *text, const char *kind, const char *name,
                 const struct pl_histogram *latency)
@@ -36,9 +48,11 @@
 }
 
 static void
-append_counts (GString *text, const char *kind, const char *name,
+append_counts (GString *text, const char *kind, const char *unescaped,
                const struct router_counts *counts)
 {
+  g_autofree char *name = escape_label (unescaped);
+
   g_string_append_printf (text, "pomelolatch_requests_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
                           kind, name, counts->requests);
   g_string_append_printf (text, "pomelolatch_served_total{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", kind,
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -110,7 +110,7 @@
 struct pl_call_event
 {
   uint64_t request;
-  const char *correlation_id; /* the caller's id of the request, for logs */
+  const char *correlation_id; /* the caller's id of the request, for logs; UTF-8 */
   const char *host;           /* from the Host header, normalized */
   const char *path;
   bool has_key;
@@ -284,7 +284,7 @@
   PL_ROUTER_LOG_WARNING, /* a problem */
 };
 
-/* Texts are borrowed until the next step. */
+/* Texts are borrowed until the next step, but for those that an effect owns. */
 struct pl_router_effect
 {
   enum pl_router_effect_type type;
@@ -321,7 +321,7 @@
       uint64_t server; /* hash of its id */
       const char *server_id;
       char address[PL_ADDRESS_CHARS];
-      char path[PL_PATH_CHARS];
+      char *path; /* owned by the effect */
       bool on_new_connection;
     } probe;
     struct
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -85,7 +85,6 @@
 struct call
 {
   uint64_t id;
-  char correlation_id[PL_ID_CHARS];
   enum call_state state;
   struct router_account *account; /* NULL: an open route */
   struct router_route *route;
@@ -120,6 +119,7 @@
   bool is_handover;    /* a peer has handed it over; it is not handed over again */
   int handovers;       /* to peers, by this host */
   uint64_t peer;       /* that has it, or had it last; 0: none */
+  char correlation_id[];
 };
 
 /* How the writer of a row orders what it writes; in contrast to positions, that holds also when
--- a/modules/front.c
+++ b/modules/front.c
@@ -322,9 +322,10 @@
   const char *host = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, "Host");
   g_autofree char *host_name = pl_routing_normalize_host (host != NULL ? host : "");
   g_autofree char *path = g_strndup (request->target, strcspn (request->target, "?"));
+  g_autofree char *label = g_utf8_make_valid (request->correlation_id, -1);
 
   event.u.call.request = request->id;
-  event.u.call.correlation_id = request->correlation_id;
+  event.u.call.correlation_id = label;
   event.u.call.host = host_name;
   event.u.call.path = path;
   event.u.call.has_key = request->has_key;
@@ -394,9 +395,11 @@
     set_refusal (request, 413, "body-too-large", 0, 0);
   else if (request->no_memory)
     {
+      g_autofree char *label = g_utf8_make_valid (request->correlation_id, -1);
+
       set_refusal (request, 503, "no-memory", 0, RETRY_AFTER_NO_MEMORY_US);
       pl_log (PL_LOG_WARNING, "body-dropped",
-              json_pack ("{s:s,s:I}", "request", request->correlation_id, "held_bytes",
+              json_pack ("{s:s,s:I}", "request", label, "held_bytes",
                          (json_int_t) request->front->buffered_bytes));
     }
   else
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -167,10 +167,14 @@
               && pl_front_reserve_memory (attempt->front, &attempt->buffered_bytes, length);
 
   if (!fits)
-    pl_log (PL_LOG_WARNING, "answer-dropped",
-            json_pack ("{s:s,s:s,s:I,s:I}", "request", attempt->correlation_id, "part", part,
-                       "answer_bytes", (json_int_t) attempt->buffered_bytes, "held_bytes",
-                       (json_int_t) attempt->front->buffered_bytes));
+    {
+      g_autofree char *label = g_utf8_make_valid (attempt->correlation_id, -1);
+
+      pl_log (PL_LOG_WARNING, "answer-dropped",
+              json_pack ("{s:s,s:s,s:I,s:I}", "request", label, "part", part, "answer_bytes",
+                         (json_int_t) attempt->buffered_bytes, "held_bytes",
+                         (json_int_t) attempt->front->buffered_bytes));
+    }
   return fits;
 }
 
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -140,8 +140,9 @@
 
   effect.u.probe.server_id = "s-1";
   g_snprintf (effect.u.probe.address, sizeof effect.u.probe.address, "127.0.0.1:%u", fixture->port);
-  g_strlcpy (effect.u.probe.path, "/health", sizeof effect.u.probe.path);
+  effect.u.probe.path = g_strdup ("/health");
   pl_front_execute (fixture->front, &effect);
+  g_free (effect.u.probe.path);
 }
 
 static void
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -154,6 +154,7 @@
       break;
     case PL_ROUTER_PROBE:
       world->probes++;
+      world->probed_path = g_intern_string (effect->u.probe.path);
       g_queue_push_tail (&world->probed, g_strdup (effect->u.probe.server_id));
       break;
     case PL_ROUTER_SEND_BEACON:
@@ -174,6 +175,9 @@
       break;
     case PL_ROUTER_LOG:
       world->warnings += effect->u.log_line.level == PL_ROUTER_LOG_WARNING;
+      if (effect->u.log_line.level == PL_ROUTER_LOG_REQUEST)
+        world->logged_request = g_intern_string (
+            json_string_value (json_object_get (effect->u.log_line.fields, "request")));
       break;
     case PL_ROUTER_CHECK_STORE:
       world->store_checks++;
@@ -285,7 +289,7 @@
   call->is_handover = is_handover;
   g_hash_table_insert (world->calls, &call->id, call);
   event.u.call.request = call->id;
-  event.u.call.correlation_id = "label";
+  event.u.call.correlation_id = world->correlation_id != NULL ? world->correlation_id : "label";
   event.u.call.host = "h";
   event.u.call.path = path;
   event.u.call.caller_timeout_us = 2 * WORLD_SECOND;
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -53,8 +53,11 @@
   int store_checks;
   bool stopped;
   bool keepalive_disabled;
-  int warnings;  /* log lines of level warning */
-  GQueue probed; /* ids of servers whose probes have no answer yet; owned */
+  int warnings;               /* log lines of level warning */
+  const char *probed_path;    /* of the last probe; interned */
+  const char *logged_request; /* field of the last log line about a request; interned */
+  const char *correlation_id; /* of the requests that are sent; NULL: label */
+  GQueue probed;              /* ids of servers whose probes have no answer yet; owned */
   /* Called when an attempt is sent to a server or peer, and when the caller is answered; may be
    * NULL. */
   void (*on_attempt) (void *data, struct world_call *call);
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -54,6 +54,7 @@
   atomic_int runs;    /* requests that have reached it */
   char *head;         /* of the last one */
   const char *server_id;
+  bool label_is_text;  /* the id of the request, as logs get it */
   const char *account; /* whose requests are sent; NULL: none */
 };
 
@@ -129,6 +130,7 @@
   if (event->type == PL_ROUTER_CALL)
     {
       effect.type = PL_ROUTER_SEND;
+      fixture->label_is_text = g_utf8_validate (event->u.call.correlation_id, -1, NULL);
       effect.request = event->u.call.request;
       effect.attempt = 1;
       effect.u.send.server = fixture->server_id;
@@ -751,6 +753,25 @@
 }
 END_TEST
 
+/* Guards against log lines without any field, for ids that are no text. */
+START_TEST (an_id_that_is_no_text_can_be_logged)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *line = g_strdup_printf ("\r\n%s: id\xff\r\n", pl_platform_dialect.request_id);
+  g_autofree char *text
+      = g_strdup_printf ("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0%s\r\n", line);
+  struct caller caller = {.text = text, .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  run_caller (&fixture, &caller);
+  ck_assert (fixture.label_is_text);
+  ck_assert_ptr_nonnull (strstr (fixture.head, line));
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* Returns the resident memory of this process. */
 static size_t
 resident_bytes (void)
@@ -1068,6 +1089,7 @@
                        (int) G_N_ELEMENTS (targets));
   tcase_add_loop_test (tcase, the_server_gets_its_id_and_the_name_of_the_account_whole, 0,
                        (int) G_N_ELEMENTS (name_lengths));
+  tcase_add_test (tcase, an_id_that_is_no_text_can_be_logged);
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
   tcase_add_test (tcase, connections_up_to_the_limit_fit_in_the_memory_of_a_host);
--- a/tests/test_long_texts.c
+++ b/tests/test_long_texts.c
@@ -258,6 +258,65 @@
 }
 END_TEST
 
+/* Guards against a healthy server that stays down, as another path than its own is probed. */
+START_TEST (a_server_is_probed_at_its_whole_health_path)
+{
+  int length = MAX (lengths[_i], 2);
+  g_autofree char *rest = make_text (length - 1, 'a');
+  g_autofree char *path = g_strconcat ("/", rest, NULL);
+  g_autofree char *config = world_make_config (4, NULL);
+  g_auto (GStrv) around = g_strsplit (config, "/health", 2);
+  g_autofree char *changed = g_strconcat (around[0], path, around[1], NULL);
+
+  world_put_row (world, PL_TABLE_CONTROL, "config", changed);
+  for (int i = 0; i < 20 && world->probes == 0; i++)
+    {
+      struct world_call *call = world_send_request (world, "/write/1", "key-1");
+
+      if (call->at_server)
+        world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+      if (call->at_server)
+        world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+      world_advance (world, WORLD_SECOND);
+    }
+  ck_assert_int_gt (world->probes, 0);
+  ck_assert_str_eq (world->probed_path, path);
+}
+END_TEST
+
+/* Guards against two requests that are one in the logs. */
+START_TEST (a_request_is_logged_by_its_whole_id)
+{
+  char *ids[2];
+
+  make_texts (ids, lengths[_i]);
+  for (int i = 0; i < 2; i++)
+    {
+      world->correlation_id = ids[i];
+      world_end_attempt (world, world_send_request (world, "/read/1", "key-1"), PL_ATTEMPT_ANSWERED,
+                         200);
+      ck_assert_str_eq (world->logged_request, ids[i]);
+    }
+  free_texts (ids);
+}
+END_TEST
+
+/* Guards against metrics that can not be read for one name. */
+START_TEST (names_are_escaped_in_metrics)
+{
+  g_autoptr (GString) metrics = g_string_new (NULL);
+
+  world_put_config (world, 4,
+                    "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"a\\\"b\\\\c\\nd\"},"
+                    "\"Spec\":{\"Host\":\"h\",\"Prefix\":\"/read/new/\",\"Kind\":\"idempotent\","
+                    "\"Service\":\"stock\"}},");
+  world_send_request (world, "/read/new/1", "key-1");
+  pl_router_metrics (world->router, metrics);
+  ck_assert_ptr_nonnull (
+      strstr (metrics->str, "pomelolatch_requests_total{route=\"a\\\"b\\\\c\\nd\"} 1\n"));
+}
+END_TEST
+
 #define EVACUATE "evacuate/"
 
 /* Guards against an evacuation that empties another domain too, or none. */
@@ -366,5 +425,9 @@
                        G_N_ELEMENTS (lengths));
   tcase_add_loop_test (tcase, hosts_and_their_domains_are_told_apart_whatever_their_names, 0,
                        G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_server_is_probed_at_its_whole_health_path, 0,
+                       G_N_ELEMENTS (lengths));
+  tcase_add_loop_test (tcase, a_request_is_logged_by_its_whole_id, 0, G_N_ELEMENTS (lengths));
+  tcase_add_test (tcase, names_are_escaped_in_metrics);
   return suite_run (suite);
 }
