--- a/modules/front.c
+++ b/modules/front.c
@@ -38,6 +38,8 @@
 #define LARGE_BUFFERS_PERCENT 75
 /* By then bodies of other requests have been forwarded and their memory is free again. */
 #define RETRY_AFTER_NO_MEMORY_US INT64_C (300000)
+/* A caller that waits for longer than a day waits for that. */
+#define CALLER_TIMEOUT_MAX_MS INT64_C (86400000)
 #define CALLER_CHECK_PERIOD_US INT64_C (100000)
 #define CALLER_CHECK_DELAY_US INT64_C (80000)
 
@@ -119,7 +121,8 @@
   if (g_ascii_strcasecmp (name, "Authorization") == 0)
     parse_authorization (request, value);
   else if (g_ascii_strcasecmp (name, dialect->deadline) == 0)
-    request->caller_timeout_us = g_ascii_strtoll (value, NULL, 10) * 1000;
+    request->caller_timeout_us
+        = CLAMP (g_ascii_strtoll (value, NULL, 10), 0, CALLER_TIMEOUT_MAX_MS) * 1000;
   else if (request->port->takes_handovers
            && g_ascii_strcasecmp (name, PL_FRONT_HANDOVER_HEADER) == 0)
     parse_handover (request, value);
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -11,7 +11,7 @@
 #include "internal/log.h"
 #include "pomelolatch/error.h"
 
-#include <stdlib.h>
+#include <math.h>
 #include <string.h>
 
 #define PROBE_TIMEOUT_US INT64_C (600000)
@@ -31,6 +31,11 @@
  * send. */
 #define HEAD_BYTES_MAX ((size_t) 64 << 10)
 #define ANSWER_BYTES_MAX ((size_t) 64 << 20)
+#define STATUS_MAX 999
+/* Servers are cold for seconds; a day is as good as forever. */
+#define COLD_MAX_MS INT64_C (86400000)
+/* Callers honour a fraction of their time, which is seconds. */
+#define RETRY_AFTER_MAX_S 3600
 
 /* What one head of an answer says.  An interim answer has a head of its own. */
 struct answer_head
@@ -135,7 +140,8 @@
   else if (attempt->is_handover && g_ascii_strcasecmp (name, PL_FRONT_REFUSAL_HEADER) == 0)
     parse_peer_refusal (head, value);
   else if (attempt->is_handover && g_ascii_strcasecmp (name, "Retry-After") == 0)
-    head->refusal.retry_after_us = (int64_t) (g_ascii_strtod (value, NULL) * 1e6);
+    head->refusal.retry_after_us
+        = (int64_t) (fmin (fmax (g_ascii_strtod (value, NULL), 0), RETRY_AFTER_MAX_S) * 1e6);
   else if (g_ascii_strcasecmp (name, "Content-Length") == 0)
     head->framing = MAX (head->framing, PL_ANSWER_FRAMING_LENGTH);
   else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
@@ -184,7 +190,7 @@
 {
   const char *space = strchr (line, ' ');
 
-  return space != NULL ? atoi (space + 1) : 0;
+  return space != NULL ? (int) CLAMP (g_ascii_strtoll (space + 1, NULL, 10), 0, STATUS_MAX) : 0;
 }
 
 static bool
@@ -539,7 +545,7 @@
   if (g_ascii_strcasecmp (text, dialect->request_id) == 0)
     head->has_request_id = g_strchug (colon + 1)[0] != '\0';
   if (g_ascii_strcasecmp (text, dialect->cold_time) == 0)
-    head->cold_us = g_ascii_strtoll (colon + 1, NULL, 10) * 1000;
+    head->cold_us = CLAMP (g_ascii_strtoll (colon + 1, NULL, 10), 0, COLD_MAX_MS) * 1000;
   if (g_ascii_strcasecmp (text, dialect->rate_limit) == 0)
     head->rate_limit_report
         = parse_rate_limit (dialect, probe->server_id, g_strchug (colon + 1), &head->rate_limit);
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -454,6 +454,25 @@
 }
 END_TEST
 
+/* Guards against a load that is too large to be added up, or negative, which makes a busy server
+ * look idle. */
+START_TEST (a_load_out_of_range_is_no_load)
+{
+  static const char *const malformed[]
+      = {"",      "3,0", "-1,0,8", "3,-2,8", "3,0,-8", "2147483647,2147483647,8", "99999999999,0,8",
+         "3,0,8x"};
+  int running;
+  int waiting;
+  int slots;
+
+  ck_assert (pl_platform_dialect.read_load ("3,1,8", &running, &waiting, &slots));
+  ck_assert (running == 3 && waiting == 1 && slots == 8);
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    ck_assert_msg (!pl_platform_dialect.read_load (malformed[i], &running, &waiting, &slots), "%s",
+                   malformed[i]);
+}
+END_TEST
+
 /* The share of a part that can not be used is refused, not moved to another. */
 START_TEST (a_split_keeps_its_proportions_beside_an_unusable_part)
 {
@@ -562,6 +581,7 @@
   tcase_add_loop_test (tcase, an_entry_that_can_not_be_read_names_no_server, 0,
                        G_N_ELEMENTS (unreadable_entries));
   tcase_add_loop_test (tcase, hosts_are_compared_as_host_names, 0, G_N_ELEMENTS (hosts));
+  tcase_add_test (tcase, a_load_out_of_range_is_no_load);
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
   tcase_add_loop_test (tcase, a_number_of_any_size_is_within_the_range_of_its_field, 0,
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -54,7 +54,8 @@
   atomic_int runs;    /* requests that have reached it */
   char *head;         /* of the last one */
   const char *server_id;
-  bool label_is_text;  /* the id of the request, as logs get it */
+  bool label_is_text; /* the id of the request, as logs get it */
+  int64_t caller_timeout_us;
   const char *account; /* whose requests are sent; NULL: none */
 };
 
@@ -131,6 +132,7 @@
     {
       effect.type = PL_ROUTER_SEND;
       fixture->label_is_text = g_utf8_validate (event->u.call.correlation_id, -1, NULL);
+      fixture->caller_timeout_us = event->u.call.caller_timeout_us;
       effect.request = event->u.call.request;
       effect.attempt = 1;
       effect.u.send.server = fixture->server_id;
@@ -772,6 +774,37 @@
 }
 END_TEST
 
+static const struct
+{
+  const char *deadline;
+  int64_t timeout_us;
+} deadlines[] = {
+    {"1500", 1500000},
+    {"9223372036854775807", INT64_C (86400) * SECOND},
+    {"99999999999999999999999", INT64_C (86400) * SECOND},
+    {"-5", 0},
+    {"-9223372036854775808", 0},
+    {"soon", 0},
+};
+
+/* Guards against a caller with all the time whose request is given up at once; 0: unknown. */
+START_TEST (a_deadline_of_any_size_is_a_time)
+{
+  g_autofree char *answer = build_answer (1024);
+  g_autofree char *text = g_strdup_printf (
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n%s: id-1\r\n%s: %s\r\n\r\n",
+      pl_platform_dialect.request_id, pl_platform_dialect.deadline, deadlines[_i].deadline);
+  struct caller caller = {.text = text, .answers = 1};
+  struct fixture fixture;
+
+  set_up (&fixture, answer);
+  run_caller (&fixture, &caller);
+  ck_assert_int_eq (fixture.caller_timeout_us, deadlines[_i].timeout_us);
+  close (caller.fd);
+  tear_down (&fixture);
+}
+END_TEST
+
 /* Returns the resident memory of this process. */
 static size_t
 resident_bytes (void)
@@ -1090,6 +1123,7 @@
   tcase_add_loop_test (tcase, the_server_gets_its_id_and_the_name_of_the_account_whole, 0,
                        (int) G_N_ELEMENTS (name_lengths));
   tcase_add_test (tcase, an_id_that_is_no_text_can_be_logged);
+  tcase_add_loop_test (tcase, a_deadline_of_any_size_is_a_time, 0, (int) G_N_ELEMENTS (deadlines));
   tcase_add_test (tcase, after_the_stop_of_listening_connections_are_refused);
   tcase_add_test (tcase, connections_that_wait_when_listening_stops_are_served);
   tcase_add_test (tcase, connections_up_to_the_limit_fit_in_the_memory_of_a_host);
