--- a/core/quota.c
+++ b/core/quota.c
@@ -62,6 +62,8 @@
 /* Expected reports may raise the bucket above its capacity by up to this many seconds of the
  * rate. */
 #define UNREPORTED_MAX_SECONDS 2.0
+/* Longest time that a token is said to take: an hour. */
+#define TOKEN_WAIT_MAX_US 3.6e9
 
 /* Time from one report to the next when there is anything to report.  Sums are sent to many hosts,
  * and one report of them brings fewer requests relative to its size. */
@@ -419,5 +421,5 @@
 {
   if (quota->rate <= 0 || quota->tokens >= 1)
     return 0;
-  return (int64_t) ((1 - quota->tokens) / quota->rate * 1e6);
+  return (int64_t) fmin ((1 - quota->tokens) / quota->rate * 1e6, TOKEN_WAIT_MAX_US);
 }
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -357,6 +357,25 @@
 }
 END_TEST
 
+static const double rates[] = {1e-300, 1e-9, 1, 1e300};
+
+/* Guards against a wait that is negative, or undefined, as the time is beyond its type. */
+START_TEST (the_wait_for_a_token_is_a_time_at_any_rate)
+{
+  struct pl_quota quota;
+  int64_t wait_us;
+
+  pl_quota_init (&quota, 0);
+  pl_quota_set_limits (&quota, rates[_i], 1, 0);
+  pl_quota_admit (&quota, 0, 1);
+  pl_quota_admit (&quota, 0, 1);
+  wait_us = pl_quota_token_wait_us (&quota);
+  ck_assert_int_ge (wait_us, 0);
+  ck_assert_int_le (wait_us, INT64_C (3600) * 1000000);
+  pl_quota_clear (&quota);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -373,5 +392,6 @@
   tcase_add_test (tcase, a_flood_stays_within_the_rate_when_reports_are_lost);
   tcase_add_test (tcase, an_old_report_changes_nothing);
   tcase_add_loop_test (tcase, the_first_report_of_a_new_group_counts, 0, PL_QUOTA_SCOPES);
+  tcase_add_loop_test (tcase, the_wait_for_a_token_is_a_time_at_any_rate, 0, G_N_ELEMENTS (rates));
   return suite_run (suite);
 }
