--- a/core/router.c
+++ b/core/router.c
@@ -438,7 +438,7 @@
       rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK, &event->u.store_call);
       break;
     case PL_ROUTER_FETCH_DONE:
-      router->fetching = false;
+      rows_on_fetch_done (router, event->u.fetch);
       break;
     case PL_ROUTER_BUSY_PERCENT:
       router->busy_percent = event->u.busy_percent;
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -9,6 +9,11 @@
  * the other hosts fetch the rows from it or from each other.  When the watcher fails or
  * cannot reach the store, the next host in order watches the store instead.
  *
+ * A source may have lost power or be frozen, and then says nothing until the transport gives up,
+ * which is later than a configuration must be in force.  So a host asks another source as soon as
+ * one has been silent for a while.  The first answer counts; a later one brings nothing that is
+ * older than what is held.
+ *
  * After an outage of the store, entries of live servers may have expired.  They return
  * with the servers' next registration, so servers whose entries are missing then are
  * used for a grace period: router_outages.c.  A host that gets the rows from a peer uses these
@@ -29,6 +34,12 @@
  * them from another peer; shorter while it has no configuration and serves no requests. */
 #define FETCH_DELAY_US (300 * US_PER_MS)
 #define FIRST_FETCH_DELAY_US (60 * US_PER_MS)
+/* A source is silent when a fetch from it takes this long; another one is asked then as well.  From
+ * the acknowledgement of a version to the last host there are two levels of hosts, of which each
+ * may meet two silent sources before it finds one that answers, within two seconds. */
+#define FETCH_SILENT_US (400 * US_PER_MS)
+/* The same while this host has no configuration: all rows of a fleet that starts take longer. */
+#define FIRST_FETCH_SILENT_US US_PER_S
 #define TOMBSTONES_MAX 2000
 /* Before it watches the store, a host that starts waits this long for a beacon of a host of its
  * region, which may be watching already.  Without a configuration it can do nothing else. */
@@ -412,6 +423,16 @@
          && held->settled_era == pl_position_era (held->version);
 }
 
+/* Returns whether ROW, which this host does not know, comes from a peer that has answered late: it
+ * was deleted before the version that is held now. */
+static bool
+is_overtaken (const struct held_table *held, const struct pl_rows_event *event,
+              const struct pl_row *row)
+{
+  return event->from_peer && event->version < held->version && row->version <= held->version
+         && pl_position_era (row->version) == pl_position_era (held->version);
+}
+
 /* Judges ROW of EVENT and acts on the verdict. */
 static void
 receive_row (struct pl_router *router, const struct pl_rows_event *event, const struct pl_row *row,
@@ -423,6 +444,8 @@
 
   if (known != NULL && row->version == known->current.position)
     return;
+  if (known == NULL && is_overtaken (held, event, row))
+    return;
   if (event->tells_use)
     until_us = router->now_us + row->used_for_us;
   decode_row (router, event->table, row, &decoded);
@@ -610,8 +633,19 @@
   return router->routing != NULL && member->retained_configuration > router->routing->version;
 }
 
-/* Returns a live peer with newer rows than this host, or NULL.  The relay parent is preferred, then
- * a peer of this region; among equals the choice varies by host and fetch. */
+static bool
+is_fetching_from (const struct pl_router *router, const struct pl_member *member)
+{
+  for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
+    if (router->fetching[i].number != 0 && router->fetching[i].peer == member->id)
+      return true;
+  return false;
+}
+
+/* Returns a live peer with newer rows than this host that is not being asked, or NULL.  The relay
+ * parent is preferred, then a peer of this region; among equals the choice varies by host and
+ * fetch.
+ */
 static const struct pl_member *
 find_fetch_source (const struct pl_router *router, bool *is_parent)
 {
@@ -625,7 +659,7 @@
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
       uint64_t weight = pl_hash_pair (membership->self ^ router->fetches, member->id) >> 1;
 
-      if (!has_newer_rows (router, member))
+      if (!has_newer_rows (router, member) || is_fetching_from (router, member))
         continue;
       if (pl_membership_is_relay_parent (membership, member, router->now_us))
         {
@@ -654,35 +688,70 @@
   return router->routing == NULL ? FIRST_FETCH_DELAY_US : FETCH_DELAY_US;
 }
 
+/* Returns a place for another fetch, or NULL if there is none; *DUE_US is when the last source that
+ * was asked counts as silent. */
+static struct router_fetch *
+find_free_fetch (struct pl_router *router, int64_t *due_us)
+{
+  int64_t silent_us = router->routing == NULL ? FIRST_FETCH_SILENT_US : FETCH_SILENT_US;
+  struct router_fetch *free = NULL;
+
+  *due_us = 0;
+  for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
+    if (router->fetching[i].number == 0)
+      free = &router->fetching[i];
+    else
+      *due_us = MAX (*due_us, router->fetching[i].started_us + silent_us);
+  return free;
+}
+
+static void
+start_fetch (struct pl_router *router, struct router_fetch *fetch, const struct pl_member *member)
+{
+  struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_FETCH_ROWS);
+
+  *fetch = (struct router_fetch){++router->fetches, member->id, router->now_us};
+  router->next_fetch_us = router->now_us + FETCH_INTERVAL_US;
+  effect->u.fetch.number = fetch->number;
+  g_strlcpy (effect->u.fetch.address, member->contact.relay_address,
+             sizeof effect->u.fetch.address);
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    effect->u.fetch.held[t] = router->held[t].version;
+}
+
 static void
 fetch_from_peer (struct pl_router *router)
 {
   bool is_parent;
   const struct pl_member *member = find_fetch_source (router, &is_parent);
-  struct pl_router_effect *effect;
+  int64_t silent_due_us;
+  struct router_fetch *fetch = find_free_fetch (router, &silent_due_us);
   int64_t due_us;
 
   if (member == NULL)
     {
-      router->behind_since_us = 0;
+      if (silent_due_us == 0)
+        router->behind_since_us = 0;
       return;
     }
   if (router->behind_since_us == 0)
     router->behind_since_us = router->now_us;
   due_us = MAX (router->next_fetch_us, router->behind_since_us + fetch_delay (router, is_parent));
-  if (router->fetching || router->now_us < due_us)
-    {
-      router->due_us = MIN (router->due_us, MAX (due_us, router->now_us + US_PER_MS));
-      return;
-    }
-  router->fetching = true;
-  router->fetches++;
-  router->next_fetch_us = router->now_us + FETCH_INTERVAL_US;
-  effect = router_add_effect (router, PL_ROUTER_FETCH_ROWS);
-  g_strlcpy (effect->u.fetch.address, member->contact.relay_address,
-             sizeof effect->u.fetch.address);
-  for (int t = 0; t < PL_TABLES_MAX; t++)
-    effect->u.fetch.held[t] = router->held[t].version;
+  due_us = MAX (due_us, silent_due_us);
+  if (fetch == NULL)
+    return;
+  if (router->now_us < due_us)
+    router->due_us = MIN (router->due_us, MAX (due_us, router->now_us + US_PER_MS));
+  else
+    start_fetch (router, fetch, member);
+}
+
+void
+rows_on_fetch_done (struct pl_router *router, uint64_t number)
+{
+  for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
+    if (router->fetching[i].number == number)
+      router->fetching[i].number = 0;
 }
 
 static void
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -35,7 +35,8 @@
   /* Called for each table of which the answer contains a version; DONE is called last, also after
    * a failure. */
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  void (*done) (void *data);
+  void (*done) (void *data, uint64_t number);
+  uint64_t number; /* of the fetch */
   void *data;
 };
 
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -228,7 +228,7 @@
   PL_ROUTER_ROWS,
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_OK,
-  PL_ROUTER_FETCH_DONE,
+  PL_ROUTER_FETCH_DONE,   /* a fetch of rows from a peer has ended, with or without rows */
   PL_ROUTER_BUSY_PERCENT, /* percentage of time that the process was not waiting for events */
   PL_ROUTER_STOP,
 };
@@ -241,6 +241,7 @@
   {
     struct pl_call_event call;
     uint64_t request; /* of PL_ROUTER_CALLER_GONE */
+    uint64_t fetch;   /* of PL_ROUTER_FETCH_DONE: its number */
     int busy_percent;
     struct pl_attempt_event attempt;
     struct
@@ -331,6 +332,7 @@
     } datagram;
     struct
     {
+      uint64_t number;
       char address[PL_ADDRESS_CHARS];
       int64_t held[PL_TABLES_MAX];
     } fetch;
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -188,6 +188,17 @@
   uint64_t issued;  /* permits issued to other hosts */
 };
 
+/* Fetches of rows at a time: several sources in a row may be silent. */
+#define ROUTER_FETCHES_MAX 4
+
+/* A fetch of rows from a peer that has not ended. */
+struct router_fetch
+{
+  uint64_t number; /* 0: none */
+  uint64_t peer;
+  int64_t started_us;
+};
+
 struct pl_router
 {
   struct pl_router_options options;
@@ -215,8 +226,8 @@
   bool watching;
   struct pl_store_access store;
   int64_t store_check_due_us; /* no check of the store before */
-  bool fetching;
-  uint64_t fetches;
+  struct router_fetch fetching[ROUTER_FETCHES_MAX];
+  uint64_t fetches;        /* started so far; the number of the last one */
   int64_t next_fetch_us;   /* no rows are fetched from a peer before */
   int64_t behind_since_us; /* since when a peer is known to hold newer rows; 0: none is */
   int64_t started_us;
@@ -357,6 +368,7 @@
 void rows_on_store_state (struct pl_router *router, bool is_reachable,
                           const struct pl_store_call_event *call);
 void rows_run_timers (struct pl_router *router);
+void rows_on_fetch_done (struct pl_router *router, uint64_t number);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
 void rows_settle (struct pl_router *router, enum pl_table table, const char *key);
--- a/modules/relay.c
+++ b/modules/relay.c
@@ -89,7 +89,8 @@
 struct fetch
 {
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  void (*done) (void *data);
+  void (*done) (void *data, uint64_t number);
+  uint64_t number;
   void *data;
 };
 
@@ -139,7 +140,7 @@
             json_pack ("{s:i,s:i}", "end", (int) end, "status", status));
   for (int t = 0; t < PL_TABLES_MAX && t < (int) json_array_size (tables); t++)
     post_table_rows (fetch, (enum pl_table) t, json_array_get (tables, (size_t) t));
-  fetch->done (fetch->data);
+  fetch->done (fetch->data, fetch->number);
   json_decref (tables);
   g_free (fetch);
 }
@@ -160,6 +161,7 @@
 
   fetch->on_rows = request->on_rows;
   fetch->done = request->done;
+  fetch->number = request->number;
   fetch->data = request->data;
   pl_http_client_fetch (request->client, &call);
 }
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -109,7 +109,7 @@
 }
 
 static void handle_rows (void *data, const struct pl_rows_event *rows);
-static void handle_relay_done (void *data);
+static void handle_relay_done (void *data, uint64_t number);
 
 static void
 fetch_rows (struct entry *entry, const struct pl_router_effect *effect)
@@ -120,6 +120,7 @@
       .held = effect->u.fetch.held,
       .on_rows = handle_rows,
       .done = handle_relay_done,
+      .number = effect->u.fetch.number,
       .data = entry,
   };
 
@@ -247,9 +248,9 @@
 }
 
 static void
-handle_relay_done (void *data)
+handle_relay_done (void *data, uint64_t number)
 {
-  struct pl_router_event event = {.type = PL_ROUTER_FETCH_DONE};
+  struct pl_router_event event = {.type = PL_ROUTER_FETCH_DONE, .u.fetch = number};
 
   step_router (data, &event);
 }
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -16,6 +16,8 @@
 /* Time from the end of a process that was told to stop to its next start. */
 #define RESTART_US (500 * WORLD_MS)
 #define CAPACITY 100
+/* As in modules/relay.c. */
+#define FETCH_TIMEOUT_US (3 * WORLD_SECOND)
 
 static const char *const seeds[SEEDS + 1] = {"10.0.0.0:7600", "10.0.0.1:7600", NULL};
 
@@ -34,7 +36,8 @@
   enum message_type type;
   int64_t due_us;
   int to;
-  int version; /* of the configuration; 0: none */
+  int version;    /* of the configuration; 0: none */
+  uint64_t fetch; /* number of the fetch that it answers */
   struct pl_beacon *beacon;
 };
 
@@ -102,11 +105,25 @@
   g_array_append_val (fleet->messages, message);
 }
 
+static void
+fetch_rows (struct router_fleet *fleet, int index, const struct pl_router_effect *effect)
+{
+  struct router_fleet_host *host = &fleet->hosts[index];
+  struct router_fleet_host *peer = &fleet->hosts[find_host (fleet, effect->u.fetch.address)];
+  bool is_silent = peer->has_no_power || fleet->now_us < peer->frozen_until_us;
+  bool is_lost = is_silent || host->is_partitioned || peer->is_partitioned;
+
+  peer->relayed++;
+  post_message (fleet, MESSAGE_RELAY, index, is_lost ? 0 : router_fleet_held_version (peer),
+                is_silent ? FETCH_TIMEOUT_US : 2 * DATAGRAM_DELAY_US);
+  g_array_index (fleet->messages, struct message, fleet->messages->len - 1).fetch
+      = effect->u.fetch.number;
+}
+
 static void
 apply_effect (struct router_fleet *fleet, int index, const struct pl_router_effect *effect)
 {
   struct router_fleet_host *host = &fleet->hosts[index];
-  int peer;
 
   if (fleet->hooks != NULL && fleet->hooks->on_effect != NULL)
     fleet->hooks->on_effect (fleet->hooks_data, index, effect);
@@ -122,13 +139,7 @@
         post_message (fleet, MESSAGE_STORE, index, fleet->version, ROUTER_FLEET_STORE_ANSWER_US);
       break;
     case PL_ROUTER_FETCH_ROWS:
-      peer = find_host (fleet, effect->u.fetch.address);
-      fleet->hosts[peer].relayed++;
-      post_message (fleet, MESSAGE_RELAY, index,
-                    host->is_partitioned || fleet->hosts[peer].is_partitioned
-                        ? 0
-                        : router_fleet_held_version (&fleet->hosts[peer]),
-                    2 * DATAGRAM_DELAY_US);
+      fetch_rows (fleet, index, effect);
       break;
     case PL_ROUTER_STOPPED:
       host->has_stopped = true;
@@ -202,6 +213,7 @@
       if (message->version > 0)
         deliver_configuration (fleet, message->to, message->version, true);
       event.type = PL_ROUTER_FETCH_DONE;
+      event.u.fetch = message->fetch;
       router_fleet_step_host (fleet, message->to, &event);
       break;
     }
@@ -297,6 +309,13 @@
   host->starts_us = returns_us == INT64_MAX ? INT64_MAX : fleet->now_us + returns_us;
 }
 
+void
+router_fleet_cut_power (struct router_fleet *fleet, int index)
+{
+  fleet->hosts[index].has_no_power = true;
+  router_fleet_kill (fleet, index, INT64_MAX);
+}
+
 void
 router_fleet_change_configuration (struct router_fleet *fleet, int version)
 {
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -34,6 +34,7 @@
   bool is_partitioned;             /* all its datagrams and calls are lost, in both directions */
   bool side;                       /* datagrams to hosts of the other side are lost */
   int64_t frozen_until_us;         /* until then it does not run, and messages to it are lost */
+  bool has_no_power;               /* nothing answers at its address; calls to it hang */
   int relayed;                     /* number of fetches sent to it */
   uint64_t bytes_sent;             /* in beacons, with their headers */
   uint64_t bytes_to_other_domains; /* of these, to other domains */
@@ -95,6 +96,9 @@
 /* Kills the process of host INDEX; it starts again after RETURNS_US, or never for INT64_MAX. */
 void router_fleet_kill (struct router_fleet *fleet, int index, int64_t returns_us);
 
+/* Ends host INDEX for good by a loss of power. */
+void router_fleet_cut_power (struct router_fleet *fleet, int index);
+
 /* Puts configuration VERSION into the store, which sends it to its watchers. */
 void router_fleet_change_configuration (struct router_fleet *fleet, int version);
 
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -11,6 +11,8 @@
 #include <string.h>
 #include <unistd.h>
 
+#define FETCH_NUMBER 7
+
 struct peer
 {
   int listener;
@@ -70,10 +72,12 @@
 }
 
 static void
-on_done (void *data)
+on_done (void *data, uint64_t number)
 {
   struct peer *peer = data;
 
+  ck_assert_uint_eq (number, FETCH_NUMBER);
+
   peer->done = true;
   pl_reactor_quit (peer->reactor);
 }
@@ -89,6 +93,7 @@
       .held = held,
       .on_rows = on_rows,
       .done = on_done,
+      .number = FETCH_NUMBER,
       .data = peer,
   };
 
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -613,6 +613,34 @@
 }
 END_TEST
 
+/* Guards against a server that left and is used again, as a peer that was asked before another one
+ * answers after it. */
+START_TEST (a_late_answer_of_a_peer_brings_nothing_back)
+{
+  g_autofree char *gone = world_make_server ("gone", "a-1", "ready", 1, 1);
+  struct pl_row row = {"gone", gone, strlen (gone), 1, 0};
+  struct pl_rows_event late = {.table = PL_TABLE_SERVERS,
+                               .is_snapshot = true,
+                               .from_peer = true,
+                               .tells_use = true,
+                               .version = 2,
+                               .rows = &row,
+                               .count = 1};
+
+  world_feed_rows (world, &late);
+  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < 40; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+      struct world_call *call = world_send_request (world, path, "key-1");
+
+      ck_assert_int_eq (call->sends, 1);
+      ck_assert_str_ne (call->server, "gone");
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+}
+END_TEST
+
 START_TEST (a_host_fetches_newer_rows_from_a_peer)
 {
   struct pl_beacon beacon = world_peer_beacon ("host-b", "a-2");
@@ -929,6 +957,7 @@
   tcase_add_test (tcase, a_request_that_crashes_servers_is_quarantined);
   tcase_add_test (tcase, a_stopping_host_finishes_its_requests);
   tcase_add_test (tcase, a_stopping_host_takes_no_request_that_may_outlast_it);
+  tcase_add_test (tcase, a_late_answer_of_a_peer_brings_nothing_back);
   tcase_add_test (tcase, a_host_fetches_newer_rows_from_a_peer);
   tcase_add_test (tcase, a_change_among_many_servers_is_sent_as_one_row);
   tcase_add_test (tcase, old_tombstones_are_removed);
--- a/tests/test_router_scale.c
+++ b/tests/test_router_scale.c
@@ -118,6 +118,59 @@
 }
 END_TEST
 
+#define POWER_HOSTS 54
+/* Config of the users' sites. */
+#define IN_FORCE_US (2 * WORLD_SECOND)
+
+/* Returns how many hosts with power have the configuration of the store. */
+static int
+count_missing (const struct router_fleet *fleet)
+{
+  int missing = 0;
+
+  for (int i = 0; i < fleet->count; i++)
+    missing += !fleet->hosts[i].has_no_power
+               && router_fleet_held_version (&fleet->hosts[i]) != fleet->version;
+  return missing;
+}
+
+/* Guards against CONFIG: a host waited for 3 s for a peer that had lost power, and asked no other
+ * meanwhile.  The watcher of a region loses power a little after it has announced a version, and
+ * the next host from which others get it somewhat later. */
+START_TEST (a_source_without_power_does_not_hold_up_a_configuration)
+{
+  struct router_fleet *fleet = router_fleet_new (POWER_HOSTS, router_fleet_domains, true);
+  int64_t changed_us;
+  int watcher = 0;
+  int next = 0;
+
+  router_fleet_run (fleet, 8 * WORLD_SECOND);
+  while (!fleet->hosts[watcher].watching)
+    watcher++;
+  changed_us = fleet->now_us;
+  router_fleet_change_configuration (fleet, fleet->version + 1);
+  while (router_fleet_held_version (&fleet->hosts[watcher]) != fleet->version)
+    router_fleet_run (fleet, WORLD_MS);
+  router_fleet_run (fleet, _i * WORLD_MS);
+  router_fleet_cut_power (fleet, watcher);
+  /* A host that had the rows from it, or from whom its own hosts get them. */
+  for (int step = 0; step < 400 && next == 0; step++)
+    {
+      router_fleet_run (fleet, WORLD_MS);
+      for (int i = 0; i < POWER_HOSTS && next == 0; i++)
+        if (i != watcher && !fleet->hosts[i].watching
+            && fleet->hosts[i].domain % 3 == fleet->hosts[watcher].domain % 3
+            && router_fleet_held_version (&fleet->hosts[i]) == fleet->version)
+          next = i;
+    }
+  if (next > 0)
+    router_fleet_cut_power (fleet, next);
+  router_fleet_run (fleet, changed_us + IN_FORCE_US - fleet->now_us);
+  ck_assert_int_eq (count_missing (fleet), 0);
+  router_fleet_free (fleet);
+}
+END_TEST
+
 /* The delegates of each domain freeze one after the other, each for long enough to be replaced. */
 START_TEST (row_updates_reach_all_hosts_while_delegates_freeze_in_turn)
 {
@@ -191,6 +244,7 @@
   tcase_add_loop_test (tcase, a_flood_over_all_domains_stays_within_the_rate, 0, 3);
   tcase_add_loop_test (tcase, use_within_the_rate_over_all_domains_is_not_refused, 0, 3);
   tcase_add_test (tcase, row_updates_reach_all_hosts_when_all_delegates_crash);
+  tcase_add_loop_test (tcase, a_source_without_power_does_not_hold_up_a_configuration, 0, 12);
   tcase_add_test (tcase, row_updates_reach_all_hosts_while_delegates_freeze_in_turn);
   tcase_add_test (tcase, a_partitioned_domain_rejoins_the_fleet);
   tcase_add_test (tcase, crashed_hosts_are_not_selected_until_they_restart);
