--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 
 $(BUILD)/tests/test_fuzz: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fleet/*.c))
 
-$(BUILD)/tests/test_documents $(BUILD)/tests/test_long_texts $(BUILD)/tests/test_relay $(BUILD)/tests/test_router $(BUILD)/tests/test_router_fuzz $(BUILD)/tests/test_store_eras $(BUILD)/tests/test_store_outages: $(BUILD)/tests/router_world.o
+$(BUILD)/tests/test_documents $(BUILD)/tests/test_document_fuzz $(BUILD)/tests/test_long_texts $(BUILD)/tests/test_relay $(BUILD)/tests/test_router $(BUILD)/tests/test_router_fuzz $(BUILD)/tests/test_store_eras $(BUILD)/tests/test_store_outages: $(BUILD)/tests/router_world.o
 
 $(BUILD)/tests/test_answer_identity $(BUILD)/tests/test_whole_answers: $(BUILD)/tests/front_fixture.o
 
@@ -89,6 +89,15 @@
 	clang $(CPPFLAGS) -std=c11 -g -O1 -fsanitize=fuzzer,address,undefined $(PKG_CFLAGS) -o $(BUILD)/fuzz_parsers \
 	  tests/fuzz_parsers.c $(LIB_SOURCES) modules/keys.c modules/peer_codec.c modules/peer_xdr.c $(EDGE_LIBS) $(LIB_LIBS)
 
+# Runs the tests of documents, rows and texts under the address and undefined-behaviour sanitizers;
+# not part of CI.
+SANITIZED = document_fuzz documents long_texts relay store_reader beacon quota router router_fuzz
+SANITIZER_FLAGS = -fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=all
+sanitize:
+	$(MAKE) BUILD=build-sanitize SANITIZE="$(SANITIZER_FLAGS)" \
+	  $(SANITIZED:%=build-sanitize/tests/test_%)
+	set -e; for test in $(SANITIZED); do build-sanitize/tests/test_$$test; done
+
 format:
 	clang-format -i $(FORMATTED)
 
@@ -108,6 +117,6 @@
 clean:
 	rm -rf $(BUILD)
 
-.PHONY: all tests bench check fuzz format lint tidy generate clean
+.PHONY: all tests bench check fuzz sanitize format lint tidy generate clean
 .SECONDARY:
 -include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -290,7 +290,7 @@
   g_hash_table_insert (world->calls, &call->id, call);
   event.u.call.request = call->id;
   event.u.call.correlation_id = world->correlation_id != NULL ? world->correlation_id : "label";
-  event.u.call.host = "h";
+  event.u.call.host = world->host != NULL ? world->host : "h";
   event.u.call.path = path;
   event.u.call.caller_timeout_us = 2 * WORLD_SECOND;
   event.u.call.object = g_str_hash (path) | 1;
