--- a/core/membership.c
+++ b/core/membership.c
@@ -699,7 +699,8 @@
 
       if ((!member->is_delegate && !member->watching)
           || !is_heard_directly (member, LIVE_US, now_us) || member->leaving
-          || member->store.is_lost || member->region != membership->self_region)
+          || member->store.is_lost || member->store.is_quiet
+          || member->region != membership->self_region)
         continue;
       /* A current watcher ranks first and keeps watching: each change of watcher costs calls. */
       if (store_lost || ranks_before (&other, &self))
--- a/core/router.c
+++ b/core/router.c
@@ -437,6 +437,9 @@
       router->view_due_us = 0;
       rows_on_store_state (router, event->type == PL_ROUTER_STORE_OK, &event->u.store_call);
       break;
+    case PL_ROUTER_STORE_QUIET:
+      rows_on_store_quiet (router);
+      break;
     case PL_ROUTER_FETCH_DONE:
       rows_on_fetch_done (router, event->u.fetch);
       break;
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -134,6 +134,7 @@
   beacon->leaving = router->stopping;
   beacon->watching = router->watching;
   beacon->store_lost = router->store.is_lost;
+  beacon->store_quiet = router->store.is_quiet;
   beacon->servers_lost = pl_reach_is_cut_off (&router->reach);
   beacon->store_error_us
       = router->store.failed_us < 0 ? -1 : router->now_us - router->store.failed_us;
--- a/core/router_outages.c
+++ b/core/router_outages.c
@@ -200,6 +200,7 @@
   else if (!beacon->watching)
     access->watching_since_us = -1;
   access->is_lost = beacon->store_lost;
+  access->is_quiet = beacon->store_quiet;
   if (access->is_lost && (!was_lost || !is_recent (router, access->failed_us)))
     access->lost_since_us = router->now_us - MAX (beacon->store_error_us, 0);
   if (beacon->store_error_us >= 0)
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -611,6 +611,8 @@
 {
   bool was_lost = router->store.is_lost;
 
+  router->beacon_pending = router->beacon_pending || router->store.is_quiet;
+  router->store.is_quiet = false;
   outages_on_call (router, is_reachable, call);
   if (was_lost == !is_reachable)
     return;
@@ -621,6 +623,18 @@
                          (json_int_t) (router->now_us - router->store.lost_since_us)));
 }
 
+void
+rows_on_store_quiet (struct pl_router *router)
+{
+  if (!router->watching || router->store.is_lost || router->store.is_quiet)
+    return;
+  router->store.is_quiet = true;
+  router->beacon_pending = true;
+  router->notify_domain = true;
+  router_log (router, PL_ROUTER_LOG_STATE, "store-quiet",
+              json_pack ("{s:o}", "held", held_positions (router)));
+}
+
 static bool
 has_newer_rows (const struct pl_router *router, const struct pl_member *member)
 {
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -67,6 +67,8 @@
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
   /* After each call to the store. */
   void (*on_state) (void *data, bool succeeded, const struct pl_store_call_event *call);
+  /* An answer is overdue; the call that it belongs to has not failed yet.  NULL: ignored. */
+  void (*on_quiet) (void *data);
   void *data;
 };
 
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -98,6 +98,7 @@
   bool leaving;
   bool watching;     /* watches the platform's store itself */
   bool store_lost;   /* cannot reach the store */
+  bool store_quiet;  /* watches the store, and an answer is overdue */
   bool servers_lost; /* cannot reach backend servers */
   /* A delegate considers rows to have lapsed in an outage of the store.  Only earlier versions use
    * this. */
@@ -156,6 +157,7 @@
 struct pl_store_access
 {
   bool is_lost;          /* its last call has failed */
+  bool is_quiet;         /* an answer is overdue: it may be cut off from the store */
   int64_t lost_since_us; /* when the first call that failed since its last success was sent */
   int64_t failed_us;     /* its last failure: refused, reset, or not answered since then */
   int64_t back_us;       /* its first answer to a call sent after the last failure of any host */
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -228,6 +228,7 @@
   PL_ROUTER_ROWS,
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_OK,
+  PL_ROUTER_STORE_QUIET,  /* an answer of the store is overdue */
   PL_ROUTER_FETCH_DONE,   /* a fetch of rows from a peer has ended, with or without rows */
   PL_ROUTER_BUSY_PERCENT, /* percentage of time that the process was not waiting for events */
   PL_ROUTER_STOP,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -367,6 +367,9 @@
 /* A call to the store has ended. */
 void rows_on_store_state (struct pl_router *router, bool is_reachable,
                           const struct pl_store_call_event *call);
+/* An answer of the store is overdue.  A host that watches can not tell a store without changes from
+ * a path that is cut, so it has another host watch as well. */
+void rows_on_store_quiet (struct pl_router *router);
 void rows_run_timers (struct pl_router *router);
 void rows_on_fetch_done (struct pl_router *router, uint64_t number);
 bool rows_are_stale (const struct pl_router *router);
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -121,9 +121,9 @@
 code_flags (XDR *xdr, struct pl_beacon *beacon)
 {
   bool *const flags[]
-      = {&beacon->has_identity, &beacon->active,     &beacon->ready,       &beacon->leaving,
-         &beacon->watching,     &beacon->store_lost, &beacon->store_down,  &beacon->wants_contacts,
-         &beacon->is_delegate,  &beacon->is_short,   &beacon->servers_lost};
+      = {&beacon->has_identity, &beacon->active,     &beacon->ready,        &beacon->leaving,
+         &beacon->watching,     &beacon->store_lost, &beacon->store_down,   &beacon->wants_contacts,
+         &beacon->is_delegate,  &beacon->is_short,   &beacon->servers_lost, &beacon->store_quiet};
   u_int number = ((u_int) beacon->busy_percent & BUSY_MASK) << BUSY_SHIFT;
 
   if (!code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, 0))
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -264,6 +264,14 @@
   post_event (data, &event);
 }
 
+static void
+handle_store_quiet (void *data)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_STORE_QUIET};
+
+  post_event (data, &event);
+}
+
 static void
 log_stall (void *data, const struct pl_reactor_stall *stall)
 {
@@ -553,6 +561,7 @@
       .address = pl_settings_text (entry->settings, "store", ""),
       .on_rows = handle_rows,
       .on_state = handle_store_state,
+      .on_quiet = handle_store_quiet,
       .data = entry,
   };
 
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -206,7 +206,7 @@
       router_fleet_step_host (fleet, message->to, &event);
       break;
     case MESSAGE_STORE:
-      if (!fleet->hosts[message->to].is_partitioned)
+      if (!fleet->hosts[message->to].is_partitioned && !fleet->hosts[message->to].is_cut_from_store)
         deliver_configuration (fleet, message->to, message->version, false);
       break;
     case MESSAGE_RELAY:
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -34,6 +34,7 @@
   bool is_partitioned;             /* all its datagrams and calls are lost, in both directions */
   bool side;                       /* datagrams to hosts of the other side are lost */
   int64_t frozen_until_us;         /* until then it does not run, and messages to it are lost */
+  bool is_cut_from_store;          /* its calls to the store hang */
   bool has_no_power;               /* nothing answers at its address; calls to it hang */
   int relayed;                     /* number of fetches sent to it */
   uint64_t bytes_sent;             /* in beacons, with their headers */
--- a/tests/test_router_scale.c
+++ b/tests/test_router_scale.c
@@ -171,6 +171,36 @@
 }
 END_TEST
 
+/* When a watcher finds out at the latest that an answer is overdue: a poll that was sent just
+ * before the cut, as platform/store.c sends it. */
+#define QUIET_AFTER_US (1350 * WORLD_MS)
+
+/* Guards against CONFIG: all watchers were cut off from the store in silence, and the hosts that
+ * reach it did not read it as long as the watchers had not noticed. */
+START_TEST (watchers_that_are_cut_off_in_silence_do_not_hold_up_a_configuration)
+{
+  static const int sizes[] = {9, 27, 54};
+  struct router_fleet *fleet = router_fleet_new (sizes[_i], router_fleet_domains, true);
+  struct pl_router_event quiet = {.type = PL_ROUTER_STORE_QUIET};
+  int missing = 0;
+
+  router_fleet_run (fleet, 8 * WORLD_SECOND);
+  ck_assert_int_eq (router_fleet_count_watching (fleet), 3);
+  for (int i = 0; i < fleet->count; i++)
+    fleet->hosts[i].is_cut_from_store = fleet->hosts[i].watching;
+  router_fleet_change_configuration (fleet, fleet->version + 1);
+  router_fleet_run (fleet, QUIET_AFTER_US);
+  for (int i = 0; i < fleet->count; i++)
+    if (fleet->hosts[i].is_cut_from_store)
+      router_fleet_step_host (fleet, i, &quiet);
+  router_fleet_run (fleet, IN_FORCE_US - QUIET_AFTER_US);
+  for (int i = 0; i < fleet->count; i++)
+    missing += router_fleet_held_version (&fleet->hosts[i]) != fleet->version;
+  ck_assert_int_eq (missing, 0);
+  router_fleet_free (fleet);
+}
+END_TEST
+
 /* The delegates of each domain freeze one after the other, each for long enough to be replaced. */
 START_TEST (row_updates_reach_all_hosts_while_delegates_freeze_in_turn)
 {
@@ -245,6 +275,8 @@
   tcase_add_loop_test (tcase, use_within_the_rate_over_all_domains_is_not_refused, 0, 3);
   tcase_add_test (tcase, row_updates_reach_all_hosts_when_all_delegates_crash);
   tcase_add_loop_test (tcase, a_source_without_power_does_not_hold_up_a_configuration, 0, 12);
+  tcase_add_loop_test (tcase, watchers_that_are_cut_off_in_silence_do_not_hold_up_a_configuration,
+                       0, 3);
   tcase_add_test (tcase, row_updates_reach_all_hosts_while_delegates_freeze_in_turn);
   tcase_add_test (tcase, a_partitioned_domain_rejoins_the_fleet);
   tcase_add_test (tcase, crashed_hosts_are_not_selected_until_they_restart);
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -59,6 +59,8 @@
   int hanging_count;
   int immediate_polls[PL_TABLES_MAX]; /* that wait for no changes */
   int failures;
+  int64_t quiet_us; /* when the reader last said that an answer is overdue; 0: never */
+  int failures_when_quiet;
   bool is_back; /* the last call was answered */
 };
 
@@ -264,10 +266,18 @@
   pl_platform_store.check (data);
 }
 
-/* Runs a reader for a second, with polls in MODE; in the middle it is told to check the store if
+static void
+count_quiet (void *data)
+{
+  (void) data;
+  server.quiet_us = g_get_monotonic_time ();
+  server.failures_when_quiet = server.failures;
+}
+
+/* Runs a reader for RUN_US, with polls in MODE; in the middle it is told to check the store if
  * CHECKS. */
 static void
-run_reader (enum poll_mode mode, bool checks)
+run_reader (enum poll_mode mode, bool checks, int64_t run_us)
 {
   struct pl_http_client *client = pl_http_client_new_on_reactor (server.reactor);
   struct pl_store_reader_options options = {
@@ -276,17 +286,18 @@
       .reactor = server.reactor,
       .on_rows = on_rows,
       .on_state = count_state,
+      .on_quiet = count_quiet,
   };
   struct pl_store_reader *reader = pl_platform_store.start (&options);
   int64_t now_us = g_get_monotonic_time ();
 
   server.mode = mode;
   pl_reactor_arm_timer (server.reactor, pl_reactor_add_timer (server.reactor, quit, NULL),
-                        now_us + G_USEC_PER_SEC);
+                        now_us + run_us);
   if (checks)
     pl_reactor_arm_timer (server.reactor,
                           pl_reactor_add_timer (server.reactor, check_again, reader),
-                          now_us + G_USEC_PER_SEC / 2);
+                          now_us + run_us / 2);
   pl_platform_store.watch (reader, true);
   pl_reactor_run (server.reactor);
   for (int i = 0; i < server.hanging_count; i++)
@@ -296,7 +307,7 @@
 /* Guards against a return of the store that is seen only when a poll ends, three seconds later. */
 START_TEST (the_call_after_a_failure_waits_for_no_changes)
 {
-  run_reader (POLLS_REFUSED, false);
+  run_reader (POLLS_REFUSED, false, G_USEC_PER_SEC);
   ck_assert_int_eq (server.failures, 1);
   ck_assert (server.is_back);
   ck_assert_int_eq (server.immediate_polls[PL_TABLE_SERVERS], 1);
@@ -306,20 +317,40 @@
 /* Guards against polls that hang since an outage, while the store answers other calls. */
 START_TEST (polls_that_were_sent_before_a_failure_are_repeated)
 {
-  run_reader (POLLS_REFUSED, false);
+  run_reader (POLLS_REFUSED, false, G_USEC_PER_SEC);
   ck_assert_int_eq (server.immediate_polls[PL_TABLE_CONTROL], 1);
 }
 END_TEST
 
 START_TEST (a_check_repeats_polls_that_may_hang)
 {
-  run_reader (POLLS_HANG, true);
+  run_reader (POLLS_HANG, true, G_USEC_PER_SEC);
   ck_assert_int_eq (server.failures, 0);
   ck_assert_int_eq (server.immediate_polls[PL_TABLE_CONTROL], 1);
   ck_assert_int_eq (server.immediate_polls[PL_TABLE_SERVERS], 1);
 }
 END_TEST
 
+/* Guards against CONFIG: a host that watches the store noticed a cut after 4.5 s, when another one
+ * could no longer read a version in time. */
+START_TEST (an_overdue_answer_is_told_before_the_call_fails)
+{
+  int64_t begun_us = g_get_monotonic_time ();
+
+  run_reader (POLLS_HANG, false, 3 * G_USEC_PER_SEC / 2);
+  ck_assert_int_gt (server.quiet_us, begun_us + G_USEC_PER_SEC);
+  ck_assert_int_lt (server.quiet_us, begun_us + 3 * G_USEC_PER_SEC / 2);
+  ck_assert_int_eq (server.failures_when_quiet, 0);
+}
+END_TEST
+
+START_TEST (a_store_that_answers_is_not_quiet)
+{
+  run_reader (POLLS_ANSWERED, false, 3 * G_USEC_PER_SEC / 2);
+  ck_assert_int_eq (server.quiet_us, 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -333,5 +364,7 @@
   tcase_add_test (tcase, the_call_after_a_failure_waits_for_no_changes);
   tcase_add_test (tcase, polls_that_were_sent_before_a_failure_are_repeated);
   tcase_add_test (tcase, a_check_repeats_polls_that_may_hang);
+  tcase_add_test (tcase, an_overdue_answer_is_told_before_the_call_fails);
+  tcase_add_test (tcase, a_store_that_answers_is_not_quiet);
   return suite_run (suite);
 }
