--- a/tests/test_beacon.c
+++ b/tests/test_beacon.c
@@ -143,6 +143,158 @@
 }
 END_TEST
 
+static uint64_t
+next_random (uint64_t *state)
+{
+  *state = *state * UINT64_C (6364136223846793005) + UINT64_C (1442695040888963407);
+  return *state >> 16;
+}
+
+/* Returns an end of the range from 0 to MAX, or a number in it. */
+static uint64_t
+pick (uint64_t *state, uint64_t max)
+{
+  switch (next_random (state) % 4)
+    {
+    case 0:
+      return 0;
+    case 1:
+      return max;
+    default:
+      return max < UINT64_MAX ? next_random (state) % (max + 1) : next_random (state);
+    }
+}
+
+static void
+pick_text (uint64_t *state, char *text, size_t size)
+{
+  size_t length = (size_t) pick (state, size - 1);
+
+  memset (text, (int) ('a' + next_random (state) % 26), length);
+}
+
+static struct pl_contact
+pick_contact (uint64_t *state)
+{
+  struct pl_contact contact = {.capacity = (int) pick (state, INT32_MAX)};
+
+  pick_text (state, contact.name, sizeof contact.name);
+  pick_text (state, contact.domain, sizeof contact.domain);
+  pick_text (state, contact.peer_address, sizeof contact.peer_address);
+  pick_text (state, contact.caller_address, sizeof contact.caller_address);
+  pick_text (state, contact.relay_address, sizeof contact.relay_address);
+  return contact;
+}
+
+static void
+pick_lists (uint64_t *state, struct pl_beacon *beacon)
+{
+  beacon->account_count = (int) pick (state, PL_BEACON_ACCOUNTS_MAX);
+  for (int i = 0; i < beacon->account_count; i++)
+    beacon->accounts[i]
+        = (struct pl_beacon_account){pick (state, UINT64_MAX), (uint32_t) pick (state, UINT32_MAX)};
+  beacon->state_count = (int) pick (state, PL_BEACON_STATES_MAX);
+  for (int i = 0; i < beacon->state_count; i++)
+    beacon->states[i] = (struct pl_beacon_state){
+        .host = pick (state, UINT64_MAX),
+        .ready = pick (state, 1) == 1,
+        .watching = pick (state, 1) == 1,
+        .servers_lost = pick (state, 1) == 1,
+        .busy_percent = (int) pick (state, 100),
+        .age_us = (int64_t) pick (state, 0xffff) * 10000,
+    };
+  beacon->contact_count = (int) pick (state, PL_BEACON_CONTACTS_MAX);
+  for (int i = 0; i < beacon->contact_count; i++)
+    beacon->contacts[i] = pick_contact (state);
+  beacon->suspect_count = (int) pick (state, PL_BEACON_SUSPECTS_MAX);
+  for (int i = 0; i < beacon->suspect_count; i++)
+    beacon->suspects[i] = (struct pl_beacon_suspect){
+        pick (state, UINT64_MAX), pick (state, UINT64_MAX), pick (state, 1) == 1};
+}
+
+static struct pl_beacon
+pick_beacon (uint64_t *state)
+{
+  struct pl_beacon beacon = {
+      .host = pick (state, UINT64_MAX),
+      .incarnation = pick (state, UINT64_MAX),
+      .has_identity = pick (state, 1) == 1,
+      .busy_percent = (int) pick (state, 100),
+      .active = pick (state, 1) == 1,
+      .ready = pick (state, 1) == 1,
+      .leaving = pick (state, 1) == 1,
+      .watching = pick (state, 1) == 1,
+      .store_lost = pick (state, 1) == 1,
+      .store_quiet = pick (state, 1) == 1,
+      .servers_lost = pick (state, 1) == 1,
+      .store_down = pick (state, 1) == 1,
+      .wants_contacts = pick (state, 1) == 1,
+      .is_delegate = pick (state, 1) == 1,
+      .store_error_us = (int64_t) pick (state, INT64_MAX) - 1,
+      .held = {(int64_t) pick (state, INT64_MAX), (int64_t) pick (state, INT64_MAX)},
+      .retained_configuration = (int64_t) pick (state, INT64_MAX),
+      .account_scope = (enum pl_quota_scope) pick (state, PL_QUOTA_SCOPES - 1),
+  };
+
+  if (beacon.has_identity)
+    beacon.self = pick_contact (state);
+  if (beacon.is_delegate)
+    {
+      beacon.domain_hosts = (int) pick (state, INT32_MAX);
+      beacon.fleet_hosts = (int) pick (state, INT32_MAX);
+      beacon.silent_permille = (int) pick (state, 1000);
+    }
+  pick_lists (state, &beacon);
+  return beacon;
+}
+
+/* Guards against a field that is lost or shortened on its way to a peer. */
+START_TEST (every_field_is_received_as_it_was_sent)
+{
+  uint64_t state = 1;
+
+  for (int i = 0; i < 2000; i++)
+    {
+      struct pl_beacon original = pick_beacon (&state);
+      struct pl_beacon decoded;
+      char bytes[PL_BEACON_BYTES_MAX];
+      int length = pl_beacon_encode (&original, bytes, sizeof bytes);
+
+      ck_assert_int_gt (length, 0);
+      ck_assert_int_eq (pl_beacon_decode (bytes, (size_t) length, &decoded), 0);
+      ck_assert_mem_eq (&decoded, &original, sizeof decoded);
+    }
+}
+END_TEST
+
+/* A datagram with some bytes changed is rejected, or has lists within their bounds and texts that
+ * end. */
+START_TEST (an_altered_beacon_stays_within_bounds)
+{
+  uint64_t state = 7;
+
+  for (int i = 0; i < 20000; i++)
+    {
+      struct pl_beacon beacon = pick_beacon (&state);
+      char bytes[PL_BEACON_BYTES_MAX];
+      int length = pl_beacon_encode (&beacon, bytes, sizeof bytes);
+
+      for (int j = 0; j < 3; j++)
+        bytes[next_random (&state) % (uint64_t) length] = (char) next_random (&state);
+      if (pl_beacon_decode (bytes, (size_t) length, &beacon) < 0)
+        continue;
+      ck_assert (beacon.account_count >= 0 && beacon.account_count <= PL_BEACON_ACCOUNTS_MAX);
+      ck_assert (beacon.state_count >= 0 && beacon.state_count <= PL_BEACON_STATES_MAX);
+      ck_assert (beacon.contact_count >= 0 && beacon.contact_count <= PL_BEACON_CONTACTS_MAX);
+      ck_assert (beacon.suspect_count >= 0 && beacon.suspect_count <= PL_BEACON_SUSPECTS_MAX);
+      ck_assert (memchr (beacon.self.name, '\0', sizeof beacon.self.name) != NULL);
+      for (int j = 0; j < beacon.contact_count; j++)
+        ck_assert (memchr (beacon.contacts[j].domain, '\0', sizeof beacon.contacts[j].domain)
+                   != NULL);
+    }
+}
+END_TEST
+
 START_TEST (truncated_beacon_is_rejected)
 {
   struct pl_beacon beacon = make_beacon (true);
@@ -226,6 +378,8 @@
   tcase_add_test (tcase, the_fullest_beacon_with_the_longest_names_is_sent_whole);
   tcase_add_test (tcase, state_without_identity_is_small);
   tcase_add_test (tcase, limits_and_permits_take_no_bytes_when_there_are_none);
+  tcase_add_test (tcase, every_field_is_received_as_it_was_sent);
+  tcase_add_test (tcase, an_altered_beacon_stays_within_bounds);
   tcase_add_test (tcase, truncated_beacon_is_rejected);
   tcase_add_test (tcase, altered_limits_and_permits_stay_within_bounds);
   tcase_add_test (tcase, state_is_accepted_only_from_identified_host);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -22,6 +22,7 @@
   struct pl_reactor *reactor;
   int rows; /* that the host has taken */
   int empty_values;
+  GHashTable *values; /* key -> GBytes that it should have; NULL: not compared */
   bool done;
 };
 
@@ -61,6 +62,16 @@
   close (peer->listener);
 }
 
+static void
+compare_value (struct peer *peer, const struct pl_row *row)
+{
+  gsize length;
+  const void *value = g_bytes_get_data (g_hash_table_lookup (peer->values, row->key), &length);
+
+  ck_assert_uint_eq (row->length, length);
+  ck_assert_mem_eq (row->value, value, length);
+}
+
 static void
 on_rows (void *data, const struct pl_rows_event *event)
 {
@@ -68,7 +79,13 @@
 
   peer->rows += event->count;
   for (int i = 0; i < event->count; i++)
-    peer->empty_values += event->rows[i].length == 0;
+    {
+      const struct pl_row *row = &event->rows[i];
+
+      peer->empty_values += row->length == 0;
+      if (peer->values != NULL)
+        compare_value (peer, row);
+    }
 }
 
 static void
@@ -119,6 +136,20 @@
 }
 END_TEST
 
+/* Has PEER serve the rows of RELAY. */
+static void
+serve_rows (struct peer *peer, struct pl_relay *relay)
+{
+  struct pl_small_port_options port
+      = {.reactor = peer->reactor, .answer = pl_relay_answer, .data = relay};
+  uint16_t number;
+
+  close (loopback_listen (&number));
+  g_snprintf (peer->address, sizeof peer->address, "127.0.0.1:%u", number);
+  port.address = peer->address;
+  ck_assert_int_eq (pl_small_port_open (&port), 0);
+}
+
 /* Guards against a server that some hosts use by its entry before, since the new one, which no host
  * can read, does not reach them. */
 START_TEST (a_value_that_is_no_text_is_relayed_as_one_that_can_not_be_read)
@@ -126,14 +157,8 @@
   struct world *world = world_new ();
   struct pl_relay relay = {.router = world->router, .bytes_per_second = 1e6};
   struct peer peer = {.reactor = pl_reactor_new ()};
-  struct pl_small_port_options port = {.reactor = peer.reactor, .answer = pl_relay_answer};
-  uint16_t number;
 
-  close (loopback_listen (&number));
-  g_snprintf (peer.address, sizeof peer.address, "127.0.0.1:%u", number);
-  port.address = peer.address;
-  port.data = &relay;
-  ck_assert_int_eq (pl_small_port_open (&port), 0);
+  serve_rows (&peer, &relay);
   world_put_server (world, "s-0", "a-1", "ready", 1);
   world_put_server (world, "s-1", "a-1", "ready", 1);
   world_put_row (world, PL_TABLE_SERVERS, "s-0", "\xff\xfe");
@@ -144,6 +169,61 @@
 }
 END_TEST
 
+/* Returns a random value: valid UTF-8 with any character, NUL bytes too. */
+static GBytes *
+make_value (GRand *random)
+{
+  GString *text = g_string_new (NULL);
+  int length = g_rand_int_range (random, 0, 40);
+
+  for (int i = 0; i < length; i++)
+    {
+      gunichar character = (gunichar) g_rand_int_range (random, 0, i % 3 == 0 ? 0x110000 : 0x80);
+
+      if (g_unichar_validate (character))
+        g_string_append_unichar (text, character);
+    }
+  if (length > 30)
+    g_string_append_len (text, "\0", 1);
+  return g_string_free_to_bytes (text);
+}
+
+/* Guards against rows that peers get in another form than this host has them in. */
+START_TEST (rows_are_relayed_byte_by_byte)
+{
+  struct world *world = world_new ();
+  struct pl_relay relay = {.router = world->router, .bytes_per_second = 1e6};
+  struct peer peer = {.reactor = pl_reactor_new ()};
+  GRand *random = g_rand_new_with_seed (1);
+
+  peer.values
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
+  serve_rows (&peer, &relay);
+  for (int i = 0; i < 300; i++)
+    {
+      GBytes *value = make_value (random);
+      /* With a byte behind it, as rows have. */
+      GString *text
+          = g_string_new_len (g_bytes_get_data (value, NULL), (gssize) g_bytes_get_size (value));
+      struct pl_row row = {.key = g_strdup_printf ("%0*d", 1 + i % 200, i),
+                           .value = text->str,
+                           .length = text->len,
+                           .version = i + 1};
+
+      g_hash_table_insert (peer.values, (gpointer) row.key, value);
+      world_feed_rows (world,
+                       &(struct pl_rows_event){
+                           .table = PL_TABLE_SERVERS, .version = i + 1, .rows = &row, .count = 1});
+      g_string_free (text, TRUE);
+    }
+  fetch (&peer);
+  ck_assert_int_eq (peer.rows, 300);
+  g_hash_table_destroy (peer.values);
+  g_rand_free (random);
+  world_free (world);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -152,5 +232,6 @@
 
   tcase_add_test (tcase, a_row_with_a_nul_byte_does_not_hold_up_other_rows);
   tcase_add_test (tcase, a_value_that_is_no_text_is_relayed_as_one_that_can_not_be_read);
+  tcase_add_test (tcase, rows_are_relayed_byte_by_byte);
   return suite_run (suite);
 }
