--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -7,6 +7,7 @@
 
 #include <poll.h>
 #include <string.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 /* A snapshot of two pages that are read at different times: a row of the first page changes in
@@ -116,7 +117,10 @@
   const char *body;
   size_t length = 0;
   ssize_t received = 1;
+  /* The reader may stop between the connection and its request. */
+  struct timeval limit = {.tv_sec = 1};
 
+  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
   while (received > 0 && strstr (request, "\r\n\r\n") == NULL)
     {
       received = read (fd, request + length, sizeof request - length - 1);
