Load reports of four figures are read; settings for load management

Cause: servers of some services add a fourth figure to their load report, how long work takes on their machine. read_load() took three figures and refused the whole header when another followed, so that hosts placed requests there by their own requests alone. test_documents has a check that failed before (a_load_may_tell_how_long_work_takes).

Change: a report is a struct of its own from the adapter to the placement.

Ruled out: a switch by the platform's terms alone. One of the two deployments that need load management has the same terms as earlier ones; its servers can be told by the fourth figure.

--- a/core/placement.c
+++ b/core/placement.c
@@ -119,6 +119,7 @@
   placement->domain = g_strdup (domain);
   placement->region = region;
   placement->is_cut_off = false;
+  placement->load_management = PL_LOAD_MANAGEMENT_OFF;
 }
 
 void
@@ -142,6 +143,7 @@
     return handle;
   service = g_new0 (struct pl_placement_service, 1);
   service->name = g_strdup (name);
+  service->is_managed = placement->load_management == PL_LOAD_MANAGEMENT_ON;
   service->backends = g_ptr_array_new ();
   g_ptr_array_add (placement->services, service);
   g_hash_table_insert (placement->handles, service->name,
@@ -161,6 +163,21 @@
   return service_at (placement, service)->name;
 }
 
+void
+pl_placement_set_load_management (struct pl_placement *placement,
+                                  enum pl_load_management management)
+{
+  placement->load_management = management;
+  for (guint i = 0; i < placement->services->len; i++)
+    service_at (placement, (int) i)->is_managed = management == PL_LOAD_MANAGEMENT_ON;
+}
+
+bool
+pl_placement_is_managed (const struct pl_placement *placement, int service)
+{
+  return service_at (placement, service)->is_managed;
+}
+
 void
 pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                           double cold_per_second)
@@ -822,13 +839,15 @@
 }
 
 void
-pl_placement_record_load (struct pl_backend *backend, int running, int waiting, int slots,
-                          int64_t now_us)
+pl_placement_record_load (struct pl_placement *placement, struct pl_backend *backend,
+                          const struct pl_load_report *report, int64_t now_us)
 {
-  backend->reported_requests = running + waiting;
+  backend->reported_requests = report->running + report->waiting;
   backend->own_requests_at_report = backend->in_flight;
   backend->reported_us = now_us;
-  backend->slots_reported = slots;
+  backend->slots_reported = report->slots;
+  if (report->work_percent > 0 && placement->load_management == PL_LOAD_MANAGEMENT_REPORTED)
+    service_at (placement, backend->service)->is_managed = true;
 }
 
 void
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -706,8 +706,7 @@
              const struct pl_attempt_event *event)
 {
   if (event->has_load)
-    pl_placement_record_load (call->backend, event->running, event->waiting, event->slots,
-                              router->now_us);
+    pl_placement_record_load (&router->placement, call->backend, &event->load, router->now_us);
 }
 
 /* CALL was not sent, since its server could not be reached.  Nothing has arrived anywhere, so that
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -46,8 +46,9 @@
 
   /* Returns the body of the directory's answer, owned by the caller. */
   char *(*write_directory) (const char *const *addresses, int count, int64_t ttl_us);
-  /* Parses the load reported by a server.  Returns false when VALUE is malformed. */
-  bool (*read_load) (const char *value, int *running, int *waiting, int *slots);
+  /* Parses the load reported by a server.  Returns false, and leaves REPORT as it is, when VALUE is
+   * malformed. */
+  bool (*read_load) (const char *value, struct pl_load_report *report);
   /* Parses the limit that a server names, in requests per second over all hosts.  Returns false
    * when VALUE is malformed. */
   bool (*read_rate_limit) (const char *value, double *per_second);
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -12,8 +12,18 @@
 #define POMELOLATCH_PLACEMENT_H
 
 #include "internal/server_limit.h"
+#include "internal/server_load.h"
 #include "pomelolatch/event.h"
 
+/* For which services load is managed: shares between accounts, plans between regions, the choice by
+ * expected time, and second copies. */
+enum pl_load_management
+{
+  PL_LOAD_MANAGEMENT_OFF,
+  PL_LOAD_MANAGEMENT_REPORTED, /* for those whose servers report how long work takes */
+  PL_LOAD_MANAGEMENT_ON,
+};
+
 #define PL_TRIED_MAX 8
 #define PL_PLACEMENT_REGIONS_MAX 32
 /* The first server for an object, and two that may take its overflow. */
@@ -78,6 +88,7 @@
 struct pl_placement_service
 {
   char *name;
+  bool is_managed;     /* see enum pl_load_management */
   GPtrArray *backends; /* of struct pl_backend */
   /* moving averages over all its servers */
   double work_us; /* 0: unknown */
@@ -100,6 +111,7 @@
   char *domain;          /* of this host */
   int region;
   bool is_cut_off; /* this host reaches no server: none is chosen */
+  enum pl_load_management load_management;
 };
 
 /* The request to be placed. */
@@ -135,6 +147,12 @@
 /* Returns the name of SERVICE, owned by PLACEMENT. */
 const char *pl_placement_service_name (const struct pl_placement *placement, int service);
 
+/* Sets for which services load is managed, also for those that exist. */
+void pl_placement_set_load_management (struct pl_placement *placement,
+                                       enum pl_load_management management);
+/* Returns whether the load of SERVICE is managed. */
+bool pl_placement_is_managed (const struct pl_placement *placement, int service);
+
 /* Sets how cold servers of SERVICE are treated. */
 void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                                double cold_per_second);
@@ -218,8 +236,8 @@
                                   bool is_unreachable, int64_t now_us);
 /* Takes back the failures recorded since SINCE_US, which turned out not to be the servers'. */
 void pl_placement_forgive (struct pl_placement *placement, int64_t since_us);
-void pl_placement_record_load (struct pl_backend *backend, int running, int waiting, int slots,
-                               int64_t now_us);
+void pl_placement_record_load (struct pl_placement *placement, struct pl_backend *backend,
+                               const struct pl_load_report *report, int64_t now_us);
 void pl_placement_record_probe (struct pl_placement *placement, struct pl_backend *backend,
                                 bool succeeded, int64_t cold_us, int64_t now_us);
 
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -13,6 +13,7 @@
 #include "internal/placement.h"
 #include "internal/reach.h"
 #include "internal/routing.h"
+#include "internal/server_load.h"
 
 struct pl_router;
 
@@ -102,6 +103,11 @@
   int64_t grace_us;   /* from the stop signal until the process is killed */
   double retry_ratio; /* retries per request, over the fleet */
   double retry_slack; /* further retries in a burst, over the fleet */
+  enum pl_load_management load_management;
+  /* Fraction of the requests that change their region from one window of two seconds to the next,
+   * at most. */
+  double max_shift;
+  double hedge_ratio; /* fraction of the requests that may get a second copy; 0: none */
   pl_row_decoder decode;
   void *decode_data;
 };
@@ -179,9 +185,7 @@
   int status;
   bool is_new_connection; /* it was opened for this attempt, or could not be opened */
   bool has_load;
-  int running; /* as reported by the server */
-  int waiting;
-  int slots;
+  struct pl_load_report load;
   enum pl_rate_limit_report rate_limit_report;
   double rate_limit; /* requests per second over all hosts, if named */
   struct pl_peer_refusal refusal;
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -46,9 +46,7 @@
   enum pl_answer_framing framing;
   bool not_run;
   bool has_load;
-  int running;
-  int waiting;
-  int slots;
+  struct pl_load_report load;
   enum pl_rate_limit_report rate_limit_report;
   double rate_limit;
   bool is_peer_refusal;
@@ -134,7 +132,7 @@
   else if (g_ascii_strcasecmp (name, dialect->not_run) == 0)
     head->not_run = true;
   else if (g_ascii_strcasecmp (name, dialect->load) == 0)
-    head->has_load = dialect->read_load (value, &head->running, &head->waiting, &head->slots);
+    head->has_load = dialect->read_load (value, &head->load);
   else if (g_ascii_strcasecmp (name, dialect->rate_limit) == 0)
     head->rate_limit_report = parse_rate_limit (dialect, attempt->server, value, &head->rate_limit);
   else if (attempt->is_handover && g_ascii_strcasecmp (name, PL_FRONT_REFUSAL_HEADER) == 0)
@@ -327,9 +325,7 @@
       event.u.attempt.status = status;
       event.u.attempt.is_new_connection = pl_http_call_opened_connection (request->attempt_call);
       event.u.attempt.has_load = head->has_load && is_own_head (attempt);
-      event.u.attempt.running = head->running;
-      event.u.attempt.waiting = head->waiting;
-      event.u.attempt.slots = head->slots;
+      event.u.attempt.load = head->load;
       /* A truncated answer may have lost the header. */
       if (is_own_head (attempt)
           && (end == PL_HTTP_COMPLETE || head->rate_limit_report == PL_RATE_LIMIT_NAMED))
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -40,6 +40,7 @@
  * socket buffers. */
 #define BUFFER_MEMORY_RATIO 0.25
 #define BYTES_PER_MB 1e6
+#define MAX_SHIFT_DEFAULT 0.15
 #define BUSY_PERIOD_US INT64_C (1000000)
 /* A delay of the event loop that callers notice. */
 #define STALL_US INT64_C (200000)
@@ -59,6 +60,11 @@
     {"grace", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"retry_ratio", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"retry_slack", PL_FIELD_TEXT, true, 0, 0, NULL},
+    {"load_management", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"load_management_terms", PL_FIELD_LIST, false, 0, 0, NULL},
+    {"terms", PL_FIELD_LIST, false, 0, 0, NULL},
+    {"max_shift", PL_FIELD_TEXT, false, 0, 0, NULL},
+    {"hedge_ratio", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"cpu_share", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"link_mbps", PL_FIELD_TEXT, true, 0, 0, NULL},
     {"memory_mb", PL_FIELD_TEXT, false, 0, 0, NULL},
@@ -410,6 +416,67 @@
   return colon != NULL ? colon + 1 : NULL;
 }
 
+static void
+log_bad_setting (const char *field, const char *value)
+{
+  pl_log (PL_LOG_ERROR, "bad-settings", json_pack ("{s:s,s:s}", "field", field, "value", value));
+}
+
+/* Reads the fraction in FIELD, from 0 to 1. */
+static int
+read_ratio (const json_t *settings, const char *field, double initial, double *ratio)
+{
+  const char *text = pl_settings_text (settings, field, NULL);
+  char *end;
+
+  *ratio = initial;
+  if (text == NULL)
+    return PL_OK;
+  *ratio = g_ascii_strtod (text, &end);
+  if (end != text && *end == '\0' && *ratio >= 0 && *ratio <= 1)
+    return PL_OK;
+  log_bad_setting (field, text);
+  return PL_ERR_INVALID;
+}
+
+/* Returns whether the platform's terms include one of those for which load is managed. */
+static bool
+has_managed_terms (const json_t *settings)
+{
+  size_t i;
+  size_t j;
+  json_t *term;
+  json_t *managed;
+
+  json_array_foreach (json_object_get (settings, "terms"), i, term)
+      json_array_foreach (json_object_get (settings, "load_management_terms"), j,
+                          managed) if (json_equal (term, managed)) return true;
+  return false;
+}
+
+static int
+read_load_management (const json_t *settings, struct pl_router_options *options)
+{
+  static const char *const names[] = {[PL_LOAD_MANAGEMENT_OFF] = "off",
+                                      [PL_LOAD_MANAGEMENT_REPORTED] = "reported",
+                                      [PL_LOAD_MANAGEMENT_ON] = "on"};
+  const char *name = pl_settings_text (settings, "load_management", "off");
+  size_t management = 0;
+
+  while (management < G_N_ELEMENTS (names) && strcmp (names[management], name) != 0)
+    management++;
+  if (management == G_N_ELEMENTS (names))
+    {
+      log_bad_setting ("load_management", name);
+      return PL_ERR_INVALID;
+    }
+  options->load_management
+      = has_managed_terms (settings) ? PL_LOAD_MANAGEMENT_ON : (enum pl_load_management) management;
+  if (read_ratio (settings, "max_shift", MAX_SHIFT_DEFAULT, &options->max_shift) < 0)
+    return PL_ERR_INVALID;
+  return read_ratio (settings, "hedge_ratio", 0, &options->hedge_ratio);
+}
+
 static int
 create_router (struct entry *entry)
 {
@@ -433,6 +500,8 @@
       .decode_data = &entry->regions,
   };
 
+  if (read_load_management (settings, &options) < 0)
+    return PL_ERR_INVALID;
   entry->domains = copy_text_list (settings, "domains");
   entry->seeds = peer_seeds_of (settings);
   options.domains = (const char *const *) entry->domains;
@@ -440,7 +509,7 @@
   if (!pl_platform_dialect.read_duration (pl_settings_text (settings, "grace", ""),
                                           &options.grace_us))
     {
-      pl_log (PL_LOG_ERROR, "bad-settings", json_pack ("{s:s}", "field", "grace"));
+      log_bad_setting ("grace", pl_settings_text (settings, "grace", ""));
       return PL_ERR_INVALID;
     }
   entry->grace_us = options.grace_us;
@@ -624,6 +693,11 @@
     return 2;
   if (pl_settings_configure_log (entry.settings, file) < 0)
     return 2;
+  if (read_load_management (entry.settings, &(struct pl_router_options){0}) < 0)
+    {
+      pl_log_flush ();
+      return 2;
+    }
   if (check)
     return EXIT_SUCCESS;
   signal (SIGPIPE, SIG_IGN);
--- a/tests/limited_servers.c
+++ b/tests/limited_servers.c
@@ -548,8 +548,7 @@
       g_hash_table_add (servers->kept, key);
       event.u.attempt.status = 200;
       event.u.attempt.has_load = true;
-      event.u.attempt.running = server->running;
-      event.u.attempt.slots = SLOTS;
+      event.u.attempt.load = (struct pl_load_report){.running = server->running, .slots = SLOTS};
       event.u.attempt.rate_limit_report
           = answer->limit >= 0 ? PL_RATE_LIMIT_NAMED : PL_RATE_LIMIT_ABSENT;
       event.u.attempt.rate_limit = answer->limit;
--- a/tests/system/test_entry_settings.sh
+++ b/tests/system/test_entry_settings.sh
@@ -22,6 +22,22 @@
   "$entry" --settings "$folder/entry.yaml" --check 2> "$folder/findings"
 }
 
+# Checks settings with the line $1 in addition.
+check_line () {
+  check 5 5 && echo "$1" >> "$folder/entry.yaml"
+  "$entry" --settings "$folder/entry.yaml" --check > "$folder/findings" 2>&1
+}
+
+for line in 'load_management: reported' 'hedge_ratio: "0.05"' 'max_shift: "0.15"' \
+  'load_management_terms: [a, b]'; do
+  check_line "$line" || { echo "refused: $line"; cat "$folder/findings"; exit 1; }
+done
+for line in 'load_management: sometimes' 'hedge_ratio: "1.5"' 'hedge_ratio: "-0.1"' \
+  'hedge_ratio: "5%"' 'max_shift: "nan"'; do
+  ! check_line "$line" || { echo "accepted: $line"; exit 1; }
+  grep -q "\"field\":\"${line%%:*}\"" "$folder/findings"
+done
+
 for length in 1 63 64 200; do
   check $length $length || { echo "refused: $length"; cat "$folder/findings"; exit 1; }
 done
--- a/tests/test_documents.c
+++ b/tests/test_documents.c
@@ -455,18 +455,43 @@
  * look idle. */
 START_TEST (a_load_out_of_range_is_no_load)
 {
-  static const char *const malformed[]
-      = {"",      "3,0", "-1,0,8", "3,-2,8", "3,0,-8", "2147483647,2147483647,8", "99999999999,0,8",
-         "3,0,8x"};
-  int running;
-  int waiting;
-  int slots;
-
-  ck_assert (pl_platform_dialect.read_load ("3,1,8", &running, &waiting, &slots));
-  ck_assert (running == 3 && waiting == 1 && slots == 8);
+  static const char *const malformed[] = {"",
+                                          "3,0",
+                                          "-1,0,8",
+                                          "3,-2,8",
+                                          "3,0,-8",
+                                          "2147483647,2147483647,8",
+                                          "99999999999,0,8",
+                                          "3,0,8x",
+                                          "3,0,8,",
+                                          "3,0,8,0",
+                                          "3,0,8,-5",
+                                          "3,0,8,x",
+                                          "3,0,8,1e9",
+                                          "3,0,8,99999999999",
+                                          "3,0,8,100,1",
+                                          ",,,"};
+  struct pl_load_report report = {0};
+
+  ck_assert (pl_platform_dialect.read_load ("3,1,8", &report));
+  ck_assert (report.running == 3 && report.waiting == 1 && report.slots == 8);
+  ck_assert_int_eq (report.work_percent, 0);
   for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
-    ck_assert_msg (!pl_platform_dialect.read_load (malformed[i], &running, &waiting, &slots), "%s",
-                   malformed[i]);
+    ck_assert_msg (!pl_platform_dialect.read_load (malformed[i], &report), "%s", malformed[i]);
+  ck_assert_msg (report.running == 3 && report.slots == 8, "a malformed report changed the last");
+}
+END_TEST
+
+/* Guards against the loss of the whole report where servers add how long work takes. */
+START_TEST (a_load_may_tell_how_long_work_takes)
+{
+  struct pl_load_report report = {0};
+
+  ck_assert (pl_platform_dialect.read_load ("6,2,6,250", &report));
+  ck_assert (report.running == 6 && report.waiting == 2 && report.slots == 6);
+  ck_assert_int_eq (report.work_percent, 250);
+  ck_assert (pl_platform_dialect.read_load ("6, 2, 6, 100", &report));
+  ck_assert_int_eq (report.work_percent, 100);
 }
 END_TEST
 
@@ -606,6 +631,7 @@
                        G_N_ELEMENTS (unreadable_entries));
   tcase_add_loop_test (tcase, hosts_are_compared_as_host_names, 0, G_N_ELEMENTS (hosts));
   tcase_add_test (tcase, a_load_out_of_range_is_no_load);
+  tcase_add_test (tcase, a_load_may_tell_how_long_work_takes);
   tcase_add_test (tcase, refusals_beyond_a_rate_do_not_shift_a_split);
   tcase_add_test (tcase, a_split_keeps_its_proportions_beside_an_unusable_part);
   tcase_add_test (tcase, a_configuration_used_in_part_is_relayed_as_it_came);
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -63,6 +63,8 @@
                                        .home_regions = UINT32_MAX};
 }
 
+static const struct pl_load_report idle = {.slots = SLOTS};
+
 static struct pl_backend *
 choose (const struct pl_placement_request *request, int64_t now_us)
 {
@@ -79,7 +81,9 @@
 
   backend->in_flight--;
   backend->progress_us = now_us;
-  pl_placement_record_load (backend, backend->in_flight, 0, SLOTS, now_us);
+  pl_placement_record_load (&placement, backend,
+                            &(struct pl_load_report){.running = backend->in_flight, .slots = SLOTS},
+                            now_us);
   pl_placement_record_answer (&placement, backend,
                               &(struct pl_placement_answer){false, false, latency_us, load});
 }
@@ -440,7 +444,7 @@
       else
         {
           backend->in_flight--;
-          pl_placement_record_load (backend, 0, 0, SLOTS, now);
+          pl_placement_record_load (&placement, backend, &idle, now);
           pl_placement_record_rejection (&placement, backend, true, now);
         }
     }
@@ -466,7 +470,7 @@
         }
       at_rejecting_server++;
       backend->in_flight--;
-      pl_placement_record_load (backend, 0, 0, SLOTS, now);
+      pl_placement_record_load (&placement, backend, &idle, now);
       pl_placement_record_rejection (&placement, backend, true, now);
     }
   ck_assert_int_le (at_rejecting_server, 20);
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -429,8 +429,10 @@
   answer.load = request->load_at_send;
   backend->in_flight--;
   backend->progress_us = replay->now_us;
-  pl_placement_record_load (backend, server->running, waiting, services[server->service].slots,
-                            replay->now_us);
+  pl_placement_record_load (
+      placement, backend,
+      &(struct pl_load_report){server->running, waiting, services[server->service].slots, 0},
+      replay->now_us);
   if (served)
     pl_placement_record_answer (placement, backend, &answer);
   else
