HTTP client: an answer with a status that does not exist is lost

Seen on other systems of this kind: a server in trouble sent an answer with status 000, and the caller got it; a server answered a long upload early with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written, and the caller got that part as a whole answer.

Checked here with real sockets. Status 000 was lost already, as is all below 200; 600 and 999 passed for answers (two of ten checks of an_answer_without_a_valid_status_is_lost failed before).

--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -36,6 +36,9 @@
 #define CONNECTION_IDLE_LIMIT_S 20L
 #define IDLE_CONNECTIONS_MAX 1024L
 #define POLL_MS 200
+/* Statuses of final answers (RFC 9110, section 15). */
+#define STATUS_MIN 200
+#define STATUS_MAX 599
 /* libcurl 7.88 may drop a timer that expires in the same millisecond as the limit that it stands
  * for, and then never ends the call unless something else happens on its connection. */
 #define OVERDUE_CHECK_US INT64_C (100000)
@@ -317,9 +320,9 @@
   curl_multi_remove_handle (call->client->multi, call->easy);
   g_hash_table_remove (call->client->running, call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  /* libcurl takes a connection that ends inside a head for the end of an answer, and 101 for an
-   * answer. */
-  if (code != CURLE_OK || !call->head_complete || status < 200)
+  /* libcurl takes a connection that ends inside a head for the end of an answer, and 101 or any
+   * other number of three digits for the status of an answer. */
+  if (code != CURLE_OK || !call->head_complete || status < STATUS_MIN || status > STATUS_MAX)
     end = call->answer_started ? PL_HTTP_TRUNCATED
           : call->send_started ? PL_HTTP_NO_ANSWER
                                : PL_HTTP_NOT_SENT;
--- a/tests/test_whole_answers.c
+++ b/tests/test_whole_answers.c
@@ -182,6 +182,26 @@
 }
 END_TEST
 
+/* Whole answers whose status is no status of an answer, as servers in trouble have sent. */
+static const char *const statuses_of_no_answer[] = {
+    ANSWER_OF ("000", "a"),     ANSWER_OF ("000 OK", "a"),  ANSWER_OF ("099 OK", "a"),
+    ANSWER_OF ("0 OK", "a"),    ANSWER_OF ("20 OK", "a"),   ANSWER_OF ("600 OK", "a"),
+    ANSWER_OF ("999 Odd", "a"), ANSWER_OF ("-200 OK", "a"), ANSWER_OF ("2000 OK", "a"),
+    ANSWER_OF ("abc OK", "a"),
+};
+
+START_TEST (an_answer_without_a_valid_status_is_lost)
+{
+  struct front_script script = {{statuses_of_no_answer[_i]}};
+  struct front_fixture fixture;
+
+  set_up_front (&fixture, &script);
+  ck_assert_int_eq (request (&fixture, "a"), 502);
+  ck_assert_int_eq (fixture.ends[0], PL_ATTEMPT_ANSWER_LOST);
+  tear_down_front (&fixture);
+}
+END_TEST
+
 /* Only where an answer has no length is its end that of its connection. */
 static const char *const closed_answers[] = {
     STAMPED_HEAD_OF ("a") "Content-Length: 3\r\n\r\nok",
@@ -307,6 +327,8 @@
                        (int) G_N_ELEMENTS (cut_starts));
   tcase_add_loop_test (tcase, an_answer_that_is_reset_on_the_way_is_lost, 0,
                        (int) G_N_ELEMENTS (reset_answers));
+  tcase_add_loop_test (tcase, an_answer_without_a_valid_status_is_lost, 0,
+                       G_N_ELEMENTS (statuses_of_no_answer));
   tcase_add_loop_test (tcase, an_answer_that_is_shorter_than_it_says_is_lost, 0,
                        (int) G_N_ELEMENTS (closed_answers));
   tcase_add_test (tcase, an_answer_without_a_length_ends_with_its_connection);
