--- a/core/placement.c
+++ b/core/placement.c
@@ -13,7 +13,8 @@
  * transferring a small request costs next to nothing.
  *
  * The load of a server is what this host has in flight there plus what the server
- * last reported of other hosts; the latter decays with the age of the report.
+ * last reported of other hosts, see server_load.c; what is recorded of servers,
+ * see placement_reports.c.
  */
 #include "internal/placement.h"
 #include "internal/membership.h"
@@ -22,9 +23,6 @@
 #include <math.h>
 #include <string.h>
 
-#define REPORT_HALF_LIFE_US 250000.0
-#define LATENCY_SMOOTHING 0.1
-#define FAILURE_SMOOTHING 0.15
 /* A server that fails or rejects more than this fraction of its requests, and more than twice the
  * average of its service, gets one request per UNHEALTHY_RETRY_US. */
 #define FAILURE_LIMIT 0.35
@@ -36,8 +34,6 @@
 /* A server with requests in flight that has not answered for this many latency objectives may be
  * unresponsive or very slow; further requests would be delayed with the first. */
 #define STALL_OBJECTIVES 2.5
-#define DOWN_PAUSE_MIN_US INT64_C (500000)
-#define DOWN_PAUSE_MAX_US INT64_C (4000000)
 /* The longest time that queueing and processing may take, in latency objectives.  A late answer is
  * better for a caller than a refusal, but when most answers are late, long queues only make all of
  * them late. */
@@ -47,7 +43,6 @@
  * are averaged over about a hundred answers. */
 #define LATE_RATIO_LOW 0.5
 #define LATE_RATIO_HIGH 0.8
-#define LATE_SMOOTHING (1.0 / 128)
 /* Fraction of the caller's remaining time that queueing and processing may take; an answer after a
  * longer wait would come too late. */
 #define QUEUE_TIME_RATIO 0.85
@@ -198,27 +193,6 @@
   return g_hash_table_lookup (placement->by_hash, &hash);
 }
 
-static void
-reset_health (struct pl_backend *backend)
-{
-  backend->failures = 0;
-  backend->down_until_us = 0;
-  backend->breaker_tripped = false;
-  backend->failure_ratio = 0;
-}
-
-/* Resets the state of a server that is new or has restarted under its old name. */
-static void
-reset_backend (struct pl_backend *backend, int64_t now_us)
-{
-  backend->reported_requests = 0;
-  backend->own_requests_at_report = 0;
-  reset_health (backend);
-  backend->work_us = 0;
-  backend->cold_tokens = 0;
-  backend->cold_refilled_us = now_us;
-}
-
 uint64_t
 pl_server_hash (const char *id)
 {
@@ -275,7 +249,7 @@
   backend->is_local = strcmp (entry->domain, placement->domain) == 0;
   backend->expires_us = INT64_MAX;
   if (is_new)
-    reset_backend (backend, now_us);
+    pl_placement_reset_backend (backend, now_us);
   if (is_new && is_known)
     pl_server_limit_reset (&backend->limit, now_us);
   if (is_new && !at_start)
@@ -353,19 +327,10 @@
          || now_us - backend->last_chosen_us > UNHEALTHY_RETRY_US;
 }
 
-static double
-current_load (const struct pl_backend *backend, int64_t now_us)
-{
-  double others = MAX (backend->reported_requests - backend->own_requests_at_report, 0);
-  double age = (double) (now_us - backend->reported_us) / REPORT_HALF_LIFE_US;
-
-  return backend->in_flight + (others > 0 ? others * exp2 (-age) : 0);
-}
-
 static double
 effective_slots (const struct pl_placement_service *service, const struct pl_backend *backend)
 {
-  double slots = backend->slots_reported > 0 ? backend->slots_reported : backend->entry.slots;
+  double slots = backend->load.slots > 0 ? backend->load.slots : backend->entry.slots;
 
   if (service->work_us > 0 && backend->work_us > service->work_us * SLOW_FACTOR)
     slots *= service->work_us / backend->work_us;
@@ -510,7 +475,8 @@
 load_with_one (const struct pl_placement_service *service, const struct pl_backend *backend,
                int64_t now_us)
 {
-  return (current_load (backend, now_us) + 1) / effective_slots (service, backend);
+  return (pl_server_load_requests (&backend->load, backend->in_flight, now_us) + 1)
+         / effective_slots (service, backend);
 }
 
 static double
@@ -759,122 +725,6 @@
   return PL_PLACED;
 }
 
-/* Adds SAMPLE to an exponentially weighted moving average, which is 0 before the first sample. */
-static void
-update_average (double *average, double sample, double weight)
-{
-  *average += *average == 0 ? sample : weight * (sample - *average);
-}
-
-/* FAILED: 0 for a success, 1 for a failure. */
-static void
-update_failure_ratio (struct pl_placement *placement, struct pl_backend *backend, double failed)
-{
-  struct pl_placement_service *service = service_at (placement, backend->service);
-
-  backend->failure_ratio += FAILURE_SMOOTHING * (failed - backend->failure_ratio);
-  service->failure_ratio += FAILURE_SMOOTHING / 4 * (failed - service->failure_ratio);
-}
-
-void
-pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
-                            const struct pl_placement_answer *answer)
-{
-  struct pl_placement_service *service = service_at (placement, backend->service);
-  double work_us = (double) answer->latency_us / fmax (answer->load, 1);
-
-  backend->failures = 0;
-  backend->breaker_tripped = false;
-  update_failure_ratio (placement, backend, answer->failed ? 1.0 : 0.0);
-  service->late_ratio += LATE_SMOOTHING * ((answer->late ? 1.0 : 0.0) - service->late_ratio);
-  if (answer->failed || answer->latency_us <= 0)
-    return;
-  update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
-  update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
-}
-
-void
-pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
-                               bool has_load, int64_t now_us)
-{
-  update_failure_ratio (placement, backend, 1.0);
-  if (has_load)
-    return;
-  backend->reported_requests = MAX (backend->reported_requests, MAX (backend->entry.slots, 1) * 3);
-  backend->own_requests_at_report = backend->in_flight;
-  backend->reported_us = now_us;
-}
-
-bool
-pl_placement_record_failure (struct pl_placement *placement, struct pl_backend *backend,
-                             bool is_unreachable, int64_t now_us)
-{
-  int64_t pause_us = DOWN_PAUSE_MIN_US << MIN (backend->failures, 3);
-
-  backend->failures++;
-  backend->failed_us = now_us;
-  update_failure_ratio (placement, backend, 1.0);
-  /* One lost connection does not trip the breaker; two in a row or an unreachable server do. */
-  if (!is_unreachable && backend->failures < 2)
-    return false;
-  backend->down_until_us = now_us + MIN (pause_us, DOWN_PAUSE_MAX_US);
-  backend->breaker_tripped = true;
-  return true;
-}
-
-void
-pl_placement_forgive (struct pl_placement *placement, int64_t since_us)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, placement->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct pl_backend *backend = value;
-
-      if (backend->failures > 0 && backend->failed_us >= since_us)
-        reset_health (backend);
-    }
-}
-
-void
-pl_placement_record_load (struct pl_placement *placement, struct pl_backend *backend,
-                          const struct pl_load_report *report, int64_t now_us)
-{
-  backend->reported_requests = report->running + report->waiting;
-  backend->own_requests_at_report = backend->in_flight;
-  backend->reported_us = now_us;
-  backend->slots_reported = report->slots;
-  if (report->work_percent > 0 && placement->load_management == PL_LOAD_MANAGEMENT_REPORTED)
-    service_at (placement, backend->service)->is_managed = true;
-}
-
-void
-pl_placement_record_probe (struct pl_placement *placement, struct pl_backend *backend,
-                           bool succeeded, int64_t cold_us, int64_t now_us)
-{
-  backend->probe_pending = false;
-  if (!succeeded)
-    {
-      pl_placement_record_failure (placement, backend, true, now_us);
-      return;
-    }
-  backend->breaker_tripped = false;
-  backend->failures = 0;
-  backend->down_until_us = 0;
-  if (cold_us > 0)
-    backend->cold_until_us = MAX (backend->cold_until_us, now_us + cold_us);
-}
-
-bool
-pl_placement_needs_probe (const struct pl_placement *placement, const struct pl_backend *backend,
-                          int64_t now_us)
-{
-  return backend->breaker_tripped && !backend->probe_pending && backend->in_flight == 0
-         && now_us >= backend->down_until_us && pl_placement_is_usable (placement, backend, now_us);
-}
-
 void
 pl_placement_expire (struct pl_placement *placement, int64_t now_us)
 {
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -67,13 +67,13 @@
     json_object_set_new (fields, "object", json_integer ((json_int_t) (call->object >> 1)));
   if (backend != NULL)
     json_object_update_new (
-        fields,
-        json_pack (
-            "{s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
-            backend->entry.domain, "load", call->load_at_send, "in_flight", backend->in_flight,
-            "load_age_us",
-            (json_int_t) (backend->reported_us > 0 ? router->now_us - backend->reported_us : -1),
-            "work_us", (json_int_t) backend->work_us));
+        fields, json_pack ("{s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
+                           backend->entry.domain, "load", call->load_at_send, "in_flight",
+                           backend->in_flight, "load_age_us",
+                           (json_int_t) (backend->load.reported_us > 0
+                                             ? router->now_us - backend->load.reported_us
+                                             : -1),
+                           "work_us", (json_int_t) backend->work_us));
   if (backend != NULL && backend->limit.in_force)
     json_object_update_new (fields,
                             json_pack ("{s:f,s:I}", "server_limit", backend->limit.per_second,
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -58,10 +58,7 @@
   /* load */
   int in_flight;              /* from this host */
   int64_t progress_us;        /* when one of them last ended, or the first was sent */
-  int reported_requests;      /* running and waiting there by its last report */
-  int own_requests_at_report; /* in flight from this host at that time */
-  int64_t reported_us;
-  int slots_reported; /* 0: unknown */
+  struct pl_server_load load; /* as reported */
   /* health */
   int failures;      /* consecutive */
   int64_t failed_us; /* the last of them */
@@ -166,6 +163,9 @@
                                      const struct pl_server_entry *entry, int region, bool at_start,
                                      int64_t now_us);
 
+/* Resets the state of a server that is new or has restarted under its old name. */
+void pl_placement_reset_backend (struct pl_backend *backend, int64_t now_us);
+
 /* Records that the registration ID was removed; the server is still used until USE_UNTIL_US. */
 void pl_placement_remove (struct pl_placement *placement, const char *id, int64_t use_until_us);
 
