Placement: managed services compare servers by the expected time to the answer

Cause: on servers that share their machines work takes 2.5 times as long for 0.6 s at a time. Placement saw that only in a moving average of ten answers, which took a slow phase for the server's usual speed long after its end.

Change: the time of work is averaged relative to the reported speed, and the expected time is load x work time x speed now. A request goes past the first server of its object if another that has answered for the object within 5 s is expected to take less than 1/1.25 of its time; the other is drawn at random. A request that concerns no object goes to the best of two servers drawn in this host's region and two in others. Unmanaged services choose as before.

--- a/core/placement.c
+++ b/core/placement.c
@@ -54,6 +54,19 @@
 #define OVERFLOW_SERVERS_THRESHOLD 8
 /* A server takes overflow up to this load. */
 #define OVERFLOW_LOAD_MAX 0.8
+/* The first server of the ranking is preferred to another that has the object in its cache unless
+ * it is expected to take this many times as long.  Work times differ by kind of request, so that
+ * expected times are compared with some error; 1.1 and 1.5 served fewer in time in test_replay. */
+#define CLEARLY_SLOWER 1.25
+/* Load, with the new request, up to which a server takes requests that another would answer later.
+ * With 1.0, hosts seldom find one when many requests are late. */
+#define ALTERNATIVE_LOAD_MAX 1.5
+/* Servers that are compared for a request that concerns no object, in this host's region and in
+ * the others. */
+#define DRAWN_MAX 2
+/* Of servers with free slots the less loaded one is preferred, by this fraction of the time of work
+ * for a difference of its whole load. */
+#define IDLE_PREFERENCE 0.1
 /* Load, in slots, added to servers of other regions and of reserved regions when a request concerns
  * no object and the least loaded server is chosen. */
 #define OTHER_REGION_LOAD 0.25
@@ -455,9 +468,19 @@
   return has_cold_token (service, backend, share, now_us);
 }
 
+/* Servers drawn at random: those with the lowest numbers. */
+struct draw
+{
+  struct pl_backend *backend;
+  uint64_t number;
+};
+
 /* The result of one pass over the servers of a service. */
 struct scan
 {
+  uint64_t seed;                   /* of draws */
+  struct draw drawn[2][DRAWN_MAX]; /* managed services; [1]: of this host's region */
+
   struct ranked ranked[PL_PLACEMENT_RANKED_MAX];
   int ranked_count;
   struct pl_backend *least_loaded;
@@ -488,6 +511,19 @@
          - (QUEUE_OBJECTIVES_MAX - QUEUE_OBJECTIVES_MIN) * fmin (fmax (excess, 0), 1);
 }
 
+/* Returns the expected time until BACKEND answers one more request, 0 if it is unknown. */
+static double
+expected_us (const struct pl_placement_service *service, const struct pl_backend *backend,
+             int64_t now_us)
+{
+  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
+  double load = load_with_one (service, backend, now_us);
+
+  if (service->is_managed)
+    return pl_server_load_expected_us (&backend->load, load, work_us, now_us);
+  return work_us * load;
+}
+
 /* Returns whether BACKEND can run a request at once or is expected to answer it within the limits
  * on queueing and processing time. */
 static bool
@@ -495,25 +531,69 @@
               const struct pl_placement_request *request, const struct pl_backend *backend,
               int64_t now_us)
 {
-  double load = load_with_one (service, backend, now_us);
-  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
+  double time_us = expected_us (service, backend, now_us);
   double limit_us = fmin ((double) request->objective_us * queue_limit_objectives (service),
                           (double) request->time_left_us * QUEUE_TIME_RATIO);
 
-  return load <= 1 || (work_us > 0 && work_us * load <= limit_us);
+  return load_with_one (service, backend, now_us) <= 1 || (time_us > 0 && time_us <= limit_us);
+}
+
+/* Returns one of the servers after the first of the ranking, up to LAST, that have the object in
+ * their cache and room, or NULL.  It is drawn at random: hosts that chose the best one by
+ * the same reports would all choose the same. */
+static struct pl_backend *
+draw_alternative (const struct pl_placement_service *service,
+                  const struct pl_placement_request *request, const struct scan *scan, int last,
+                  int64_t now_us)
+{
+  struct pl_backend *found[PL_PLACEMENT_RANKED_MAX];
+  uint64_t count = 0;
+
+  for (int i = 1; i < scan->ranked_count && i <= last; i++)
+    {
+      struct pl_backend *backend = scan->ranked[i].backend;
+
+      if ((!request->is_large || backend->is_local)
+          && pl_server_load_is_warm (&backend->load, request->object, now_us)
+          && load_with_one (service, backend, now_us) <= ALTERNATIVE_LOAD_MAX)
+        found[count++] = backend;
+    }
+  return count > 0 ? found[scan->seed % count] : NULL;
+}
+
+/* Returns a server for a request of a managed service that FIRST, the first of the ranking, would
+ * answer clearly later, or NULL. */
+static struct pl_backend *
+choose_alternative (struct pl_placement_service *service,
+                    const struct pl_placement_request *request, const struct scan *scan, int last,
+                    int64_t now_us)
+{
+  struct pl_backend *alternative = draw_alternative (service, request, scan, last, now_us);
+
+  if (alternative == NULL
+      || expected_us (service, alternative, now_us) * CLEARLY_SLOWER
+             >= expected_us (service, scan->ranked[0].backend, now_us))
+    return NULL;
+  service->alternatives++;
+  return alternative;
 }
 
 /* Returns the first server of the ranking if it has capacity, else one of the next with spare
  * capacity for overflow, or NULL. */
 static struct pl_backend *
-choose_ranked (const struct pl_placement_service *service,
-               const struct pl_placement_request *request, const struct scan *scan, int64_t now_us)
+choose_ranked (struct pl_placement_service *service, const struct pl_placement_request *request,
+               const struct scan *scan, int64_t now_us)
 {
   const struct ranked *ranked = scan->ranked;
+  struct pl_backend *alternative = NULL;
   int candidates
       = request->is_large && scan->local_count > 0 ? scan->local_count : scan->healthy_count;
   int overflow_servers = candidates >= OVERFLOW_SERVERS_THRESHOLD ? OVERFLOW_SERVERS : 1;
 
+  if (service->is_managed)
+    alternative = choose_alternative (service, request, scan, overflow_servers, now_us);
+  if (alternative != NULL)
+    return alternative;
   if (scan->ranked_count > 0 && has_capacity (service, request, ranked[0].backend, now_us))
     return ranked[0].backend;
   for (int i = 1; i < scan->ranked_count && i <= overflow_servers; i++)
@@ -562,6 +642,24 @@
   return load;
 }
 
+/* Keeps the DRAWN_MAX servers of this host's region, and of the others, that get the lowest numbers
+ * at random. */
+static void
+draw (const struct pl_placement *placement, struct pl_backend *backend, struct scan *scan)
+{
+  struct draw *drawn = scan->drawn[backend->region == placement->region];
+  struct draw next = {backend, pl_hash_pair (scan->seed, backend->hash)};
+
+  for (int i = 0; i < DRAWN_MAX && next.backend != NULL; i++)
+    if (drawn[i].backend == NULL || next.number < drawn[i].number)
+      {
+        struct draw replaced = drawn[i];
+
+        drawn[i] = next;
+        next = replaced;
+      }
+}
+
 /* Keeps the least loaded server, for requests that concern no object. */
 static void
 update_least_loaded (const struct pl_placement *placement,
@@ -577,6 +675,43 @@
   scan->least_load = load;
 }
 
+/* Returns the server for a request that concerns no object: for managed services the one of those
+ * drawn that is expected to answer first, unless all of them are full.  Hosts that chose the best
+ * of all by the same reports would all choose the same. */
+static struct pl_backend *
+choose_unranked (const struct pl_placement *placement, const struct pl_placement_service *service,
+                 const struct pl_placement_request *request, const struct scan *scan,
+                 int64_t now_us)
+{
+  const struct draw *drawn = scan->drawn[0];
+  struct pl_backend *best = NULL;
+  double best_cost = 0;
+
+  for (int i = 0; i < 2 * DRAWN_MAX; i++)
+    {
+      struct pl_backend *backend = drawn[i].backend;
+      double load = backend != NULL ? load_with_one (service, backend, now_us) : 0;
+      double excess = 0;
+      double cost;
+
+      if (backend == NULL)
+        continue;
+      excess = compared_load (placement, service, request, backend, now_us) - load;
+      if (load + excess > 1 + OTHER_REGION_LOAD)
+        continue;
+      cost = (1 + excess + IDLE_PREFERENCE * load) * expected_us (service, backend, now_us);
+      if (best != NULL && cost >= best_cost)
+        continue;
+      best = backend;
+      best_cost = cost;
+    }
+  if (best != NULL)
+    return best;
+  return scan->least_loaded != NULL && scan->least_load <= 1 + OTHER_REGION_LOAD
+             ? scan->least_loaded
+             : NULL;
+}
+
 /* Keeps the best server for which this host has no permit. */
 static void
 update_unpermitted (const struct pl_placement *placement,
@@ -642,6 +777,8 @@
         rank_backend (placement, service, request, backend, scan);
       else
         update_least_loaded (placement, service, request, backend, scan, now_us);
+      if (request->object == 0 && service->is_managed)
+        draw (placement, backend, scan);
     }
 }
 
@@ -686,6 +823,8 @@
   if (placement->is_cut_off)
     return PL_PLACE_CUT_OFF;
   update_reservations (service, now_us);
+  if (service->is_managed)
+    scan.seed = pl_hash_pair (++service->choices, (uint64_t) now_us);
   scan_servers (placement, service, request, &scan, shares, data, now_us);
   if (scan.eligible_count == 0)
     return PL_PLACE_NONE;
@@ -701,8 +840,8 @@
     }
   if (request->object != 0)
     best = choose_ranked (service, request, &scan, now_us);
-  else if (scan.least_loaded != NULL && scan.least_load <= 1 + OTHER_REGION_LOAD)
-    best = scan.least_loaded;
+  else
+    best = choose_unranked (placement, service, request, &scan, now_us);
   if (best == NULL && request->object != 0 && request->is_large)
     best = choose_remote (placement, service, request, shares, data, now_us);
   if (best == NULL)
--- a/core/placement_reports.c
+++ b/core/placement_reports.c
@@ -58,12 +58,17 @@
   struct pl_placement_service *service = service_of (placement, backend);
   double work_us = (double) answer->latency_us / fmax (answer->load, 1);
 
+  /* The report that came with the answer is recorded before: it says how fast the work was done. */
+  if (service->is_managed && answer->at_us > 0)
+    work_us /= pl_server_load_slowdown (&backend->load, answer->at_us);
   backend->failures = 0;
   backend->breaker_tripped = false;
   update_failure_ratio (placement, backend, answer->failed ? 1.0 : 0.0);
   service->late_ratio += LATE_SMOOTHING * ((answer->late ? 1.0 : 0.0) - service->late_ratio);
   if (answer->failed || answer->latency_us <= 0)
     return;
+  if (service->is_managed && answer->object != 0)
+    pl_server_load_record_object (&backend->load, answer->object, answer->at_us);
   update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
   update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
 }
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -659,8 +659,12 @@
 {
   bool failed = status >= 500;
   int64_t latency_us = router->now_us - call->sent_us;
-  struct pl_placement_answer answer
-      = {failed, latency_us > call->objective_us, latency_us, call->load_at_send};
+  struct pl_placement_answer answer = {failed,
+                                       latency_us > call->objective_us,
+                                       latency_us,
+                                       call->load_at_send,
+                                       call->sticky ? call->object : 0,
+                                       router->now_us};
 
   pl_placement_record_answer (&router->placement, call->backend, &answer);
   call->may_have_run = true;
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -92,6 +92,8 @@
   double failure_ratio;
   double late_ratio;      /* answers later than the latency objective */
   double recent_requests; /* exponentially decayed count */
+  uint64_t choices;       /* while it is managed */
+  uint64_t alternatives;  /* of these, of a server past a first one that is clearly slower */
   struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
   int64_t reservations_due_us; /* next update of the reservations */
   int64_t cold_time_us;
@@ -222,6 +224,8 @@
   bool late;          /* exceeded the latency objective, measured from the sending */
   int64_t latency_us; /* 0: unknown */
   double load;        /* of the server, in slots, when the request was sent */
+  uint64_t object;    /* hash of the object concerned; 0: none */
+  int64_t at_us;      /* when it arrived; 0: there was none */
 };
 
 void pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -42,6 +42,25 @@
   int64_t warm_us;
 } services[SERVICES] = {{16, 5, 40, 88 * MS}, {12, 3, 22, 115 * MS}, {12, 3, 22, 87 * MS}};
 #define COLD_FACTOR 3
+/* On machines that servers share with others, this many in 100 work slower by the factor, for a
+ * phase of this length at a time. */
+#define SLOW_IN_100 15
+#define SLOW_PERCENT 250
+#define PHASE_US (600 * MS)
+#define PHASES_SEEDS 6
+/* Fractions of the recording with which such servers are tried: with all of it they are overloaded.
+ */
+static const int kept_in_100[] = {50, 75, 100};
+
+/* What a run varies. */
+struct run
+{
+  bool is_doubled; /* adds a request for the object of the service's previous request to each */
+  int kept_in_100; /* of the recorded requests */
+  bool has_slow_phases;
+  int phases_seed;
+  bool is_managed;
+};
 
 struct request
 {
@@ -104,6 +123,7 @@
 struct replay
 {
   const struct policy *policy;
+  struct run run;
   struct pl_placement placements[HOSTS];
   struct server servers[SERVERS_MAX];
   int server_count;
@@ -248,11 +268,12 @@
 }
 
 static struct replay *
-replay_new (const struct policy *policy)
+replay_new (const struct policy *policy, const struct run *run)
 {
   struct replay *replay = g_new0 (struct replay, 1);
 
   replay->policy = policy;
+  replay->run = *run;
   replay->events = g_sequence_new (g_free);
   replay->random = 1;
   g_queue_init (&replay->waiting);
@@ -262,6 +283,8 @@
 
       g_snprintf (domain, sizeof domain, "%d-%d", region_of (host), host % 2);
       pl_placement_init (&replay->placements[host], domain, region_of (host));
+      if (run->is_managed)
+        pl_placement_set_load_management (&replay->placements[host], PL_LOAD_MANAGEMENT_REPORTED);
     }
   for (int service = 0; service < SERVICES; service++)
     for (int i = 0; i < services[service].servers; i++)
@@ -293,12 +316,12 @@
   schedule (replay, EVENT_ARRIVED, request, request->arrived_us);
 }
 
-/* IS_DOUBLED: adds to each request one for the object of the service's previous request. */
 static void
-load_recording (struct replay *replay, bool is_doubled)
+load_recording (struct replay *replay)
 {
   FILE *file = fopen (RECORDING, "r");
   int last_objects[SERVICES] = {0};
+  int line_number = 0;
   char line[64];
 
   if (file == NULL)
@@ -309,8 +332,10 @@
 
       if (sscanf (line, "%d,%d,%d,%d", &ms, &host, &service, &object) != 4)
         continue;
+      if (replay->run.kept_in_100 > 0 && line_number++ % 100 >= replay->run.kept_in_100)
+        continue;
       add_request (replay, ms, host, service, object);
-      if (is_doubled)
+      if (replay->run.is_doubled)
         add_request (replay, ms, (host + 4) % HOSTS, service, last_objects[service]);
       last_objects[service] = object;
     }
@@ -370,6 +395,33 @@
   return hit;
 }
 
+/* Returns how long work takes at SERVER at AT_US, in per cent.  The phases of servers begin at
+ * different times. */
+static int
+work_percent (const struct replay *replay, const struct server *server, int64_t at_us)
+{
+  uint64_t phase = (uint64_t) ((at_us + (int64_t) server->number * 37 * MS) / PHASE_US)
+                   + 1000 * (uint64_t) replay->run.phases_seed;
+  bool is_slow = replay->run.has_slow_phases
+                 && pl_hash_pair (phase, (uint64_t) server->number) % 100 < SLOW_IN_100;
+
+  return is_slow ? SLOW_PERCENT : 100;
+}
+
+/* Returns how long SERVER takes from now on for what takes WORK_US at the usual speed. */
+static int64_t
+time_of_work (const struct replay *replay, const struct server *server, int64_t work_us)
+{
+  int64_t at_us = replay->now_us;
+
+  while (work_us > 0)
+    {
+      work_us -= MS * 100 / work_percent (replay, server, at_us);
+      at_us += MS;
+    }
+  return at_us - replay->now_us;
+}
+
 static void
 start_processing (struct replay *replay, struct server *server, struct request *request)
 {
@@ -383,6 +435,8 @@
     }
   /* Varies by up to 20 %, depending on the request. */
   work_us += work_us * ((request->arrived_us / MS * 7 + request->host) % 41 - 20) / 100;
+  if (replay->run.has_slow_phases)
+    work_us = time_of_work (replay, server, work_us);
   schedule (replay, EVENT_PROCESSED, request, work_us);
 }
 
@@ -427,11 +481,15 @@
     return;
   answer.late = answer.latency_us > OBJECTIVE_US;
   answer.load = request->load_at_send;
+  answer.object = request->object;
+  answer.at_us = replay->now_us;
   backend->in_flight--;
   backend->progress_us = replay->now_us;
   pl_placement_record_load (
       placement, backend,
-      &(struct pl_load_report){server->running, waiting, services[server->service].slots, 0},
+      &(struct pl_load_report){
+          server->running, waiting, services[server->service].slots,
+          replay->run.has_slow_phases ? work_percent (replay, server, replay->now_us) : 0},
       replay->now_us);
   if (served)
     pl_placement_record_answer (placement, backend, &answer);
@@ -501,12 +559,12 @@
 }
 
 static struct result
-run_replay (const struct policy *policy, bool is_doubled)
+run_replay (const struct policy *policy, const struct run *run)
 {
-  struct replay *replay = replay_new (policy);
+  struct replay *replay = replay_new (policy, run);
   struct result result;
 
-  load_recording (replay, is_doubled);
+  load_recording (replay);
   while (replay->now_us < END_US && g_sequence_get_length (replay->events) > 0)
     {
       GSequenceIter *first = g_sequence_get_begin_iter (replay->events);
@@ -531,26 +589,66 @@
 }
 
 static void
-print_results (bool is_doubled)
+print_results (const struct run *run)
 {
   printf ("\n%s\n\n| policy | in time | late | refused | cold runs | credit "
           "|\n|---|---|---|---|---|---|\n",
-          is_doubled ? "The recording doubled" : "As recorded");
+          run->is_doubled ? "The recording doubled" : "As recorded");
   for (size_t i = 0; i < G_N_ELEMENTS (policies); i++)
     {
-      struct result result = run_replay (&policies[i], is_doubled);
+      struct result result = run_replay (&policies[i], run);
 
       printf ("| %s | %d | %d | %d | %d | %.3f |\n", policies[i].name, result.in_time, result.late,
               result.refused, result.cold, credit_of (&result));
     }
 }
 
+/* Runs placement with KEPT in 100 requests on servers with slow phases, for PHASES_SEEDS sequences
+ * of these.  Returns the sums of the results. */
+static struct result
+run_slow_phases (int kept, bool is_managed)
+{
+  struct result sum = {0};
+
+  for (int seed = 0; seed < PHASES_SEEDS; seed++)
+    {
+      struct run run = {.kept_in_100 = kept,
+                        .has_slow_phases = true,
+                        .phases_seed = seed,
+                        .is_managed = is_managed};
+      struct result result = run_replay (&policies[PLACEMENT], &run);
+
+      sum.in_time += result.in_time;
+      sum.late += result.late;
+      sum.refused += result.refused;
+      sum.cold += result.cold;
+    }
+  return sum;
+}
+
+static void
+print_slow_phases (void)
+{
+  printf ("\nServers with slow phases\n\n| requests, of the recorded | load management "
+          "| in time | late | refused | cold runs | credit |\n|---|---|---|---|---|---|---|\n");
+  for (size_t i = 0; i < 2 * G_N_ELEMENTS (kept_in_100); i++)
+    {
+      bool is_managed = i % 2 == 1;
+      struct result result = run_slow_phases (kept_in_100[i / 2], is_managed);
+
+      printf ("| %d %% | %s | %d | %d | %d | %d | %.3f |\n", kept_in_100[i / 2],
+              is_managed ? "on" : "off", result.in_time, result.late, result.refused, result.cold,
+              credit_of (&result));
+    }
+}
+
 START_TEST (placement_serves_more_in_time_than_a_simpler_policy)
 {
   for (int is_doubled = 0; is_doubled < 2; is_doubled++)
     {
-      struct result ours = run_replay (&policies[PLACEMENT], is_doubled);
-      struct result other = run_replay (&policies[_i], is_doubled);
+      struct run run = {.is_doubled = is_doubled};
+      struct result ours = run_replay (&policies[PLACEMENT], &run);
+      struct result other = run_replay (&policies[_i], &run);
 
       ck_assert_int_gt (ours.in_time, other.in_time);
       ck_assert_double_gt (credit_of (&ours), credit_of (&other));
@@ -558,11 +656,24 @@
 }
 END_TEST
 
+/* Guards against a choice by reported speeds that serves fewer in time than one that ignores them.
+ */
+START_TEST (expected_times_serve_more_in_time_beside_slow_phases)
+{
+  struct result off = run_slow_phases (kept_in_100[_i], false);
+  struct result on = run_slow_phases (kept_in_100[_i], true);
+
+  ck_assert_int_gt (on.in_time, off.in_time);
+  ck_assert_double_gt (credit_of (&on), credit_of (&off));
+}
+END_TEST
+
 /* Guards against results that cannot be compared, since they depend on more than the recording. */
 START_TEST (a_replay_is_the_same_each_time)
 {
-  struct result first = run_replay (&policies[PLACEMENT], true);
-  struct result second = run_replay (&policies[PLACEMENT], true);
+  struct run run = {.is_doubled = true};
+  struct result first = run_replay (&policies[PLACEMENT], &run);
+  struct result second = run_replay (&policies[PLACEMENT], &run);
 
   ck_assert_int_eq (first.in_time, second.in_time);
   ck_assert_int_eq (first.refused, second.refused);
@@ -577,11 +688,14 @@
 
   if (argc > 1 && strcmp (argv[1], "--table") == 0)
     {
-      print_results (false);
-      print_results (true);
+      print_results (&(struct run){.is_doubled = false});
+      print_results (&(struct run){.is_doubled = true});
+      print_slow_phases ();
       return 0;
     }
   tcase_add_loop_test (tcase, placement_serves_more_in_time_than_a_simpler_policy, 0, PLACEMENT);
+  tcase_add_loop_test (tcase, expected_times_serve_more_in_time_beside_slow_phases, 0,
+                       G_N_ELEMENTS (kept_in_100));
   tcase_add_test (tcase, a_replay_is_the_same_each_time);
   return suite_run (suite);
 }
