Load reports from probes, findings about malformed ones, a bound on bodies at one server

Cause: a host hears of a server that was down only with the first answers after it, although the health path reports the load too. A malformed report was dropped without a trace. A server crashes if the bodies that it holds exceed its memory, and nothing bounded what the hosts send together.

Change: heads of probes are read for the load, and PL_ROUTER_PROBED carries it. A malformed report is logged as server-load-malformed, five lines a second at most, with a count of those left out, and counted in pomelolatch_load_reports_malformed_total. For managed services the bodies that a host has at a server are at most slots and queue of the server times MaxBodyBytes, divided by the number of live hosts; one body is always allowed. Log lines of requests to managed services have work_percent, work_age_us and expected_us; metrics have slow servers, choices of an alternative, and servers passed over for their bodies.

Ruled out: a bound of at least one largest body for each host: 84 hosts would together send seven times what a server holds in bodies of any size, and now do only where all bodies are of the largest size.

--- a/core/placement.c
+++ b/core/placement.c
@@ -96,16 +96,6 @@
   double cost; /* lower is better */
 };
 
-static void
-free_service (gpointer data)
-{
-  struct pl_placement_service *service = data;
-
-  g_ptr_array_free (service->backends, TRUE);
-  g_free (service->name);
-  g_free (service);
-}
-
 static void
 free_backend (gpointer data)
 {
@@ -121,7 +111,7 @@
 {
   placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_backend);
   placement->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
-  placement->services = g_ptr_array_new_with_free_func (free_service);
+  placement->services = g_ptr_array_new_with_free_func (pl_placement_free_service);
   placement->handles = g_hash_table_new (g_str_hash, g_str_equal);
   placement->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   placement->domain = g_strdup (domain);
@@ -141,59 +131,6 @@
   g_free (placement->domain);
 }
 
-int
-pl_placement_ensure_service (struct pl_placement *placement, const char *name)
-{
-  int handle = GPOINTER_TO_INT (g_hash_table_lookup (placement->handles, name)) - 1;
-  struct pl_placement_service *service;
-
-  if (handle >= 0)
-    return handle;
-  service = g_new0 (struct pl_placement_service, 1);
-  service->name = g_strdup (name);
-  service->is_managed = placement->load_management == PL_LOAD_MANAGEMENT_ON;
-  service->backends = g_ptr_array_new ();
-  g_ptr_array_add (placement->services, service);
-  g_hash_table_insert (placement->handles, service->name,
-                       GINT_TO_POINTER ((int) placement->services->len));
-  return (int) placement->services->len - 1;
-}
-
-static struct pl_placement_service *
-service_at (const struct pl_placement *placement, int service)
-{
-  return g_ptr_array_index (placement->services, service);
-}
-
-const char *
-pl_placement_service_name (const struct pl_placement *placement, int service)
-{
-  return service_at (placement, service)->name;
-}
-
-void
-pl_placement_set_load_management (struct pl_placement *placement,
-                                  enum pl_load_management management)
-{
-  placement->load_management = management;
-  for (guint i = 0; i < placement->services->len; i++)
-    service_at (placement, (int) i)->is_managed = management == PL_LOAD_MANAGEMENT_ON;
-}
-
-bool
-pl_placement_is_managed (const struct pl_placement *placement, int service)
-{
-  return service_at (placement, service)->is_managed;
-}
-
-void
-pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
-                          double cold_per_second)
-{
-  service_at (placement, service)->cold_time_us = cold_time_us;
-  service_at (placement, service)->cold_per_second = cold_per_second;
-}
-
 struct pl_backend *
 pl_placement_find (const struct pl_placement *placement, const char *id)
 {
@@ -236,7 +173,7 @@
 {
   struct pl_backend *backend = pl_placement_find (placement, entry->id);
   int handle = pl_placement_ensure_service (placement, entry->service);
-  struct pl_placement_service *service = service_at (placement, handle);
+  struct pl_placement_service *service = pl_placement_service_at (placement, handle);
   bool is_known = backend != NULL;
   bool is_new = !is_known || backend->entry.born != entry->born
                 || strcmp (backend->entry.address, entry->address) != 0;
@@ -244,7 +181,7 @@
 
   if (backend != NULL && backend->service != handle)
     {
-      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
+      g_ptr_array_remove (pl_placement_service_at (placement, backend->service)->backends, backend);
       g_ptr_array_add (service->backends, backend);
     }
   if (backend == NULL)
@@ -745,6 +682,15 @@
          && has_capacity (service, request, unpermitted->backend, now_us);
 }
 
+/* Returns whether the bodies that this host has at BACKEND leave room for that of the request. */
+static bool
+has_body_room (const struct pl_placement_request *request, const struct pl_backend *backend)
+{
+  int slots = backend->load.slots > 0 ? backend->load.slots : backend->entry.slots;
+
+  return pl_server_load_has_room (&backend->load, slots, request->body_bytes, request->body_share);
+}
+
 static void
 scan_servers (struct pl_placement *placement, struct pl_placement_service *service,
               const struct pl_placement_request *request, struct scan *scan,
@@ -771,6 +717,11 @@
               continue;
             }
         }
+      if (service->is_managed && !has_body_room (request, backend))
+        {
+          service->bodies_held++;
+          continue;
+        }
       scan->healthy_count++;
       scan->local_count += backend->is_local;
       if (request->object != 0)
@@ -815,7 +766,7 @@
                      const struct pl_placement_shares *shares, void *data,
                      struct pl_placement_choice *choice, int64_t now_us)
 {
-  struct pl_placement_service *service = service_at (placement, request->service);
+  struct pl_placement_service *service = pl_placement_service_at (placement, request->service);
   struct scan scan = {.least_loaded = NULL};
   struct pl_backend *best = NULL;
 
@@ -856,9 +807,11 @@
     best->cold_tokens -= 1;
   count_home_requests (service, request);
   best->load_at_send = load_with_one (service, best, now_us);
+  best->expected_us = expected_us (service, best, now_us);
   if (best->in_flight == 0)
     best->progress_us = now_us;
   best->in_flight++;
+  best->load.body_bytes += request->body_bytes;
   best->last_chosen_us = now_us;
   choice->backend = best;
   return PL_PLACED;
@@ -878,7 +831,7 @@
       if (backend->expires_us > now_us - EXPIRED_KEPT_US || backend->in_flight > 0
           || backend->probe_pending)
         continue;
-      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
+      g_ptr_array_remove (pl_placement_service_at (placement, backend->service)->backends, backend);
       g_hash_table_remove (placement->by_hash, &backend->hash);
       g_hash_table_iter_remove (&iter);
     }
--- a/core/placement_reports.c
+++ b/core/placement_reports.c
@@ -1,6 +1,7 @@
 /* What answers, failures, probes and load reports tell about the servers of a placement. */
 #include "internal/placement.h"
 
+#include <assert.h>
 #include <math.h>
 
 #define LATENCY_SMOOTHING 0.1
@@ -9,12 +10,6 @@
 #define DOWN_PAUSE_MIN_US INT64_C (500000)
 #define DOWN_PAUSE_MAX_US INT64_C (4000000)
 
-static struct pl_placement_service *
-service_of (const struct pl_placement *placement, const struct pl_backend *backend)
-{
-  return g_ptr_array_index (placement->services, backend->service);
-}
-
 static void
 reset_health (struct pl_backend *backend)
 {
@@ -34,6 +29,15 @@
   backend->cold_refilled_us = now_us;
 }
 
+void
+pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us)
+{
+  assert (backend->in_flight > 0 && backend->load.body_bytes >= body_bytes);
+  backend->in_flight--;
+  backend->load.body_bytes -= body_bytes;
+  backend->progress_us = now_us;
+}
+
 /* Adds SAMPLE to an exponentially weighted moving average, which is 0 before the first sample. */
 static void
 update_average (double *average, double sample, double weight)
@@ -45,7 +49,7 @@
 static void
 update_failure_ratio (struct pl_placement *placement, struct pl_backend *backend, double failed)
 {
-  struct pl_placement_service *service = service_of (placement, backend);
+  struct pl_placement_service *service = pl_placement_service_at (placement, backend->service);
 
   backend->failure_ratio += FAILURE_SMOOTHING * (failed - backend->failure_ratio);
   service->failure_ratio += FAILURE_SMOOTHING / 4 * (failed - service->failure_ratio);
@@ -55,7 +59,7 @@
 pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
                             const struct pl_placement_answer *answer)
 {
-  struct pl_placement_service *service = service_of (placement, backend);
+  struct pl_placement_service *service = pl_placement_service_at (placement, backend->service);
   double work_us = (double) answer->latency_us / fmax (answer->load, 1);
 
   /* The report that came with the answer is recorded before: it says how fast the work was done. */
@@ -122,7 +126,7 @@
 {
   pl_server_load_record (&backend->load, report, backend->in_flight, now_us);
   if (report->work_percent > 0 && placement->load_management == PL_LOAD_MANAGEMENT_REPORTED)
-    service_of (placement, backend)->is_managed = true;
+    pl_placement_service_at (placement, backend->service)->is_managed = true;
 }
 
 void
--- a/core/router.c
+++ b/core/router.c
@@ -396,6 +396,8 @@
   if (backend == NULL)
     return;
   reach_on_probed (router, backend, event->u.probed.connected);
+  if (event->u.probed.has_load)
+    pl_placement_record_load (&router->placement, backend, &event->u.probed.load, router->now_us);
   if (pl_reach_is_cut_off (&router->reach) && !event->u.probed.connected)
     backend->probe_pending = false;
   else
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -74,6 +74,14 @@
                                              ? router->now_us - backend->load.reported_us
                                              : -1),
                            "work_us", (json_int_t) backend->work_us));
+  if (backend != NULL && pl_placement_is_managed (&router->placement, backend->service))
+    json_object_update_new (
+        fields,
+        json_pack ("{s:I,s:I,s:I}", "work_percent",
+                   (json_int_t) (100 * pl_server_load_slowdown (&backend->load, router->now_us)),
+                   "work_age_us",
+                   (json_int_t) pl_server_load_work_age_us (&backend->load, router->now_us),
+                   "expected_us", (json_int_t) call->expected_us));
   if (backend != NULL && backend->limit.in_force)
     json_object_update_new (fields,
                             json_pack ("{s:f,s:I}", "server_limit", backend->limit.per_second,
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -266,6 +266,7 @@
   call->backend = backend;
   call->sent_us = router->now_us;
   call->load_at_send = backend->load_at_send;
+  call->expected_us = backend->expected_us;
   call->attempts++;
   call->attempt++;
   if (call->tried_count < PL_TRIED_MAX)
@@ -344,6 +345,8 @@
       .tried = call->tried,
       .tried_count = call->tried_count,
       .permit_wait_us = call->wait_until_us - router->now_us,
+      .body_bytes = call->body_bytes,
+      .body_share = limits_body_share (router),
   };
   enum pl_placement_result result;
 
@@ -597,9 +600,8 @@
 static void
 release_backend (struct pl_router *router, struct call *call)
 {
-  assert (call->backend != NULL && call->backend->in_flight > 0);
-  call->backend->in_flight--;
-  call->backend->progress_us = router->now_us;
+  assert (call->backend != NULL);
+  pl_placement_release (call->backend, call->body_bytes, router->now_us);
   mark_placeable (router, call->backend);
 }
 
--- a/core/router_limits.c
+++ b/core/router_limits.c
@@ -393,3 +393,11 @@
   if (with_unchanged)
     router->limit_cursor = unchanged == UNCHANGED_LIMITS_MAX ? router->limit_cursor + unchanged : 0;
 }
+
+int64_t
+limits_body_share (struct pl_router *router)
+{
+  int64_t most = router->routing->limits.body_bytes_max;
+
+  return (most > 0 ? most : PL_BODY_BYTES_DEFAULT) / MAX (router_view (router)->hosts, 1);
+}
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -7,6 +7,8 @@
 #include "internal/router_state.h"
 
 #define OCTAVE_BUCKETS (1U << PL_HISTOGRAM_SUB_BITS)
+/* A server on which work takes longer than usual by this factor counts as slow. */
+#define SLOW_SERVER_RATIO 1.5
 
 /* Returns NAME as the value of a label. */
 static char *
@@ -88,6 +90,37 @@
                           counts->issued);
 }
 
+static void
+append_loads (const struct pl_router *router, GString *text)
+{
+  const struct pl_placement *placement = &router->placement;
+  GHashTableIter iter;
+  gpointer value;
+  int slow = 0;
+  int managed = 0;
+  uint64_t alternatives = 0;
+  uint64_t bodies_held = 0;
+
+  g_hash_table_iter_init (&iter, placement->backends);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    slow += pl_server_load_slowdown (&((const struct pl_backend *) value)->load, router->now_us)
+            > SLOW_SERVER_RATIO;
+  for (guint i = 0; i < placement->services->len; i++)
+    {
+      const struct pl_placement_service *service = g_ptr_array_index (placement->services, i);
+
+      managed += service->is_managed;
+      alternatives += service->alternatives;
+      bodies_held += service->bodies_held;
+    }
+  g_string_append_printf (text,
+                          "pomelolatch_managed_services %d\n"
+                          "pomelolatch_slow_servers %d\n"
+                          "pomelolatch_alternative_servers_total %" G_GUINT64_FORMAT "\n"
+                          "pomelolatch_bodies_held_back_total %" G_GUINT64_FORMAT "\n",
+                          managed, slow, alternatives, bodies_held);
+}
+
 static void
 append_handovers (const struct pl_router *router, GString *text)
 {
@@ -140,6 +173,7 @@
   g_string_append_printf (text, "pomelolatch_waiting_requests %u\n", router->waiting->len);
   g_string_append_printf (text, "pomelolatch_live_hosts %d\n", router->view.hosts);
   append_limits (router, text);
+  append_loads (router, text);
   append_handovers (router, text);
   append_attempts (router, text);
   g_hash_table_iter_init (&iter, router->accounts);
--- a/core/server_load.c
+++ b/core/server_load.c
@@ -31,6 +31,8 @@
 /* An object that a server has handled within this time is likely to be in its cache: a server that
  * answers ten requests a second replaces a cache of some forty objects in no less. */
 #define WARM_LIFE_MS 5000
+/* Log lines about malformed reports, each second: enough to name the servers that send them. */
+#define FINDINGS_LOGGED_MAX 5
 
 void
 pl_server_load_reset (struct pl_server_load *load)
@@ -127,3 +129,25 @@
   return body_share == 0 || body_bytes == 0 || load->body_bytes == 0
          || (double) load->body_bytes + (double) body_bytes <= bound;
 }
+
+bool
+pl_load_findings_add (struct pl_load_findings *findings, uint64_t *left_out, int64_t now_us)
+{
+  int64_t second = now_us / G_USEC_PER_SEC;
+
+  findings->count++;
+  if (findings->second != second)
+    {
+      findings->second = second;
+      findings->logged = 0;
+    }
+  if (findings->logged >= FINDINGS_LOGGED_MAX)
+    {
+      findings->left_out++;
+      return false;
+    }
+  findings->logged++;
+  *left_out = findings->left_out;
+  findings->left_out = 0;
+  return true;
+}
--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -40,6 +40,9 @@
  * far. */
 size_t pl_front_buffered_bytes (const struct pl_front *front, size_t *peak);
 
+/* Returns the number of load reports so far that could not be read. */
+uint64_t pl_front_malformed_loads (const struct pl_front *front);
+
 /* Headers between entry hosts.  A hand-over carries the version of the sender's configuration and
  * the number of attempts at servers so far; a peer's own refusal of it the reason and the number of
  * attempts.  Both are removed from what callers send. */
@@ -125,6 +128,7 @@
   struct pl_caller_limits limits;
   size_t buffered_bytes; /* over all requests and attempts */
   size_t buffered_peak;
+  struct pl_load_findings load_findings;
   bool keepalive_disabled; /* each answer closes its connection */
   int spare_fd;            /* closed to accept a connection when no descriptor is left */
   int caller_check_timer;
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -71,6 +71,7 @@
   int64_t last_chosen_us;
   double work_us;      /* moving average of one request without waiting; 0: unknown */
   double load_at_send; /* in slots, for the latest request */
+  double expected_us;  /* time to its answer; 0: unknown */
   struct pl_server_limit limit;
 };
 
@@ -93,6 +94,7 @@
   double late_ratio;      /* answers later than the latency objective */
   double recent_requests; /* exponentially decayed count */
   uint64_t choices;       /* while it is managed */
+  uint64_t bodies_held;   /* servers passed over since their share of bodies is used up */
   uint64_t alternatives;  /* of these, of a server past a first one that is clearly slower */
   struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
   int64_t reservations_due_us; /* next update of the reservations */
@@ -127,6 +129,8 @@
   const uint64_t *tried; /* hashes of servers that must not be chosen again */
   int tried_count;
   int64_t permit_wait_us; /* how long it may wait for a permit to use a server with a rate limit */
+  int64_t body_bytes;
+  int64_t body_share; /* largest body that callers may send, divided by the number of live hosts */
 };
 
 enum pl_placement_result
@@ -141,6 +145,15 @@
 void pl_placement_init (struct pl_placement *placement, const char *domain, int region);
 void pl_placement_clear (struct pl_placement *placement);
 
+static inline struct pl_placement_service *
+pl_placement_service_at (const struct pl_placement *placement, int service)
+{
+  return g_ptr_array_index (placement->services, service);
+}
+
+/* Frees a service; for the placement alone. */
+void pl_placement_free_service (void *data);
+
 /* Returns the handle of the service NAME, which is added if it is new. */
 int pl_placement_ensure_service (struct pl_placement *placement, const char *name);
 /* Returns the name of SERVICE, owned by PLACEMENT. */
@@ -213,6 +226,9 @@
                                               const struct pl_placement_shares *shares, void *data,
                                               struct pl_placement_choice *choice, int64_t now_us);
 
+/* Records that a request with BODY_BYTES for which BACKEND was chosen is no longer there. */
+void pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us);
+
 /* Returns whether BACKEND may still be used for new requests. */
 bool pl_placement_is_usable (const struct pl_placement *placement, const struct pl_backend *backend,
                              int64_t now_us);
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -255,6 +255,8 @@
       bool connected;  /* a connection was established, whatever the answer */
       bool healthy;
       int64_t cold_us;
+      bool has_load;
+      struct pl_load_report load;
       enum pl_rate_limit_report rate_limit_report;
       double rate_limit; /* requests per second over all hosts, if named */
     } probed;
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -116,6 +116,7 @@
   struct pl_backend *backend;
   int64_t sent_us;
   double load_at_send; /* of the server, in slots */
+  double expected_us;  /* time to the answer, when it was sent; 0: unknown */
   bool is_handover;    /* a peer has handed it over; it is not handed over again */
   int handovers;       /* to peers, by this host */
   uint64_t peer;       /* that has it, or had it last; 0: none */
@@ -342,6 +343,9 @@
                               int64_t wait_us);
 /* Returns the time until a permit for BACKEND may be had. */
 int64_t limits_wait_us (struct pl_router *router, struct pl_backend *backend);
+/* Returns the largest body that the configuration allows, divided by the number of live hosts: each
+ * host sends so much for each request that a server can hold. */
+int64_t limits_body_share (struct pl_router *router);
 /* BACKEND was the first choice for a request, but there was no permit. */
 void limits_on_missed (struct pl_router *router, struct pl_backend *backend);
 /* A request is sent to BACKEND; uses a permit if its limit is in force.  IS_NEW_DEMAND: the request
--- a/include/internal/routing.h
+++ b/include/internal/routing.h
@@ -65,6 +65,9 @@
   double burst; /* requests */
 };
 
+/* The largest body that callers may send where a configuration sets no limit, in bytes. */
+#define PL_BODY_BYTES_DEFAULT ((int64_t) 64 << 20)
+
 struct pl_caller_limits
 {
   int64_t header_bytes_max;
--- a/include/internal/server_load.h
+++ b/include/internal/server_load.h
@@ -86,4 +86,17 @@
 bool pl_server_load_has_room (const struct pl_server_load *load, int slots, int64_t body_bytes,
                               int64_t body_share);
 
+/* Reports that could not be read. */
+struct pl_load_findings
+{
+  uint64_t count;
+  int64_t second;    /* to which LOGGED applies */
+  int logged;        /* log lines */
+  uint64_t left_out; /* findings without a log line, since the last one that had one */
+};
+
+/* Counts a finding.  Returns whether it gets a log line, which few a second do; then *LEFT_OUT gets
+ * the number of those before it that got none. */
+bool pl_load_findings_add (struct pl_load_findings *findings, uint64_t *left_out, int64_t now_us);
+
 #endif
--- a/modules/front.c
+++ b/modules/front.c
@@ -29,7 +29,6 @@
 #define CONNECTION_TIMEOUT_S 60u
 /* Above what the front admits, connections that share a socket counted twice. */
 #define DAEMON_CONNECTION_LIMIT 8192u
-#define BODY_MAX_DEFAULT ((int64_t) 64 << 20)
 /* Bytes of bodies and answers buffered at once, where the options set no limit. */
 #define MEMORY_LIMIT_DEFAULT ((size_t) 64 << 20)
 /* Requests and attempts that buffer more than SMALL_BUFFER_BYTES use at most this percentage of the
@@ -350,7 +349,7 @@
 static int64_t
 body_limit (const struct pl_front *front)
 {
-  return front->limits.body_bytes_max > 0 ? front->limits.body_bytes_max : BODY_MAX_DEFAULT;
+  return front->limits.body_bytes_max > 0 ? front->limits.body_bytes_max : PL_BODY_BYTES_DEFAULT;
 }
 
 static enum MHD_Result
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -36,6 +36,8 @@
 #define COLD_MAX_MS INT64_C (86400000)
 /* Callers honour a fraction of their time, which is seconds. */
 #define RETRY_AFTER_MAX_S 3600
+/* Characters of a malformed load report in the log. */
+#define LOGGED_VALUE_CHARS 64
 
 /* What one head of an answer says.  An interim answer has a head of its own. */
 struct answer_head
@@ -100,6 +102,35 @@
   return PL_RATE_LIMIT_UNKNOWN;
 }
 
+/* Parses VALUE, the load that SERVER reports.  Returns false, and leaves LOAD as it is, when it is
+ * malformed: it says nothing about the load, so that the report before it stays in use. */
+static bool
+parse_load (struct pl_front *front, const char *server, const char *value,
+            struct pl_load_report *load)
+{
+  const struct pl_dialect *dialect = front->options.dialect;
+  g_autofree char *start = NULL;
+  g_autofree char *logged = NULL;
+  uint64_t left_out;
+
+  if (dialect->read_load (value, load))
+    return true;
+  if (!pl_load_findings_add (&front->load_findings, &left_out, pl_clock_now_us ()))
+    return false;
+  start = g_strndup (value, LOGGED_VALUE_CHARS);
+  logged = g_utf8_make_valid (start, -1);
+  pl_log (PL_LOG_WARNING, "server-load-malformed",
+          json_pack ("{s:s,s:s,s:s,s:I}", "server", server, "header", dialect->load, "value",
+                     logged, "findings_left_out", (json_int_t) left_out));
+  return false;
+}
+
+uint64_t
+pl_front_malformed_loads (const struct pl_front *front)
+{
+  return front->load_findings.count;
+}
+
 /* Parses VALUE, the number of attempts and the reason of a peer's own refusal. */
 static void
 parse_peer_refusal (struct answer_head *head, const char *value)
@@ -131,8 +162,9 @@
     parse_id (attempt, value);
   else if (g_ascii_strcasecmp (name, dialect->not_run) == 0)
     head->not_run = true;
-  else if (g_ascii_strcasecmp (name, dialect->load) == 0)
-    head->has_load = dialect->read_load (value, &head->load);
+  else if (!attempt->is_handover && g_ascii_strcasecmp (name, dialect->load) == 0)
+    head->has_load
+        = parse_load (attempt->front, attempt->server, value, &head->load) || head->has_load;
   else if (g_ascii_strcasecmp (name, dialect->rate_limit) == 0)
     head->rate_limit_report = parse_rate_limit (dialect, attempt->server, value, &head->rate_limit);
   else if (attempt->is_handover && g_ascii_strcasecmp (name, PL_FRONT_REFUSAL_HEADER) == 0)
@@ -500,6 +532,8 @@
   bool is_other_server;
   bool has_request_id;
   int64_t cold_us;
+  bool has_load;
+  struct pl_load_report load;
   enum pl_rate_limit_report rate_limit_report;
   double rate_limit;
 };
@@ -542,6 +576,9 @@
     head->has_request_id = g_strchug (colon + 1)[0] != '\0';
   if (g_ascii_strcasecmp (text, dialect->cold_time) == 0)
     head->cold_us = CLAMP (g_ascii_strtoll (colon + 1, NULL, 10), 0, COLD_MAX_MS) * 1000;
+  if (g_ascii_strcasecmp (text, dialect->load) == 0)
+    head->has_load = parse_load (probe->front, probe->server_id, g_strchug (colon + 1), &head->load)
+                     || head->has_load;
   if (g_ascii_strcasecmp (text, dialect->rate_limit) == 0)
     head->rate_limit_report
         = parse_rate_limit (dialect, probe->server_id, g_strchug (colon + 1), &head->rate_limit);
@@ -568,6 +605,8 @@
     event.u.probed.cold_us = head->cold_us;
   if (end == PL_HTTP_COMPLETE && !head->is_other_server)
     {
+      event.u.probed.has_load = head->has_load;
+      event.u.probed.load = head->load;
       event.u.probed.rate_limit_report = head->rate_limit_report;
       event.u.probed.rate_limit = head->rate_limit;
     }
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -354,6 +354,8 @@
   pl_beacon_socket_metrics (entry->beacons, body);
   g_string_append_printf (body, "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n",
                           buffered, buffered_peak);
+  g_string_append_printf (body, "pomelolatch_load_reports_malformed_total %" G_GUINT64_FORMAT "\n",
+                          pl_front_malformed_loads (entry->front));
   return 200;
 }
 
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -105,6 +105,8 @@
   if (event->type == PL_ROUTER_PROBED)
     {
       fixture->is_healthy = event->u.probed.healthy;
+      fixture->has_load = event->u.probed.has_load;
+      fixture->load = event->u.probed.load;
       g_atomic_int_inc (&fixture->probed);
       return;
     }
@@ -119,6 +121,8 @@
 
       effect.request = event->u.attempt.request;
       fixture->ends[attempts % ATTEMPTS_MAX] = end;
+      fixture->has_load = event->u.attempt.has_load;
+      fixture->load = event->u.attempt.load;
       g_atomic_int_inc (&fixture->attempts);
       effect.u.refuse.status = 502;
       effect.u.refuse.reason = "failed";
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -46,6 +46,8 @@
   gint probe_due;  /* atomic */
   gint probed;     /* atomic */
   bool is_healthy; /* as the last probe found */
+  bool has_load;   /* the last attempt or probe brought a load report */
+  struct pl_load_report load;
 };
 
 void set_up_front (struct front_fixture *fixture, const struct front_script *script);
