--- a/core/placement.c
+++ b/core/placement.c
@@ -103,6 +103,7 @@
 
   g_free ((char *) backend->entry.id);
   g_free ((char *) backend->entry.domain);
+  pl_server_load_clear (&backend->load);
   g_free (backend);
 }
 
--- a/core/server_load.c
+++ b/core/server_load.c
@@ -14,7 +14,6 @@
 
 #include <glib.h>
 #include <math.h>
-#include <string.h>
 
 #define REPORT_HALF_LIFE_US 250000.0
 /* Servers that share their machines are slow for about 600 ms at a time.  A report is on average
@@ -34,13 +33,19 @@
 /* Log lines about malformed reports, each second: enough to name the servers that send them. */
 #define FINDINGS_LOGGED_MAX 5
 
+void
+pl_server_load_clear (struct pl_server_load *load)
+{
+  g_clear_pointer (&load->warm, g_free);
+}
+
 void
 pl_server_load_reset (struct pl_server_load *load)
 {
   load->requests = 0;
   load->own_requests = 0;
   load->work_percent = 0;
-  memset (load->warm, 0, sizeof load->warm);
+  pl_server_load_clear (load);
 }
 
 void
@@ -107,6 +112,8 @@
 void
 pl_server_load_record_object (struct pl_server_load *load, uint64_t object, int64_t now_us)
 {
+  if (load->warm == NULL)
+    load->warm = g_new0 (struct pl_warm_object, PL_WARM_OBJECTS);
   load->warm[object % PL_WARM_OBJECTS]
       = (struct pl_warm_object){name_of (object), (uint32_t) (now_us / 1000)};
 }
@@ -114,9 +121,10 @@
 bool
 pl_server_load_is_warm (const struct pl_server_load *load, uint64_t object, int64_t now_us)
 {
-  const struct pl_warm_object *warm = &load->warm[object % PL_WARM_OBJECTS];
+  const struct pl_warm_object *warm
+      = load->warm != NULL ? &load->warm[object % PL_WARM_OBJECTS] : NULL;
 
-  return warm->object == name_of (object)
+  return warm != NULL && warm->object == name_of (object)
          && (uint32_t) (now_us / 1000) - warm->seen_ms <= WARM_LIFE_MS;
 }
 
--- a/include/internal/server_load.h
+++ b/include/internal/server_load.h
@@ -3,8 +3,8 @@
  * API tier: private.
  *
  * Does no I/O.  All times are of the monotonic clock, in microseconds.  The state belongs to the
- * caller and is zero at first.  Reports come from answers and from health checks of this host; the
- * hosts do not exchange them.
+ * caller, is zero at first and released with pl_server_load_clear().  Reports come from answers and
+ * from health checks of this host; the hosts do not exchange them.
  */
 #ifndef POMELOLATCH_SERVER_LOAD_H
 #define POMELOLATCH_SERVER_LOAD_H
@@ -39,10 +39,12 @@
   int work_percent; /* by the last report that had it, within bounds; 0: none had */
   int64_t reported_us;
   int64_t work_reported_us;
-  int64_t body_bytes;                          /* of the requests that this host has there */
-  struct pl_warm_object warm[PL_WARM_OBJECTS]; /* by the object's hash */
+  int64_t body_bytes;          /* of the requests that this host has there */
+  struct pl_warm_object *warm; /* PL_WARM_OBJECTS by the object's hash; NULL: none yet */
 };
 
+void pl_server_load_clear (struct pl_server_load *load);
+
 /* Forgets what does not outlive a restart of the server. */
 void pl_server_load_reset (struct pl_server_load *load);
 
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -164,6 +164,7 @@
   pl_server_load_record_object (&load, OBJECT, 0);
   pl_server_load_reset (&load);
   ck_assert (!pl_server_load_is_warm (&load, OBJECT, 0));
+  pl_server_load_clear (&load);
 }
 END_TEST
 
