Tests: reports reach the placement through the router; names of warm objects use the whole hash

Cause: the table of warm objects took its place from the lowest bits of the hash, of which one is set for all objects in some callers, and the name from the upper half alone.

--- a/core/server_load.c
+++ b/core/server_load.c
@@ -106,7 +106,15 @@
 static uint32_t
 name_of (uint64_t object)
 {
-  return (uint32_t) (object >> 32) | 1;
+  return (uint32_t) (object >> 32 ^ object) | 1;
+}
+
+/* Returns the place of OBJECT in the table.  The lowest bit of the hash of an object may be set in
+ * all. */
+static size_t
+place_of (uint64_t object)
+{
+  return (object >> 1) % PL_WARM_OBJECTS;
 }
 
 void
@@ -114,15 +122,14 @@
 {
   if (load->warm == NULL)
     load->warm = g_new0 (struct pl_warm_object, PL_WARM_OBJECTS);
-  load->warm[object % PL_WARM_OBJECTS]
+  load->warm[place_of (object)]
       = (struct pl_warm_object){name_of (object), (uint32_t) (now_us / 1000)};
 }
 
 bool
 pl_server_load_is_warm (const struct pl_server_load *load, uint64_t object, int64_t now_us)
 {
-  const struct pl_warm_object *warm
-      = load->warm != NULL ? &load->warm[object % PL_WARM_OBJECTS] : NULL;
+  const struct pl_warm_object *warm = load->warm != NULL ? &load->warm[place_of (object)] : NULL;
 
   return warm != NULL && warm->object == name_of (object)
          && (uint32_t) (now_us / 1000) - warm->seen_ms <= WARM_LIFE_MS;
--- a/include/internal/server_load.h
+++ b/include/internal/server_load.h
@@ -27,7 +27,7 @@
 
 struct pl_warm_object
 {
-  uint32_t object;  /* the upper half of its hash; 0: none */
+  uint32_t object;  /* a name of it, from its hash; 0: none */
   uint32_t seen_ms; /* when the server last answered a request for it; wraps around */
 };
 
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -34,6 +34,7 @@
       .grace_us = 6 * WORLD_SECOND,
       .retry_ratio = 0.2,
       .retry_slack = 50,
+      .load_management = options->load_management,
       .decode = pl_platform_dialect.decode_row,
   };
 
@@ -397,3 +398,15 @@
 
   end_attempt (world, call, &event);
 }
+
+void
+world_answer_with_load (struct world *world, struct world_call *call,
+                        const struct pl_load_report *load)
+{
+  struct pl_router_event event = {
+      .type = PL_ROUTER_ATTEMPT,
+      .u.attempt = {.end = PL_ATTEMPT_ANSWERED, .status = 200, .has_load = true, .load = *load},
+  };
+
+  end_attempt (world, call, &event);
+}
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -72,6 +72,7 @@
   uint64_t incarnation; /* 0: 1 */
   const char *name;     /* of the host; NULL: host-a */
   const char *domain;   /* NULL: a-1 */
+  enum pl_load_management load_management;
 };
 
 /* Returns a world whose router has no rows yet; freed with world_free(). */
@@ -118,6 +119,10 @@
 /* Ends the attempt in progress with an answer that names a limit of PER_SECOND. */
 void world_answer_with_limit (struct world *world, struct world_call *call, double per_second);
 
+/* Ends the attempt in progress with an answer that reports a load. */
+void world_answer_with_load (struct world *world, struct world_call *call,
+                             const struct pl_load_report *load);
+
 /* Ends the attempt in progress. */
 void world_end_attempt (struct world *world, struct world_call *call, enum pl_attempt_end end,
                         int status);
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -4,6 +4,7 @@
 #include "front_fixture.h"
 #include "internal/membership.h"
 #include "internal/placement.h"
+#include "router_world.h"
 #include "suite.h"
 
 #include <limits.h>
@@ -394,6 +395,45 @@
 }
 END_TEST
 
+/* Reports must arrive at the placement by both ways, and the setting must decide what they do. */
+static bool
+has_metric (const struct world *world, const char *line)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+
+  pl_router_metrics (world->router, text);
+  return strstr (text->str, line) != NULL;
+}
+
+START_TEST (a_router_learns_of_the_speed)
+{
+  static const enum pl_load_management managements[]
+      = {PL_LOAD_MANAGEMENT_OFF, PL_LOAD_MANAGEMENT_REPORTED};
+  struct world *world
+      = world_new_from (&(struct world_options){.load_management = managements[_i]});
+  struct pl_router_event probed = {.type = PL_ROUTER_PROBED};
+  struct world_call *call;
+
+  world_put_config (world, 1, NULL);
+  world_put_server (world, "s-1", "a-1", "ready", 1);
+  world_put_server (world, "s-2", "a-1", "ready", 1);
+  call = world_send_request (world, "/read/1", "key-1");
+  world_answer_with_load (world, call, &(struct pl_load_report){0, 0, 4, 250});
+  ck_assert_int_eq (has_metric (world, "pomelolatch_managed_services 1\n"), _i);
+  ck_assert (has_metric (world, "pomelolatch_slow_servers 1\n"));
+  probed.u.probed.server = pl_server_hash (strcmp (call->server, "s-1") == 0 ? "s-2" : "s-1");
+  probed.u.probed.connected = true;
+  probed.u.probed.healthy = true;
+  probed.u.probed.has_load = true;
+  probed.u.probed.load = (struct pl_load_report){0, 0, 4, 250};
+  world_step (world, &probed);
+  ck_assert (has_metric (world, "pomelolatch_slow_servers 2\n"));
+  world_advance (world, WORLD_SECOND);
+  ck_assert (has_metric (world, "pomelolatch_slow_servers 0\n"));
+  world_free (world);
+}
+END_TEST
+
 START_TEST (findings_are_logged_in_bounds)
 {
   struct pl_load_findings findings = {0};
@@ -428,6 +468,7 @@
   tcase_add_test (tcase, hosts_do_not_all_choose_the_same_server);
   tcase_add_loop_test (tcase, a_malformed_report_says_nothing, 0, G_N_ELEMENTS (malformed));
   tcase_add_test (tcase, a_probe_brings_a_report);
+  tcase_add_loop_test (tcase, a_router_learns_of_the_speed, 0, 2);
   tcase_add_test (tcase, findings_are_logged_in_bounds);
   return suite_run (suite);
 }
