Placement: the comparison of expected times has a switch

Cause: docs/LOAD.md asks for a switch for each component, so that tests and trials can show what one of them is worth while the others are on.

Change: PL_ROUTER_NO_EXPECTED_TIMES leaves services managed, and servers are chosen as those of unmanaged ones. The bound on bodies stays.

Measured: test_server_load (31 checks), test_router, test_placement and test_replay pass.

--- a/core/placement.c
+++ b/core/placement.c
@@ -119,6 +119,7 @@
   placement->region = region;
   placement->is_cut_off = false;
   placement->load_management = PL_LOAD_MANAGEMENT_OFF;
+  placement->ignores_speeds = false;
 }
 
 void
@@ -457,7 +458,7 @@
   double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
   double load = load_with_one (service, backend, now_us);
 
-  if (service->is_managed)
+  if (service->compares_times)
     return pl_server_load_expected_us (&backend->load, load, work_us, now_us);
   return work_us * load;
 }
@@ -528,7 +529,7 @@
       = request->is_large && scan->local_count > 0 ? scan->local_count : scan->healthy_count;
   int overflow_servers = candidates >= OVERFLOW_SERVERS_THRESHOLD ? OVERFLOW_SERVERS : 1;
 
-  if (service->is_managed)
+  if (service->compares_times)
     alternative = choose_alternative (service, request, scan, overflow_servers, now_us);
   if (alternative != NULL)
     return alternative;
@@ -729,7 +730,7 @@
         rank_backend (placement, service, request, backend, scan);
       else
         update_least_loaded (placement, service, request, backend, scan, now_us);
-      if (request->object == 0 && service->is_managed)
+      if (request->object == 0 && service->compares_times)
         draw (placement, backend, scan);
     }
 }
@@ -775,7 +776,7 @@
   if (placement->is_cut_off)
     return PL_PLACE_CUT_OFF;
   update_reservations (service, now_us);
-  if (service->is_managed)
+  if (service->compares_times)
     scan.seed = pl_hash_pair (++service->choices, (uint64_t) now_us);
   scan_servers (placement, service, request, &scan, shares, data, now_us);
   if (scan.eligible_count == 0)
--- a/core/placement_reports.c
+++ b/core/placement_reports.c
@@ -63,7 +63,7 @@
   double work_us = (double) answer->latency_us / fmax (answer->load, 1);
 
   /* The report that came with the answer is recorded before: it says how fast the work was done. */
-  if (service->is_managed && answer->at_us > 0)
+  if (service->compares_times && answer->at_us > 0)
     work_us /= pl_server_load_slowdown (&backend->load, answer->at_us);
   backend->failures = 0;
   backend->breaker_tripped = false;
@@ -71,7 +71,7 @@
   service->late_ratio += LATE_SMOOTHING * ((answer->late ? 1.0 : 0.0) - service->late_ratio);
   if (answer->failed || answer->latency_us <= 0)
     return;
-  if (service->is_managed && answer->object != 0)
+  if (service->compares_times && answer->object != 0)
     pl_server_load_record_object (&backend->load, answer->object, answer->at_us);
   update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
   update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
@@ -126,7 +126,7 @@
 {
   pl_server_load_record (&backend->load, report, backend->in_flight, now_us);
   if (report->work_percent > 0 && placement->load_management == PL_LOAD_MANAGEMENT_REPORTED)
-    pl_placement_service_at (placement, backend->service)->is_managed = true;
+    pl_placement_manage (placement, pl_placement_service_at (placement, backend->service), true);
 }
 
 void
--- a/core/placement_services.c
+++ b/core/placement_services.c
@@ -21,7 +21,7 @@
     return handle;
   service = g_new0 (struct pl_placement_service, 1);
   service->name = g_strdup (name);
-  service->is_managed = placement->load_management == PL_LOAD_MANAGEMENT_ON;
+  pl_placement_manage (placement, service, placement->load_management == PL_LOAD_MANAGEMENT_ON);
   service->backends = g_ptr_array_new ();
   g_ptr_array_add (placement->services, service);
   g_hash_table_insert (placement->handles, service->name,
@@ -41,7 +41,16 @@
 {
   placement->load_management = management;
   for (guint i = 0; i < placement->services->len; i++)
-    pl_placement_service_at (placement, (int) i)->is_managed = management == PL_LOAD_MANAGEMENT_ON;
+    pl_placement_manage (placement, pl_placement_service_at (placement, (int) i),
+                         management == PL_LOAD_MANAGEMENT_ON);
+}
+
+void
+pl_placement_manage (const struct pl_placement *placement, struct pl_placement_service *service,
+                     bool on)
+{
+  service->is_managed = on;
+  service->compares_times = on && !placement->ignores_speeds;
 }
 
 bool
--- a/core/router.c
+++ b/core/router.c
@@ -235,6 +235,7 @@
   load_domains (router, options->domains);
   region = router_domain_region (router, options->domain);
   pl_placement_init (&router->placement, options->domain, region);
+  router->placement.ignores_speeds = (options->switches & PL_ROUTER_NO_EXPECTED_TIMES) != 0;
   pl_placement_set_load_management (&router->placement, options->load_management);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   register_domains (router);
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -87,6 +87,7 @@
 {
   char *name;
   bool is_managed;     /* see enum pl_load_management */
+  bool compares_times; /* managed, and servers are compared by the expected time */
   GPtrArray *backends; /* of struct pl_backend */
   /* moving averages over all its servers */
   double work_us; /* 0: unknown */
@@ -113,6 +114,7 @@
   int region;
   bool is_cut_off; /* this host reaches no server: none is chosen */
   enum pl_load_management load_management;
+  bool ignores_speeds; /* servers of managed services are chosen as those of others */
 };
 
 /* The request to be placed. */
@@ -162,6 +164,9 @@
 /* Sets for which services load is managed, also for those that exist. */
 void pl_placement_set_load_management (struct pl_placement *placement,
                                        enum pl_load_management management);
+/* Starts or ends the management of the load of SERVICE. */
+void pl_placement_manage (const struct pl_placement *placement,
+                          struct pl_placement_service *service, bool on);
 /* Returns whether the load of SERVICE is managed. */
 bool pl_placement_is_managed (const struct pl_placement *placement, int service);
 
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -237,16 +237,20 @@
 }
 END_TEST
 
-/* Without load management a slow report changes nothing. */
-START_TEST (an_unmanaged_service_ignores_the_speed)
+/* Without load management, or with the mechanism switched off, a slow report changes nothing. */
+START_TEST (a_speed_may_be_ignored)
 {
   struct pl_placement_request request = make_request (OBJECT);
   struct pl_backend *servers[2];
 
   warm_up (servers, 2);
-  pl_placement_set_load_management (&placement, PL_LOAD_MANAGEMENT_OFF);
+  placement.ignores_speeds = _i == 1;
+  pl_placement_set_load_management (&placement,
+                                    _i == 1 ? PL_LOAD_MANAGEMENT_ON : PL_LOAD_MANAGEMENT_OFF);
   report (servers[0], 0, 250, 0);
   ck_assert_ptr_eq (choose (&request, 0), servers[0]);
+  if (_i == 1)
+    return;
   request.body_bytes = 1000;
   request.body_share = 1;
   ck_assert_ptr_eq (choose (&request, 0), servers[0]);
@@ -463,7 +467,7 @@
   tcase_add_test (tcase, an_object_is_remembered_for_a_while);
   tcase_add_test (tcase, a_slow_server_is_left_for_a_warm_one);
   tcase_add_test (tcase, the_other_server_is_drawn);
-  tcase_add_test (tcase, an_unmanaged_service_ignores_the_speed);
+  tcase_add_loop_test (tcase, a_speed_may_be_ignored, 0, 2);
   tcase_add_test (tcase, bodies_at_a_server_are_bounded);
   tcase_add_test (tcase, hosts_do_not_all_choose_the_same_server);
   tcase_add_loop_test (tcase, a_malformed_report_says_nothing, 0, G_N_ELEMENTS (malformed));
