--- a/core/placement.c
+++ b/core/placement.c
@@ -13,7 +13,8 @@
  * transferring a small request costs next to nothing.
  *
  * The load of a server is what this host has in flight there plus what the server
- * last reported of other hosts; the latter decays with the age of the report.
+ * last reported of other hosts, see server_load.c; what is recorded of servers,
+ * see placement_reports.c.
  */
 #include "internal/placement.h"
 #include "internal/membership.h"
@@ -22,9 +23,6 @@
 #include <math.h>
 #include <string.h>
 
-#define REPORT_HALF_LIFE_US 250000.0
-#define LATENCY_SMOOTHING 0.1
-#define FAILURE_SMOOTHING 0.15
 /* A server that fails or rejects more than this fraction of its requests, and more than twice the
  * average of its service, gets one request per UNHEALTHY_RETRY_US. */
 #define FAILURE_LIMIT 0.35
@@ -36,8 +34,6 @@
 /* A server with requests in flight that has not answered for this many latency objectives may be
  * unresponsive or very slow; further requests would be delayed with the first. */
 #define STALL_OBJECTIVES 2.5
-#define DOWN_PAUSE_MIN_US INT64_C (500000)
-#define DOWN_PAUSE_MAX_US INT64_C (4000000)
 /* The longest time that queueing and processing may take, in latency objectives.  A late answer is
  * better for a caller than a refusal, but when most answers are late, long queues only make all of
  * them late. */
@@ -47,7 +43,6 @@
  * are averaged over about a hundred answers. */
 #define LATE_RATIO_LOW 0.5
 #define LATE_RATIO_HIGH 0.8
-#define LATE_SMOOTHING (1.0 / 128)
 /* Fraction of the caller's remaining time that queueing and processing may take; an answer after a
  * longer wait would come too late. */
 #define QUEUE_TIME_RATIO 0.85
@@ -59,6 +54,19 @@
 #define OVERFLOW_SERVERS_THRESHOLD 8
 /* A server takes overflow up to this load. */
 #define OVERFLOW_LOAD_MAX 0.8
+/* The first server of the ranking is preferred to another that has the object in its cache unless
+ * it is expected to take this many times as long.  Work times differ by kind of request, so that
+ * expected times are compared with some error; 1.1 and 1.5 served fewer in time in test_replay. */
+#define CLEARLY_SLOWER 1.25
+/* Load, with the new request, up to which a server takes requests that another would answer later.
+ * With 1.0, hosts seldom find one when many requests are late. */
+#define ALTERNATIVE_LOAD_MAX 1.5
+/* Servers that are compared for a request that concerns no object, in this host's region and in
+ * the others. */
+#define DRAWN_MAX 2
+/* Of servers with free slots the less loaded one is preferred, by this fraction of the time of work
+ * for a difference of its whole load. */
+#define IDLE_PREFERENCE 0.1
 /* Load, in slots, added to servers of other regions and of reserved regions when a request concerns
  * no object and the least loaded server is chosen. */
 #define OTHER_REGION_LOAD 0.25
@@ -88,16 +96,6 @@
   double cost; /* lower is better */
 };
 
-static void
-free_service (gpointer data)
-{
-  struct pl_placement_service *service = data;
-
-  g_ptr_array_free (service->backends, TRUE);
-  g_free (service->name);
-  g_free (service);
-}
-
 static void
 free_backend (gpointer data)
 {
@@ -105,6 +103,7 @@
 
   g_free ((char *) backend->entry.id);
   g_free ((char *) backend->entry.domain);
+  pl_server_load_clear (&backend->load);
   g_free (backend);
 }
 
@@ -113,13 +112,14 @@
 {
   placement->backends = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_backend);
   placement->by_hash = g_hash_table_new (g_int64_hash, g_int64_equal);
-  placement->services = g_ptr_array_new_with_free_func (free_service);
+  placement->services = g_ptr_array_new_with_free_func (pl_placement_free_service);
   placement->handles = g_hash_table_new (g_str_hash, g_str_equal);
   placement->evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   placement->domain = g_strdup (domain);
   placement->region = region;
   placement->is_cut_off = false;
   placement->load_management = PL_LOAD_MANAGEMENT_OFF;
+  placement->ignores_speeds = false;
 }
 
 void
@@ -133,59 +133,6 @@
   g_free (placement->domain);
 }
 
-int
-pl_placement_ensure_service (struct pl_placement *placement, const char *name)
-{
-  int handle = GPOINTER_TO_INT (g_hash_table_lookup (placement->handles, name)) - 1;
-  struct pl_placement_service *service;
-
-  if (handle >= 0)
-    return handle;
-  service = g_new0 (struct pl_placement_service, 1);
-  service->name = g_strdup (name);
-  service->is_managed = placement->load_management == PL_LOAD_MANAGEMENT_ON;
-  service->backends = g_ptr_array_new ();
-  g_ptr_array_add (placement->services, service);
-  g_hash_table_insert (placement->handles, service->name,
-                       GINT_TO_POINTER ((int) placement->services->len));
-  return (int) placement->services->len - 1;
-}
-
-static struct pl_placement_service *
-service_at (const struct pl_placement *placement, int service)
-{
-  return g_ptr_array_index (placement->services, service);
-}
-
-const char *
-pl_placement_service_name (const struct pl_placement *placement, int service)
-{
-  return service_at (placement, service)->name;
-}
-
-void
-pl_placement_set_load_management (struct pl_placement *placement,
-                                  enum pl_load_management management)
-{
-  placement->load_management = management;
-  for (guint i = 0; i < placement->services->len; i++)
-    service_at (placement, (int) i)->is_managed = management == PL_LOAD_MANAGEMENT_ON;
-}
-
-bool
-pl_placement_is_managed (const struct pl_placement *placement, int service)
-{
-  return service_at (placement, service)->is_managed;
-}
-
-void
-pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
-                          double cold_per_second)
-{
-  service_at (placement, service)->cold_time_us = cold_time_us;
-  service_at (placement, service)->cold_per_second = cold_per_second;
-}
-
 struct pl_backend *
 pl_placement_find (const struct pl_placement *placement, const char *id)
 {
@@ -198,27 +145,6 @@
   return g_hash_table_lookup (placement->by_hash, &hash);
 }
 
-static void
-reset_health (struct pl_backend *backend)
-{
-  backend->failures = 0;
-  backend->down_until_us = 0;
-  backend->breaker_tripped = false;
-  backend->failure_ratio = 0;
-}
-
-/* Resets the state of a server that is new or has restarted under its old name. */
-static void
-reset_backend (struct pl_backend *backend, int64_t now_us)
-{
-  backend->reported_requests = 0;
-  backend->own_requests_at_report = 0;
-  reset_health (backend);
-  backend->work_us = 0;
-  backend->cold_tokens = 0;
-  backend->cold_refilled_us = now_us;
-}
-
 uint64_t
 pl_server_hash (const char *id)
 {
@@ -249,7 +175,7 @@
 {
   struct pl_backend *backend = pl_placement_find (placement, entry->id);
   int handle = pl_placement_ensure_service (placement, entry->service);
-  struct pl_placement_service *service = service_at (placement, handle);
+  struct pl_placement_service *service = pl_placement_service_at (placement, handle);
   bool is_known = backend != NULL;
   bool is_new = !is_known || backend->entry.born != entry->born
                 || strcmp (backend->entry.address, entry->address) != 0;
@@ -257,7 +183,7 @@
 
   if (backend != NULL && backend->service != handle)
     {
-      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
+      g_ptr_array_remove (pl_placement_service_at (placement, backend->service)->backends, backend);
       g_ptr_array_add (service->backends, backend);
     }
   if (backend == NULL)
@@ -275,7 +201,7 @@
   backend->is_local = strcmp (entry->domain, placement->domain) == 0;
   backend->expires_us = INT64_MAX;
   if (is_new)
-    reset_backend (backend, now_us);
+    pl_placement_reset_backend (backend, now_us);
   if (is_new && is_known)
     pl_server_limit_reset (&backend->limit, now_us);
   if (is_new && !at_start)
@@ -353,19 +279,10 @@
          || now_us - backend->last_chosen_us > UNHEALTHY_RETRY_US;
 }
 
-static double
-current_load (const struct pl_backend *backend, int64_t now_us)
-{
-  double others = MAX (backend->reported_requests - backend->own_requests_at_report, 0);
-  double age = (double) (now_us - backend->reported_us) / REPORT_HALF_LIFE_US;
-
-  return backend->in_flight + (others > 0 ? others * exp2 (-age) : 0);
-}
-
 static double
 effective_slots (const struct pl_placement_service *service, const struct pl_backend *backend)
 {
-  double slots = backend->slots_reported > 0 ? backend->slots_reported : backend->entry.slots;
+  double slots = backend->load.slots > 0 ? backend->load.slots : backend->entry.slots;
 
   if (service->work_us > 0 && backend->work_us > service->work_us * SLOW_FACTOR)
     slots *= service->work_us / backend->work_us;
@@ -490,9 +407,19 @@
   return has_cold_token (service, backend, share, now_us);
 }
 
+/* Servers drawn at random: those with the lowest numbers. */
+struct draw
+{
+  struct pl_backend *backend;
+  uint64_t number;
+};
+
 /* The result of one pass over the servers of a service. */
 struct scan
 {
+  uint64_t seed;                   /* of draws */
+  struct draw drawn[2][DRAWN_MAX]; /* managed services; [1]: of this host's region */
+
   struct ranked ranked[PL_PLACEMENT_RANKED_MAX];
   int ranked_count;
   struct pl_backend *least_loaded;
@@ -510,7 +437,8 @@
 load_with_one (const struct pl_placement_service *service, const struct pl_backend *backend,
                int64_t now_us)
 {
-  return (current_load (backend, now_us) + 1) / effective_slots (service, backend);
+  return (pl_server_load_requests (&backend->load, backend->in_flight, now_us) + 1)
+         / effective_slots (service, backend);
 }
 
 static double
@@ -522,6 +450,19 @@
          - (QUEUE_OBJECTIVES_MAX - QUEUE_OBJECTIVES_MIN) * fmin (fmax (excess, 0), 1);
 }
 
+/* Returns the expected time until BACKEND answers one more request, 0 if it is unknown. */
+static double
+expected_us (const struct pl_placement_service *service, const struct pl_backend *backend,
+             int64_t now_us)
+{
+  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
+  double load = load_with_one (service, backend, now_us);
+
+  if (service->compares_times)
+    return pl_server_load_expected_us (&backend->load, load, work_us, now_us);
+  return work_us * load;
+}
+
 /* Returns whether BACKEND can run a request at once or is expected to answer it within the limits
  * on queueing and processing time. */
 static bool
@@ -529,25 +470,69 @@
               const struct pl_placement_request *request, const struct pl_backend *backend,
               int64_t now_us)
 {
-  double load = load_with_one (service, backend, now_us);
-  double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
+  double time_us = expected_us (service, backend, now_us);
   double limit_us = fmin ((double) request->objective_us * queue_limit_objectives (service),
                           (double) request->time_left_us * QUEUE_TIME_RATIO);
 
-  return load <= 1 || (work_us > 0 && work_us * load <= limit_us);
+  return load_with_one (service, backend, now_us) <= 1 || (time_us > 0 && time_us <= limit_us);
+}
+
+/* Returns one of the servers after the first of the ranking, up to LAST, that have the object in
+ * their cache and room, or NULL.  It is drawn at random: hosts that chose the best one by
+ * the same reports would all choose the same. */
+static struct pl_backend *
+draw_alternative (const struct pl_placement_service *service,
+                  const struct pl_placement_request *request, const struct scan *scan, int last,
+                  int64_t now_us)
+{
+  struct pl_backend *found[PL_PLACEMENT_RANKED_MAX];
+  uint64_t count = 0;
+
+  for (int i = 1; i < scan->ranked_count && i <= last; i++)
+    {
+      struct pl_backend *backend = scan->ranked[i].backend;
+
+      if ((!request->is_large || backend->is_local)
+          && pl_server_load_is_warm (&backend->load, request->object, now_us)
+          && load_with_one (service, backend, now_us) <= ALTERNATIVE_LOAD_MAX)
+        found[count++] = backend;
+    }
+  return count > 0 ? found[scan->seed % count] : NULL;
+}
+
+/* Returns a server for a request of a managed service that FIRST, the first of the ranking, would
+ * answer clearly later, or NULL. */
+static struct pl_backend *
+choose_alternative (struct pl_placement_service *service,
+                    const struct pl_placement_request *request, const struct scan *scan, int last,
+                    int64_t now_us)
+{
+  struct pl_backend *alternative = draw_alternative (service, request, scan, last, now_us);
+
+  if (alternative == NULL
+      || expected_us (service, alternative, now_us) * CLEARLY_SLOWER
+             >= expected_us (service, scan->ranked[0].backend, now_us))
+    return NULL;
+  service->alternatives++;
+  return alternative;
 }
 
 /* Returns the first server of the ranking if it has capacity, else one of the next with spare
  * capacity for overflow, or NULL. */
 static struct pl_backend *
-choose_ranked (const struct pl_placement_service *service,
-               const struct pl_placement_request *request, const struct scan *scan, int64_t now_us)
+choose_ranked (struct pl_placement_service *service, const struct pl_placement_request *request,
+               const struct scan *scan, int64_t now_us)
 {
   const struct ranked *ranked = scan->ranked;
+  struct pl_backend *alternative = NULL;
   int candidates
       = request->is_large && scan->local_count > 0 ? scan->local_count : scan->healthy_count;
   int overflow_servers = candidates >= OVERFLOW_SERVERS_THRESHOLD ? OVERFLOW_SERVERS : 1;
 
+  if (service->compares_times)
+    alternative = choose_alternative (service, request, scan, overflow_servers, now_us);
+  if (alternative != NULL)
+    return alternative;
   if (scan->ranked_count > 0 && has_capacity (service, request, ranked[0].backend, now_us))
     return ranked[0].backend;
   for (int i = 1; i < scan->ranked_count && i <= overflow_servers; i++)
@@ -596,6 +581,24 @@
   return load;
 }
 
+/* Keeps the DRAWN_MAX servers of this host's region, and of the others, that get the lowest numbers
+ * at random. */
+static void
+draw (const struct pl_placement *placement, struct pl_backend *backend, struct scan *scan)
+{
+  struct draw *drawn = scan->drawn[backend->region == placement->region];
+  struct draw next = {backend, pl_hash_pair (scan->seed, backend->hash)};
+
+  for (int i = 0; i < DRAWN_MAX && next.backend != NULL; i++)
+    if (drawn[i].backend == NULL || next.number < drawn[i].number)
+      {
+        struct draw replaced = drawn[i];
+
+        drawn[i] = next;
+        next = replaced;
+      }
+}
+
 /* Keeps the least loaded server, for requests that concern no object. */
 static void
 update_least_loaded (const struct pl_placement *placement,
@@ -611,6 +614,43 @@
   scan->least_load = load;
 }
 
+/* Returns the server for a request that concerns no object: for managed services the one of those
+ * drawn that is expected to answer first, unless all of them are full.  Hosts that chose the best
+ * of all by the same reports would all choose the same. */
+static struct pl_backend *
+choose_unranked (const struct pl_placement *placement, const struct pl_placement_service *service,
+                 const struct pl_placement_request *request, const struct scan *scan,
+                 int64_t now_us)
+{
+  const struct draw *drawn = scan->drawn[0];
+  struct pl_backend *best = NULL;
+  double best_cost = 0;
+
+  for (int i = 0; i < 2 * DRAWN_MAX; i++)
+    {
+      struct pl_backend *backend = drawn[i].backend;
+      double load = backend != NULL ? load_with_one (service, backend, now_us) : 0;
+      double excess = 0;
+      double cost;
+
+      if (backend == NULL)
+        continue;
+      excess = compared_load (placement, service, request, backend, now_us) - load;
+      if (load + excess > 1 + OTHER_REGION_LOAD)
+        continue;
+      cost = (1 + excess + IDLE_PREFERENCE * load) * expected_us (service, backend, now_us);
+      if (best != NULL && cost >= best_cost)
+        continue;
+      best = backend;
+      best_cost = cost;
+    }
+  if (best != NULL)
+    return best;
+  return scan->least_loaded != NULL && scan->least_load <= 1 + OTHER_REGION_LOAD
+             ? scan->least_loaded
+             : NULL;
+}
+
 /* Keeps the best server for which this host has no permit. */
 static void
 update_unpermitted (const struct pl_placement *placement,
@@ -644,6 +684,15 @@
          && has_capacity (service, request, unpermitted->backend, now_us);
 }
 
+/* Returns whether the bodies that this host has at BACKEND leave room for that of the request. */
+static bool
+has_body_room (const struct pl_placement_request *request, const struct pl_backend *backend)
+{
+  int slots = backend->load.slots > 0 ? backend->load.slots : backend->entry.slots;
+
+  return pl_server_load_has_room (&backend->load, slots, request->body_bytes, request->body_share);
+}
+
 static void
 scan_servers (struct pl_placement *placement, struct pl_placement_service *service,
               const struct pl_placement_request *request, struct scan *scan,
@@ -670,12 +719,19 @@
               continue;
             }
         }
+      if (service->is_managed && !has_body_room (request, backend))
+        {
+          service->bodies_held++;
+          continue;
+        }
       scan->healthy_count++;
       scan->local_count += backend->is_local;
       if (request->object != 0)
         rank_backend (placement, service, request, backend, scan);
       else
         update_least_loaded (placement, service, request, backend, scan, now_us);
+      if (request->object == 0 && service->compares_times)
+        draw (placement, backend, scan);
     }
 }
 
@@ -712,7 +768,7 @@
                      const struct pl_placement_shares *shares, void *data,
                      struct pl_placement_choice *choice, int64_t now_us)
 {
-  struct pl_placement_service *service = service_at (placement, request->service);
+  struct pl_placement_service *service = pl_placement_service_at (placement, request->service);
   struct scan scan = {.least_loaded = NULL};
   struct pl_backend *best = NULL;
 
@@ -720,6 +776,8 @@
   if (placement->is_cut_off)
     return PL_PLACE_CUT_OFF;
   update_reservations (service, now_us);
+  if (service->compares_times)
+    scan.seed = pl_hash_pair (++service->choices, (uint64_t) now_us);
   scan_servers (placement, service, request, &scan, shares, data, now_us);
   if (scan.eligible_count == 0)
     return PL_PLACE_NONE;
@@ -735,8 +793,8 @@
     }
   if (request->object != 0)
     best = choose_ranked (service, request, &scan, now_us);
-  else if (scan.least_loaded != NULL && scan.least_load <= 1 + OTHER_REGION_LOAD)
-    best = scan.least_loaded;
+  else
+    best = choose_unranked (placement, service, request, &scan, now_us);
   if (best == NULL && request->object != 0 && request->is_large)
     best = choose_remote (placement, service, request, shares, data, now_us);
   if (best == NULL)
@@ -751,130 +809,16 @@
     best->cold_tokens -= 1;
   count_home_requests (service, request);
   best->load_at_send = load_with_one (service, best, now_us);
+  best->expected_us = expected_us (service, best, now_us);
   if (best->in_flight == 0)
     best->progress_us = now_us;
   best->in_flight++;
+  best->load.body_bytes += request->body_bytes;
   best->last_chosen_us = now_us;
   choice->backend = best;
   return PL_PLACED;
 }
 
-/* Adds SAMPLE to an exponentially weighted moving average, which is 0 before the first sample. */
-static void
-update_average (double *average, double sample, double weight)
-{
-  *average += *average == 0 ? sample : weight * (sample - *average);
-}
-
-/* FAILED: 0 for a success, 1 for a failure. */
-static void
-update_failure_ratio (struct pl_placement *placement, struct pl_backend *backend, double failed)
-{
-  struct pl_placement_service *service = service_at (placement, backend->service);
-
-  backend->failure_ratio += FAILURE_SMOOTHING * (failed - backend->failure_ratio);
-  service->failure_ratio += FAILURE_SMOOTHING / 4 * (failed - service->failure_ratio);
-}
-
-void
-pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
-                            const struct pl_placement_answer *answer)
-{
-  struct pl_placement_service *service = service_at (placement, backend->service);
-  double work_us = (double) answer->latency_us / fmax (answer->load, 1);
-
-  backend->failures = 0;
-  backend->breaker_tripped = false;
-  update_failure_ratio (placement, backend, answer->failed ? 1.0 : 0.0);
-  service->late_ratio += LATE_SMOOTHING * ((answer->late ? 1.0 : 0.0) - service->late_ratio);
-  if (answer->failed || answer->latency_us <= 0)
-    return;
-  update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
-  update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
-}
-
-void
-pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
-                               bool has_load, int64_t now_us)
-{
-  update_failure_ratio (placement, backend, 1.0);
-  if (has_load)
-    return;
-  backend->reported_requests = MAX (backend->reported_requests, MAX (backend->entry.slots, 1) * 3);
-  backend->own_requests_at_report = backend->in_flight;
-  backend->reported_us = now_us;
-}
-
-bool
-pl_placement_record_failure (struct pl_placement *placement, struct pl_backend *backend,
-                             bool is_unreachable, int64_t now_us)
-{
-  int64_t pause_us = DOWN_PAUSE_MIN_US << MIN (backend->failures, 3);
-
-  backend->failures++;
-  backend->failed_us = now_us;
-  update_failure_ratio (placement, backend, 1.0);
-  /* One lost connection does not trip the breaker; two in a row or an unreachable server do. */
-  if (!is_unreachable && backend->failures < 2)
-    return false;
-  backend->down_until_us = now_us + MIN (pause_us, DOWN_PAUSE_MAX_US);
-  backend->breaker_tripped = true;
-  return true;
-}
-
-void
-pl_placement_forgive (struct pl_placement *placement, int64_t since_us)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, placement->backends);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct pl_backend *backend = value;
-
-      if (backend->failures > 0 && backend->failed_us >= since_us)
-        reset_health (backend);
-    }
-}
-
-void
-pl_placement_record_load (struct pl_placement *placement, struct pl_backend *backend,
-                          const struct pl_load_report *report, int64_t now_us)
-{
-  backend->reported_requests = report->running + report->waiting;
-  backend->own_requests_at_report = backend->in_flight;
-  backend->reported_us = now_us;
-  backend->slots_reported = report->slots;
-  if (report->work_percent > 0 && placement->load_management == PL_LOAD_MANAGEMENT_REPORTED)
-    service_at (placement, backend->service)->is_managed = true;
-}
-
-void
-pl_placement_record_probe (struct pl_placement *placement, struct pl_backend *backend,
-                           bool succeeded, int64_t cold_us, int64_t now_us)
-{
-  backend->probe_pending = false;
-  if (!succeeded)
-    {
-      pl_placement_record_failure (placement, backend, true, now_us);
-      return;
-    }
-  backend->breaker_tripped = false;
-  backend->failures = 0;
-  backend->down_until_us = 0;
-  if (cold_us > 0)
-    backend->cold_until_us = MAX (backend->cold_until_us, now_us + cold_us);
-}
-
-bool
-pl_placement_needs_probe (const struct pl_placement *placement, const struct pl_backend *backend,
-                          int64_t now_us)
-{
-  return backend->breaker_tripped && !backend->probe_pending && backend->in_flight == 0
-         && now_us >= backend->down_until_us && pl_placement_is_usable (placement, backend, now_us);
-}
-
 void
 pl_placement_expire (struct pl_placement *placement, int64_t now_us)
 {
@@ -889,7 +833,7 @@
       if (backend->expires_us > now_us - EXPIRED_KEPT_US || backend->in_flight > 0
           || backend->probe_pending)
         continue;
-      g_ptr_array_remove (service_at (placement, backend->service)->backends, backend);
+      g_ptr_array_remove (pl_placement_service_at (placement, backend->service)->backends, backend);
       g_hash_table_remove (placement->by_hash, &backend->hash);
       g_hash_table_iter_remove (&iter);
     }
--- a/core/router.c
+++ b/core/router.c
@@ -235,6 +235,7 @@
   load_domains (router, options->domains);
   region = router_domain_region (router, options->domain);
   pl_placement_init (&router->placement, options->domain, region);
+  router->placement.ignores_speeds = (options->switches & PL_ROUTER_NO_EXPECTED_TIMES) != 0;
   pl_placement_set_load_management (&router->placement, options->load_management);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   register_domains (router);
@@ -396,6 +397,8 @@
   if (backend == NULL)
     return;
   reach_on_probed (router, backend, event->u.probed.connected);
+  if (event->u.probed.has_load)
+    pl_placement_record_load (&router->placement, backend, &event->u.probed.load, router->now_us);
   if (pl_reach_is_cut_off (&router->reach) && !event->u.probed.connected)
     backend->probe_pending = false;
   else
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -58,10 +58,7 @@
   /* load */
   int in_flight;              /* from this host */
   int64_t progress_us;        /* when one of them last ended, or the first was sent */
-  int reported_requests;      /* running and waiting there by its last report */
-  int own_requests_at_report; /* in flight from this host at that time */
-  int64_t reported_us;
-  int slots_reported; /* 0: unknown */
+  struct pl_server_load load; /* as reported */
   /* health */
   int failures;      /* consecutive */
   int64_t failed_us; /* the last of them */
@@ -74,6 +71,7 @@
   int64_t last_chosen_us;
   double work_us;      /* moving average of one request without waiting; 0: unknown */
   double load_at_send; /* in slots, for the latest request */
+  double expected_us;  /* time to its answer; 0: unknown */
   struct pl_server_limit limit;
 };
 
@@ -89,12 +87,16 @@
 {
   char *name;
   bool is_managed;     /* see enum pl_load_management */
+  bool compares_times; /* managed, and servers are compared by the expected time */
   GPtrArray *backends; /* of struct pl_backend */
   /* moving averages over all its servers */
   double work_us; /* 0: unknown */
   double failure_ratio;
   double late_ratio;      /* answers later than the latency objective */
   double recent_requests; /* exponentially decayed count */
+  uint64_t choices;       /* while it is managed */
+  uint64_t bodies_held;   /* servers passed over since their share of bodies is used up */
+  uint64_t alternatives;  /* of these, of a server past a first one that is clearly slower */
   struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
   int64_t reservations_due_us; /* next update of the reservations */
   int64_t cold_time_us;
@@ -112,6 +114,7 @@
   int region;
   bool is_cut_off; /* this host reaches no server: none is chosen */
   enum pl_load_management load_management;
+  bool ignores_speeds; /* servers of managed services are chosen as those of others */
 };
 
 /* The request to be placed. */
@@ -128,6 +131,8 @@
   const uint64_t *tried; /* hashes of servers that must not be chosen again */
   int tried_count;
   int64_t permit_wait_us; /* how long it may wait for a permit to use a server with a rate limit */
+  int64_t body_bytes;
+  int64_t body_share; /* largest body that callers may send, divided by the number of live hosts */
 };
 
 enum pl_placement_result
@@ -142,6 +147,15 @@
 void pl_placement_init (struct pl_placement *placement, const char *domain, int region);
 void pl_placement_clear (struct pl_placement *placement);
 
+static inline struct pl_placement_service *
+pl_placement_service_at (const struct pl_placement *placement, int service)
+{
+  return g_ptr_array_index (placement->services, service);
+}
+
+/* Frees a service; for the placement alone. */
+void pl_placement_free_service (void *data);
+
 /* Returns the handle of the service NAME, which is added if it is new. */
 int pl_placement_ensure_service (struct pl_placement *placement, const char *name);
 /* Returns the name of SERVICE, owned by PLACEMENT. */
@@ -150,6 +164,9 @@
 /* Sets for which services load is managed, also for those that exist. */
 void pl_placement_set_load_management (struct pl_placement *placement,
                                        enum pl_load_management management);
+/* Starts or ends the management of the load of SERVICE. */
+void pl_placement_manage (const struct pl_placement *placement,
+                          struct pl_placement_service *service, bool on);
 /* Returns whether the load of SERVICE is managed. */
 bool pl_placement_is_managed (const struct pl_placement *placement, int service);
 
@@ -166,6 +183,9 @@
                                      const struct pl_server_entry *entry, int region, bool at_start,
                                      int64_t now_us);
 
+/* Resets the state of a server that is new or has restarted under its old name. */
+void pl_placement_reset_backend (struct pl_backend *backend, int64_t now_us);
+
 /* Records that the registration ID was removed; the server is still used until USE_UNTIL_US. */
 void pl_placement_remove (struct pl_placement *placement, const char *id, int64_t use_until_us);
 
@@ -211,6 +231,9 @@
                                               const struct pl_placement_shares *shares, void *data,
                                               struct pl_placement_choice *choice, int64_t now_us);
 
+/* Records that a request with BODY_BYTES for which BACKEND was chosen is no longer there. */
+void pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us);
+
 /* Returns whether BACKEND may still be used for new requests. */
 bool pl_placement_is_usable (const struct pl_placement *placement, const struct pl_backend *backend,
                              int64_t now_us);
@@ -222,6 +245,8 @@
   bool late;          /* exceeded the latency objective, measured from the sending */
   int64_t latency_us; /* 0: unknown */
   double load;        /* of the server, in slots, when the request was sent */
+  uint64_t object;    /* hash of the object concerned; 0: none */
+  int64_t at_us;      /* when it arrived; 0: there was none */
 };
 
 void pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
