The queue of waiting requests is a module of its own, and bounded

Its bound, WAITING_MAX, was defined but checked nowhere.

Change: core/wait_queue.c has the order, the marks of the entries whose servers may have a free slot, and the bound of 512 entries. What exceeds it is refused with servers-full: the newest entry of the least urgent class. All else is as before.

Ruled out: refusing the newcomer of a full queue, whatever its priority, which would put an urgent request behind a less urgent one.

Measured: test_wait_queue (4 checks), test_router, test_router_fuzz, test_stranded_hosts and test_handovers pass.

--- a/core/router.c
+++ b/core/router.c
@@ -226,7 +226,7 @@
   router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   router->retry_budgets = g_array_new (FALSE, FALSE, sizeof (struct router_retry_budget));
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
-  router->waiting = g_ptr_array_new ();
+  pl_wait_queue_init (&router->waiting);
   for (int i = 0; i < PL_TABLES_MAX; i++)
     {
       router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
@@ -270,7 +270,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_free (value);
   g_hash_table_destroy (router->calls);
-  g_ptr_array_free (router->waiting, TRUE);
+  pl_wait_queue_clear (&router->waiting);
   for (int i = 0; i < PL_TABLES_MAX; i++)
     g_hash_table_destroy (router->held[i].rows);
   quarantine_free (&router->quarantine);
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -60,7 +60,7 @@
       call->account != NULL ? call->account->name : "", "service",
       call->service != PL_NONE ? pl_placement_service_name (&router->placement, call->service) : "",
       "status", status, "attempts", call->attempts, "after_us",
-      (json_int_t) (router->now_us - call->arrived_us), "left_us",
+      (json_int_t) (router->now_us - call->wait.arrived_us), "left_us",
       (json_int_t) (call->deadline_us - router->now_us), "version",
       (json_int_t) (router->routing != NULL ? router->routing->version : 0));
   if (call->object != 0)
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -5,8 +5,7 @@
  * objective.  That costs the caller nothing, while a longer wait that ends in a refusal
  * takes time in which another try might have succeeded.
  *
- * The queue is ordered by priority; within one priority, callers' retries after a
- * refusal go before new requests, and then the oldest goes first.
+ * The order of the queue is in wait_queue.c.
  *
  * A request is charged to its account's rate whether it runs or not.  Otherwise an
  * account that sends many times its rate would meet no limit while servers are full,
@@ -31,7 +30,6 @@
 #define WAIT_MIN_US (10 * US_PER_MS)
 /* A request with less time left than this is not worth a retry. */
 #define MIN_RETRY_TIME_US (20 * US_PER_MS)
-#define WAITING_MAX 512
 /* A caller timeout below this fraction of the longest one on the route shows that the caller has
  * spent the difference on an earlier try. */
 #define CALLER_RETRY_RATIO 0.97
@@ -92,11 +90,17 @@
     [ROUTER_CALLER_GONE] = {503, 502},     [ROUTER_UNUSABLE_RULE] = {503, 502},
 };
 
+static struct call *
+call_of (struct pl_wait_entry *entry)
+{
+  return (struct call *) entry;
+}
+
 static void
 dequeue (struct pl_router *router, struct call *call)
 {
   if (call->state == CALL_WAITING)
-    g_ptr_array_remove (router->waiting, call);
+    pl_wait_queue_remove (&router->waiting, &call->wait);
 }
 
 static void
@@ -133,28 +137,20 @@
   remove_call (router, call);
 }
 
-static int
-compare_waiting (const struct call *a, const struct call *b)
-{
-  if (a->priority != b->priority)
-    return a->priority < b->priority ? -1 : 1;
-  if (a->is_caller_retry != b->is_caller_retry)
-    return a->is_caller_retry ? -1 : 1;
-  return a->arrived_us < b->arrived_us ? -1 : 1;
-}
-
+/* Queues CALL for one waiting time.  The last call of a full queue is refused. */
 static void
 enqueue (struct pl_router *router, struct call *call)
 {
-  guint at = router->waiting->len;
+  struct pl_wait_entry *displaced;
 
-  while (at > 0 && compare_waiting (call, g_ptr_array_index (router->waiting, at - 1)) < 0)
-    at--;
+  call->wait.service = call->service;
+  call->wait.until_us = MIN (router->now_us + MAX (call->objective_us / WAIT_DIVISOR, WAIT_MIN_US),
+                             call->deadline_us);
   call->state = CALL_WAITING;
-  call->is_placeable = true;
-  router->has_placeable = true;
-  g_ptr_array_insert (router->waiting, (gint) at, call);
-  router->due_us = MIN (router->due_us, call->wait_until_us);
+  router->due_us = MIN (router->due_us, call->wait.until_us);
+  displaced = pl_wait_queue_add (&router->waiting, &call->wait);
+  if (displaced != NULL)
+    refuse (router, call_of (displaced), ROUTER_SERVERS_FULL, RETRY_AFTER_FULL_US);
 }
 
 static struct router_retry_budget *
@@ -343,7 +339,7 @@
       .home_regions = call->home_regions,
       .tried = call->tried,
       .tried_count = call->tried_count,
-      .permit_wait_us = call->wait_until_us - router->now_us,
+      .permit_wait_us = call->wait.until_us - router->now_us,
   };
   enum pl_placement_result result;
 
@@ -351,6 +347,7 @@
     return PL_PLACED;
   result = pl_placement_choose (&router->placement, &placement_request, &placement_shares, router,
                                 &call->choice, router->now_us);
+  pl_wait_entry_await (&call->wait, &call->choice);
   record_unpermitted (router, call);
   if (result == PL_PLACED)
     send_to (router, call, call->choice.backend);
@@ -399,7 +396,7 @@
   call->sticky = route->sticky;
   call->has_home_regions = route->has_home_regions;
   call->home_regions = route->has_home_regions ? route->home_regions : UINT32_MAX;
-  call->priority = route->priority;
+  call->wait.priority = route->priority;
   call->attempts_max = MAX (route->attempts, 1);
   call->objective_us = route->objective_us;
   call->deadline_us = MIN (call->deadline_us, router->now_us + route->timeout_us);
@@ -411,7 +408,7 @@
       call->account->counts.requests++;
       call->has_home_regions = call->has_home_regions || account->has_home_regions;
       call->home_regions &= account->has_home_regions ? account->home_regions : UINT32_MAX;
-      call->priority = account->priority != PL_NONE ? account->priority : call->priority;
+      call->wait.priority = account->priority != PL_NONE ? account->priority : call->wait.priority;
     }
   if (quarantine_get_status (&router->quarantine, call->fingerprint) == QUARANTINE_CONFIRMED)
     return ROUTER_QUARANTINED;
@@ -438,7 +435,7 @@
   if (route == NULL || caller_timeout_us <= 0)
     return;
   route->longest_caller_timeout_us = MAX (route->longest_caller_timeout_us, caller_timeout_us);
-  call->is_caller_retry
+  call->wait.is_caller_retry
       = (double) caller_timeout_us < (double) route->longest_caller_timeout_us * CALLER_RETRY_RATIO;
 }
 
@@ -483,7 +480,7 @@
   call->body_bytes = event->body_bytes;
   call->is_handover = event->is_handover;
   call->attempts = event->handover_attempts;
-  call->arrived_us = router->now_us;
+  call->wait.arrived_us = router->now_us;
   router->counts_handovers.taken += event->is_handover;
   fleet_record_request (router);
   call->deadline_us
@@ -499,41 +496,13 @@
     }
   if (!call->is_handover)
     add_retry_credit (router, call->service);
-  call->wait_until_us = MIN (router->now_us + MAX (call->objective_us / WAIT_DIVISOR, WAIT_MIN_US),
-                             call->deadline_us);
   enqueue (router, call);
 }
 
 void
 calls_on_servers_changed (struct pl_router *router)
 {
-  for (guint i = 0; i < router->waiting->len; i++)
-    ((struct call *) g_ptr_array_index (router->waiting, i))->is_placeable = true;
-  router->has_placeable = router->waiting->len > 0;
-}
-
-static bool
-is_waiting_for (const struct call *call, const struct pl_backend *backend)
-{
-  if (call->choice.awaited_count == 0)
-    return call->service == backend->service;
-  for (int i = 0; i < call->choice.awaited_count; i++)
-    if (call->choice.awaited[i] == backend->hash)
-      return true;
-  return false;
-}
-
-/* BACKEND has a free slot: marks the calls that wait for it. */
-static void
-mark_placeable (struct pl_router *router, const struct pl_backend *backend)
-{
-  for (guint i = 0; i < router->waiting->len; i++)
-    {
-      struct call *call = g_ptr_array_index (router->waiting, i);
-
-      call->is_placeable = call->is_placeable || is_waiting_for (call, backend);
-      router->has_placeable = router->has_placeable || call->is_placeable;
-    }
+  pl_wait_queue_mark_all (&router->waiting);
 }
 
 /* Refuses CALL, which can not be placed now, as RESULT says. */
@@ -563,7 +532,7 @@
 void
 calls_on_permits (struct pl_router *router, const struct pl_backend *backend)
 {
-  mark_placeable (router, backend);
+  pl_wait_queue_mark_server (&router->waiting, backend);
 }
 
 /* Tries to place the waiting calls that are marked, in queue order.  Calls wait for different
@@ -571,25 +540,19 @@
 void
 calls_place_waiting (struct pl_router *router)
 {
-  guint i = 0;
+  struct pl_wait_entry *entry;
+  guint position = 0;
 
-  if (!router->has_placeable)
-    return;
-  router->has_placeable = false;
-  while (i < router->waiting->len)
+  while ((entry = pl_wait_queue_next (&router->waiting, &position)) != NULL)
     {
-      struct call *call = g_ptr_array_index (router->waiting, i);
-      enum pl_placement_result result = call->is_placeable ? place (router, call) : PL_PLACE_FULL;
+      enum pl_placement_result result = place (router, call_of (entry));
 
-      call->is_placeable = false;
       if (result == PL_PLACE_FULL)
-        {
-          i++;
-          continue;
-        }
-      g_ptr_array_remove_index (router->waiting, i);
+        continue;
+      pl_wait_queue_remove (&router->waiting, entry);
+      position--;
       if (result != PL_PLACED)
-        refuse_unplaced (router, call, result);
+        refuse_unplaced (router, call_of (entry), result);
     }
 }
 
@@ -600,7 +563,7 @@
   assert (call->backend != NULL && call->backend->in_flight > 0);
   call->backend->in_flight--;
   call->backend->progress_us = router->now_us;
-  mark_placeable (router, call->backend);
+  pl_wait_queue_mark_server (&router->waiting, call->backend);
 }
 
 /* Returns whether CALL may be sent once more, but for the retry budget. */
@@ -623,8 +586,6 @@
   if (!may_retry (router, call) || !spend_retry_token (router, call->service))
     return false;
   call->backend = NULL;
-  call->wait_until_us = MIN (router->now_us + MAX (call->objective_us / WAIT_DIVISOR, WAIT_MIN_US),
-                             call->deadline_us);
   enqueue (router, call);
   return true;
 }
@@ -632,7 +593,7 @@
 static void
 deliver (struct pl_router *router, struct call *call, int status)
 {
-  int64_t latency_us = router->now_us - call->arrived_us;
+  int64_t latency_us = router->now_us - call->wait.arrived_us;
 
   router_add_effect (router, PL_ROUTER_DELIVER)->request = call->id;
   if (call->account != NULL)
@@ -946,7 +907,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       struct call *call = value;
-      int64_t due_us = call->state == CALL_WAITING ? call->wait_until_us : call->deadline_us;
+      int64_t due_us = call->state == CALL_WAITING ? call->wait.until_us : call->deadline_us;
 
       if (due_us <= router->now_us)
         g_ptr_array_add (ended, call);
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -137,7 +137,8 @@
                           eras_count_contested (router));
   g_string_append_printf (text, "pomelolatch_open_requests %u\n",
                           g_hash_table_size (router->calls));
-  g_string_append_printf (text, "pomelolatch_waiting_requests %u\n", router->waiting->len);
+  g_string_append_printf (text, "pomelolatch_waiting_requests %d\n",
+                          pl_wait_queue_length (&router->waiting));
   g_string_append_printf (text, "pomelolatch_live_hosts %d\n", router->view.hosts);
   append_limits (router, text);
   append_handovers (router, text);
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -8,6 +8,7 @@
 #include "internal/quarantine.h"
 #include "internal/quota.h"
 #include "internal/router.h"
+#include "internal/wait_queue.h"
 #include "pomelolatch/error.h"
 #include "pomelolatch/histogram.h"
 
@@ -84,6 +85,7 @@
 
 struct call
 {
+  struct pl_wait_entry wait; /* in the queue exactly while the call is waiting; the first member */
   uint64_t id;
   enum call_state state;
   struct router_account *account; /* NULL: an open route */
@@ -91,18 +93,13 @@
   int service; /* handle; PL_NONE: not chosen yet */
   bool repeatable;
   bool sticky;
-  bool is_caller_retry; /* the caller's retry after a refusal */
   bool has_home_regions;
   uint32_t home_regions;
-  int priority;
   int attempts_max;
   int64_t objective_us;
   uint64_t object;
   uint64_t fingerprint;
   int64_t body_bytes;
-  int64_t arrived_us;
-  int64_t wait_until_us;             /* refused when it has no slot by then */
-  bool is_placeable;                 /* not tried yet, or a slot may have become free since */
   struct pl_placement_choice choice; /* of the last try: the servers that it waits for */
   bool missed_permit;                /* counted as demand for a server with a rate limit */
   uint64_t passed_over;              /* hash of such a server, at the last try; 0: none */
@@ -247,9 +244,8 @@
   int64_t last_request_us; /* when the last request arrived; 0: never */
   double recent_requests;  /* decaying count of requests, as of then */
 
-  GHashTable *calls;  /* id -> struct call */
-  GPtrArray *waiting; /* of struct call, in the order of placement */
-  bool has_placeable; /* one of them is marked as placeable */
+  GHashTable *calls; /* id -> struct call */
+  struct pl_wait_queue waiting;
 
   int64_t log_second; /* the second of now_us that log_lines counts */
   int log_lines;      /* about requests */
