Contended services are shared fairly between client accounts

Cause: under load, hosts sent requests to servers that would answer them late, by up to 1.8 latency objectives. Hot accounts within their limits, and retries that were late already, took slots from the others.

Change, for services whose load is managed: - core/fair_share.c keeps a fair level for each service. It falls with the outcomes that could not be in time and rises with free slots. Accounts above it are admitted in proportion (core-stateless fair queueing) and otherwise refused with over-share, 503. - Use is taken from the reports for rate limits, which age and expire (pl_quota_rate_of_others()). No new message. - A request goes to a server that answers in time; to one that answers it late only while the service is not contended. Late retries are refused under contention (too-late), and requests without the time that the work takes always (no-time-left). - Retry-After grows with the backlog and the excess of the account, is spread, and is at most a third of the caller's time left. - Fields of log lines about requests: fair_level, use, weight, use_age_us. Metrics: fair level, missed ratio, decisions, waiting time by service; weight and use by account. Without load management nothing changes.

The split of a route's requests is a module of its own now (core/traffic_split.c), the shares of cold and limited servers are in router_limits.c, the names of refusals with the other names in router_call_log.c; all as they were.

--- a/core/placement.c
+++ b/core/placement.c
@@ -531,8 +531,10 @@
 {
   double load = load_with_one (service, backend, now_us);
   double work_us = backend->work_us > 0 ? backend->work_us : service->work_us;
-  double limit_us = fmin ((double) request->objective_us * queue_limit_objectives (service),
-                          (double) request->time_left_us * QUEUE_TIME_RATIO);
+  double objectives_us = (double) request->objective_us * queue_limit_objectives (service);
+  double limit_us
+      = fmin (request->expected_max_us > 0 ? (double) request->expected_max_us : objectives_us,
+              (double) request->time_left_us * QUEUE_TIME_RATIO);
 
   return load <= 1 || (work_us > 0 && work_us * load <= limit_us);
 }
--- a/core/quota.c
+++ b/core/quota.c
@@ -62,6 +62,11 @@
 /* Expected reports may raise the bucket above its capacity by up to this many seconds of the
  * rate. */
 #define UNREPORTED_MAX_SECONDS 2.0
+/* Without a report for the first of these times, which is two periods of the slowest reports, the
+ * estimated rate of a host or domain falls in inverse proportion to that time; after the second it
+ * counts no more. */
+#define RATE_FRESH_US INT64_C (3000000)
+#define RATE_EXPIRES_US INT64_C (10000000)
 /* Longest time that a token is said to take: an hour. */
 #define TOKEN_WAIT_MAX_US 3.6e9
 
@@ -348,6 +353,28 @@
          + (uint64_t) (quota->admitted_by_domain + quota->admitted_by_others - counted);
 }
 
+double
+pl_quota_rate_of_others (const struct pl_quota *quota, int64_t *reported_us, int64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+  double rate = 0;
+
+  g_hash_table_iter_init (&iter, quota->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct group *group = value;
+      int64_t age_us = now_us - group->heard_us;
+
+      *reported_us = MAX (*reported_us, group->heard_us);
+      if (age_us <= RATE_FRESH_US)
+        rate += group->estimate.rate;
+      else if (age_us < RATE_EXPIRES_US)
+        rate += group->estimate.rate * (double) RATE_FRESH_US / (double) age_us;
+    }
+  return rate;
+}
+
 static bool
 exceeds_expected (double count, double expected, double threshold)
 {
--- a/core/router.c
+++ b/core/router.c
@@ -122,7 +122,7 @@
   struct router_route *route = data;
 
   g_free (route->name);
-  g_free (route->credit);
+  pl_traffic_split_clear (&route->split);
   g_free (route);
 }
 
@@ -238,6 +238,8 @@
   pl_placement_set_load_management (&router->placement, options->load_management);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   register_domains (router);
+  pl_fair_share_init (&router->shares,
+                      pl_hash_pair (options->incarnation, router->membership.self));
   quarantine_init (&router->quarantine);
   router->self.host = router->membership.self;
   /* The settings are checked for what fits into a beacon. */
@@ -271,6 +273,7 @@
     g_free (value);
   g_hash_table_destroy (router->calls);
   pl_wait_queue_clear (&router->waiting);
+  pl_fair_share_clear (&router->shares);
   for (int i = 0; i < PL_TABLES_MAX; i++)
     g_hash_table_destroy (router->held[i].rows);
   quarantine_free (&router->quarantine);
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -8,6 +8,31 @@
  * the requests. */
 #define REQUEST_LOG_LINES_PER_SECOND 300
 
+const char *const router_refusal_names[ROUTER_REFUSAL_COUNT] = {
+    [ROUTER_NO_ROUTING] = "no-configuration",
+    [ROUTER_STALE] = "cut-off",
+    [ROUTER_NO_ROUTE] = "no-route",
+    [ROUTER_NO_KEY] = "no-key",
+    [ROUTER_QUARANTINED] = "quarantined",
+    [ROUTER_OVER_RATE] = "over-rate",
+    [ROUTER_NO_SERVER] = "no-server",
+    [ROUTER_SERVERS_FULL] = "servers-full",
+    [ROUTER_OVER_SHARE] = "over-share",
+    [ROUTER_TOO_LATE] = "too-late",
+    [ROUTER_SERVERS_LIMITED] = "servers-limited",
+    [ROUTER_SERVERS_REFUSED] = "servers-refused",
+    [ROUTER_SERVERS_LOST] = "servers-lost",
+    [ROUTER_UNUSABLE_RULE] = "unusable-configuration",
+    [ROUTER_OLD_ROUTING] = "old-configuration",
+    [ROUTER_STOPPING] = "stopping",
+    [ROUTER_PEER_REFUSED] = "peer-refused",
+    [ROUTER_TIMED_OUT] = "no-answer-in-time",
+    [ROUTER_NO_TIME] = "no-time-left",
+    [ROUTER_ANSWER_LOST] = "answer-lost",
+    [ROUTER_UNSAFE_STATUS] = "failed",
+    [ROUTER_CALLER_GONE] = "caller-gone",
+};
+
 const char *const call_attempt_end_names[PL_ATTEMPT_END_COUNT] = {
     [PL_ATTEMPT_ANSWERED] = "answered",  [PL_ATTEMPT_NOT_RUN] = "not-run",
     [PL_ATTEMPT_NOT_SENT] = "not-sent",  [PL_ATTEMPT_OTHER_SERVER] = "other-server",
@@ -84,6 +109,10 @@
     json_object_set_new (fields, "handed_over", json_true ());
   if (call->peer != 0)
     json_object_set_new (fields, "peer", json_string (reach_peer_name (router, call->peer)));
+  if (call->share.level > 0)
+    json_object_update_new (fields, json_pack ("{s:f,s:f,s:f,s:I}", "fair_level", call->share.level,
+                                               "use", call->share.use, "weight", call->share.weight,
+                                               "use_age_us", (json_int_t) call->share.age_us));
   if (status == 429 && call->account != NULL)
     json_object_update_new (fields,
                             json_pack ("{s:f,s:f,s:f}", "tokens", call->account->quota.tokens,
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -44,37 +44,9 @@
 #define RETRY_AFTER_MAX_US US_PER_S
 /* Peers that a request is handed over to, one after the other, as long as it reaches no server. */
 #define HANDOVERS_MAX 3
-/* Number of entry hosts that share the rate of a cold server, as a ratio of that rate per second.
- * Each holds at most one token, so the number bounds what they can send at once. */
-#define COLD_OWNERS_RATIO 0.5
-/* More than there are hosts. */
-#define COLD_OWNERS_MAX 1e6
-/* Steps of a split's sequence, times its parts, among which its first request is chosen: enough for
- * a part of a thousandth to begin at any of them. */
-#define SPLIT_STEPS_MAX UINT64_C (65536)
-
-const char *const router_refusal_names[ROUTER_REFUSAL_COUNT] = {
-    [ROUTER_NO_ROUTING] = "no-configuration",
-    [ROUTER_STALE] = "cut-off",
-    [ROUTER_NO_ROUTE] = "no-route",
-    [ROUTER_NO_KEY] = "no-key",
-    [ROUTER_QUARANTINED] = "quarantined",
-    [ROUTER_OVER_RATE] = "over-rate",
-    [ROUTER_NO_SERVER] = "no-server",
-    [ROUTER_SERVERS_FULL] = "servers-full",
-    [ROUTER_SERVERS_LIMITED] = "servers-limited",
-    [ROUTER_SERVERS_REFUSED] = "servers-refused",
-    [ROUTER_SERVERS_LOST] = "servers-lost",
-    [ROUTER_UNUSABLE_RULE] = "unusable-configuration",
-    [ROUTER_OLD_ROUTING] = "old-configuration",
-    [ROUTER_STOPPING] = "stopping",
-    [ROUTER_PEER_REFUSED] = "peer-refused",
-    [ROUTER_TIMED_OUT] = "no-answer-in-time",
-    [ROUTER_NO_TIME] = "no-time-left",
-    [ROUTER_ANSWER_LOST] = "answer-lost",
-    [ROUTER_UNSAFE_STATUS] = "failed",
-    [ROUTER_CALLER_GONE] = "caller-gone",
-};
+/* Part of the time until the end of the latency objective that the answer of a server may take,
+ * while the load of its service is managed.  The rest is for the network. */
+#define ON_TIME_RATIO 0.9
 
 /* HTTP status of each refusal: for a request that ran nowhere, and for one that may have run. */
 static const int refusal_status[ROUTER_REFUSAL_COUNT][2] = {
@@ -88,6 +60,7 @@
     [ROUTER_TIMED_OUT] = {504, 504},       [ROUTER_NO_TIME] = {503, 504},
     [ROUTER_ANSWER_LOST] = {502, 502},     [ROUTER_UNSAFE_STATUS] = {502, 502},
     [ROUTER_CALLER_GONE] = {503, 502},     [ROUTER_UNUSABLE_RULE] = {503, 502},
+    [ROUTER_OVER_SHARE] = {503, 502},      [ROUTER_TOO_LATE] = {503, 502},
 };
 
 static struct call *
@@ -119,6 +92,42 @@
     call->route->counts.refused[refusal]++;
 }
 
+/* Returns whether the load of CALL's service is managed. */
+static bool
+is_managed (const struct pl_router *router, const struct call *call)
+{
+  return call->service != PL_NONE && pl_placement_is_managed (&router->placement, call->service);
+}
+
+static void
+record_missed (struct pl_router *router, const struct call *call)
+{
+  if (is_managed (router, call))
+    pl_fair_share_record (&router->shares, call->service, PL_SHARE_MISSED, 0, router->now_us);
+}
+
+/* Records how long CALL has waited for the present attempt or its refusal. */
+static void
+record_waiting (struct pl_router *router, const struct call *call)
+{
+  if (is_managed (router, call) && call->attempts == 0)
+    pl_fair_share_record_waiting (&router->shares, call->service,
+                                  router->now_us - call->wait.arrived_us);
+}
+
+/* Returns after which time CALL, for which no server has capacity, is to come again. */
+static int64_t
+retry_after_full (struct pl_router *router, const struct call *call)
+{
+  const struct pl_share_verdict *verdict
+      = call->share.decision == PL_SHARE_OVER_SHARE ? &call->share : NULL;
+
+  if (!is_managed (router, call))
+    return RETRY_AFTER_FULL_US;
+  return pl_fair_share_retry_after_us (&router->shares, call->service, verdict,
+                                       call->deadline_us - router->now_us);
+}
+
 /* Refuses CALL, which must be in no queue and at no server, and removes it. */
 static void
 refuse (struct pl_router *router, struct call *call, enum router_refusal refusal,
@@ -137,6 +146,15 @@
   remove_call (router, call);
 }
 
+/* Refuses CALL, for which no server has capacity in time. */
+static void
+refuse_full (struct pl_router *router, struct call *call)
+{
+  record_missed (router, call);
+  record_waiting (router, call);
+  refuse (router, call, ROUTER_SERVERS_FULL, retry_after_full (router, call));
+}
+
 /* Queues CALL for one waiting time.  The last call of a full queue is refused. */
 static void
 enqueue (struct pl_router *router, struct call *call)
@@ -150,7 +168,7 @@
   router->due_us = MIN (router->due_us, call->wait.until_us);
   displaced = pl_wait_queue_add (&router->waiting, &call->wait);
   if (displaced != NULL)
-    refuse (router, call_of (displaced), ROUTER_SERVERS_FULL, RETRY_AFTER_FULL_US);
+    refuse_full (router, call_of (displaced));
 }
 
 static struct router_retry_budget *
@@ -186,78 +204,12 @@
   return true;
 }
 
-/* Smooth weighted round robin: each part gets its exact share, evenly spread over time. */
-static int
-choose_part (struct router_route *state, const struct pl_route_rule *rule)
-{
-  double total = 0;
-  int best = 0;
-
-  for (int i = 0; i < rule->part_count; i++)
-    {
-      state->credit[i] += rule->parts[i].weight;
-      total += rule->parts[i].weight;
-      if (state->credit[i] > state->credit[best])
-        best = i;
-    }
-  state->credit[best] -= total;
-  return best;
-}
-
-/* Begins the split of RULE at a point of its sequence that differs between hosts and their starts.
- * If all began at the same point, and each had only a few requests, a small part would get none. */
-static void
-begin_split (const struct pl_router *router, struct router_route *state,
-             const struct pl_route_rule *rule)
-{
-  uint64_t random = pl_hash_pair (rule->split, router->self.incarnation ^ router->membership.self);
-  uint64_t steps = random % MAX (SPLIT_STEPS_MAX / (uint64_t) rule->part_count, 1);
-
-  state->split = rule->split;
-  g_free (state->credit);
-  state->credit = g_new0 (double, rule->part_count);
-  while (steps-- > 0)
-    choose_part (state, rule);
-}
-
-/* Returns the next part of RULE that gets a request. */
-static const struct pl_route_part *
-next_part (const struct pl_router *router, struct router_route *state,
-           const struct pl_route_rule *rule)
-{
-  if (rule->part_count == 1)
-    return &rule->parts[0];
-  if (state->split != rule->split)
-    begin_split (router, state, rule);
-  return &rule->parts[choose_part (state, rule)];
-}
-
-/* Returns this host's share of a cold server's rate, reduced by the fraction of the active hosts
- * that are silent, since those may be sending to the server too. */
-static double
-cold_share (void *data, const struct pl_backend *backend, double cold_per_second)
-{
-  struct pl_router *router = data;
-  int owners = (int) CLAMP (cold_per_second * COLD_OWNERS_RATIO, 1, COLD_OWNERS_MAX);
-  int found = pl_membership_owners (&router->membership, backend->hash, backend->entry.domain,
-                                    backend->region, owners, router->now_us);
-
-  return found > 0 ? (1 - router_view (router)->silent) / found : 0;
-}
-
-static enum pl_permit
-permit (void *data, struct pl_backend *backend, int64_t wait_us)
-{
-  return limits_permit (data, backend, wait_us);
-}
-
-static const struct pl_placement_shares placement_shares = {cold_share, permit};
-
 static void
 send_to (struct pl_router *router, struct call *call, struct pl_backend *backend)
 {
   struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_SEND);
 
+  record_waiting (router, call);
   call->state = CALL_AT_SERVER;
   call->backend = backend;
   call->sent_us = router->now_us;
@@ -325,6 +277,28 @@
   call->missed_permit = true;
 }
 
+/* Chooses a server that answers CALL in time.  If there is none, a server that answers it late
+ * takes it, but not while the service is contended: that would make the answers behind it late too.
+ */
+static enum pl_placement_result
+choose_on_time (struct pl_router *router, struct call *call, struct pl_placement_request *request)
+{
+  int64_t left_us = call->on_time_until_us - router->now_us;
+  enum pl_placement_result result;
+
+  request->expected_max_us = MAX ((int64_t) ((double) left_us * ON_TIME_RATIO), 1);
+  result = pl_placement_choose (&router->placement, request, &limits_shares, router, &call->choice,
+                                router->now_us);
+  if (result != PL_PLACE_FULL || pl_fair_share_is_contended (&router->shares, call->service))
+    return result;
+  request->expected_max_us = 0;
+  result = pl_placement_choose (&router->placement, request, &limits_shares, router, &call->choice,
+                                router->now_us);
+  if (result == PL_PLACED)
+    record_missed (router, call);
+  return result;
+}
+
 static enum pl_placement_result
 place (struct pl_router *router, struct call *call)
 {
@@ -345,8 +319,11 @@
 
   if (reach_holds_back (router, call) && hand_over (router, call))
     return PL_PLACED;
-  result = pl_placement_choose (&router->placement, &placement_request, &placement_shares, router,
-                                &call->choice, router->now_us);
+  if (is_managed (router, call))
+    result = choose_on_time (router, call, &placement_request);
+  else
+    result = pl_placement_choose (&router->placement, &placement_request, &limits_shares, router,
+                                  &call->choice, router->now_us);
   pl_wait_entry_await (&call->wait, &call->choice);
   record_unpermitted (router, call);
   if (result == PL_PLACED)
@@ -420,27 +397,57 @@
   if (call->account != NULL && !call->is_handover)
     fleet_record_admitted (router, call->account);
   /* After all other refusals, which would take one part more than another if they come in turns. */
-  part = next_part (router, call->route, route);
+  part = pl_traffic_split_next (&call->route->split, route,
+                                router->self.incarnation ^ router->membership.self);
   if (part->service == PL_NONE)
     return ROUTER_UNUSABLE_RULE;
   call->service = pl_placement_ensure_service (&router->placement, part->service_name);
   return -1;
 }
 
+/* Decides on a CALL that is admitted otherwise.  Returns the refusal, or -1. */
+static int
+admit_share (struct pl_router *router, struct call *call)
+{
+  static const int refusals[] = {[PL_SHARE_ADMITTED] = -1,
+                                 [PL_SHARE_OVER_SHARE] = ROUTER_OVER_SHARE,
+                                 [PL_SHARE_TOO_LATE] = ROUTER_TOO_LATE,
+                                 [PL_SHARE_NO_TIME] = ROUTER_NO_TIME};
+  struct router_account *account = call->account;
+  struct pl_share_request request = {
+      .service = call->service,
+      .account = account != NULL ? &account->share : NULL,
+      .quota = account != NULL ? &account->quota : NULL,
+      .hosts = router_view (router)->hosts,
+      .time_left_us = call->deadline_us - router->now_us,
+      .objective_us = call->objective_us,
+      .on_time_us = call->on_time_until_us - router->now_us,
+  };
+
+  if (!is_managed (router, call) || call->is_handover)
+    return -1;
+  call->share = pl_fair_share_admit (&router->shares, &request, router->now_us);
+  call->on_time_until_us = router->now_us + call->share.on_time_us;
+  return refusals[call->share.decision];
+}
+
 static void
 detect_caller_retry (struct call *call, int64_t caller_timeout_us)
 {
   struct router_route *route = call->route;
 
+  call->on_time_until_us = call->wait.arrived_us + call->objective_us;
   if (route == NULL || caller_timeout_us <= 0)
     return;
   route->longest_caller_timeout_us = MAX (route->longest_caller_timeout_us, caller_timeout_us);
   call->wait.is_caller_retry
       = (double) caller_timeout_us < (double) route->longest_caller_timeout_us * CALLER_RETRY_RATIO;
+  if (call->wait.is_caller_retry)
+    call->on_time_until_us -= route->longest_caller_timeout_us - caller_timeout_us;
 }
 
 static int64_t
-retry_after (const struct call *call, enum router_refusal refusal)
+retry_after (struct pl_router *router, const struct call *call, enum router_refusal refusal)
 {
   switch (refusal)
     {
@@ -458,6 +465,9 @@
     case ROUTER_SERVERS_LIMITED:
     case ROUTER_SERVERS_REFUSED:
       return RETRY_AFTER_FULL_US;
+    case ROUTER_OVER_SHARE:
+    case ROUTER_TOO_LATE:
+      return retry_after_full (router, call);
     default:
       return 0;
     }
@@ -488,10 +498,12 @@
   g_hash_table_insert (router->calls, &call->id, call);
   refusal = admit_call (router, call, event);
   detect_caller_retry (call, event->caller_timeout_us);
+  if (refusal < 0)
+    refusal = admit_share (router, call);
   if (refusal >= 0)
     {
       refuse (router, call, (enum router_refusal) refusal,
-              retry_after (call, (enum router_refusal) refusal));
+              retry_after (router, call, (enum router_refusal) refusal));
       return;
     }
   if (!call->is_handover)
@@ -524,7 +536,7 @@
       break;
     case PL_PLACED:
     case PL_PLACE_FULL:
-      refuse (router, call, ROUTER_SERVERS_FULL, RETRY_AFTER_FULL_US);
+      refuse_full (router, call);
       break;
     }
 }
@@ -670,6 +682,24 @@
     pl_placement_record_load (&router->placement, call->backend, &event->load, router->now_us);
 }
 
+/* Records what the end of CALL's attempt tells of the load of its service. */
+static void
+record_outcome (struct pl_router *router, const struct call *call,
+                const struct pl_attempt_event *event)
+{
+  struct pl_share_answer answer = {
+      .is_rejected = event->end == PL_ATTEMPT_NOT_RUN,
+      .is_late = router->now_us > call->on_time_until_us,
+      .has_load = event->has_load,
+      .load = event->load,
+      .latency_us = router->now_us - call->sent_us,
+      .objective_us = call->objective_us,
+  };
+
+  if ((event->end == PL_ATTEMPT_ANSWERED || answer.is_rejected) && is_managed (router, call))
+    pl_fair_share_record_answer (&router->shares, call->service, &answer, router->now_us);
+}
+
 /* CALL was not sent, since its server could not be reached.  Nothing has arrived anywhere, so that
  * handing it over is no retry. */
 static void
@@ -788,6 +818,7 @@
     }
   release_backend (router, call);
   record_load (router, call, event);
+  record_outcome (router, call, event);
   if (event->end != PL_ATTEMPT_OTHER_SERVER)
     limits_on_answer (router, call->backend, event, call->sent_us);
   if (event->end != PL_ATTEMPT_NOT_SENT && event->end != PL_ATTEMPT_ANSWER_LOST)
@@ -813,7 +844,7 @@
       break;
     }
   if (!retry_call (router, call))
-    refuse (router, call, ROUTER_SERVERS_REFUSED, RETRY_AFTER_FULL_US);
+    refuse (router, call, ROUTER_SERVERS_REFUSED, retry_after_full (router, call));
 }
 
 static void
@@ -860,7 +891,10 @@
   cancel (router, call);
   call->may_have_run = true;
   if (call->state == CALL_AT_SERVER)
-    pl_placement_record_answer (&router->placement, call->backend, &none);
+    {
+      record_missed (router, call);
+      pl_placement_record_answer (&router->placement, call->backend, &none);
+    }
   refuse (router, call, ROUTER_TIMED_OUT, 0);
 }
 
--- a/core/router_limits.c
+++ b/core/router_limits.c
@@ -31,6 +31,11 @@
 #define CHANGE_PRIORITY_US (3 * US_PER_S)
 /* Other limits in one beacon, in turn, for hosts that missed the change. */
 #define UNCHANGED_LIMITS_MAX 8
+/* Number of entry hosts that share the rate of a cold server, as a ratio of that rate per second.
+ * Each holds at most one token, so the number bounds what they can send at once. */
+#define COLD_OWNERS_RATIO 0.5
+/* More than there are hosts. */
+#define COLD_OWNERS_MAX 1e6
 
 static void
 log_limit (struct pl_router *router, const struct pl_backend *backend, const char *source)
@@ -126,6 +131,27 @@
   return asked_us + trip_us <= router->now_us + wait_us ? PL_PERMIT_EXPECTED : PL_PERMIT_NONE;
 }
 
+/* Returns this host's share of a cold server's rate, reduced by the fraction of the active hosts
+ * that are silent, since those may be sending to the server too. */
+static double
+cold_share (void *data, const struct pl_backend *backend, double cold_per_second)
+{
+  struct pl_router *router = data;
+  int owners = (int) CLAMP (cold_per_second * COLD_OWNERS_RATIO, 1, COLD_OWNERS_MAX);
+  int found = pl_membership_owners (&router->membership, backend->hash, backend->entry.domain,
+                                    backend->region, owners, router->now_us);
+
+  return found > 0 ? (1 - router_view (router)->silent) / found : 0;
+}
+
+static enum pl_permit
+permit (void *data, struct pl_backend *backend, int64_t wait_us)
+{
+  return limits_permit (data, backend, wait_us);
+}
+
+const struct pl_placement_shares limits_shares = {cold_share, permit};
+
 int64_t
 limits_wait_us (struct pl_router *router, struct pl_backend *backend)
 {
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -20,31 +20,29 @@
   return g_string_free (text, FALSE);
 }
 
+/* Appends HISTOGRAM as METRIC with the label KIND="NAME". */
 static void
-append_latency (GString *text, const char *kind, const char *name,
-                const struct pl_histogram *latency)
+append_histogram (GString *text, const char *metric, const char *kind, const char *name,
+                  const struct pl_histogram *histogram)
 {
   uint64_t seen = 0;
   uint64_t written = 0;
 
   for (unsigned i = 0; i < PL_HISTOGRAM_BUCKETS; i++)
     {
-      seen += latency->buckets[i];
+      seen += histogram->buckets[i];
       if (i % OCTAVE_BUCKETS != OCTAVE_BUCKETS - 1 || seen == written)
         continue;
       written = seen;
-      g_string_append_printf (
-          text, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"%.6f\"} %" G_GUINT64_FORMAT "\n",
-          kind, name, (double) pl_histogram_upper_edge (i) / 1e6, seen);
+      g_string_append_printf (text, "%s_bucket{%s=\"%s\",le=\"%.6f\"} %" G_GUINT64_FORMAT "\n",
+                              metric, kind, name, (double) pl_histogram_upper_edge (i) / 1e6, seen);
     }
-  g_string_append_printf (
-      text, "pomelolatch_latency_seconds_bucket{%s=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n",
-      kind, name, latency->count);
-  g_string_append_printf (text, "pomelolatch_latency_seconds_sum{%s=\"%s\"} %.6f\n", kind, name,
-                          (double) latency->sum_us / 1e6);
-  g_string_append_printf (text,
-                          "pomelolatch_latency_seconds_count{%s=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                          kind, name, latency->count);
+  g_string_append_printf (text, "%s_bucket{%s=\"%s\",le=\"+Inf\"} %" G_GUINT64_FORMAT "\n", metric,
+                          kind, name, histogram->count);
+  g_string_append_printf (text, "%s_sum{%s=\"%s\"} %.6f\n", metric, kind, name,
+                          (double) histogram->sum_us / 1e6);
+  g_string_append_printf (text, "%s_count{%s=\"%s\"} %" G_GUINT64_FORMAT "\n", metric, kind, name,
+                          histogram->count);
 }
 
 static void
@@ -63,7 +61,50 @@
           text, "pomelolatch_refused_total{%s=\"%s\",reason=\"%s\"} %" G_GUINT64_FORMAT "\n", kind,
           name, router_refusal_names[i], counts->refused[i]);
   if (counts->latency.count > 0)
-    append_latency (text, kind, name, &counts->latency);
+    append_histogram (text, "pomelolatch_latency_seconds", kind, name, &counts->latency);
+}
+
+/* Appends the use and weight of an account that has sent requests to managed services. */
+static void
+append_use (GString *text, const struct router_account *account)
+{
+  const struct pl_share_account *share = &account->share;
+  g_autofree char *name = NULL;
+
+  if (share->own_us == 0)
+    return;
+  name = escape_label (account->name);
+  g_string_append_printf (text,
+                          "pomelolatch_account_weight{account=\"%s\"} %.3f\n"
+                          "pomelolatch_account_use{account=\"%s\",from=\"this-host\"} %.3f\n"
+                          "pomelolatch_account_use{account=\"%s\",from=\"other-hosts\"} %.3f\n",
+                          name, account->quota.rate, name, share->own_rate, name,
+                          share->others_rate);
+}
+
+static void
+append_shares (const struct pl_router *router, GString *text)
+{
+  for (guint i = 0; i < router->shares.services->len; i++)
+    {
+      const struct pl_share_service *state = pl_fair_share_find (&router->shares, (int) i);
+      g_autofree char *name = NULL;
+
+      if (state == NULL)
+        continue;
+      name = escape_label (pl_placement_service_name (&router->placement, (int) i));
+      g_string_append_printf (
+          text,
+          "pomelolatch_fair_level{service=\"%s\"} %.6f\n"
+          "pomelolatch_missed_ratio{service=\"%s\"} %.4f\n"
+          "pomelolatch_share_decisions_total{service=\"%s\",decision=\"admitted\"} "
+          "%" G_GUINT64_FORMAT "\n"
+          "pomelolatch_share_decisions_total{service=\"%s\",decision=\"refused\"} "
+          "%" G_GUINT64_FORMAT "\n",
+          name, state->level, name, state->missed_ratio, name, state->admitted, name,
+          state->refused);
+      append_histogram (text, "pomelolatch_waiting_seconds", "service", name, &state->waiting);
+    }
 }
 
 static void
@@ -124,7 +165,8 @@
   g_string_append (text, "# TYPE pomelolatch_requests_total counter\n"
                          "# TYPE pomelolatch_served_total counter\n"
                          "# TYPE pomelolatch_refused_total counter\n"
-                         "# TYPE pomelolatch_latency_seconds histogram\n");
+                         "# TYPE pomelolatch_latency_seconds histogram\n"
+                         "# TYPE pomelolatch_waiting_seconds histogram\n");
   g_string_append_printf (text, "pomelolatch_configuration_version %" G_GINT64_FORMAT "\n",
                           router->routing != NULL ? router->routing->version : 0);
   g_string_append_printf (text, "pomelolatch_configuration_findings %d\n",
@@ -143,12 +185,14 @@
   append_limits (router, text);
   append_handovers (router, text);
   append_attempts (router, text);
+  append_shares (router, text);
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct router_account *account = value;
 
       append_counts (text, "account", account->name, &account->counts);
+      append_use (text, account);
     }
   g_hash_table_iter_init (&iter, router->routes);
   while (g_hash_table_iter_next (&iter, NULL, &value))
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -143,6 +143,8 @@
   const struct pl_routing *routing = router->routing;
   GHashTableIter iter;
   gpointer value;
+  double rates = 0;
+  int rated = 0;
 
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -154,7 +156,10 @@
 
       account->listed = true;
       pl_quota_set_limits (&account->quota, rule->rate, rule->burst, router->now_us);
+      rates += rule->rate;
+      rated += rule->rate > 0;
     }
+  pl_fair_share_set_mean_weight (&router->shares, rates / MAX (rated, 1));
 }
 
 static void
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -117,12 +117,14 @@
 /* The request to be placed. */
 struct pl_placement_request
 {
-  int service;          /* handle */
-  uint64_t object;      /* hash of the object concerned; 0: none */
-  bool is_large;        /* its body is expensive to transfer to another domain */
-  int64_t objective_us; /* latency objective, which limits the use of queues */
-  int64_t time_left_us; /* until the caller or the route's timeout ends it */
-  bool at_most_once;    /* servers with a tripped breaker are avoided, since it may not run twice */
+  int service;             /* handle */
+  uint64_t object;         /* hash of the object concerned; 0: none */
+  bool is_large;           /* its body is expensive to transfer to another domain */
+  int64_t objective_us;    /* latency objective, which limits the use of queues */
+  int64_t expected_max_us; /* limit on the expected time to the answer in place of that by the
+                              latency objective; 0: none */
+  int64_t time_left_us;    /* until the caller or the route's timeout ends it */
+  bool at_most_once; /* servers with a tripped breaker are avoided, since it may not run twice */
   bool has_home_regions;
   uint32_t home_regions;
   const uint64_t *tried; /* hashes of servers that must not be chosen again */
--- a/include/internal/quota.h
+++ b/include/internal/quota.h
@@ -82,6 +82,11 @@
 /* Returns how many requests were admitted in the fleet, without those that HOST reported. */
 uint64_t pl_quota_count_excluding (const struct pl_quota *quota, uint64_t host);
 
+/* Returns the estimated rate at which all other hosts admit requests, per second.  The estimate of
+ * a host or domain that no longer reports falls with its age and expires.  *REPORTED_US gets the
+ * time of the last report; unchanged if there was none. */
+double pl_quota_rate_of_others (const struct pl_quota *quota, int64_t *reported_us, int64_t now_us);
+
 /* Returns whether the requests admitted in SCOPE must be reported at once: they exceed what peers
  * expect, or an even share of the rate among the SHARERS hosts or domains that keep such a count.
  */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -5,9 +5,11 @@
 #ifndef POMELOLATCH_ROUTER_STATE_H
 #define POMELOLATCH_ROUTER_STATE_H
 
+#include "internal/fair_share.h"
 #include "internal/quarantine.h"
 #include "internal/quota.h"
 #include "internal/router.h"
+#include "internal/traffic_split.h"
 #include "internal/wait_queue.h"
 #include "pomelolatch/error.h"
 #include "pomelolatch/histogram.h"
@@ -26,6 +28,8 @@
   ROUTER_OVER_RATE,
   ROUTER_NO_SERVER,
   ROUTER_SERVERS_FULL,
+  ROUTER_OVER_SHARE,      /* its account uses more than its share of a contended service */
+  ROUTER_TOO_LATE,        /* it would be late, and the service is contended */
   ROUTER_SERVERS_LIMITED, /* the rate limits that the servers name are used up */
   ROUTER_SERVERS_REFUSED,
   ROUTER_SERVERS_LOST,  /* neither this host nor a peer that could take the request reaches servers
@@ -56,6 +60,7 @@
   char *name;
   uint64_t id; /* in beacons: a hash of the name */
   struct pl_quota quota;
+  struct pl_share_account share;
   bool listed; /* in the current configuration */
   struct router_counts counts;
 };
@@ -64,8 +69,7 @@
 struct router_route
 {
   char *name;
-  uint64_t split; /* of which the credits are; see struct pl_route_rule */
-  double *credit; /* smooth weighted round robin */
+  struct pl_traffic_split split;
   int64_t longest_caller_timeout_us;
   struct router_counts counts;
 };
@@ -97,6 +101,8 @@
   uint32_t home_regions;
   int attempts_max;
   int64_t objective_us;
+  int64_t on_time_until_us;      /* end of the latency objective, from the caller's first attempt */
+  struct pl_share_verdict share; /* of a service whose load is managed */
   uint64_t object;
   uint64_t fingerprint;
   int64_t body_bytes;
@@ -212,6 +218,7 @@
   GHashTable *routes;         /* name -> struct router_route */
   GArray *retry_budgets;      /* of struct router_retry_budget, by handle of the service */
   struct pl_placement placement;
+  struct pl_fair_share shares;
   struct pl_membership membership;
   struct pl_fleet_view view;
   bool is_delegate;    /* as of the view */
@@ -299,7 +306,6 @@
 /* This host reaches no server any more: ends what is at servers and may be repeated, if there are
  * peers that reach them. */
 void calls_on_servers_lost (struct pl_router *router);
-extern const char *const router_refusal_names[ROUTER_REFUSAL_COUNT];
 
 /* router_reach.c */
 /* BACKEND could not be connected to, or a connection to it broke. */
@@ -322,6 +328,7 @@
 void call_log (struct pl_router *router, const struct call *call, const char *event,
                const char *outcome, int status);
 /* Names in logs and metrics. */
+extern const char *const router_refusal_names[ROUTER_REFUSAL_COUNT];
 extern const char *const call_attempt_end_names[PL_ATTEMPT_END_COUNT];
 extern const char *const call_answer_id_names[PL_ANSWER_ID_COUNT];
 /* Logs the failure of an attempt, with what tells a failed server from a host that reaches none. */
@@ -343,6 +350,8 @@
 /* A request is sent to BACKEND; uses a permit if its limit is in force.  IS_NEW_DEMAND: the request
  * is not one that has missed a permit before. */
 void limits_on_sent (struct pl_router *router, struct pl_backend *backend, bool is_new_demand);
+/* How placement learns what this host may send to cold servers and to those with a rate limit. */
+extern const struct pl_placement_shares limits_shares;
 void limits_send_asks (struct pl_router *router);
 /* Adds the limits from position *AT on, which is advanced, for a host that has just started.
  * Returns whether there may be more. */
--- a/tests/limited_servers.c
+++ b/tests/limited_servers.c
@@ -4,6 +4,7 @@
  * the answer.  The users' bound is checked on its arrivals.
  */
 #include "limited_servers.h"
+#include "internal/keys.h"
 
 #include <assert.h>
 #include <string.h>
@@ -11,6 +12,9 @@
 #define SLOTS 4
 #define OBJECTS_PER_SERVER 25
 #define WORK_US (80 * WORLD_MS)
+#define CALLER_TIMEOUT_US (2 * WORLD_SECOND)
+/* One way between caller and host. */
+#define CALLER_DELAY_US (3 * WORLD_MS)
 #define NEAR_DELAY_US (1 * WORLD_MS)
 #define FAR_DELAY_US (12 * WORLD_MS)
 /* The users' bound on what a server with a limit gets. */
@@ -38,6 +42,10 @@
   bool is_write; /* must run at most once */
   bool ended;
   bool was_refused; /* with a promise that it has not run */
+  int account;      /* -1: none */
+  bool is_retry;    /* the caller's */
+  int64_t first_us; /* the caller's first attempt */
+  int64_t retry_us; /* when the caller comes again */
   int runs;
 };
 
@@ -130,7 +138,8 @@
           "{\"Address\":\"10.1.%d.%d:80\",\"born\":1,\"Info\":{\"Service\":\"stock\",\"Zone\":"
           "\"%.*s\",\"Slots\":%d},\"Status\":{\"State\":\"ready\",\"Sequence\":1,"
           "\"ColdRemaining\":\"%dms\"}}",
-          i / 250, i % 250 + 1, (int) strcspn (pair, "="), pair, SLOTS,
+          i / 250, i % 250 + 1, (int) strcspn (pair, "="), pair,
+          servers->queueing.slots > 0 ? servers->queueing.slots : SLOTS,
           servers->servers[i].cold_ms);
       rows[i].length = strlen (rows[i].value);
       rows[i].version = ROUTER_FLEET_FIRST_VERSION;
@@ -332,6 +341,31 @@
   g_array_free (pending, TRUE);
 }
 
+/* Counts the end of REQUEST, of an account, or has its caller come again. */
+static void
+end_accounts_request (struct limited_servers *servers, struct request *request,
+                      const struct pl_router_effect *effect)
+{
+  int64_t now_us = servers->fleet->now_us;
+  int64_t window = (request->first_us - servers->counted_from_us) / LIMITED_WINDOW_US;
+  struct limited_window *counts;
+
+  if (request->was_refused && !request->is_retry && effect->u.refuse.retry_after_us > 0)
+    {
+      request->retry_us = now_us + effect->u.refuse.retry_after_us + 2 * CALLER_DELAY_US;
+      g_array_append_val (servers->retries, request);
+      return;
+    }
+  if (request->first_us < servers->counted_from_us || window >= LIMITED_WINDOWS_MAX
+      || effect->type != PL_ROUTER_DELIVER)
+    return;
+  counts = &servers->accounts[request->account].windows[window];
+  if (now_us + CALLER_DELAY_US - request->first_us <= servers->objective_us)
+    counts->in_time++;
+  else
+    counts->late++;
+}
+
 /* Counts the end of a caller's request at host INDEX. */
 static void
 end_request (struct limited_servers *servers, int index, const struct pl_router_effect *effect)
@@ -355,6 +389,8 @@
     return;
   request->ended = true;
   request->was_refused = status == 503 || status == 429;
+  if (request->account >= 0)
+    end_accounts_request (servers, request, effect);
   servers->ran_though_refused += request->was_refused && request->runs > 0;
 }
 
@@ -398,6 +434,8 @@
   servers->told = g_hash_table_new (NULL, NULL);
   servers->kept = g_hash_table_new (NULL, NULL);
   servers->handovers = g_array_new (FALSE, FALSE, sizeof (struct handover));
+  servers->retries = g_array_new (FALSE, FALSE, sizeof (struct request *));
+  servers->objective_us = objective_ms * WORLD_MS;
   servers->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   for (int i = 0; i < count; i++)
     {
@@ -425,6 +463,7 @@
   g_hash_table_destroy (servers->told);
   g_hash_table_destroy (servers->kept);
   g_array_free (servers->handovers, TRUE);
+  g_array_free (servers->retries, TRUE);
   g_hash_table_destroy (servers->requests);
   g_free (servers->resources);
   g_free (servers);
@@ -466,6 +505,80 @@
   return false;
 }
 
+/* Returns whether SERVER knows OBJECT, which it knows from now on. */
+static bool
+learn_object (struct limited_server *server, uint64_t object)
+{
+  int at = 0;
+  bool is_known;
+
+  while (at < LIMITED_KNOWN_OBJECTS - 1 && server->known[at] != object)
+    at++;
+  is_known = server->known[at] == object;
+  memmove (&server->known[1], &server->known[0], (size_t) at * sizeof server->known[0]);
+  server->known[0] = object;
+  return is_known;
+}
+
+/* Removes what SERVER, which has a queue, has done. */
+static void
+end_held (struct limited_server *server, int64_t now_us)
+{
+  int kept = 0;
+
+  for (int i = 0; i < server->held; i++)
+    if (server->ends_us[i] > now_us)
+      server->ends_us[kept++] = server->ends_us[i];
+  server->held = kept;
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  int64_t difference = *(const int64_t *) a - *(const int64_t *) b;
+
+  return (difference > 0) - (difference < 0);
+}
+
+/* Runs ANSWER's request behind those that its server holds, or rejects it. */
+static void
+hold_request (struct limited_servers *servers, struct answer *answer, uint64_t object)
+{
+  const struct limited_queueing *queueing = &servers->queueing;
+  struct limited_server *server = &servers->servers[answer->server];
+  int64_t now_us = servers->fleet->now_us;
+  int64_t delay_us = delay_between (servers, answer->host, answer->server);
+  int64_t start_us = now_us;
+
+  end_held (server, now_us);
+  answer->due_us = now_us + delay_us;
+  if (server->held >= queueing->slots + queueing->queue)
+    {
+      answer->end = PL_ATTEMPT_NOT_RUN;
+      return;
+    }
+  /* It starts when all but slots - 1 of those before it have ended. */
+  qsort (server->ends_us, (size_t) server->held, sizeof server->ends_us[0], compare_times);
+  if (server->held >= queueing->slots)
+    start_us = server->ends_us[server->held - queueing->slots];
+  server->ends_us[server->held++]
+      = start_us + (learn_object (server, object) ? queueing->known_us : queueing->work_us);
+  answer->due_us += server->ends_us[server->held - 1] - now_us;
+}
+
+static struct pl_load_report
+report_load (struct limited_servers *servers, struct limited_server *server)
+{
+  int slots = servers->queueing.slots;
+
+  if (slots == 0)
+    return (struct pl_load_report){.running = server->running, .slots = SLOTS};
+  end_held (server, servers->fleet->now_us);
+  return (struct pl_load_report){.running = MIN (server->held, slots),
+                                 .waiting = MAX (server->held - slots, 0),
+                                 .slots = slots};
+}
+
 static void
 record_arrival (struct limited_servers *servers, struct answer *answer)
 {
@@ -493,6 +606,10 @@
     }
   answer->limit = server->limit >= 0 && names_limit (servers, server) ? server->limit : -1;
   server->running++;
+  if (servers->queueing.slots > 0 && request != NULL)
+    hold_request (servers, answer, request->object);
+  if (answer->end == PL_ATTEMPT_NOT_RUN && request != NULL)
+    request->runs--;
   g_array_append_val (server->arrivals, arrival);
 }
 
@@ -523,7 +640,7 @@
   struct limited_server *server = &servers->servers[answer->server];
   struct pl_router_event event = {.type = PL_ROUTER_ATTEMPT};
   gpointer key = told_key (answer->server, answer->host);
-  bool has_arrived = answer->end == PL_ATTEMPT_ANSWERED;
+  bool has_arrived = answer->end == PL_ATTEMPT_ANSWERED || answer->end == PL_ATTEMPT_NOT_RUN;
   bool is_lost = has_arrived && is_answer_cut_off (servers, answer);
 
   server->running -= has_arrived;
@@ -548,7 +665,7 @@
       g_hash_table_add (servers->kept, key);
       event.u.attempt.status = 200;
       event.u.attempt.has_load = true;
-      event.u.attempt.load = (struct pl_load_report){.running = server->running, .slots = SLOTS};
+      event.u.attempt.load = report_load (servers, server);
       event.u.attempt.rate_limit_report
           = answer->limit >= 0 ? PL_RATE_LIMIT_NAMED : PL_RATE_LIMIT_ABSENT;
       event.u.attempt.rate_limit = answer->limit;
@@ -581,8 +698,11 @@
   g_array_free (pending, TRUE);
 }
 
+/* Sends a request of ACCOUNT, or of none for -1, to one of the first HOSTS.  RETRIED: the refused
+ * request that the caller sends again, or NULL. */
 static void
-send_request (struct limited_servers *servers, int hosts)
+send_request (struct limited_servers *servers, int hosts, int account,
+              const struct request *retried)
 {
   struct router_fleet *fleet = servers->fleet;
   struct pl_router_event event = {.type = PL_ROUTER_CALL};
@@ -601,17 +721,31 @@
   request->id = fleet->next_request;
   request->host = host;
   request->sent_us = fleet->now_us;
+  request->account = account;
+  request->first_us = retried != NULL ? retried->first_us : fleet->now_us - CALLER_DELAY_US;
+  request->is_retry = retried != NULL;
   request->is_write
       = servers->write_ratio > 0
         && router_fleet_next_random (&servers->random) % 1000 < servers->write_ratio * 1000;
   g_hash_table_insert (servers->requests, &request->id, request);
   g_strlcpy (request->path, request->is_write ? "/write/1" : "/read/1", sizeof request->path);
   event.u.call.path = request->path;
-  event.u.call.caller_timeout_us = 2 * WORLD_SECOND;
+  event.u.call.caller_timeout_us = CALLER_TIMEOUT_US;
+  if (retried != NULL)
+    event.u.call.caller_timeout_us -= fleet->now_us - CALLER_DELAY_US - retried->first_us;
   event.u.call.fingerprint = fleet->next_request;
   event.u.call.object = 1
                         + router_fleet_next_random (&servers->random)
                               % (uint32_t) (servers->count * OBJECTS_PER_SERVER);
+  if (retried != NULL)
+    event.u.call.object = retried->object;
+  if (account >= 0)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%d", account);
+
+      event.u.call.has_key = true;
+      pl_key_hash (key, strlen (key), event.u.call.key_hash);
+    }
   request->object = event.u.call.object;
   servers->sent++;
   servers->hosts[host].sent++;
@@ -630,7 +764,81 @@
       deliver_handovers (servers);
       for (servers->due += per_second * (double) fleet->step_us / 1e6; servers->due >= 1;
            servers->due -= 1)
-        send_request (servers, hosts);
+        send_request (servers, hosts, -1, NULL);
+      router_fleet_run (fleet, fleet->step_us);
+    }
+}
+
+void
+limited_servers_set_accounts (struct limited_servers *servers,
+                              const struct limited_queueing *queueing, const double *parts,
+                              int count, double limit_factor, double load)
+{
+  double total = load * servers->count * queueing->slots * 1e6 / (double) queueing->known_us;
+  GString *resources = g_string_new (servers->resources);
+
+  assert (count <= LIMITED_ACCOUNTS_MAX && queueing->slots + queueing->queue <= LIMITED_HELD_MAX);
+  servers->queueing = *queueing;
+  servers->account_count = count;
+  for (int i = 0; i < count; i++)
+    {
+      servers->accounts[i] = (struct limited_account){.usual = total * parts[i], .factor = 1};
+      g_string_append_printf (resources,
+                              ",{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"t-%d\"},"
+                              "\"Spec\":{\"ApiKeys\":[\"key-%d\"],\"RatePerS\":%f,\"Burst\":%f}}",
+                              i, i, total * parts[i] * limit_factor,
+                              total * parts[i] * limit_factor);
+    }
+  g_free (servers->resources);
+  servers->resources = g_string_free (resources, FALSE);
+  servers->fleet->resources = servers->resources;
+}
+
+/* Sends the retries of callers that are due.  Those refused meanwhile are not tried again. */
+static void
+send_retries (struct limited_servers *servers)
+{
+  GArray *pending = servers->retries;
+
+  servers->retries = g_array_new (FALSE, FALSE, sizeof (struct request *));
+  for (guint i = 0; i < pending->len; i++)
+    {
+      struct request *request = g_array_index (pending, struct request *, i);
+
+      if (request->retry_us > servers->fleet->now_us)
+        g_array_append_val (servers->retries, request);
+      else
+        send_request (servers, servers->fleet->count, request->account, request);
+    }
+  g_array_free (pending, TRUE);
+}
+
+void
+limited_servers_run_accounts (struct limited_servers *servers, int64_t us, double factor)
+{
+  struct router_fleet *fleet = servers->fleet;
+  int64_t until_us = fleet->now_us + us;
+
+  while (fleet->now_us < until_us)
+    {
+      int64_t window = (fleet->now_us - servers->counted_from_us) / LIMITED_WINDOW_US;
+
+      deliver_due (servers);
+      deliver_handovers (servers);
+      send_retries (servers);
+      for (int i = 0; i < servers->account_count; i++)
+        {
+          struct limited_account *account = &servers->accounts[i];
+
+          double expected
+              = account->usual * account->factor * factor * (double) fleet->step_us / 1e6;
+
+          /* Random arrivals, at most one in each step. */
+          if (router_fleet_next_random (&servers->random) >= expected * (1 << 24))
+            continue;
+          account->windows[CLAMP (window, 0, LIMITED_WINDOWS_MAX - 1)].sent++;
+          send_request (servers, fleet->count, i, NULL);
+        }
       router_fleet_run (fleet, fleet->step_us);
     }
 }
--- a/tests/limited_servers.h
+++ b/tests/limited_servers.h
@@ -23,6 +23,40 @@
   NAMING_NONE,   /* it has just stopped to name it */
 };
 
+/* Requests that a server with a queue holds, at most. */
+#define LIMITED_HELD_MAX 32
+/* Objects that such a server knows. */
+#define LIMITED_KNOWN_OBJECTS 120
+
+/* How all servers run requests, if they have a queue: at most SLOTS at a time, and QUEUE more wait.
+ */
+struct limited_queueing
+{
+  int slots; /* 0: the servers run any number at a time */
+  int queue;
+  int64_t known_us; /* work for an object that the server knows */
+  int64_t work_us;  /* work for another object */
+};
+
+#define LIMITED_ACCOUNTS_MAX 128
+#define LIMITED_WINDOW_US (2 * WORLD_SECOND)
+#define LIMITED_WINDOWS_MAX 32
+
+/* The requests of an account, by the window of their callers' first attempts. */
+struct limited_window
+{
+  int sent;
+  int in_time;
+  int late;
+};
+
+struct limited_account
+{
+  double usual; /* requests per second */
+  double factor;
+  struct limited_window windows[LIMITED_WINDOWS_MAX];
+};
+
 struct limited_server
 {
   char id[16];
@@ -30,9 +64,12 @@
   int cold_ms;  /* how long it is cold after a host starts */
   double limit; /* requests per second over all hosts; negative: it names none */
   enum limited_naming naming;
-  int64_t named_us; /* when it first named the present limit */
-  int running;      /* requests */
-  GArray *arrivals; /* of struct limited_arrival, since then */
+  int64_t named_us;                  /* when it first named the present limit */
+  int running;                       /* requests */
+  int64_t ends_us[LIMITED_HELD_MAX]; /* of the requests in a server with a queue */
+  int held;
+  uint64_t known[LIMITED_KNOWN_OBJECTS]; /* the latest first */
+  GArray *arrivals;                      /* of struct limited_arrival, since then */
 };
 
 /* What becomes of a host's connections to the servers. */
@@ -81,8 +118,14 @@
   GHashTable *kept;     /* set of the server and host of kept connections */
   GArray *handovers;    /* of struct handover, on their way */
   int handed_over;
-  double write_ratio; /* fraction of the requests that must run at most once */
-  int ran_twice;      /* of these */
+  struct limited_queueing queueing;
+  int64_t objective_us;
+  struct limited_account accounts[LIMITED_ACCOUNTS_MAX];
+  int account_count;
+  int64_t counted_from_us; /* start of the first window */
+  GArray *retries;         /* of struct request *, of callers */
+  double write_ratio;      /* fraction of the requests that must run at most once */
+  int ran_twice;           /* of these */
   int ran_though_refused;
 };
 
@@ -101,6 +144,17 @@
 void limited_servers_run (struct limited_servers *servers, int64_t us, double per_second,
                           int hosts);
 
+/* Gives the servers a queue and adds COUNT accounts; before the first run.  LOAD: their usual
+ * demand, of what the servers run if they know all objects; PARTS: that of each account.  The limit
+ * of an account is LIMIT_FACTOR times its usual rate. */
+void limited_servers_set_accounts (struct limited_servers *servers,
+                                   const struct limited_queueing *queueing, const double *parts,
+                                   int count, double limit_factor, double load);
+
+/* Runs the fleet for US while each account sends its usual rate times its factor times FACTOR to
+ * random hosts.  A caller that is refused with a Retry-After comes again once. */
+void limited_servers_run_accounts (struct limited_servers *servers, int64_t us, double factor);
+
 /* Changes what becomes of the connections of host INDEX to the servers. */
 void limited_servers_set_link (struct limited_servers *servers, int index, enum limited_link link);
 
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -203,6 +203,9 @@
   switch (message->type)
     {
     case MESSAGE_BEACON:
+      if (fleet->report_loss > 0
+          && router_fleet_next_random (&fleet->loss_random) < fleet->report_loss * (1 << 24))
+        message->beacon->account_count = 0;
       router_fleet_step_host (fleet, message->to, &event);
       break;
     case MESSAGE_STORE:
@@ -262,6 +265,7 @@
       .grace_us = 6 * WORLD_SECOND,
       .retry_ratio = 0.2,
       .retry_slack = 50,
+      .load_management = fleet->load_management,
       .decode = pl_platform_dialect.decode_row,
   };
 
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -66,6 +66,9 @@
   uint64_t next_request;
   int admitted;
   int refused;
+  enum pl_load_management load_management;
+  double report_loss; /* fraction of the beacons whose reports on accounts are lost */
+  uint32_t loss_random;
   const struct router_fleet_hooks *hooks; /* NULL: none */
   void *hooks_data;
 };
