--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -92,11 +92,12 @@
     call->route->counts.refused[refusal]++;
 }
 
-/* Returns whether the load of CALL's service is managed. */
+/* Returns whether CALL's service is shared fairly between accounts. */
 static bool
 is_managed (const struct pl_router *router, const struct call *call)
 {
-  return call->service != PL_NONE && pl_placement_is_managed (&router->placement, call->service);
+  return call->service != PL_NONE && (router->options.switches & PL_ROUTER_NO_SHARES) == 0
+         && pl_placement_is_managed (&router->placement, call->service);
 }
 
 static void
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -84,6 +84,7 @@
   PL_ROUTER_NO_QUOTA = 1 << 2,      /* unsafe: accounts have no limit */
   PL_ROUTER_NO_PERMITS = 1 << 3,    /* unsafe: servers with rate limits are used without permits */
   PL_ROUTER_NO_HANDOVERS = 1 << 4,  /* a host that reaches no server serves nobody */
+  PL_ROUTER_NO_SHARES = 1 << 5,     /* accounts take what they can get of managed services */
 };
 
 struct pl_router_options
--- a/tests/limited_servers.c
+++ b/tests/limited_servers.c
@@ -92,7 +92,7 @@
       "\"%dms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
       "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"write\"},\"Spec\":{\"Host\":\"h\","
       "\"Prefix\":\"/write/\",\"Kind\":\"non_idempotent\",\"Timeout\":\"1800ms\",\"TargetLatency\":"
-      "\"%dms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}}";
+      "\"%dms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true,\"Priority\":2}}";
 
 /* Key of a pair of server and host. */
 static gpointer
@@ -361,7 +361,10 @@
     return;
   counts = &servers->accounts[request->account].windows[window];
   if (now_us + CALLER_DELAY_US - request->first_us <= servers->objective_us)
-    counts->in_time++;
+    {
+      counts->in_time++;
+      servers->class_in_time[request->is_write]++;
+    }
   else
     counts->late++;
 }
@@ -724,9 +727,10 @@
   request->account = account;
   request->first_us = retried != NULL ? retried->first_us : fleet->now_us - CALLER_DELAY_US;
   request->is_retry = retried != NULL;
-  request->is_write
-      = servers->write_ratio > 0
-        && router_fleet_next_random (&servers->random) % 1000 < servers->write_ratio * 1000;
+  request->is_write = retried != NULL ? retried->is_write
+                                      : servers->write_ratio > 0
+                                            && router_fleet_next_random (&servers->random) % 1000
+                                                   < servers->write_ratio * 1000;
   g_hash_table_insert (servers->requests, &request->id, request);
   g_strlcpy (request->path, request->is_write ? "/write/1" : "/read/1", sizeof request->path);
   event.u.call.path = request->path;
@@ -748,6 +752,7 @@
     }
   request->object = event.u.call.object;
   servers->sent++;
+  servers->class_sent[request->is_write] += retried == NULL;
   servers->hosts[host].sent++;
   router_fleet_step_host (fleet, host, &event);
 }
--- a/tests/limited_servers.h
+++ b/tests/limited_servers.h
@@ -124,8 +124,10 @@
   int account_count;
   int64_t counted_from_us; /* start of the first window */
   GArray *retries;         /* of struct request *, of callers */
-  double write_ratio;      /* fraction of the requests that must run at most once */
-  int ran_twice;           /* of these */
+  int class_sent[2];       /* requests of accounts: repeatable, and at most once */
+  int class_in_time[2];
+  double write_ratio; /* fraction of the requests that must run at most once */
+  int ran_twice;      /* of these */
   int ran_though_refused;
 };
 
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -266,6 +266,7 @@
       .retry_ratio = 0.2,
       .retry_slack = 50,
       .load_management = fleet->load_management,
+      .switches = fleet->switches,
       .decode = pl_platform_dialect.decode_row,
   };
 
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -67,6 +67,7 @@
   int admitted;
   int refused;
   enum pl_load_management load_management;
+  unsigned switches;  /* of the hosts */
   double report_loss; /* fraction of the beacons whose reports on accounts are lost */
   uint32_t loss_random;
   const struct router_fleet_hooks *hooks; /* NULL: none */
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -272,7 +272,7 @@
 
 /* Returns a fleet whose servers know their objects. */
 static struct limited_servers *
-start_fleet (enum pl_load_management management, int seed)
+start_fleet (enum pl_load_management management, unsigned switches, int seed)
 {
   struct router_fleet *fleet = router_fleet_new (HOSTS, limited_domains, false);
   struct limited_servers *servers = limited_servers_new (fleet, SERVERS, OBJECTIVE_MS);
@@ -280,6 +280,7 @@
 
   servers->random = (uint32_t) seed + 1;
   fleet->load_management = management;
+  fleet->switches = switches;
   for (int i = 0; i < ACCOUNTS; i++)
     usual[i]
         = i < HOT_ACCOUNTS ? HOT_PART : (1 - HOT_ACCOUNTS * HOT_PART) / (ACCOUNTS - HOT_ACCOUNTS);
@@ -331,7 +332,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (factors); i++)
     {
-      struct limited_servers *servers = start_fleet (PL_LOAD_MANAGEMENT_OFF, seed);
+      struct limited_servers *servers = start_fleet (PL_LOAD_MANAGEMENT_OFF, 0, seed);
       struct limited_window sum = {0};
 
       limited_servers_run_accounts (servers, 4 * LIMITED_WINDOW_US, factors[i]);
@@ -401,10 +402,10 @@
 };
 
 static struct served
-replay_load (const struct ability *ability, enum pl_load_management management,
+replay_load (const struct ability *ability, enum pl_load_management management, unsigned switches,
              enum trouble trouble, int seed)
 {
-  struct limited_servers *servers = start_fleet (management, seed);
+  struct limited_servers *servers = start_fleet (management, switches, seed);
   struct served served;
   double usual = 0;
   double all = 0;
@@ -444,8 +445,8 @@
 START_TEST (usual_rates_are_served_in_time_beside_hot_accounts)
 {
   struct ability ability = measure_ability (_i);
-  struct served off = replay_load (&ability, PL_LOAD_MANAGEMENT_OFF, TROUBLE_NONE, _i);
-  struct served on = replay_load (&ability, PL_LOAD_MANAGEMENT_ON, TROUBLE_NONE, _i);
+  struct served off = replay_load (&ability, PL_LOAD_MANAGEMENT_OFF, 0, TROUBLE_NONE, _i);
+  struct served on = replay_load (&ability, PL_LOAD_MANAGEMENT_ON, 0, TROUBLE_NONE, _i);
 
   ck_assert_double_lt (off.usual, SERVED_RATIO_MIN);
   ck_assert_double_ge (on.usual, SERVED_RATIO_MIN);
@@ -459,13 +460,46 @@
   static const enum trouble troubles[]
       = {TROUBLE_CUT_OFF, TROUBLE_RESTARTS, TROUBLE_LOSS, TROUBLE_SILENCE};
   struct ability ability = measure_ability (0);
-  struct served served = replay_load (&ability, PL_LOAD_MANAGEMENT_ON, troubles[_i], 0);
+  struct served served = replay_load (&ability, PL_LOAD_MANAGEMENT_ON, 0, troubles[_i], 0);
 
   ck_assert_double_ge (served.usual, troubles[_i] == TROUBLE_SILENCE ? SERVED_RATIO_MIN_SILENT
                                                                      : SERVED_RATIO_MIN);
 }
 END_TEST
 
+/* Under steady overload, less urgent requests got nothing, or as much as more urgent ones only when
+ * those were refused. */
+START_TEST (no_class_starves_and_none_is_put_behind_a_less_urgent_one)
+{
+  struct limited_servers *servers = start_fleet (PL_LOAD_MANAGEMENT_ON, 0, 0);
+  double served[2];
+
+  servers->write_ratio = 0.3;
+  memset (servers->class_sent, 0, sizeof servers->class_sent);
+  memset (servers->class_in_time, 0, sizeof servers->class_in_time);
+  limited_servers_run_accounts (servers, 10 * WORLD_SECOND, 1.6);
+  limited_servers_run_accounts (servers, 3 * WORLD_SECOND, 0);
+  for (int i = 0; i < 2; i++)
+    served[i] = (double) servers->class_in_time[i] / servers->class_sent[i];
+  printf ("in time, priority 0: %.3f, priority 2: %.3f\n", served[0], served[1]);
+  ck_assert_double_lt (served[0], 0.95); /* there is not enough for all */
+  ck_assert_double_ge (served[1], 0.8 * served[0]);
+  ck_assert_double_ge (served[0], 0.97 * served[1]);
+  stop_fleet (servers);
+}
+END_TEST
+
+/* The switch that ends the shares alone, for comparisons. */
+START_TEST (without_shares_the_criterion_is_missed)
+{
+  struct ability ability = measure_ability (0);
+  struct served served
+      = replay_load (&ability, PL_LOAD_MANAGEMENT_ON, PL_ROUTER_NO_SHARES, TROUBLE_NONE, 0);
+
+  ck_assert_double_lt (served.usual, SERVED_RATIO_MIN);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -485,6 +519,8 @@
   tcase_set_timeout (fleet, 120);
   tcase_add_loop_test (fleet, usual_rates_are_served_in_time_beside_hot_accounts, 0, 3);
   tcase_add_loop_test (fleet, usual_rates_are_served_in_time_during_trouble, 0, 4);
+  tcase_add_test (fleet, without_shares_the_criterion_is_missed);
+  tcase_add_test (fleet, no_class_starves_and_none_is_put_behind_a_less_urgent_one);
   suite_add_tcase (suite, fleet);
   return suite_run (suite);
 }
