A new request does not overtake a more urgent one that waits

Cause: the load that a server last reported decays, so that it may have room before any answer marks the entries that wait for it. A new request of a less urgent class got that room.

Change: for managed services, the first four entries ahead of a new one are tried before it.

Ruled out: trying all entries ahead. Each costs the choice of a server, 2.4 us among 250; 500 of them would take 1.2 ms.

--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -167,6 +167,8 @@
                              call->deadline_us);
   call->state = CALL_WAITING;
   router->due_us = MIN (router->due_us, call->wait.until_us);
+  if (is_managed (router, call))
+    pl_wait_queue_mark_ahead (&router->waiting, &call->wait);
   displaced = pl_wait_queue_add (&router->waiting, &call->wait);
   if (displaced != NULL)
     refuse_full (router, call_of (displaced));
--- a/core/wait_queue.c
+++ b/core/wait_queue.c
@@ -93,6 +93,25 @@
     }
 }
 
+void
+pl_wait_queue_mark_ahead (struct pl_wait_queue *queue, const struct pl_wait_entry *entry)
+{
+  int marked = 0;
+
+  for (guint i = 0; i < queue->entries->len && marked < PL_WAIT_QUEUE_AHEAD_MAX; i++)
+    {
+      struct pl_wait_entry *ahead = entry_at (queue, i);
+
+      if (compare_entries (ahead, entry) > 0)
+        break;
+      if (ahead->service != entry->service)
+        continue;
+      ahead->is_placeable = true;
+      queue->has_placeable = true;
+      marked++;
+    }
+}
+
 void
 pl_wait_queue_mark_all (struct pl_wait_queue *queue)
 {
--- a/include/internal/wait_queue.h
+++ b/include/internal/wait_queue.h
@@ -17,6 +17,9 @@
 /* Entries.  Bounds the time for a search of the queue, which each answer of a server causes. */
 #define PL_WAIT_QUEUE_MAX 512
 
+/* Entries that pl_wait_queue_mark_ahead() marks, each of which costs the choice of a server. */
+#define PL_WAIT_QUEUE_AHEAD_MAX 4
+
 /* What waits. */
 struct pl_wait_entry
 {
@@ -56,6 +59,10 @@
 /* Marks the entries that wait for BACKEND, which may have a free slot. */
 void pl_wait_queue_mark_server (struct pl_wait_queue *queue, const struct pl_backend *backend);
 
+/* Marks the first entries that go before ENTRY, which is not in the queue yet, and wait for servers
+ * of the same service: a slot may have become free without an answer, and is theirs. */
+void pl_wait_queue_mark_ahead (struct pl_wait_queue *queue, const struct pl_wait_entry *entry);
+
 /* Marks all entries. */
 void pl_wait_queue_mark_all (struct pl_wait_queue *queue);
 
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -112,6 +112,29 @@
 }
 END_TEST
 
+/* The load that a server last reported decays, so that it may have room before any answer.  A new
+ * request got that room although a more urgent one waited for it. */
+START_TEST (entries_ahead_of_a_new_one_are_tried_first)
+{
+  struct pl_wait_entry entry = {.service = STOCK, .priority = 1, .arrived_us = 9};
+
+  add (0, 0, false);
+  add (1, 1, false);
+  add (2, 2, false);
+  add (3, 1, false);
+  entries[3].service = OFFERS;
+  take_marks ();
+  pl_wait_queue_mark_ahead (&queue, &entry);
+  ck_assert (entries[0].is_placeable && entries[1].is_placeable);
+  ck_assert_int_eq (take_marks (), 2);
+  for (int i = 4; i < 20; i++)
+    add (i, 0, false);
+  take_marks ();
+  pl_wait_queue_mark_ahead (&queue, &entry);
+  ck_assert_int_eq (take_marks (), PL_WAIT_QUEUE_AHEAD_MAX);
+}
+END_TEST
+
 /* Memory and the time for a search grew with the backlog.  What leaves a full queue is the newest
  * request of the least urgent class. */
 START_TEST (a_full_queue_gives_up_its_last_entry)
@@ -134,6 +157,7 @@
   tcase_add_test (tcase, more_urgent_then_retried_then_oldest_goes_first);
   tcase_add_test (tcase, removal_of_the_current_entry_skips_none);
   tcase_add_test (tcase, a_free_slot_marks_the_entries_that_wait_for_the_server);
+  tcase_add_test (tcase, entries_ahead_of_a_new_one_are_tried_first);
   tcase_add_test (tcase, a_full_queue_gives_up_its_last_entry);
   return suite_run (suite);
 }
