--- a/core/placement.c
+++ b/core/placement.c
@@ -471,8 +471,10 @@
               int64_t now_us)
 {
   double time_us = expected_us (service, backend, now_us);
-  double limit_us = fmin ((double) request->objective_us * queue_limit_objectives (service),
-                          (double) request->time_left_us * QUEUE_TIME_RATIO);
+  double objectives_us = (double) request->objective_us * queue_limit_objectives (service);
+  double limit_us
+      = fmin (request->expected_max_us > 0 ? (double) request->expected_max_us : objectives_us,
+              (double) request->time_left_us * QUEUE_TIME_RATIO);
 
   return load_with_one (service, backend, now_us) <= 1 || (time_us > 0 && time_us <= limit_us);
 }
--- a/core/router.c
+++ b/core/router.c
@@ -122,7 +122,7 @@
   struct router_route *route = data;
 
   g_free (route->name);
-  g_free (route->credit);
+  pl_traffic_split_clear (&route->split);
   g_free (route);
 }
 
@@ -226,7 +226,7 @@
   router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
   router->retry_budgets = g_array_new (FALSE, FALSE, sizeof (struct router_retry_budget));
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
-  router->waiting = g_ptr_array_new ();
+  pl_wait_queue_init (&router->waiting);
   for (int i = 0; i < PL_TABLES_MAX; i++)
     {
       router->held[i].rows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_row);
@@ -239,6 +239,8 @@
   pl_placement_set_load_management (&router->placement, options->load_management);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   register_domains (router);
+  pl_fair_share_init (&router->shares,
+                      pl_hash_pair (options->incarnation, router->membership.self));
   quarantine_init (&router->quarantine);
   router->self.host = router->membership.self;
   /* The settings are checked for what fits into a beacon. */
@@ -271,7 +273,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     g_free (value);
   g_hash_table_destroy (router->calls);
-  g_ptr_array_free (router->waiting, TRUE);
+  pl_wait_queue_clear (&router->waiting);
+  pl_fair_share_clear (&router->shares);
   for (int i = 0; i < PL_TABLES_MAX; i++)
     g_hash_table_destroy (router->held[i].rows);
   quarantine_free (&router->quarantine);
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -68,11 +68,11 @@
 
 struct world_options
 {
-  unsigned switches;    /* of enum pl_router_switch */
+  unsigned switches; /* of enum pl_router_switch */
+  enum pl_load_management load_management;
   uint64_t incarnation; /* 0: 1 */
   const char *name;     /* of the host; NULL: host-a */
   const char *domain;   /* NULL: a-1 */
-  enum pl_load_management load_management;
 };
 
 /* Returns a world whose router has no rows yet; freed with world_free(). */
