Hedged requests: a slow repeatable request gets a second copy

Cause: servers that share their machines are slow for some time, and the requests there set the slowest answers of a route, while other servers that may run them are free.

Change: a request that has taken longer than a high quantile of its route's recent answers gets a copy at another warm and free server, within hedge_ratio copies per request and the service's budget of retries; see core/hedging.c. A call of the router may have two attempts at servers: the first success is delivered and the other attempt cancelled, and a failure beside a running attempt does not end the call. The front holds two attempts a request, each with its own connection and memory, keeps their whole answers until the router chooses, and delivers the one that it names.

Ruled out: an answer that replaces the request's earlier one when it arrives, as before: of two answers that arrive before the router acts, it would deliver the second when the router has chosen the first. An attempt that is overtaken by its copy as progress of its server: a server that answers nothing would never count as stalled.

--- a/core/placement.c
+++ b/core/placement.c
@@ -178,6 +178,12 @@
   return service_at (placement, service)->is_managed;
 }
 
+double
+pl_placement_late_ratio (const struct pl_placement *placement, int service)
+{
+  return service_at (placement, service)->late_ratio;
+}
+
 void
 pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                           double cold_per_second)
@@ -353,6 +359,14 @@
          || now_us - backend->last_chosen_us > UNHEALTHY_RETRY_US;
 }
 
+/* Returns whether BACKEND may run second copies: they take neither of what it can do while it is
+ * cold nor of its rate limit, and do not test whether it has recovered. */
+static bool
+may_run_copy (const struct pl_backend *backend, int64_t now_us)
+{
+  return now_us >= backend->cold_until_us && !backend->limit.in_force && !backend->breaker_tripped;
+}
+
 static double
 current_load (const struct pl_backend *backend, int64_t now_us)
 {
@@ -538,7 +552,7 @@
 }
 
 /* Returns the first server of the ranking if it has capacity, else one of the next with spare
- * capacity for overflow, or NULL. */
+ * capacity for overflow, or NULL.  A copy takes no queue: it goes to one with spare capacity. */
 static struct pl_backend *
 choose_ranked (const struct pl_placement_service *service,
                const struct pl_placement_request *request, const struct scan *scan, int64_t now_us)
@@ -548,9 +562,12 @@
       = request->is_large && scan->local_count > 0 ? scan->local_count : scan->healthy_count;
   int overflow_servers = candidates >= OVERFLOW_SERVERS_THRESHOLD ? OVERFLOW_SERVERS : 1;
 
-  if (scan->ranked_count > 0 && has_capacity (service, request, ranked[0].backend, now_us))
+  int first = request->is_copy ? 0 : 1;
+
+  if (!request->is_copy && scan->ranked_count > 0
+      && has_capacity (service, request, ranked[0].backend, now_us))
     return ranked[0].backend;
-  for (int i = 1; i < scan->ranked_count && i <= overflow_servers; i++)
+  for (int i = first; i < scan->ranked_count && i < first + overflow_servers; i++)
     if (load_with_one (service, ranked[i].backend, now_us) <= OVERFLOW_LOAD_MAX)
       return ranked[i].backend;
   return NULL;
@@ -658,6 +675,8 @@
       scan->eligible_count++;
       if (!is_healthy (service, request, backend, now_us))
         continue;
+      if (request->is_copy && !may_run_copy (backend, now_us))
+        continue;
       if (now_us < backend->cold_until_us && !may_use_cold (service, backend, shares, data, now_us))
         continue;
       if (shares != NULL && backend->limit.in_force)
@@ -735,9 +754,10 @@
     }
   if (request->object != 0)
     best = choose_ranked (service, request, &scan, now_us);
-  else if (scan.least_loaded != NULL && scan.least_load <= 1 + OTHER_REGION_LOAD)
+  else if (scan.least_loaded != NULL
+           && scan.least_load <= (request->is_copy ? OVERFLOW_LOAD_MAX : 1 + OTHER_REGION_LOAD))
     best = scan.least_loaded;
-  if (best == NULL && request->object != 0 && request->is_large)
+  if (best == NULL && request->object != 0 && request->is_large && !request->is_copy)
     best = choose_remote (placement, service, request, shares, data, now_us);
   if (best == NULL)
     {
@@ -749,7 +769,8 @@
     }
   if (now_us < best->cold_until_us)
     best->cold_tokens -= 1;
-  count_home_requests (service, request);
+  if (!request->is_copy)
+    count_home_requests (service, request);
   best->load_at_send = load_with_one (service, best, now_us);
   if (best->in_flight == 0)
     best->progress_us = now_us;
@@ -793,6 +814,16 @@
   update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
 }
 
+/* The server would have taken longer, so that the average rises and never falls. */
+void
+pl_placement_record_overtaken (struct pl_backend *backend, int64_t latency_us, double load)
+{
+  double work_us = (double) latency_us / fmax (load, 1);
+
+  if (work_us > backend->work_us)
+    update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
+}
+
 void
 pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
                                bool has_load, int64_t now_us)
--- a/core/router.c
+++ b/core/router.c
@@ -122,7 +122,8 @@
   struct router_route *route = data;
 
   g_free (route->name);
-  g_free (route->credit);
+  pl_split_clear (&route->split);
+  g_free (route->hedging);
   g_free (route);
 }
 
@@ -224,7 +225,9 @@
   router->accounts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_account);
   router->accounts_by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, free_route);
-  router->retry_budgets = g_array_new (FALSE, FALSE, sizeof (struct router_retry_budget));
+  pl_hedging_init (&router->hedging,
+                   &(struct pl_hedging_options){options->retry_ratio, options->retry_slack,
+                                                options->hedge_ratio});
   router->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   router->waiting = g_ptr_array_new ();
   for (int i = 0; i < PL_TABLES_MAX; i++)
@@ -276,7 +279,7 @@
   quarantine_free (&router->quarantine);
   pl_membership_clear (&router->membership);
   pl_placement_clear (&router->placement);
-  g_array_free (router->retry_budgets, TRUE);
+  pl_hedging_clear (&router->hedging);
   g_hash_table_destroy (router->routes);
   g_hash_table_destroy (router->accounts_by_id);
   g_hash_table_destroy (router->accounts);
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -51,7 +51,7 @@
 static json_t *
 pack_call (const struct pl_router *router, const struct call *call, const char *outcome, int status)
 {
-  const struct pl_backend *backend = call->backend;
+  const struct pl_backend *backend = call->attempt.backend;
   const struct pl_backend *passed_over
       = pl_placement_find_by_hash (&router->placement, call->passed_over);
   json_t *fields = json_pack (
@@ -70,8 +70,8 @@
         fields,
         json_pack (
             "{s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
-            backend->entry.domain, "load", call->load_at_send, "in_flight", backend->in_flight,
-            "load_age_us",
+            backend->entry.domain, "load", call->attempt.load_at_send, "in_flight",
+            backend->in_flight, "load_age_us",
             (json_int_t) (backend->reported_us > 0 ? router->now_us - backend->reported_us : -1),
             "work_us", (json_int_t) backend->work_us));
   if (backend != NULL && backend->limit.in_force)
@@ -80,6 +80,8 @@
                                        "sent_under_limit", (json_int_t) backend->limit.sent));
   if (passed_over != NULL)
     json_object_set_new (fields, "passed_over", json_string (passed_over->entry.id));
+  if (call->has_copy)
+    json_object_set_new (fields, "copy", json_boolean (call->attempt.is_copy));
   if (call->is_handover)
     json_object_set_new (fields, "handed_over", json_true ());
   if (call->peer != 0)
@@ -129,3 +131,24 @@
                                      (json_int_t) event->answer_bytes));
   log_fields (router, "attempt-failed", fields);
 }
+
+void
+call_log_copy (struct pl_router *router, const struct call *call, enum pl_hedging_verdict verdict,
+               const struct pl_hedging_request *request)
+{
+  const struct pl_hedging_route *route = call->route->hedging;
+  const struct pl_hedging_service *budgets
+      = pl_hedging_budgets (&router->hedging, request->service);
+  json_t *fields;
+
+  if (!may_log_request (router))
+    return;
+  fields = pack_call (router, call, pl_hedging_verdict_names[verdict], 0);
+  json_object_update_new (
+      fields, json_pack ("{s:I,s:f,s:i,s:f,s:f,s:i,s:f}", "delay_us", (json_int_t) route->delay_us,
+                         "quantile", pl_hedging_quantile (&router->hedging), "samples",
+                         (int) route->samples, "copy_tokens", budgets->copy_tokens, "retry_tokens",
+                         budgets->retry_tokens, "waiting", (int) request->waiting, "late_ratio",
+                         request->late_ratio));
+  log_fields (router, "copy", fields);
+}
--- a/core/router_limits.c
+++ b/core/router_limits.c
@@ -27,6 +27,11 @@
 /* The wait told to a host that takes this one for the issuer by mistake: its view will soon be the
  * same. */
 #define WRONG_ISSUER_WAIT_US (200 * US_PER_MS)
+/* Number of entry hosts that share the rate of a cold server, as a ratio of that rate per second.
+ * Each holds at most one token, so the number bounds what they can send at once. */
+#define COLD_OWNERS_RATIO 0.5
+/* More than there are hosts. */
+#define COLD_OWNERS_MAX 1e6
 /* A changed limit goes into all beacons for this long. */
 #define CHANGE_PRIORITY_US (3 * US_PER_S)
 /* Other limits in one beacon, in turn, for hosts that missed the change. */
@@ -155,6 +160,19 @@
   schedule_ask (router, backend);
 }
 
+void
+limits_on_placed (struct pl_router *router, struct call *call)
+{
+  struct pl_backend *backend = call->choice.unpermitted;
+
+  call->passed_over = backend != NULL ? backend->hash : 0;
+  if (backend == NULL)
+    return;
+  if (!call->missed_permit)
+    limits_on_missed (router, backend);
+  call->missed_permit = true;
+}
+
 void
 limits_on_sent (struct pl_router *router, struct pl_backend *backend, bool is_new_demand)
 {
@@ -393,3 +411,24 @@
   if (with_unchanged)
     router->limit_cursor = unchanged == UNCHANGED_LIMITS_MAX ? router->limit_cursor + unchanged : 0;
 }
+
+/* Returns this host's share of a cold server's rate, reduced by the fraction of the active hosts
+ * that are silent, since those may be sending to the server too. */
+static double
+cold_share (void *data, const struct pl_backend *backend, double cold_per_second)
+{
+  struct pl_router *router = data;
+  int owners = (int) CLAMP (cold_per_second * COLD_OWNERS_RATIO, 1, COLD_OWNERS_MAX);
+  int found = pl_membership_owners (&router->membership, backend->hash, backend->entry.domain,
+                                    backend->region, owners, router->now_us);
+
+  return found > 0 ? (1 - router_view (router)->silent) / found : 0;
+}
+
+static enum pl_permit
+permit (void *data, struct pl_backend *backend, int64_t wait_us)
+{
+  return limits_permit (data, backend, wait_us);
+}
+
+const struct pl_placement_shares limits_shares = {cold_share, permit};
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -142,6 +142,7 @@
   append_limits (router, text);
   append_handovers (router, text);
   append_attempts (router, text);
+  pl_hedging_metrics (&router->hedging, text);
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/core/router_reach.c
+++ b/core/router_reach.c
@@ -77,8 +77,8 @@
   return count;
 }
 
-void
-reach_on_failure (struct pl_router *router, const struct pl_backend *backend)
+static void
+on_failure (struct pl_router *router, const struct pl_backend *backend)
 {
   enum pl_reach_state before = router->reach.state;
 
@@ -89,6 +89,20 @@
     router->due_us = MIN (router->due_us, pl_reach_due_us (&router->reach));
 }
 
+void
+reach_record_failure (struct pl_router *router, struct pl_backend *backend, bool is_unreachable)
+{
+  on_failure (router, backend);
+  if (pl_reach_is_cut_off (&router->reach))
+    return;
+  if (pl_placement_record_failure (&router->placement, backend, is_unreachable, router->now_us))
+    router_log (router, PL_ROUTER_LOG_STATE, "server-down",
+                json_pack ("{s:s,s:s,s:b,s:i,s:I}", "server", backend->entry.id, "domain",
+                           backend->entry.domain, "not_reached", is_unreachable, "failures",
+                           backend->failures, "for_us",
+                           (json_int_t) (backend->down_until_us - router->now_us)));
+}
+
 void
 reach_on_answer (struct pl_router *router, int64_t opened_us)
 {
--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -70,8 +70,10 @@
   bool needs_run; /* connections were resumed, or have more to read, since the daemon last ran */
 };
 
-/* A caller's request with its current attempt and its answer; shared by front.c and
- * front_attempts.c. */
+/* Attempts of a request that may run at once: the second is a copy of the first. */
+#define PL_FRONT_ATTEMPTS_MAX 2
+
+/* A caller's request with its attempts and its answer; shared by front.c and front_attempts.c. */
 struct pl_front_request
 {
   struct pl_front *front;
@@ -104,10 +106,9 @@
   GByteArray *body;
   size_t taken_bytes; /* at most, of the connection's memory */
 
-  GPtrArray *addresses;              /* to which it was sent */
-  struct pl_http_call *attempt_call; /* the attempt in progress */
-  uint32_t attempt;
-  struct pl_front_attempt *attempt_state;
+  GPtrArray *addresses; /* to which it was sent */
+  /* Those that run, and those whose whole answer may still be delivered; NULL: none. */
+  struct pl_front_attempt *attempts[PL_FRONT_ATTEMPTS_MAX];
 
   int status;
   GPtrArray *answer_headers;
@@ -183,7 +184,12 @@
                              const struct pl_router_effect *effect);
 void pl_front_start_handover (struct pl_front *front, struct pl_front_request *request,
                               const struct pl_router_effect *effect);
-void pl_front_cancel_attempt (struct pl_front_request *request);
+/* Takes the whole answer to the attempt NUMBER of REQUEST as the one to be sent to the caller. */
+void pl_front_take_answer (struct pl_front_request *request, uint32_t number);
+/* Cancels the attempt NUMBER of REQUEST, or discards its answer. */
+void pl_front_cancel_attempt (struct pl_front_request *request, uint32_t number);
+/* Does that with all its attempts. */
+void pl_front_cancel_attempts (struct pl_front_request *request);
 void pl_front_start_probe (struct pl_front *front, const struct pl_router_effect *effect);
 
 /* front.c: marks the answer of REQUEST as ready and resumes its connection to send it. */
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -128,6 +128,8 @@
   const uint64_t *tried; /* hashes of servers that must not be chosen again */
   int tried_count;
   int64_t permit_wait_us; /* how long it may wait for a permit to use a server with a rate limit */
+  /* It is a second copy: only warm servers without a rate limit, with spare capacity. */
+  bool is_copy;
 };
 
 enum pl_placement_result
@@ -153,6 +155,10 @@
 /* Returns whether the load of SERVICE is managed. */
 bool pl_placement_is_managed (const struct pl_placement *placement, int service);
 
+/* Returns the fraction of the recent answers for SERVICE that were later than the latency
+ * objective, 0 to 1. */
+double pl_placement_late_ratio (const struct pl_placement *placement, int service);
+
 /* Sets how cold servers of SERVICE are treated. */
 void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                                double cold_per_second);
@@ -226,6 +232,9 @@
 
 void pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
                                  const struct pl_placement_answer *answer);
+/* Records that a request was cancelled after LATENCY_US, since its copy was answered first.  LOAD:
+ * of the server, in slots, when it was sent. */
+void pl_placement_record_overtaken (struct pl_backend *backend, int64_t latency_us, double load);
 /* Records that the server rejected a request.  HAS_LOAD: the rejection came with a load report,
  * which is used instead of an estimate. */
 void pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -5,9 +5,11 @@
 #ifndef POMELOLATCH_ROUTER_STATE_H
 #define POMELOLATCH_ROUTER_STATE_H
 
+#include "internal/hedging.h"
 #include "internal/quarantine.h"
 #include "internal/quota.h"
 #include "internal/router.h"
+#include "internal/traffic_split.h"
 #include "pomelolatch/error.h"
 #include "pomelolatch/histogram.h"
 
@@ -63,18 +65,12 @@
 struct router_route
 {
   char *name;
-  uint64_t split; /* of which the credits are; see struct pl_route_rule */
-  double *credit; /* smooth weighted round robin */
+  struct pl_split_position split;
   int64_t longest_caller_timeout_us;
+  struct pl_hedging_route *hedging; /* recent latencies; NULL: none yet */
   struct router_counts counts;
 };
 
-/* Retries of the requests for one service that this host may still make. */
-struct router_retry_budget
-{
-  double tokens;
-};
-
 enum call_state
 {
   CALL_WAITING,
@@ -82,6 +78,16 @@
   CALL_AT_PEER, /* handed over */
 };
 
+/* One sending of a request to a server, or its hand-over to a peer. */
+struct call_attempt
+{
+  uint32_t number;
+  struct pl_backend *backend; /* NULL: a peer, or none */
+  int64_t sent_us;
+  double load_at_send; /* of the server, in slots */
+  bool is_copy;        /* sent while the one before it ran */
+};
+
 struct call
 {
   uint64_t id;
@@ -107,18 +113,19 @@
   bool missed_permit;                /* counted as demand for a server with a rate limit */
   uint64_t passed_over;              /* hash of such a server, at the last try; 0: none */
   int64_t deadline_us;               /* answered by then in any case */
-  uint32_t attempt;                  /* number of the latest one */
+  uint32_t attempts_begun;           /* at servers and peers; the number of the latest */
   int attempts;                      /* servers it was sent to */
   uint64_t tried[PL_TRIED_MAX];
   int tried_count;
-  bool may_have_run; /* on some server */
-  bool caller_gone;  /* has closed its connection, in one direction at least */
-  struct pl_backend *backend;
-  int64_t sent_us;
-  double load_at_send; /* of the server, in slots */
-  bool is_handover;    /* a peer has handed it over; it is not handed over again */
-  int handovers;       /* to peers, by this host */
-  uint64_t peer;       /* that has it, or had it last; 0: none */
+  bool may_have_run;           /* on some server */
+  bool caller_gone;            /* has closed its connection, in one direction at least */
+  struct call_attempt attempt; /* the latest, or the one that has just ended */
+  struct call_attempt other;   /* one that runs beside it; without a backend: none */
+  bool has_copy;               /* had one, at least */
+  int64_t copy_due_us;         /* when a copy is to be sent; INT64_MAX: never */
+  bool is_handover;            /* a peer has handed it over; it is not handed over again */
+  int handovers;               /* to peers, by this host */
+  uint64_t peer;               /* that has it, or had it last; 0: none */
   char correlation_id[];
 };
 
@@ -213,7 +220,7 @@
   GHashTable *accounts;       /* name -> struct router_account */
   GHashTable *accounts_by_id; /* the same by their id */
   GHashTable *routes;         /* name -> struct router_route */
-  GArray *retry_budgets;      /* of struct router_retry_budget, by handle of the service */
+  struct pl_hedging hedging;  /* second copies, and budgets of retries */
   struct pl_placement placement;
   struct pl_membership membership;
   struct pl_fleet_view view;
@@ -306,8 +313,10 @@
 extern const char *const router_refusal_names[ROUTER_REFUSAL_COUNT];
 
 /* router_reach.c */
-/* BACKEND could not be connected to, or a connection to it broke. */
-void reach_on_failure (struct pl_router *router, const struct pl_backend *backend);
+/* BACKEND could not be connected to (IS_UNREACHABLE), or a connection to it broke.  The server
+ * counts as failed unless this host turns out to be cut off. */
+void reach_record_failure (struct pl_router *router, struct pl_backend *backend,
+                           bool is_unreachable);
 void reach_on_answer (struct pl_router *router, int64_t opened_us);
 void reach_on_probed (struct pl_router *router, const struct pl_backend *backend, bool connected);
 void reach_run_timers (struct pl_router *router);
@@ -331,6 +340,9 @@
 /* Logs the failure of an attempt, with what tells a failed server from a host that reaches none. */
 void call_log_failed_attempt (struct pl_router *router, const struct call *call,
                               const struct pl_attempt_event *event);
+/* Logs whether CALL, whose copy is due, gets one, with what decided that. */
+void call_log_copy (struct pl_router *router, const struct call *call,
+                    enum pl_hedging_verdict verdict, const struct pl_hedging_request *request);
 
 /* router_limits.c */
 /* Records what an answer or a probe of BACKEND says about its rate limit. */
@@ -344,6 +356,11 @@
 int64_t limits_wait_us (struct pl_router *router, struct pl_backend *backend);
 /* BACKEND was the first choice for a request, but there was no permit. */
 void limits_on_missed (struct pl_router *router, struct pl_backend *backend);
+/* How this host shares with the others what cold and limited servers can take. */
+extern const struct pl_placement_shares limits_shares;
+/* Counts CALL, as its choice says, as demand for the server that it would have been sent to with a
+ * permit. */
+void limits_on_placed (struct pl_router *router, struct call *call);
 /* A request is sent to BACKEND; uses a permit if its limit is in force.  IS_NEW_DEMAND: the request
  * is not one that has missed a permit before. */
 void limits_on_sent (struct pl_router *router, struct pl_backend *backend, bool is_new_demand);
--- a/modules/front.c
+++ b/modules/front.c
@@ -471,7 +471,7 @@
   assert (request->direct == NULL);
   if (request->submitted && !request->answer_ready)
     report_caller_gone (request);
-  pl_front_cancel_attempt (request);
+  pl_front_cancel_attempts (request);
   pl_front_on_request_ended (request->link);
   g_hash_table_remove (request->front->requests, &request->id);
   free_request (request);
@@ -711,7 +711,10 @@
       break;
     case PL_ROUTER_DELIVER:
       if (request != NULL)
-        pl_front_finish (request);
+        {
+          pl_front_take_answer (request, effect->attempt);
+          pl_front_finish (request);
+        }
       break;
     case PL_ROUTER_REFUSE:
       if (request != NULL)
@@ -723,7 +726,7 @@
       break;
     case PL_ROUTER_CANCEL:
       if (request != NULL)
-        pl_front_cancel_attempt (request);
+        pl_front_cancel_attempt (request, effect->attempt);
       break;
     case PL_ROUTER_PROBE:
       pl_front_start_probe (front, effect);
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -5,12 +5,16 @@
  * the request, whatever else it says: a server may answer twice, the second time where the answer
  * to the next request is due.  After any other answer the attempt has failed, and the connection is
  * closed, since the bytes that follow may belong to any request.
+ *
+ * Two attempts of a request may run at once, at servers with different addresses.  Each has its own
+ * connection, headers and memory.
  */
 #include "internal/front.h"
 #include "internal/clock.h"
 #include "internal/log.h"
 #include "pomelolatch/error.h"
 
+#include <assert.h>
 #include <math.h>
 #include <string.h>
 
@@ -58,7 +62,8 @@
   struct pl_front *front;
   uint64_t request; /* by id, since the request may be freed before the attempt */
   uint32_t number;
-  char *server; /* its id; NULL: a hand-over */
+  struct pl_http_call *call; /* NULL: it has ended, with a whole answer, or was cancelled */
+  char *server;              /* its id; NULL: a hand-over */
   struct answer_head head;
   bool is_handover; /* to a peer */
   char *correlation_id;
@@ -308,6 +313,70 @@
   attempt->buffered_bytes = 0;
 }
 
+/* Returns where REQUEST has ATTEMPT, or NULL if it was cancelled. */
+static struct pl_front_attempt **
+find_slot (struct pl_front_request *request, const struct pl_front_attempt *attempt)
+{
+  for (int i = 0; i < PL_FRONT_ATTEMPTS_MAX; i++)
+    if (request->attempts[i] == attempt)
+      return &request->attempts[i];
+  return NULL;
+}
+
+/* Cancels the attempt in SLOT, or frees it if it has ended. */
+static void
+drop_attempt (struct pl_front_attempt **slot)
+{
+  struct pl_front_attempt *attempt = *slot;
+
+  *slot = NULL;
+  if (attempt->call == NULL)
+    {
+      free_attempt (attempt);
+      return;
+    }
+  pl_http_call_cancel (attempt->call); /* on_done() frees it */
+  g_clear_pointer (&attempt->call, pl_http_call_unref);
+}
+
+static struct pl_front_attempt **
+find_number (struct pl_front_request *request, uint32_t number)
+{
+  for (int i = 0; i < PL_FRONT_ATTEMPTS_MAX; i++)
+    if (request->attempts[i] != NULL && request->attempts[i]->number == number)
+      return &request->attempts[i];
+  return NULL;
+}
+
+void
+pl_front_cancel_attempt (struct pl_front_request *request, uint32_t number)
+{
+  struct pl_front_attempt **slot = find_number (request, number);
+
+  if (slot != NULL)
+    drop_attempt (slot);
+}
+
+void
+pl_front_cancel_attempts (struct pl_front_request *request)
+{
+  for (int i = 0; i < PL_FRONT_ATTEMPTS_MAX; i++)
+    if (request->attempts[i] != NULL)
+      drop_attempt (&request->attempts[i]);
+}
+
+void
+pl_front_take_answer (struct pl_front_request *request, uint32_t number)
+{
+  struct pl_front_attempt **slot = find_number (request, number);
+
+  assert (slot != NULL && (*slot)->call == NULL);
+  move_answer (*slot, request);
+  pl_front_cancel_attempts (request);
+}
+
+/* The attempt keeps a whole answer until the router chooses it or another: the answers to two
+ * attempts may be there at once. */
 static void
 on_done (void *data, enum pl_http_end end, int status)
 {
@@ -315,33 +384,34 @@
   const struct answer_head *head = &attempt->head;
   struct pl_front *front = attempt->front;
   struct pl_front_request *request = g_hash_table_lookup (front->requests, &attempt->request);
+  struct pl_front_attempt **slot = request != NULL ? find_slot (request, attempt) : NULL;
   struct pl_router_event event = {.type = PL_ROUTER_ATTEMPT};
 
-  if (request != NULL && request->attempt_state == attempt)
+  if (slot == NULL)
     {
-      event.u.attempt.request = attempt->request;
-      event.u.attempt.attempt = attempt->number;
-      event.u.attempt.end = classify_end (attempt, end);
-      event.u.attempt.status = status;
-      event.u.attempt.is_new_connection = pl_http_call_opened_connection (request->attempt_call);
-      event.u.attempt.has_load = head->has_load && is_own_head (attempt);
-      event.u.attempt.load = head->load;
-      /* A truncated answer may have lost the header. */
-      if (is_own_head (attempt)
-          && (end == PL_HTTP_COMPLETE || head->rate_limit_report == PL_RATE_LIMIT_NAMED))
-        event.u.attempt.rate_limit_report = head->rate_limit_report;
-      event.u.attempt.rate_limit = head->rate_limit;
-      event.u.attempt.refusal = head->refusal;
-      event.u.attempt.answer_id = head->id;
-      event.u.attempt.answer_framing = head->framing;
-      event.u.attempt.answer_bytes = (int64_t) attempt->answer->len;
-      if (event.u.attempt.end == PL_ATTEMPT_ANSWERED)
-        move_answer (attempt, request);
-      request->attempt_state = NULL;
-      g_clear_pointer (&request->attempt_call, pl_http_call_unref);
-      front->options.post (front->options.data, &event);
+      free_attempt (attempt);
+      return;
     }
-  free_attempt (attempt);
+  event.u.attempt.request = attempt->request;
+  event.u.attempt.attempt = attempt->number;
+  event.u.attempt.end = classify_end (attempt, end);
+  event.u.attempt.status = status;
+  event.u.attempt.is_new_connection = pl_http_call_opened_connection (attempt->call);
+  event.u.attempt.has_load = head->has_load && is_own_head (attempt);
+  event.u.attempt.load = head->load;
+  /* A truncated answer may have lost the header. */
+  if (is_own_head (attempt)
+      && (end == PL_HTTP_COMPLETE || head->rate_limit_report == PL_RATE_LIMIT_NAMED))
+    event.u.attempt.rate_limit_report = head->rate_limit_report;
+  event.u.attempt.rate_limit = head->rate_limit;
+  event.u.attempt.refusal = head->refusal;
+  event.u.attempt.answer_id = head->id;
+  event.u.attempt.answer_framing = head->framing;
+  event.u.attempt.answer_bytes = (int64_t) attempt->answer->len;
+  g_clear_pointer (&attempt->call, pl_http_call_unref);
+  if (event.u.attempt.end != PL_ATTEMPT_ANSWERED)
+    drop_attempt (slot);
+  front->options.post (front->options.data, &event);
 }
 
 static const struct pl_http_handler attempt_handler = {on_header, on_write, on_read, on_done};
@@ -395,6 +465,25 @@
   return false;
 }
 
+/* Returns a free slot of REQUEST, where needed that of its oldest attempt: that has ended, and the
+ * router has decided on its answer, since it sends a request again only then. */
+static struct pl_front_attempt **
+make_slot (struct pl_front_request *request)
+{
+  struct pl_front_attempt **oldest = &request->attempts[0];
+
+  for (int i = 0; i < PL_FRONT_ATTEMPTS_MAX; i++)
+    {
+      if (request->attempts[i] == NULL)
+        return &request->attempts[i];
+      if (request->attempts[i]->number < (*oldest)->number)
+        oldest = &request->attempts[i];
+    }
+  assert ((*oldest)->call == NULL);
+  drop_attempt (oldest);
+  return oldest;
+}
+
 /* Starts an attempt with HEADERS, which it takes. */
 static void
 start_attempt (struct pl_front *front, struct pl_front_request *request, uint32_t number,
@@ -405,7 +494,7 @@
   struct pl_http_call_options options = {0};
 
   g_ptr_array_add (headers, NULL);
-  pl_front_cancel_attempt (request);
+  *make_slot (request) = attempt;
   attempt->front = front;
   attempt->request = request->id;
   attempt->number = number;
@@ -415,8 +504,6 @@
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
   attempt->body = g_byte_array_ref (request->body);
   attempt->answer = g_byte_array_new ();
-  request->attempt = number;
-  request->attempt_state = attempt;
   options.method = request->method;
   options.url = url;
   options.target = request->target;
@@ -437,7 +524,7 @@
       = record_address (request, wanted->address) || request->correlation_id[0] == '\0';
   options.handler = &attempt_handler;
   options.data = attempt;
-  request->attempt_call = pl_http_client_start (front->options.client, &options);
+  attempt->call = pl_http_client_start (front->options.client, &options);
   g_ptr_array_unref (headers);
 }
 
@@ -481,16 +568,6 @@
   start_attempt (front, request, effect->attempt, headers, &options);
 }
 
-void
-pl_front_cancel_attempt (struct pl_front_request *request)
-{
-  if (request->attempt_call == NULL)
-    return;
-  request->attempt_state = NULL;
-  pl_http_call_cancel (request->attempt_call);
-  g_clear_pointer (&request->attempt_call, pl_http_call_unref);
-}
-
 /* What one head of the answer to a probe says. */
 struct probe_head
 {
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -118,6 +118,7 @@
       enum pl_attempt_end end = event->u.attempt.end;
 
       effect.request = event->u.attempt.request;
+      effect.attempt = event->u.attempt.attempt;
       fixture->ends[attempts % ATTEMPTS_MAX] = end;
       g_atomic_int_inc (&fixture->attempts);
       effect.u.refuse.status = 502;
--- a/tests/test_front_limits.c
+++ b/tests/test_front_limits.c
@@ -195,6 +195,7 @@
       fixture->answers_lost += event->u.attempt.end == PL_ATTEMPT_ANSWER_LOST;
       effect.type = is_answered ? PL_ROUTER_DELIVER : PL_ROUTER_REFUSE;
       effect.request = event->u.attempt.request;
+      effect.attempt = event->u.attempt.attempt;
       effect.u.refuse.status = 502;
       effect.u.refuse.reason = "answer-lost";
     }
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -147,6 +147,7 @@
       effect.type
           = event->u.attempt.end == PL_ATTEMPT_ANSWERED ? PL_ROUTER_DELIVER : PL_ROUTER_REFUSE;
       effect.request = event->u.attempt.request;
+      effect.attempt = event->u.attempt.attempt;
       effect.u.refuse.status = 502;
       effect.u.refuse.reason = "answer-lost";
     }
--- a/tests/test_handovers.c
+++ b/tests/test_handovers.c
@@ -150,6 +150,7 @@
       host->attempts++;
       host->attempt = event->u.attempt;
       queued->effect.request = event->u.attempt.request;
+      queued->effect.attempt = event->u.attempt.attempt;
       queued->effect.type = PL_ROUTER_DELIVER;
       if (event->u.attempt.end != PL_ATTEMPT_ANSWERED)
         set_refuse (&queued->effect);
