--- a/core/hedging.c
+++ b/core/hedging.c
@@ -11,9 +11,10 @@
 #include <assert.h>
 #include <string.h>
 
-/* The quantile is 1 - hedge_ratio within these limits.  Below the lower one, copies would be sent
- * of requests that are as fast as usual; above the upper one lies at most one of 128 samples. */
-#define QUANTILE_MIN 0.9
+/* The quantile is 1 - hedge_ratio within these limits.  The lower one is about the fraction of the
+ * requests for which the budget of retries has no token; above the upper one lies at most one of
+ * 128 samples. */
+#define QUANTILE_MIN 0.85
 #define QUANTILE_MAX 0.99
 /* An earlier copy would mostly measure the host's own scheduling. */
 #define DELAY_MIN_US INT64_C (5000)
@@ -29,7 +30,7 @@
 /* The quantiles are computed again after so many samples. */
 #define SAMPLES_PER_ESTIMATE 8
 /* Copies that a host may send at once at most, for a service that had none for some time. */
-#define COPY_TOKENS_MAX 5.0
+#define COPY_TOKENS_MAX 10.0
 /* Fraction of the fleet's retry budget that is used.  The rest is a margin, since hosts do not
  * always know of each other. */
 #define RETRY_BUDGET_RATIO 0.7
