Tests: each way in which two attempts of a request can end

Cause: test_router_fuzz meets the ends of two attempts at random; nothing told them one by one, nor the requests that get no copy.

Change: test_router_copies ends the first attempt and the copy in every pair of ways, by the caller, the time and the loss of the servers, and checks the conditions for a copy that the router adds. world_lose_servers() moved to router_world.c, since two programs use it.

Found: a request whose route allows two attempts has used both with a copy. When this host loses the servers, such a request is refused with 502 rather than handed over, as Attempts counts copies.

--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -440,3 +440,26 @@
 
   end_attempt (world, call, &event);
 }
+
+void
+world_lose_servers (struct world *world)
+{
+  char *server;
+
+  for (int i = 0; i < 8; i++)
+    {
+      struct world_call *call = world_send_request (world, "/read/1", "key-1");
+
+      while (call->at_server && !call->at_peer)
+        world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+    }
+  world_advance (world, WORLD_MS);
+  while ((server = g_queue_pop_head (&world->probed)) != NULL)
+    {
+      struct pl_router_event event = {.type = PL_ROUTER_PROBED};
+
+      event.u.probed.server = pl_server_hash (server);
+      world_step (world, &event);
+      g_free (server);
+    }
+}
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -141,4 +141,7 @@
 void world_end_attempt (struct world *world, struct world_call *call, enum pl_attempt_end end,
                         int status);
 
+/* Cuts the host off from all servers, which it then knows. */
+void world_lose_servers (struct world *world);
+
 #endif
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -285,30 +285,6 @@
 }
 END_TEST
 
-/* Cuts the host off from all servers, which it then knows. */
-static void
-lose_servers (void)
-{
-  char *server;
-
-  for (int i = 0; i < 8; i++)
-    {
-      struct world_call *call = world_send_request (world, "/read/1", "key-1");
-
-      while (call->at_server && !call->at_peer)
-        world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
-    }
-  world_advance (world, WORLD_MS);
-  while ((server = g_queue_pop_head (&world->probed)) != NULL)
-    {
-      struct pl_router_event event = {.type = PL_ROUTER_PROBED};
-
-      event.u.probed.server = pl_server_hash (server);
-      world_step (world, &event);
-      g_free (server);
-    }
-}
-
 /* A peer knows only of its own attempts. */
 START_TEST (a_peer_that_can_not_serve_does_not_undo_an_earlier_run)
 {
@@ -324,7 +300,7 @@
       set_up ();
       world_receive_beacon (world, &near);
       world_receive_beacon (world, &far);
-      lose_servers ();
+      world_lose_servers (world);
       call = world_send_request (world, "/read/2", "key-1");
       ck_assert (call->at_peer);
       world_end_attempt (world, call, PL_ATTEMPT_ANSWER_LOST, 0);
@@ -374,7 +350,7 @@
                         "\"Timeout\":\"800ms\",\"TargetLatency\":\"200ms\",\"Public\":true,"
                         "\"Service\":\"stock\",\"Attempts\":2}},");
       world_receive_beacon (world, &near);
-      lose_servers ();
+      world_lose_servers (world);
       call = world_send_request (world, "/open/1", NULL);
       ck_assert (call->at_peer);
       world_refuse_by_peer (world, call, 429, reasons[i], 0);
--- /dev/null
+++ b/tests/test_router_copies.c
@@ -0,0 +1,435 @@
+/* Second copies in the router: each way in which the two attempts of a request can end.
+ *
+ * Guards against requests that are answered twice or not at all, against "not run" for requests
+ * that one of the attempts runs, and against slots that stay taken by cancelled attempts. */
+#include "router_world.h"
+#include "suite.h"
+
+#include <string.h>
+
+#define SERVERS 4
+#define SAMPLES 32
+#define LATENCY_US (40 * WORLD_MS)
+/* After the delay of copies, which is at most an eighth above the latency. */
+#define COPY_DUE_US (50 * WORLD_MS)
+
+static struct world *world;
+
+/* A route like "read" with an attempt more. */
+static const char *const deep_route
+    = "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"deep\"},\"Spec\":{\"Host\":\"h\","
+      "\"Prefix\":\"/read/deep/\",\"Kind\":\"idempotent\",\"Timeout\":\"800ms\",\"TargetLatency\":"
+      "\"200ms\",\"Service\":\"stock\",\"Attempts\":3,\"Sticky\":true}},";
+
+static void
+add_servers (void)
+{
+  for (int i = 0; i < SERVERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_put_server (world, id, i % 2 == 0 ? "a-1" : "b-1", "ready", 1);
+    }
+}
+
+/* Sends a request that is answered at the moment at which its copy would be due. */
+static void
+send_usual_request (const char *path)
+{
+  struct world_call *call = world_send_request (world, path, "key-1");
+
+  world_advance (world, LATENCY_US - 1);
+  world->now_us += 1;
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert_int_eq (call->sends, 1);
+}
+
+/* A world in which the latencies of the route are known and the budgets are full. */
+static void
+set_up_with (const struct world_options *options)
+{
+  world = world_new_from (options);
+  world_put_config (world, 3, deep_route);
+  add_servers ();
+  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < 4 * SAMPLES; i++)
+    send_usual_request ("/read/1");
+}
+
+static void
+set_up (void)
+{
+  set_up_with (
+      &(struct world_options){.load_management = PL_LOAD_MANAGEMENT_ON, .hedge_ratio = 0.1});
+}
+
+static void
+tear_down (void)
+{
+  world_free (world);
+}
+
+static void
+check_counter (const char *line)
+{
+  GString *text = g_string_new (NULL);
+
+  pl_router_metrics (world->router, text);
+  ck_assert_msg (strstr (text->str, line) != NULL, "no %s in %s", line, text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+leave (const struct world_call *call)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_CALLER_GONE, .u.request = call->id};
+
+  world_step (world, &event);
+}
+
+/* Returns a request of which two attempts run. */
+static struct world_call *
+send_with_copy_to (const char *path)
+{
+  struct world_call *call = world_send_request (world, path, "key-1");
+
+  world_advance (world, COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 2);
+  ck_assert_int_ne (call->other.number, 0);
+  ck_assert_str_ne (call->server, call->other.server);
+  return call;
+}
+
+static struct world_call *
+send_with_copy (void)
+{
+  return send_with_copy_to ("/read/1");
+}
+
+/* Checks that no server has a slot taken: as many requests as there are slots are sent at once. */
+static void
+check_slots_are_free (void)
+{
+  for (int i = 0; i < 3; i++)
+    {
+      struct world_call *call = world_send_request (world, "/read/1", "key-1");
+
+      ck_assert_int_eq (call->sends, 1);
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+}
+
+START_TEST (the_answer_to_the_copy_ends_the_first_attempt)
+{
+  struct world_call *call = send_with_copy ();
+
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered && call->answers == 1);
+  ck_assert_int_eq (call->ended_attempt, 2);
+  check_counter ("copies_total{event=\"sent\"} 1\n");
+  check_counter ("copies_total{event=\"won\"} 1\n");
+  check_counter ("copies_total{event=\"cancelled\"} 0\n");
+  check_slots_are_free ();
+}
+END_TEST
+
+START_TEST (the_answer_to_the_first_attempt_ends_the_copy)
+{
+  struct world_call *call = send_with_copy ();
+
+  world_select_other (call);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 404);
+  ck_assert (call->delivered && call->answers == 1);
+  ck_assert_int_eq (call->ended_attempt, 1);
+  check_counter ("copies_total{event=\"won\"} 0\n");
+  check_counter ("copies_total{event=\"cancelled\"} 1\n");
+  check_slots_are_free ();
+}
+END_TEST
+
+struct failure
+{
+  enum pl_attempt_end end;
+  int status;
+  bool may_have_run;
+};
+
+static const struct failure failures[] = {
+    {PL_ATTEMPT_ANSWERED, 500, true},  {PL_ATTEMPT_ANSWERED, 503, true},
+    {PL_ATTEMPT_ANSWERED, 429, true},  {PL_ATTEMPT_NOT_RUN, 503, false},
+    {PL_ATTEMPT_NOT_SENT, 0, false},   {PL_ATTEMPT_OTHER_SERVER, 421, false},
+    {PL_ATTEMPT_ANSWER_LOST, 0, true},
+};
+
+/* Either attempt fails, and the other one is answered. */
+START_TEST (a_failure_beside_a_running_attempt_ends_nothing)
+{
+  const struct failure *failure = &failures[_i / 2];
+  struct world_call *call = send_with_copy ();
+
+  if (_i % 2 == 0)
+    world_select_other (call);
+  world_end_attempt (world, call, failure->end, failure->status);
+  ck_assert_int_eq (call->answers, 0);
+  ck_assert_int_eq (call->sends, 2);
+  ck_assert (call->at_server && !call->cancelled);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered && call->answers == 1);
+  check_counter (_i % 2 == 0 ? "copies_total{event=\"won\"} 1\n"
+                             : "copies_total{event=\"won\"} 0\n");
+}
+END_TEST
+
+/* The answer says "not run" only if both attempts did not run. */
+START_TEST (two_failures_end_the_request)
+{
+  const struct failure *first = &failures[_i / (int) G_N_ELEMENTS (failures)];
+  const struct failure *second = &failures[_i % (int) G_N_ELEMENTS (failures)];
+  struct world_call *call = send_with_copy ();
+
+  world_end_attempt (world, call, first->end, first->status);
+  world_end_attempt (world, call, second->end, second->status);
+  ck_assert_int_eq (call->answers, 1);
+  ck_assert_int_eq (call->sends, 2);
+  if (call->delivered)
+    ck_assert_int_eq (second->status, 500);
+  else if (first->may_have_run || second->may_have_run)
+    ck_assert_int_eq (call->status, 502);
+  else
+    ck_assert_int_eq (call->status, 503);
+}
+END_TEST
+
+START_TEST (a_caller_that_leaves_cancels_both_attempts)
+{
+  struct world_call *call = send_with_copy ();
+
+  leave (call);
+  ck_assert_int_eq (call->answers, 1);
+  ck_assert (call->cancelled);
+  ck_assert_int_eq (call->other.number, 0);
+  check_slots_are_free ();
+}
+END_TEST
+
+START_TEST (the_end_of_the_time_cancels_both_attempts)
+{
+  struct world_call *call = send_with_copy ();
+
+  world_advance (world, WORLD_SECOND);
+  ck_assert_int_eq (call->answers, 1);
+  ck_assert_int_eq (call->status, 504);
+  ck_assert_int_eq (call->other.number, 0);
+  check_slots_are_free ();
+}
+END_TEST
+
+/* Its end has been on the way while the router chose the other attempt. */
+START_TEST (the_end_of_a_cancelled_attempt_changes_nothing)
+{
+  struct world_call *call = send_with_copy ();
+  struct pl_router_event event = {.type = PL_ROUTER_ATTEMPT,
+                                  .u.attempt = {.request = call->id, .attempt = 1, .status = 200}};
+
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  world_step (world, &event);
+  ck_assert_int_eq (call->answers, 1);
+  check_slots_are_free ();
+}
+END_TEST
+
+START_TEST (a_late_end_does_not_end_the_attempt_that_runs)
+{
+  struct world_call *call = send_with_copy ();
+  struct pl_router_event event = {.type = PL_ROUTER_ATTEMPT,
+                                  .u.attempt = {.request = call->id, .attempt = 2, .status = 200}};
+
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 500);
+  world_step (world, &event);
+  ck_assert_int_eq (call->answers, 0);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered);
+}
+END_TEST
+
+START_TEST (a_request_with_an_attempt_left_is_retried_after_two_losses)
+{
+  struct world_call *call;
+
+  for (int i = 0; i < SAMPLES; i++)
+    send_usual_request ("/read/deep/1");
+  call = send_with_copy_to ("/read/deep/1");
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 500);
+  world_end_attempt (world, call, PL_ATTEMPT_NOT_RUN, 503);
+  ck_assert_int_eq (call->sends, 3);
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->other.number, 0);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered && call->answers == 1);
+}
+END_TEST
+
+/* This host is cut off from the servers while two attempts run: both end, and a peer gets the
+ * request if its route allows a third attempt. */
+START_TEST (both_attempts_end_when_the_servers_are_lost)
+{
+  const char *path = _i == 0 ? "/read/1" : "/read/deep/1";
+  struct pl_beacon beacon = world_peer_beacon ("host-b", "a-1");
+  struct world_call *call;
+
+  for (int i = 0; i < SAMPLES; i++)
+    send_usual_request (path);
+  world_receive_beacon (world, &beacon);
+  call = send_with_copy_to (path);
+  world_lose_servers (world);
+  world_advance (world, 300 * WORLD_MS);
+  ck_assert_int_eq (call->other.number, 0);
+  if (_i == 0)
+    {
+      ck_assert_int_eq (call->answers, 1);
+      ck_assert_int_eq (call->status, 502);
+      return;
+    }
+  ck_assert (call->at_peer);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  ck_assert (call->delivered && call->answers == 1);
+}
+END_TEST
+
+/* A request that makes its server fail would take a second server along. */
+START_TEST (a_suspect_gets_no_copy)
+{
+  struct world_call *call = world_send_request (world, "/read/1", "key-1");
+
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWER_LOST, 0);
+  leave (call);
+  call = world_send_request (world, "/read/1", "key-1");
+  world_advance (world, COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+  check_counter ("copies_not_sent_total{reason=\"suspect\"} 1\n");
+}
+END_TEST
+
+START_TEST (a_request_that_may_run_once_gets_no_copy)
+{
+  struct world_call *call;
+
+  for (int i = 0; i < SAMPLES; i++)
+    send_usual_request ("/write/1");
+  call = world_send_request (world, "/write/1", "key-1");
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+}
+END_TEST
+
+/* A retry is the second of the route's two attempts. */
+START_TEST (copies_count_as_attempts)
+{
+  struct world_call *call = world_send_request (world, "/read/1", "key-1");
+
+  world_end_attempt (world, call, PL_ATTEMPT_NOT_RUN, 503);
+  ck_assert_int_eq (call->sends, 2);
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 2);
+}
+END_TEST
+
+START_TEST (no_copy_goes_to_a_server_with_a_limit)
+{
+  struct world_call *call;
+
+  for (int i = 0; i < SERVERS * 10; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/read/%d", i);
+
+      call = world_send_request (world, path, "key-1");
+      if (call->at_server)
+        world_answer_with_limit (world, call, 100);
+    }
+  world_advance (world, 2 * WORLD_SECOND);
+  call = world_send_request (world, "/read/1", "key-1");
+  ck_assert_int_eq (call->sends, 1);
+  world_advance (world, COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+  check_counter ("copies_not_sent_total{reason=\"no-server\"} 1\n");
+}
+END_TEST
+
+/* All servers have restarted since. */
+START_TEST (no_copy_goes_to_a_cold_server)
+{
+  struct world_call *call = world_send_request (world, "/read/1", "key-1");
+
+  for (int i = 0; i < SERVERS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("s-%d", i);
+
+      world_put_server (world, id, i % 2 == 0 ? "a-1" : "b-1", "ready", 2);
+    }
+  world_advance (world, COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+  check_counter ("copies_not_sent_total{reason=\"no-server\"} 1\n");
+}
+END_TEST
+
+START_TEST (services_without_load_management_have_no_copies)
+{
+  struct world_call *call;
+
+  tear_down ();
+  set_up_with (&(struct world_options){.hedge_ratio = 0.1});
+  call = world_send_request (world, "/read/1", "key-1");
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+}
+END_TEST
+
+START_TEST (copies_are_off_by_default)
+{
+  struct world_call *call;
+
+  tear_down ();
+  set_up_with (&(struct world_options){.load_management = PL_LOAD_MANAGEMENT_ON});
+  call = world_send_request (world, "/read/1", "key-1");
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 1);
+}
+END_TEST
+
+START_TEST (a_request_gets_one_copy)
+{
+  struct world_call *call = send_with_copy ();
+
+  world_advance (world, 4 * COPY_DUE_US);
+  ck_assert_int_eq (call->sends, 2);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite;
+  TCase *tcase = suite_new_case (&suite, "router_copies");
+  int kinds = (int) G_N_ELEMENTS (failures);
+
+  tcase_add_checked_fixture (tcase, set_up, tear_down);
+  tcase_add_test (tcase, the_answer_to_the_copy_ends_the_first_attempt);
+  tcase_add_test (tcase, the_answer_to_the_first_attempt_ends_the_copy);
+  tcase_add_loop_test (tcase, a_failure_beside_a_running_attempt_ends_nothing, 0, 2 * kinds);
+  tcase_add_loop_test (tcase, two_failures_end_the_request, 0, kinds * kinds);
+  tcase_add_test (tcase, a_caller_that_leaves_cancels_both_attempts);
+  tcase_add_test (tcase, the_end_of_the_time_cancels_both_attempts);
+  tcase_add_test (tcase, the_end_of_a_cancelled_attempt_changes_nothing);
+  tcase_add_test (tcase, a_late_end_does_not_end_the_attempt_that_runs);
+  tcase_add_test (tcase, a_request_with_an_attempt_left_is_retried_after_two_losses);
+  tcase_add_loop_test (tcase, both_attempts_end_when_the_servers_are_lost, 0, 2);
+  tcase_add_test (tcase, a_suspect_gets_no_copy);
+  tcase_add_test (tcase, a_request_that_may_run_once_gets_no_copy);
+  tcase_add_test (tcase, copies_count_as_attempts);
+  tcase_add_test (tcase, no_copy_goes_to_a_server_with_a_limit);
+  tcase_add_test (tcase, no_copy_goes_to_a_cold_server);
+  tcase_add_test (tcase, services_without_load_management_have_no_copies);
+  tcase_add_test (tcase, copies_are_off_by_default);
+  tcase_add_test (tcase, a_request_gets_one_copy);
+  return suite_run (suite);
+}
