Tests: a copy goes to another free server only

Cause: no check failed when a copy was allowed to queue.

Change: test_placement asks for a copy while the other servers are free, busy, cold, limited or have failed.

--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -477,6 +477,71 @@
 }
 END_TEST
 
+/* What makes the servers that a copy would go to unfit for it. */
+enum unfitness
+{
+  UNFIT_NOT,
+  UNFIT_BUSY, /* they would still queue a request of their own */
+  UNFIT_COLD,
+  UNFIT_LIMITED,
+  UNFIT_FAILED,
+  UNFIT_COUNT,
+};
+
+static void
+make_unfit (struct pl_backend *backend, enum unfitness unfitness)
+{
+  switch (unfitness)
+    {
+    case UNFIT_BUSY:
+      backend->in_flight = SLOTS - 1;
+      backend->progress_us = SECOND;
+      break;
+    case UNFIT_COLD:
+      backend->cold_until_us = 2 * SECOND;
+      backend->cold_tokens = 1;
+      break;
+    case UNFIT_LIMITED:
+      backend->limit.in_force = true;
+      break;
+    case UNFIT_FAILED:
+      backend->breaker_tripped = true;
+      break;
+    default:
+      break;
+    }
+}
+
+/* Guards against copies that queue, or take what other requests need: they would be late
+ * themselves, and make others late. */
+START_TEST (a_copy_goes_to_another_free_server_only)
+{
+  for (uint64_t object = 0; object < 8; object++)
+    {
+      struct pl_placement_request request = make_request (object);
+      struct pl_placement_choice choice;
+      enum pl_placement_result result;
+      const struct pl_backend *first;
+
+      tear_down ();
+      set_up ();
+      first = choose (&request, SECOND);
+      request.tried = &first->hash;
+      request.tried_count = 1;
+      request.is_copy = true;
+      for (guint i = 0; _i != UNFIT_NOT && i < SERVERS; i++)
+        {
+          g_autofree char *id = g_strdup_printf ("server-%u", i);
+
+          make_unfit (pl_placement_find (&placement, id), (enum unfitness) _i);
+        }
+      result = pl_placement_choose (&placement, &request, NULL, NULL, &choice, SECOND);
+      ck_assert_int_eq (result == PL_PLACED, _i == UNFIT_NOT);
+      ck_assert_ptr_ne (choice.backend, first);
+    }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -499,5 +564,6 @@
   tcase_add_test (tcase, an_unreachable_server_is_probed_before_use);
   tcase_add_test (tcase, servers_that_all_reject_requests_stay_in_use);
   tcase_add_test (tcase, a_single_server_that_rejects_requests_is_avoided);
+  tcase_add_loop_test (tcase, a_copy_goes_to_another_free_server_only, UNFIT_NOT, UNFIT_COUNT);
   return suite_run (suite);
 }
