Tests: two attempts of a request at once in the front

Cause: the front held one attempt a request, and its tests end one at a time.

The fixture has functions that take the place of its server's script and its router.

--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -44,6 +44,10 @@
           length += (size_t) received;
         }
       g_atomic_int_inc (&fixture->requests);
+      if (fixture->on_request != NULL && !fixture->on_request (fixture, fd, text))
+        goto out;
+      if (fixture->on_request != NULL)
+        continue;
       send_text (fd, fixture->script->answers[i]);
       if (!fixture->repeats)
         continue;
@@ -94,6 +98,13 @@
   effect->u.send.at_most_once = fixture->at_most_once;
 }
 
+void
+front_add_effect (struct front_fixture *fixture, const struct pl_router_effect *effect)
+{
+  g_queue_push_tail (&fixture->effects, g_memdup2 (effect, sizeof *effect));
+  pl_reactor_skip_wait (fixture->reactor);
+}
+
 /* Replaces the router.  A failed attempt is refused with 502. */
 static void
 on_event (void *data, struct pl_router_event *event)
@@ -102,6 +113,11 @@
   struct pl_router_effect effect = {0};
   int attempts = g_atomic_int_get (&fixture->attempts);
 
+  if (fixture->on_event != NULL)
+    {
+      fixture->on_event (fixture, event);
+      return;
+    }
   if (event->type == PL_ROUTER_PROBED)
     {
       fixture->is_healthy = event->u.probed.healthy;
@@ -130,8 +146,7 @@
     }
   else
     return;
-  g_queue_push_tail (&fixture->effects, g_memdup2 (&effect, sizeof effect));
-  pl_reactor_skip_wait (fixture->reactor);
+  front_add_effect (fixture, &effect);
 }
 
 static void
@@ -217,8 +232,8 @@
   close (fixture->listener);
 }
 
-char *
-exchange (const struct front_fixture *fixture, const char *method, const char *id)
+int
+begin_exchange (const struct front_fixture *fixture, const char *method, const char *id)
 {
   struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   g_autofree char *header = id != NULL
@@ -226,15 +241,23 @@
                                 : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "%s /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n", method, header);
-  GString *answer = g_string_new (NULL);
-  char bytes[TEXT_BYTES];
-  ssize_t received;
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
   address.sin_port
       = htons ((uint16_t) g_ascii_strtoull (strchr (fixture->caller_address, ':') + 1, NULL, 10));
   ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
   ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
+  return fd;
+}
+
+char *
+exchange (const struct front_fixture *fixture, const char *method, const char *id)
+{
+  GString *answer = g_string_new (NULL);
+  char bytes[TEXT_BYTES];
+  ssize_t received;
+  int fd = begin_exchange (fixture, method, id);
+
   while ((received = read (fd, bytes, sizeof bytes)) > 0)
     g_string_append_len (answer, bytes, received);
   close (fd);
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -21,6 +21,12 @@
 
 struct front_fixture
 {
+  /* Answers TEXT, the head of a request, on the server's connection FD, in place of the script.
+   * Returns false to close the connection.  May be NULL. */
+  bool (*on_request) (struct front_fixture *fixture, int fd, const char *text);
+  /* Decides in place of the router, with front_add_effect().  May be NULL. */
+  void (*on_event) (struct front_fixture *fixture, const struct pl_router_event *event);
+  void *data; /* of these functions */
   const struct front_script *script;
   bool closes;  /* the server closes a connection after its last answer */
   bool resets;  /* the server resets a connection after its last answer */
@@ -50,6 +56,11 @@
 
 void set_up_front (struct front_fixture *fixture, const struct front_script *script);
 void tear_down_front (struct front_fixture *fixture);
+/* Has the front execute a copy of EFFECT; to be called from on_event(). */
+void front_add_effect (struct front_fixture *fixture, const struct pl_router_effect *effect);
+/* Returns a connection of a caller that has sent a request with ID, or without one if it is NULL.
+ */
+int begin_exchange (const struct front_fixture *fixture, const char *method, const char *id);
 /* Sends a request with ID, or without one if it is NULL, and returns all that the caller gets. */
 char *exchange (const struct front_fixture *fixture, const char *method, const char *id);
 /* Returns the status of an answer, or 0 if there is none. */
