--- a/core/hedging.c
+++ b/core/hedging.c
@@ -138,7 +138,10 @@
   if (age_us < 2 * GENERATION_MAX_US)
     route->previous = route->recent;
   else
-    memset (&route->previous, 0, sizeof route->previous);
+    {
+      memset (&route->previous, 0, sizeof route->previous);
+      route->samples = 0;
+    }
   memset (&route->recent, 0, sizeof route->recent);
   route->recent_since_us = now_us;
 }
--- a/tests/test_hedging.c
+++ b/tests/test_hedging.c
@@ -96,6 +96,8 @@
 START_TEST (old_latencies_are_forgotten)
 {
   record (SAMPLES, 10 * FAST_US, 0);
+  record (1, FAST_US, 61 * WORLD_SECOND);
+  ck_assert_int_eq (pl_hedging_due_us (&hedging, route, INT64_MAX / 2, 0), INT64_MAX);
   record (SAMPLES, FAST_US, 61 * WORLD_SECOND);
   ck_assert_int_lt (pl_hedging_due_us (&hedging, route, INT64_MAX / 2, 0), 2 * FAST_US);
 }
