Tests: an overtaken attempt is no progress of its server

Cause: no check failed when the cancel of the slower attempt counted as progress, which keeps a silent server from counting as stalled.

Measured: 81 checks of test_router_copies pass; the new one fails when the cancel sets progress_us.

--- a/tests/test_router_copies.c
+++ b/tests/test_router_copies.c
@@ -13,6 +13,10 @@
 /* After the delay of copies, which is at most an eighth above the latency. */
 #define COPY_DUE_US (50 * WORLD_MS)
 
+/* After this time without progress a server counts as stalled: two and a half latency objectives.
+ */
+#define STALL_US (500 * WORLD_MS)
+
 static struct world *world;
 
 /* A route like "read" with an attempt more. */
@@ -296,6 +300,35 @@
 }
 END_TEST
 
+/* Guards against a server that answers nothing and never counts as stalled, since its requests end
+ * with the answers to their copies. */
+START_TEST (an_overtaken_attempt_is_no_progress_of_its_server)
+{
+  struct world_call *call = world_send_request (world, "/read/1", "key-1");
+  const char *silent = call->server;
+
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+  for (int i = 0;; i++)
+    {
+      g_autofree char *path = g_strdup_printf ("/write/%d", i);
+
+      call = world_send_request (world, path, "key-1");
+      if (call->server == silent)
+        break;
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  for (int i = 0; i < STALL_US / COPY_DUE_US; i++)
+    {
+      call = send_with_copy ();
+      ck_assert_ptr_eq (call->other.server, silent);
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+    }
+  world_advance (world, COPY_DUE_US);
+  call = world_send_request (world, "/read/1", "key-1");
+  ck_assert_ptr_ne (call->server, silent);
+}
+END_TEST
+
 /* A request that makes its server fail would take a second server along. */
 START_TEST (a_suspect_gets_no_copy)
 {
@@ -423,6 +456,7 @@
   tcase_add_test (tcase, a_late_end_does_not_end_the_attempt_that_runs);
   tcase_add_test (tcase, a_request_with_an_attempt_left_is_retried_after_two_losses);
   tcase_add_loop_test (tcase, both_attempts_end_when_the_servers_are_lost, 0, 2);
+  tcase_add_test (tcase, an_overtaken_attempt_is_no_progress_of_its_server);
   tcase_add_test (tcase, a_suspect_gets_no_copy);
   tcase_add_test (tcase, a_request_that_may_run_once_gets_no_copy);
   tcase_add_test (tcase, copies_count_as_attempts);
