Tests: the log tells what decided on a copy

Cause: nothing checked the fields of the log line, which json_pack() would leave out as a whole for one wrong type.

--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -67,6 +67,7 @@
   pl_router_effects_free (&world->effects);
   g_hash_table_destroy (world->calls);
   g_queue_clear_full (&world->probed, g_free);
+  json_decref (world->logged_copy);
   g_free (world);
 }
 
@@ -205,6 +206,11 @@
       world->stopped = true;
       break;
     case PL_ROUTER_LOG:
+      if (strcmp (effect->u.log_line.event, "copy") == 0)
+        {
+          json_decref (world->logged_copy);
+          world->logged_copy = json_incref (effect->u.log_line.fields);
+        }
       world->warnings += effect->u.log_line.level == PL_ROUTER_LOG_WARNING;
       if (effect->u.log_line.level == PL_ROUTER_LOG_REQUEST)
         world->logged_request = g_intern_string (
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -70,6 +70,7 @@
   int warnings;               /* log lines of level warning */
   const char *probed_path;    /* of the last probe; interned */
   const char *logged_request; /* field of the last log line about a request; interned */
+  json_t *logged_copy;        /* fields of the last log line about a copy; NULL: none */
   const char *correlation_id; /* of the requests that are sent; NULL: label */
   const char *host;           /* to which they are sent; NULL: h */
   GQueue probed;              /* ids of servers whose probes have no answer yet; owned */
--- a/tests/test_router_copies.c
+++ b/tests/test_router_copies.c
@@ -329,6 +329,25 @@
 }
 END_TEST
 
+/* An operator can tell from the line alone why there was a copy. */
+START_TEST (the_log_tells_what_decided_on_a_copy)
+{
+  static const char *const fields[]
+      = {"delay_us", "quantile", "samples", "copy_tokens", "retry_tokens", "waiting", "late_ratio"};
+  const json_t *line;
+
+  world->correlation_id = "slow-one";
+  send_with_copy ();
+  line = world->logged_copy;
+  ck_assert_str_eq (json_string_value (json_object_get (line, "request")), "slow-one");
+  ck_assert_str_eq (json_string_value (json_object_get (line, "outcome")), "copy");
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    ck_assert (json_is_number (json_object_get (line, fields[i])));
+  ck_assert_int_eq (json_integer_value (json_object_get (line, "delay_us")), LATENCY_US);
+  ck_assert_double_ge (json_number_value (json_object_get (line, "copy_tokens")), 1);
+}
+END_TEST
+
 /* A request that makes its server fail would take a second server along. */
 START_TEST (a_suspect_gets_no_copy)
 {
@@ -457,6 +476,7 @@
   tcase_add_test (tcase, a_request_with_an_attempt_left_is_retried_after_two_losses);
   tcase_add_loop_test (tcase, both_attempts_end_when_the_servers_are_lost, 0, 2);
   tcase_add_test (tcase, an_overtaken_attempt_is_no_progress_of_its_server);
+  tcase_add_test (tcase, the_log_tells_what_decided_on_a_copy);
   tcase_add_test (tcase, a_suspect_gets_no_copy);
   tcase_add_test (tcase, a_request_that_may_run_once_gets_no_copy);
   tcase_add_test (tcase, copies_count_as_attempts);
