--- a/core/placement.c
+++ b/core/placement.c
@@ -279,6 +279,14 @@
          || now_us - backend->last_chosen_us > UNHEALTHY_RETRY_US;
 }
 
+/* Returns whether BACKEND may run second copies: they take neither of what it can do while it is
+ * cold nor of its rate limit, and do not test whether it has recovered. */
+static bool
+may_run_copy (const struct pl_backend *backend, int64_t now_us)
+{
+  return now_us >= backend->cold_until_us && !backend->limit.in_force && !backend->breaker_tripped;
+}
+
 static double
 effective_slots (const struct pl_placement_service *service, const struct pl_backend *backend)
 {
@@ -520,7 +528,7 @@
 }
 
 /* Returns the first server of the ranking if it has capacity, else one of the next with spare
- * capacity for overflow, or NULL. */
+ * capacity for overflow, or NULL.  A copy takes no queue: it goes to one with spare capacity. */
 static struct pl_backend *
 choose_ranked (struct pl_placement_service *service, const struct pl_placement_request *request,
                const struct scan *scan, int64_t now_us)
@@ -530,14 +538,16 @@
   int candidates
       = request->is_large && scan->local_count > 0 ? scan->local_count : scan->healthy_count;
   int overflow_servers = candidates >= OVERFLOW_SERVERS_THRESHOLD ? OVERFLOW_SERVERS : 1;
+  int first = request->is_copy ? 0 : 1;
 
-  if (service->compares_times)
+  if (service->compares_times && !request->is_copy)
     alternative = choose_alternative (service, request, scan, overflow_servers, now_us);
   if (alternative != NULL)
     return alternative;
-  if (scan->ranked_count > 0 && has_capacity (service, request, ranked[0].backend, now_us))
+  if (!request->is_copy && scan->ranked_count > 0
+      && has_capacity (service, request, ranked[0].backend, now_us))
     return ranked[0].backend;
-  for (int i = 1; i < scan->ranked_count && i <= overflow_servers; i++)
+  for (int i = first; i < scan->ranked_count && i < first + overflow_servers; i++)
     if (load_with_one (service, ranked[i].backend, now_us) <= OVERFLOW_LOAD_MAX)
       return ranked[i].backend;
   return NULL;
@@ -618,13 +628,14 @@
 
 /* Returns the server for a request that concerns no object: for managed services the one of those
  * drawn that is expected to answer first, unless all of them are full.  Hosts that chose the best
- * of all by the same reports would all choose the same. */
+ * of all by the same reports would all choose the same.  A copy goes to one with spare capacity. */
 static struct pl_backend *
 choose_unranked (const struct pl_placement *placement, const struct pl_placement_service *service,
                  const struct pl_placement_request *request, const struct scan *scan,
                  int64_t now_us)
 {
   const struct draw *drawn = scan->drawn[0];
+  double load_max = request->is_copy ? OVERFLOW_LOAD_MAX : 1 + OTHER_REGION_LOAD;
   struct pl_backend *best = NULL;
   double best_cost = 0;
 
@@ -638,7 +649,7 @@
       if (backend == NULL)
         continue;
       excess = compared_load (placement, service, request, backend, now_us) - load;
-      if (load + excess > 1 + OTHER_REGION_LOAD)
+      if (load + excess > load_max)
         continue;
       cost = (1 + excess + IDLE_PREFERENCE * load) * expected_us (service, backend, now_us);
       if (best != NULL && cost >= best_cost)
@@ -648,9 +659,7 @@
     }
   if (best != NULL)
     return best;
-  return scan->least_loaded != NULL && scan->least_load <= 1 + OTHER_REGION_LOAD
-             ? scan->least_loaded
-             : NULL;
+  return scan->least_loaded != NULL && scan->least_load <= load_max ? scan->least_loaded : NULL;
 }
 
 /* Keeps the best server for which this host has no permit. */
@@ -709,6 +718,8 @@
       scan->eligible_count++;
       if (!is_healthy (service, request, backend, now_us))
         continue;
+      if (request->is_copy && !may_run_copy (backend, now_us))
+        continue;
       if (now_us < backend->cold_until_us && !may_use_cold (service, backend, shares, data, now_us))
         continue;
       if (shares != NULL && backend->limit.in_force)
@@ -797,7 +808,7 @@
     best = choose_ranked (service, request, &scan, now_us);
   else
     best = choose_unranked (placement, service, request, &scan, now_us);
-  if (best == NULL && request->object != 0 && request->is_large)
+  if (best == NULL && request->object != 0 && request->is_large && !request->is_copy)
     best = choose_remote (placement, service, request, shares, data, now_us);
   if (best == NULL)
     {
@@ -809,7 +820,8 @@
     }
   if (now_us < best->cold_until_us)
     best->cold_tokens -= 1;
-  count_home_requests (service, request);
+  if (!request->is_copy)
+    count_home_requests (service, request);
   best->load_at_send = load_with_one (service, best, now_us);
   best->expected_us = expected_us (service, best, now_us);
   if (best->in_flight == 0)
--- a/core/placement_reports.c
+++ b/core/placement_reports.c
@@ -30,11 +30,17 @@
 }
 
 void
-pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us)
+pl_placement_release_overtaken (struct pl_backend *backend, int64_t body_bytes)
 {
   assert (backend->in_flight > 0 && backend->load.body_bytes >= body_bytes);
   backend->in_flight--;
   backend->load.body_bytes -= body_bytes;
+}
+
+void
+pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us)
+{
+  pl_placement_release_overtaken (backend, body_bytes);
   backend->progress_us = now_us;
 }
 
@@ -77,6 +83,21 @@
   update_average (&service->work_us, work_us, LATENCY_SMOOTHING / 4);
 }
 
+/* The server would have taken longer, so that the average rises and never falls. */
+void
+pl_placement_record_overtaken (const struct pl_placement *placement, struct pl_backend *backend,
+                               const struct pl_placement_answer *answer)
+{
+  const struct pl_placement_service *service
+      = pl_placement_service_at (placement, backend->service);
+  double work_us = (double) answer->latency_us / fmax (answer->load, 1);
+
+  if (service->compares_times)
+    work_us /= pl_server_load_slowdown (&backend->load, answer->at_us);
+  if (work_us > backend->work_us)
+    update_average (&backend->work_us, work_us, LATENCY_SMOOTHING);
+}
+
 void
 pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
                                bool has_load, int64_t now_us)
--- a/core/placement_services.c
+++ b/core/placement_services.c
@@ -59,6 +59,12 @@
   return pl_placement_service_at (placement, service)->is_managed;
 }
 
+double
+pl_placement_late_ratio (const struct pl_placement *placement, int service)
+{
+  return pl_placement_service_at (placement, service)->late_ratio;
+}
+
 void
 pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                           double cold_per_second)
--- a/core/router_limits.c
+++ b/core/router_limits.c
@@ -27,15 +27,15 @@
 /* The wait told to a host that takes this one for the issuer by mistake: its view will soon be the
  * same. */
 #define WRONG_ISSUER_WAIT_US (200 * US_PER_MS)
-/* A changed limit goes into all beacons for this long. */
-#define CHANGE_PRIORITY_US (3 * US_PER_S)
-/* Other limits in one beacon, in turn, for hosts that missed the change. */
-#define UNCHANGED_LIMITS_MAX 8
 /* Number of entry hosts that share the rate of a cold server, as a ratio of that rate per second.
  * Each holds at most one token, so the number bounds what they can send at once. */
 #define COLD_OWNERS_RATIO 0.5
 /* More than there are hosts. */
 #define COLD_OWNERS_MAX 1e6
+/* A changed limit goes into all beacons for this long. */
+#define CHANGE_PRIORITY_US (3 * US_PER_S)
+/* Other limits in one beacon, in turn, for hosts that missed the change. */
+#define UNCHANGED_LIMITS_MAX 8
 
 static void
 log_limit (struct pl_router *router, const struct pl_backend *backend, const char *source)
@@ -181,6 +181,19 @@
   schedule_ask (router, backend);
 }
 
+void
+limits_on_placed (struct pl_router *router, struct call *call)
+{
+  struct pl_backend *backend = call->choice.unpermitted;
+
+  call->passed_over = backend != NULL ? backend->hash : 0;
+  if (backend == NULL)
+    return;
+  if (!call->missed_permit)
+    limits_on_missed (router, backend);
+  call->missed_permit = true;
+}
+
 void
 limits_on_sent (struct pl_router *router, struct pl_backend *backend, bool is_new_demand)
 {
--- a/core/wait_queue.c
+++ b/core/wait_queue.c
@@ -29,6 +29,16 @@
   return (int) queue->entries->len;
 }
 
+int
+pl_wait_queue_count (const struct pl_wait_queue *queue, int service)
+{
+  int count = 0;
+
+  for (guint i = 0; i < queue->entries->len; i++)
+    count += entry_at (queue, i)->service == service;
+  return count;
+}
+
 static int
 compare_entries (const struct pl_wait_entry *a, const struct pl_wait_entry *b)
 {
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -135,6 +135,8 @@
   int64_t permit_wait_us; /* how long it may wait for a permit to use a server with a rate limit */
   int64_t body_bytes;
   int64_t body_share; /* largest body that callers may send, divided by the number of live hosts */
+  /* It is a second copy: only warm servers without a rate limit, with spare capacity. */
+  bool is_copy;
 };
 
 enum pl_placement_result
@@ -172,6 +174,10 @@
 /* Returns whether the load of SERVICE is managed. */
 bool pl_placement_is_managed (const struct pl_placement *placement, int service);
 
+/* Returns the fraction of the recent answers for SERVICE that were later than the latency
+ * objective, 0 to 1. */
+double pl_placement_late_ratio (const struct pl_placement *placement, int service);
+
 /* Sets how cold servers of SERVICE are treated. */
 void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                                double cold_per_second);
@@ -235,6 +241,9 @@
 
 /* Records that a request with BODY_BYTES for which BACKEND was chosen is no longer there. */
 void pl_placement_release (struct pl_backend *backend, int64_t body_bytes, int64_t now_us);
+/* The same for a request that another server was faster for: it is no progress of BACKEND, which
+ * may not answer at all. */
+void pl_placement_release_overtaken (struct pl_backend *backend, int64_t body_bytes);
 
 /* Returns whether BACKEND may still be used for new requests. */
 bool pl_placement_is_usable (const struct pl_placement *placement, const struct pl_backend *backend,
@@ -253,6 +262,11 @@
 
 void pl_placement_record_answer (struct pl_placement *placement, struct pl_backend *backend,
                                  const struct pl_placement_answer *answer);
+/* Records that a request was cancelled, since its copy was answered first.  Of ANSWER, the time and
+ * load until then and at_us are used. */
+void pl_placement_record_overtaken (const struct pl_placement *placement,
+                                    struct pl_backend *backend,
+                                    const struct pl_placement_answer *answer);
 /* Records that the server rejected a request.  HAS_LOAD: the rejection came with a load report,
  * which is used instead of an estimate. */
 void pl_placement_record_rejection (struct pl_placement *placement, struct pl_backend *backend,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -6,6 +6,7 @@
 #define POMELOLATCH_ROUTER_STATE_H
 
 #include "internal/fair_share.h"
+#include "internal/hedging.h"
 #include "internal/quarantine.h"
 #include "internal/quota.h"
 #include "internal/router.h"
@@ -71,15 +72,10 @@
   char *name;
   struct pl_traffic_split split;
   int64_t longest_caller_timeout_us;
+  struct pl_hedging_route *hedging; /* recent latencies; NULL: none yet */
   struct router_counts counts;
 };
 
-/* Retries of the requests for one service that this host may still make. */
-struct router_retry_budget
-{
-  double tokens;
-};
-
 enum call_state
 {
   CALL_WAITING,
@@ -87,6 +83,17 @@
   CALL_AT_PEER, /* handed over */
 };
 
+/* One sending of a request to a server, or its hand-over to a peer. */
+struct call_attempt
+{
+  uint32_t number;
+  struct pl_backend *backend; /* NULL: a peer, or none */
+  int64_t sent_us;
+  double load_at_send; /* of the server, in slots */
+  double expected_us;  /* time to the answer, when it was sent; 0: unknown */
+  bool is_copy;        /* sent while the one before it ran */
+};
+
 struct call
 {
   struct pl_wait_entry wait; /* in the queue exactly while the call is waiting; the first member */
@@ -110,19 +117,19 @@
   bool missed_permit;                /* counted as demand for a server with a rate limit */
   uint64_t passed_over;              /* hash of such a server, at the last try; 0: none */
   int64_t deadline_us;               /* answered by then in any case */
-  uint32_t attempt;                  /* number of the latest one */
+  uint32_t attempts_begun;           /* at servers and peers; the number of the latest */
   int attempts;                      /* servers it was sent to */
   uint64_t tried[PL_TRIED_MAX];
   int tried_count;
-  bool may_have_run; /* on some server */
-  bool caller_gone;  /* has closed its connection, in one direction at least */
-  struct pl_backend *backend;
-  int64_t sent_us;
-  double load_at_send; /* of the server, in slots */
-  double expected_us;  /* time to the answer, when it was sent; 0: unknown */
-  bool is_handover;    /* a peer has handed it over; it is not handed over again */
-  int handovers;       /* to peers, by this host */
-  uint64_t peer;       /* that has it, or had it last; 0: none */
+  bool may_have_run;           /* on some server */
+  bool caller_gone;            /* has closed its connection, in one direction at least */
+  struct call_attempt attempt; /* the latest, or the one that has just ended */
+  struct call_attempt other;   /* one that runs beside it; without a backend: none */
+  bool has_copy;               /* had one, at least */
+  int64_t copy_due_us;         /* when a copy is to be sent; INT64_MAX: never */
+  bool is_handover;            /* a peer has handed it over; it is not handed over again */
+  int handovers;               /* to peers, by this host */
+  uint64_t peer;               /* that has it, or had it last; 0: none */
   char correlation_id[];
 };
 
@@ -217,7 +224,7 @@
   GHashTable *accounts;       /* name -> struct router_account */
   GHashTable *accounts_by_id; /* the same by their id */
   GHashTable *routes;         /* name -> struct router_route */
-  GArray *retry_budgets;      /* of struct router_retry_budget, by handle of the service */
+  struct pl_hedging hedging;  /* second copies, and budgets of retries */
   struct pl_placement placement;
   struct pl_fair_share shares;
   struct pl_membership membership;
@@ -308,9 +315,30 @@
  * peers that reach them. */
 void calls_on_servers_lost (struct pl_router *router);
 
+/* call_shares.c */
+/* Returns whether CALL's service is shared fairly between accounts.  Where it is not, the functions
+ * below that record something do nothing, and all calls are admitted. */
+bool shares_apply (const struct pl_router *router, const struct call *call);
+/* Decides on a CALL that is admitted otherwise.  Returns the refusal, or -1. */
+int shares_admit (struct pl_router *router, struct call *call);
+/* Chooses a server that answers CALL in time.  If there is none, a server that answers it late
+ * takes it, but not while the service is contended: that would make the answers behind it late too.
+ */
+enum pl_placement_result shares_choose_server (struct pl_router *router, struct call *call,
+                                               struct pl_placement_request *request);
+/* CALL could not be answered in time. */
+void shares_record_missed (struct pl_router *router, const struct call *call);
+/* Records how long CALL has waited for the present attempt or its refusal. */
+void shares_record_waiting (struct pl_router *router, const struct call *call);
+/* Records what the end of CALL's attempt tells of the load of its service. */
+void shares_record_outcome (struct pl_router *router, const struct call *call,
+                            const struct pl_attempt_event *event);
+
 /* router_reach.c */
-/* BACKEND could not be connected to, or a connection to it broke. */
-void reach_on_failure (struct pl_router *router, const struct pl_backend *backend);
+/* BACKEND could not be connected to (IS_UNREACHABLE), or a connection to it broke.  The server
+ * counts as failed unless this host turns out to be cut off. */
+void reach_record_failure (struct pl_router *router, struct pl_backend *backend,
+                           bool is_unreachable);
 void reach_on_answer (struct pl_router *router, int64_t opened_us);
 void reach_on_probed (struct pl_router *router, const struct pl_backend *backend, bool connected);
 void reach_run_timers (struct pl_router *router);
@@ -335,6 +363,9 @@
 /* Logs the failure of an attempt, with what tells a failed server from a host that reaches none. */
 void call_log_failed_attempt (struct pl_router *router, const struct call *call,
                               const struct pl_attempt_event *event);
+/* Logs whether CALL, whose copy is due, gets one, with what decided that. */
+void call_log_copy (struct pl_router *router, const struct call *call,
+                    enum pl_hedging_verdict verdict, const struct pl_hedging_request *request);
 
 /* router_limits.c */
 /* Records what an answer or a probe of BACKEND says about its rate limit. */
@@ -351,6 +382,9 @@
 int64_t limits_body_share (struct pl_router *router);
 /* BACKEND was the first choice for a request, but there was no permit. */
 void limits_on_missed (struct pl_router *router, struct pl_backend *backend);
+/* Counts CALL, as its choice says, as demand for the server that it would have been sent to with a
+ * permit. */
+void limits_on_placed (struct pl_router *router, struct call *call);
 /* A request is sent to BACKEND; uses a permit if its limit is in force.  IS_NEW_DEMAND: the request
  * is not one that has missed a permit before. */
 void limits_on_sent (struct pl_router *router, struct pl_backend *backend, bool is_new_demand);
--- a/include/internal/wait_queue.h
+++ b/include/internal/wait_queue.h
@@ -45,6 +45,8 @@
 
 /* Returns the number of entries. */
 int pl_wait_queue_length (const struct pl_wait_queue *queue);
+/* Returns the number of entries that wait for servers of SERVICE. */
+int pl_wait_queue_count (const struct pl_wait_queue *queue, int service);
 
 /* Adds ENTRY, marked as placeable.  Returns the entry that leaves the queue because it is full,
  * which is the last one and may be ENTRY itself, or NULL. */
--- a/tests/test_wait_queue.c
+++ b/tests/test_wait_queue.c
@@ -135,6 +135,19 @@
 }
 END_TEST
 
+/* Requests that wait for one service kept copies of requests for another from being sent. */
+START_TEST (entries_are_counted_by_service)
+{
+  for (int i = 0; i < 3; i++)
+    add (i, 1, false);
+  entries[1].service = OFFERS;
+  ck_assert_int_eq (pl_wait_queue_count (&queue, STOCK), 2);
+  ck_assert_int_eq (pl_wait_queue_count (&queue, OFFERS), 1);
+  pl_wait_queue_remove (&queue, &entries[1]);
+  ck_assert_int_eq (pl_wait_queue_count (&queue, OFFERS), 0);
+}
+END_TEST
+
 /* Memory and the time for a search grew with the backlog.  What leaves a full queue is the newest
  * request of the least urgent class. */
 START_TEST (a_full_queue_gives_up_its_last_entry)
@@ -158,6 +171,7 @@
   tcase_add_test (tcase, removal_of_the_current_entry_skips_none);
   tcase_add_test (tcase, a_free_slot_marks_the_entries_that_wait_for_the_server);
   tcase_add_test (tcase, entries_ahead_of_a_new_one_are_tried_first);
+  tcase_add_test (tcase, entries_are_counted_by_service);
   tcase_add_test (tcase, a_full_queue_gives_up_its_last_entry);
   return suite_run (suite);
 }
