--- a/core/placement.c
+++ b/core/placement.c
@@ -62,8 +62,9 @@
  * With 1.0, hosts seldom find one when many requests are late. */
 #define ALTERNATIVE_LOAD_MAX 1.5
 /* Servers that are compared for a request that concerns no object, in this host's region and in
- * the others. */
-#define DRAWN_MAX 2
+ * the others.  Of two, both are too often slow or busy: test_replay served up to 3 % fewer in time.
+ */
+#define DRAWN_MAX 4
 /* Of servers with free slots the less loaded one is preferred, by this fraction of the time of work
  * for a difference of its whole load. */
 #define IDLE_PREFERENCE 0.1
