Tests: the bound on bodies through the router; the router's fuzz test has bodies and load management

Cause: nothing tested that the bound depends on the number of live hosts, or that each way in which an attempt ends takes its body off the server.

Change: test_server_load sends bodies with 1 to 12 live hosts.

Found beside it, not mended: update_watching() of core/router_rows.c sets the next tick to a time that has passed while a host that has been up for more than 1.2 s has only just become a delegate, so that tick follows tick until delegate_since_us is old enough; in router_world, where time stands still, for ever.

--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -296,6 +296,7 @@
   event.u.call.caller_timeout_us = 2 * WORLD_SECOND;
   event.u.call.object = g_str_hash (path) | 1;
   event.u.call.fingerprint = g_str_hash (path);
+  event.u.call.body_bytes = world->body_bytes;
   event.u.call.has_key = key != NULL;
   event.u.call.is_handover = is_handover;
   if (key != NULL)
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -58,6 +58,7 @@
   const char *logged_request; /* field of the last log line about a request; interned */
   const char *correlation_id; /* of the requests that are sent; NULL: label */
   const char *host;           /* to which they are sent; NULL: h */
+  int64_t body_bytes;         /* of theirs */
   GQueue probed;              /* ids of servers whose probes have no answer yet; owned */
   /* Called when an attempt is sent to a server or peer, and when the caller is answered; may be
    * NULL. */
--- a/tests/test_router_fuzz.c
+++ b/tests/test_router_fuzz.c
@@ -30,6 +30,8 @@
 /* Servers whose rows have expired register again within two seconds after the store is back, and
  * the rows arrive within half a second. */
 #define EXPIRED_USE_MAX_US (2500 * WORLD_MS)
+/* A few of these exceed a host's share of what a server can hold. */
+#define BODY_STEP_BYTES (INT64_C (20) << 20)
 #define PEERS 3
 #define BEACON_PERIOD_US (300 * WORLD_MS)
 
@@ -216,6 +218,7 @@
       = g_strdup_printf ("%s%u", kinds[random_below (run, 2)], random_below (run, 4000));
   const char *key = random_below (run, 20) > 0 ? "key-1" : "odd";
 
+  run->world->body_bytes = (int64_t) (run->world->next_request % 4) * BODY_STEP_BYTES;
   g_ptr_array_add (run->pending, random_below (run, 10) > 0
                                      ? world_send_request (run->world, path, key)
                                      : world_send_handover (run->world, path, key));
@@ -460,7 +463,10 @@
   struct pl_router_event stop = {.type = PL_ROUTER_STOP};
   struct run run = {.random = seed, .config = 3, .store_back_us = -100 * WORLD_SECOND};
 
-  run.world = world_new_with (switches);
+  run.world = world_new_from (&(struct world_options){
+      .switches = switches,
+      .load_management = seed % 2 == 0 ? PL_LOAD_MANAGEMENT_ON : PL_LOAD_MANAGEMENT_OFF,
+  });
   run.world->on_attempt = on_attempt;
   run.world->on_answer = on_answer;
   run.world->data = &run;
--- a/tests/test_server_load.c
+++ b/tests/test_server_load.c
@@ -445,6 +445,40 @@
 }
 END_TEST
 
+/* The bound on bodies must depend on how many hosts there are, and end with the requests. */
+START_TEST (hosts_divide_the_bodies_at_a_server)
+{
+  struct world *world
+      = world_new_from (&(struct world_options){.load_management = PL_LOAD_MANAGEMENT_ON});
+  struct world_call *calls[2];
+
+  world_put_config (world, 1, NULL);
+  world_put_server (world, "s-1", "a-1", "ready", 1);
+  world_put_server (world, "s-2", "a-1", "ready", 1);
+  world_advance (world, 4 * WORLD_SECOND); /* until the servers are warm */
+  for (int i = 0; i < _i; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("peer-%d", i);
+      struct pl_beacon beacon = world_peer_beacon (name, "a-1");
+
+      world_receive_beacon (world, &beacon);
+    }
+  world->body_bytes = PL_BODY_BYTES_DEFAULT;
+  /* Four slots, and a queue of three times as many, hold 16 bodies of this size. */
+  for (int i = 0; i < 2; i++)
+    {
+      world->now_us += 50 * WORLD_MS; /* for the account's rate */
+      calls[i] = world_send_request (world, "/write/1", "key-1");
+      ck_assert (calls[i]->at_server);
+    }
+  ck_assert_int_eq (strcmp (calls[0]->server, calls[1]->server) == 0, 2 * (_i + 1) <= 16);
+  world_end_attempt (world, calls[0], PL_ATTEMPT_ANSWERED, 200);
+  world->now_us += 50 * WORLD_MS;
+  ck_assert_str_eq (world_send_request (world, "/write/1", "key-1")->server, calls[0]->server);
+  world_free (world);
+}
+END_TEST
+
 START_TEST (findings_are_logged_in_bounds)
 {
   struct pl_load_findings findings = {0};
@@ -480,6 +514,7 @@
   tcase_add_loop_test (tcase, a_malformed_report_says_nothing, 0, G_N_ELEMENTS (malformed));
   tcase_add_test (tcase, a_probe_brings_a_report);
   tcase_add_loop_test (tcase, a_router_learns_of_the_speed, 0, 2);
+  tcase_add_loop_test (tcase, hosts_divide_the_bodies_at_a_server, 0, 12);
   tcase_add_test (tcase, findings_are_logged_in_bounds);
   return suite_run (suite);
 }
