Reported speeds fade to the server's own average

Cause: a server that always reports 250 % had its work time divided by 2.5, and once the report had faded to 100 % it seemed 2.5 times as fast as it is and drew requests. The test of wrong speeds looked at fresh reports alone.

Ruled out: fading to 100 % with the work time divided by the faded speed, since that speed is not the one at which the work was done.

--- a/core/server_load.c
+++ b/core/server_load.c
@@ -8,7 +8,8 @@
  *
  * A server that reports a wrong speed all the time gains nothing by it: its work time
  * is measured relative to the speed it reports, so that the product is the time
- * measured.
+ * measured.  For the same to hold once the report is old, the speed is forgotten
+ * towards the average of the server's own reports, not towards 1.
  */
 #include "internal/server_load.h"
 
@@ -19,6 +20,9 @@
 /* Servers that share their machines are slow for about 600 ms at a time.  A report is on average
  * from the middle of such a phase. */
 #define SPEED_HALF_LIFE_US 300000.0
+/* Weight of a report in the average of a server's speeds: of some fifty reports, far more than come
+ * in one phase. */
+#define USUAL_SMOOTHING 0.02
 /* Reported speeds outside these bounds are limited to them: no machine works that much faster than
  * usual, and one slower than that gets no requests anyway. */
 #define WORK_PERCENT_LOW 50
@@ -45,6 +49,7 @@
   load->requests = 0;
   load->own_requests = 0;
   load->work_percent = 0;
+  load->usual = 0;
   pl_server_load_clear (load);
 }
 
@@ -60,6 +65,8 @@
     return;
   load->work_percent = CLAMP (report->work_percent, WORK_PERCENT_LOW, WORK_PERCENT_HIGH);
   load->work_reported_us = now_us;
+  load->usual = load->usual == 0 ? 1 : load->usual;
+  load->usual += USUAL_SMOOTHING * (load->work_percent / 100.0 - load->usual);
 }
 
 void
@@ -83,10 +90,10 @@
 double
 pl_server_load_slowdown (const struct pl_server_load *load, int64_t now_us)
 {
-  double excess = load->work_percent / 100.0 - 1;
+  double excess = load->work_percent / 100.0 - load->usual;
   double age = (double) (now_us - load->work_reported_us) / SPEED_HALF_LIFE_US;
 
-  return load->work_percent == 0 || load->work_percent == 100 ? 1 : 1 + excess * exp2 (-age);
+  return load->work_percent == 0 ? 1 : load->usual + excess * exp2 (-age);
 }
 
 int64_t
--- a/include/internal/server_load.h
+++ b/include/internal/server_load.h
@@ -37,6 +37,7 @@
   int own_requests; /* in flight from this host at that time */
   int slots;        /* 0: unknown */
   int work_percent; /* by the last report that had it, within bounds; 0: none had */
+  double usual;     /* average of the reported speeds, as a ratio; 0: none was reported */
   int64_t reported_us;
   int64_t work_reported_us;
   int64_t body_bytes;          /* of the requests that this host has there */
@@ -64,7 +65,7 @@
                                 int64_t now_us);
 
 /* Returns how long work takes, relative to the usual (2.5: two and a half times as long).  The
- * older the report, the closer to 1. */
+ * older the report, the closer to the average of the server's reports, which is 1 at first. */
 double pl_server_load_slowdown (const struct pl_server_load *load, int64_t now_us);
 
 /* Returns the age of the last report of the speed; -1: there was none. */
