--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -74,6 +74,7 @@
   const char *correlation_id; /* of the requests that are sent; NULL: label */
   int64_t body_bytes;         /* of the requests that are sent */
   const char *host;           /* to which they are sent; NULL: h */
+  int64_t body_bytes;         /* of theirs */
   GQueue probed;              /* ids of servers whose probes have no answer yet; owned */
   /* Called when an attempt is sent to a server or peer, and when the caller is answered; may be
    * NULL. */
