Plan between regions: which fraction of a region's requests stays there

Cause: servers were ranked with a constant weight of 2.0 for the host's own region.

Change: for each managed service, core/region_plan.c counts the own region's requests in units, and moves at most one per 250 ms between regions. The own region keeps as many as hold its servers at a target load; the rest goes to the others by free capacity. core/placement_plan.c collects the inputs; ranking_weight() uses the weights. Requests with large bodies or home regions and services that are not managed rank as before. A log line tells of changes, and three gauges show plan, load and target.

--- a/Makefile
+++ b/Makefile
@@ -65,9 +65,11 @@
 
 $(BUILD)/tests/test_answer_identity $(BUILD)/tests/test_whole_answers: $(BUILD)/tests/front_fixture.o
 
-$(BUILD)/tests/test_router_start $(BUILD)/tests/test_router_scale $(BUILD)/tests/test_control_bytes $(BUILD)/tests/test_server_limits $(BUILD)/tests/test_stranded_hosts: $(BUILD)/tests/router_fleet.o
+$(BUILD)/tests/test_router_start $(BUILD)/tests/test_router_scale $(BUILD)/tests/test_control_bytes $(BUILD)/tests/test_server_limits $(BUILD)/tests/test_stranded_hosts $(BUILD)/tests/test_region_plan $(BUILD)/tests/test_region_plan_loads: $(BUILD)/tests/router_fleet.o
 
-$(BUILD)/tests/test_server_limits $(BUILD)/tests/test_stranded_hosts: $(BUILD)/tests/limited_servers.o
+$(BUILD)/tests/test_server_limits $(BUILD)/tests/test_stranded_hosts $(BUILD)/tests/test_region_plan $(BUILD)/tests/test_region_plan_loads: $(BUILD)/tests/limited_servers.o
+
+$(BUILD)/tests/test_region_plan $(BUILD)/tests/test_region_plan_loads: $(BUILD)/tests/region_waves.o
 
 $(SOAK): $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/soak/*.c))
 
--- a/core/placement.c
+++ b/core/placement.c
@@ -75,10 +75,7 @@
 /* Fraction that is used of the rate that a cold server can take. */
 #define COLD_USE_RATIO 0.9
 #define EXPIRED_KEPT_US INT64_C (5000000)
-/* Weights in the ranking for servers of this host's region and domain.  The one for small requests
- * is high enough to keep more than half of them in their region, and low enough that a region with
- * few servers is not filled by its own requests. */
-#define OWN_REGION_WEIGHT_SMALL 2.0
+/* Weights in the ranking of large requests for servers of this host's region and domain. */
 #define OWN_REGION_WEIGHT_LARGE 1e3
 #define OWN_DOMAIN_WEIGHT_LARGE 1e6
 
@@ -441,7 +438,9 @@
     return weight * OWN_DOMAIN_WEIGHT_LARGE;
   if (request->is_large && backend->region == placement->region)
     return weight * OWN_REGION_WEIGHT_LARGE;
-  return backend->region == placement->region ? weight * OWN_REGION_WEIGHT_SMALL : weight;
+  if (service->is_managed && !request->is_large && !request->has_home_regions)
+    return weight * pl_region_plan_weight (&service->plan, placement->region, backend->region);
+  return backend->region == placement->region ? weight * PL_REGION_OWN_WEIGHT : weight;
 }
 
 /* Inserts BACKEND; keeps the PL_PLACEMENT_RANKED_MAX of lowest cost in rising order.  Returns the
@@ -720,6 +719,7 @@
   if (placement->is_cut_off)
     return PL_PLACE_CUT_OFF;
   update_reservations (service, now_us);
+  pl_region_plan_note_objective (&service->plan, request->objective_us);
   scan_servers (placement, service, request, &scan, shares, data, now_us);
   if (scan.eligible_count == 0)
     return PL_PLACE_NONE;
--- /dev/null
+++ b/core/placement_plan.c
@@ -0,0 +1,61 @@
+/* Inputs of the plans between regions: what this host knows of the servers of a service. */
+#include "internal/placement.h"
+
+G_STATIC_ASSERT (PL_REGION_PLAN_REGIONS_MAX == PL_PLACEMENT_REGIONS_MAX);
+
+void
+pl_placement_set_max_shift (struct pl_placement *placement, double max_shift)
+{
+  placement->max_shift = max_shift;
+}
+
+/* Servers of a reserved region take hardly any requests that follow the plan. */
+static bool
+has_usable_slots (const struct pl_placement *placement, const struct pl_placement_service *service,
+                  const struct pl_backend *backend, int64_t now_us)
+{
+  return backend->region != PL_NONE && !service->regions[backend->region].reserved
+         && pl_placement_is_usable (placement, backend, now_us) && now_us >= backend->down_until_us
+         && !backend->breaker_tripped && now_us >= backend->cold_until_us
+         && !backend->limit.in_force;
+}
+
+struct pl_region_plan *
+pl_placement_update_plan (struct pl_placement *placement, int service, int64_t now_us)
+{
+  struct pl_placement_service *entry = g_ptr_array_index (placement->services, service);
+  struct pl_region_input inputs[PL_REGION_PLAN_REGIONS_MAX] = {{.slots = 0}};
+  struct pl_region_plan_options options = {.own_region = placement->region,
+                                           .max_shift = placement->max_shift,
+                                           .work_us = entry->work_us};
+  int servers = 0;
+  int slots = 0;
+
+  if (!entry->is_managed)
+    return NULL;
+  for (guint i = 0; i < entry->backends->len; i++)
+    {
+      const struct pl_backend *backend = g_ptr_array_index (entry->backends, i);
+
+      if (!has_usable_slots (placement, entry, backend, now_us))
+        continue;
+      servers++;
+      slots += MAX (backend->entry.slots, 1);
+      inputs[backend->region].slots += MAX (backend->entry.slots, 1);
+      if (backend->slots_reported > 0)
+        pl_region_input_add_report (&inputs[backend->region], backend->reported_requests,
+                                    backend->slots_reported, now_us - backend->reported_us,
+                                    backend->reported_us > entry->plan.updated_us);
+    }
+  options.server_slots = servers > 0 ? (double) slots / servers : 1;
+  pl_region_plan_update (&entry->plan, &options, inputs, now_us);
+  return entry->plan.has_started ? &entry->plan : NULL;
+}
+
+const struct pl_region_plan *
+pl_placement_plan (const struct pl_placement *placement, int service)
+{
+  const struct pl_placement_service *entry = g_ptr_array_index (placement->services, service);
+
+  return entry->is_managed && entry->plan.has_started ? &entry->plan : NULL;
+}
--- a/core/router.c
+++ b/core/router.c
@@ -236,6 +236,7 @@
   region = router_domain_region (router, options->domain);
   pl_placement_init (&router->placement, options->domain, region);
   pl_placement_set_load_management (&router->placement, options->load_management);
+  pl_placement_set_max_shift (&router->placement, options->max_shift);
   pl_membership_init (&router->membership, options->name, options->domain, region);
   register_domains (router);
   quarantine_init (&router->quarantine);
@@ -328,6 +329,47 @@
     }
 }
 
+/* Returns the fractions and weights of PLAN, and what they are based on. */
+static json_t *
+describe_plan (const struct pl_router *router, const struct pl_region_plan *plan)
+{
+  json_t *regions = json_array ();
+
+  for (guint i = 0; i < router->region_names->len; i++)
+    {
+      const struct pl_region_plan_region *region = &plan->regions[i];
+      const char *name = g_ptr_array_index (router->region_names, i);
+      json_t *fields = json_pack ("{s:s,s:f,s:f,s:i}", "region", name, "fraction",
+                                  pl_region_plan_fraction (plan, (int) i), "weight", region->weight,
+                                  "slots", region->slots);
+
+      if (region->is_known)
+        {
+          json_object_set_new (fields, "load", json_real (region->utilisation));
+          json_object_set_new (fields, "age_us", json_integer (region->report_age_us));
+        }
+      json_array_append_new (regions, fields);
+    }
+  return regions;
+}
+
+static void
+update_plans (struct pl_router *router)
+{
+  for (int i = 0; i < (int) router->placement.services->len; i++)
+    {
+      struct pl_region_plan *plan
+          = pl_placement_update_plan (&router->placement, i, router->now_us);
+
+      if (plan != NULL && pl_region_plan_needs_log (plan, router->now_us))
+        router_log (router, PL_ROUTER_LOG_STATE, "region-plan-changed",
+                    json_pack ("{s:s,s:f,s:f,s:o}", "service",
+                               pl_placement_service_name (&router->placement, i), "kept",
+                               pl_region_plan_fraction (plan, plan->own_region), "target",
+                               plan->target, "regions", describe_plan (router, plan)));
+    }
+}
+
 /* Ends nothing whose texts an effect of this step borrows: a server with a request or a probe is
  * kept, and routes and accounts last as long as the router. */
 static void
@@ -339,6 +381,7 @@
   if (!pl_reach_is_cut_off (&router->reach))
     probe_servers (router);
   pl_placement_expire (&router->placement, router->now_us);
+  update_plans (router);
   pl_membership_expire (&router->membership, router->store.is_lost, router->now_us);
   quarantine_expire (&router->quarantine, router->now_us);
 }
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -115,6 +115,28 @@
             router->counts_attempts[end][id]);
 }
 
+static void
+append_plans (const struct pl_router *router, GString *text)
+{
+  const struct pl_placement *placement = &router->placement;
+
+  for (int i = 0; i < (int) placement->services->len; i++)
+    {
+      const struct pl_region_plan *plan = pl_placement_plan (placement, i);
+      g_autofree char *name = NULL;
+
+      if (plan == NULL)
+        continue;
+      name = escape_label (pl_placement_service_name (placement, i));
+      g_string_append_printf (text,
+                              "pomelolatch_own_region_fraction{service=\"%s\"} %.3f\n"
+                              "pomelolatch_own_region_load{service=\"%s\"} %.3f\n"
+                              "pomelolatch_own_region_target{service=\"%s\"} %.3f\n",
+                              name, pl_region_plan_fraction (plan, placement->region), name,
+                              plan->regions[placement->region].utilisation, name, plan->target);
+    }
+}
+
 void
 pl_router_metrics (const struct pl_router *router, GString *text)
 {
@@ -142,6 +164,7 @@
   append_limits (router, text);
   append_handovers (router, text);
   append_attempts (router, text);
+  append_plans (router, text);
   g_hash_table_iter_init (&iter, router->accounts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -11,6 +11,7 @@
 #ifndef POMELOLATCH_PLACEMENT_H
 #define POMELOLATCH_PLACEMENT_H
 
+#include "internal/region_plan.h"
 #include "internal/server_limit.h"
 #include "internal/server_load.h"
 #include "pomelolatch/event.h"
@@ -97,6 +98,7 @@
   double recent_requests; /* exponentially decayed count */
   struct pl_placement_region regions[PL_PLACEMENT_REGIONS_MAX];
   int64_t reservations_due_us; /* next update of the reservations */
+  struct pl_region_plan plan;  /* used if is_managed */
   int64_t cold_time_us;
   double cold_per_second;
 };
@@ -112,6 +114,7 @@
   int region;
   bool is_cut_off; /* this host reaches no server: none is chosen */
   enum pl_load_management load_management;
+  double max_shift; /* of the plans, see struct pl_router_options; 0: there are none */
 };
 
 /* The request to be placed. */
@@ -153,6 +156,16 @@
 /* Returns whether the load of SERVICE is managed. */
 bool pl_placement_is_managed (const struct pl_placement *placement, int service);
 
+/* Sets the bound on the change of plans between regions; see struct pl_router_options. */
+void pl_placement_set_max_shift (struct pl_placement *placement, double max_shift);
+/* Updates the plan of SERVICE between regions if it is managed.  Does nothing when it is called
+ * again within a period of the plan.  Returns the plan, owned by PLACEMENT, or NULL if there is
+ * none. */
+struct pl_region_plan *pl_placement_update_plan (struct pl_placement *placement, int service,
+                                                 int64_t now_us);
+/* Returns the plan of SERVICE that is in use, owned by PLACEMENT, or NULL. */
+const struct pl_region_plan *pl_placement_plan (const struct pl_placement *placement, int service);
+
 /* Sets how cold servers of SERVICE are treated. */
 void pl_placement_set_service (struct pl_placement *placement, int service, int64_t cold_time_us,
                                double cold_per_second);
--- a/tests/limited_servers.c
+++ b/tests/limited_servers.c
@@ -1,6 +1,6 @@
 /* Simulates backend servers that name rate limits, and hosts that do not reach them.
  *
- * A server runs each request for WORK_US, whatever its load, and names its limit in
+ * A server runs each request for LIMITED_SERVER_WORK_US, whatever its load, and names its limit in
  * the answer.  The users' bound is checked on its arrivals.
  */
 #include "limited_servers.h"
@@ -8,9 +8,7 @@
 #include <assert.h>
 #include <string.h>
 
-#define SLOTS 4
 #define OBJECTS_PER_SERVER 25
-#define WORK_US (80 * WORLD_MS)
 #define NEAR_DELAY_US (1 * WORLD_MS)
 #define FAR_DELAY_US (12 * WORLD_MS)
 /* The users' bound on what a server with a limit gets. */
@@ -130,7 +128,7 @@
           "{\"Address\":\"10.1.%d.%d:80\",\"born\":1,\"Info\":{\"Service\":\"stock\",\"Zone\":"
           "\"%.*s\",\"Slots\":%d},\"Status\":{\"State\":\"ready\",\"Sequence\":1,"
           "\"ColdRemaining\":\"%dms\"}}",
-          i / 250, i % 250 + 1, (int) strcspn (pair, "="), pair, SLOTS,
+          i / 250, i % 250 + 1, (int) strcspn (pair, "="), pair, LIMITED_SERVER_SLOTS,
           servers->servers[i].cold_ms);
       rows[i].length = strlen (rows[i].value);
       rows[i].version = ROUTER_FLEET_FIRST_VERSION;
@@ -158,11 +156,12 @@
   struct limited_host *host = &servers->hosts[answer->host];
   gpointer connection = told_key (answer->server, answer->host);
   bool is_kept = !answer->is_probe && g_hash_table_contains (servers->kept, connection);
-  bool is_refused = host->link == LINK_RESETS || (host->link == LINK_REFUSES_NEW && !is_kept);
+  bool is_refused = host->link == LINK_RESETS || (host->link == LINK_REFUSES_NEW && !is_kept)
+                    || servers->servers[answer->server].is_down;
 
   answer->is_new_connection = !is_kept;
   answer->arrives_us = now_us + delay_us;
-  answer->due_us = now_us + 2 * delay_us + (answer->is_probe ? 0 : WORK_US);
+  answer->due_us = now_us + 2 * delay_us + (answer->is_probe ? 0 : LIMITED_SERVER_WORK_US);
   answer->end = PL_ATTEMPT_ANSWERED;
   host->connections += !is_kept;
   if (is_refused)
@@ -547,8 +546,9 @@
                              GINT_TO_POINTER ((int) (fleet->now_us / WORLD_MS)));
       g_hash_table_add (servers->kept, key);
       event.u.attempt.status = 200;
-      event.u.attempt.has_load = true;
-      event.u.attempt.load = (struct pl_load_report){.running = server->running, .slots = SLOTS};
+      event.u.attempt.has_load = !servers->report_no_load;
+      event.u.attempt.load
+          = (struct pl_load_report){.running = server->running, .slots = LIMITED_SERVER_SLOTS};
       event.u.attempt.rate_limit_report
           = answer->limit >= 0 ? PL_RATE_LIMIT_NAMED : PL_RATE_LIMIT_ABSENT;
       event.u.attempt.rate_limit = answer->limit;
@@ -581,12 +581,30 @@
   g_array_free (pending, TRUE);
 }
 
+static int
+choose_host (struct limited_servers *servers, int hosts)
+{
+  uint32_t random = router_fleet_next_random (&servers->random);
+  double sum = 0;
+  double at;
+  int host = 0;
+
+  if (servers->host_rates == NULL)
+    return (int) (random % (uint32_t) hosts);
+  for (int i = 0; i < hosts; i++)
+    sum += servers->host_rates[i];
+  at = sum * random / (1 << 24);
+  while (host < hosts - 1 && at >= servers->host_rates[host])
+    at -= servers->host_rates[host++];
+  return host;
+}
+
 static void
 send_request (struct limited_servers *servers, int hosts)
 {
   struct router_fleet *fleet = servers->fleet;
   struct pl_router_event event = {.type = PL_ROUTER_CALL};
-  int host = (int) (router_fleet_next_random (&servers->random) % (uint32_t) hosts);
+  int host = choose_host (servers, hosts);
   struct request *request;
   int tried = 0;
 
--- a/tests/limited_servers.h
+++ b/tests/limited_servers.h
@@ -9,6 +9,8 @@
 #include "router_fleet.h"
 
 #define LIMITED_SERVERS_MAX 500
+#define LIMITED_SERVER_SLOTS 4
+#define LIMITED_SERVER_WORK_US (80 * WORLD_MS)
 
 /* Six domains in three regions, as of the users' smaller deployments. */
 #define LIMITED_DOMAINS 6
@@ -32,6 +34,7 @@
   enum limited_naming naming;
   int64_t named_us; /* when it first named the present limit */
   int running;      /* requests */
+  bool is_down;     /* it refuses connections */
   GArray *arrivals; /* of struct limited_arrival, since then */
 };
 
@@ -76,6 +79,8 @@
   int sent;   /* by callers */
   int delivered;
   int refused;
+  bool report_no_load;      /* answers come without load reports */
+  const double *host_rates; /* relative demand at each host; NULL: equal */
   struct limited_host hosts[ROUTER_FLEET_HOSTS_MAX];
   GHashTable *requests; /* id -> struct request */
   GHashTable *kept;     /* set of the server and host of kept connections */
@@ -87,7 +92,8 @@
 };
 
 /* Returns COUNT servers of one service, assigned round-robin to the domains of FLEET; all hosts of
- * FLEET learn of them when they start.  OBJECTIVE_MS: latency objective of the callers. */
+ * FLEET learn of them when they start, so their domains may be changed before.  OBJECTIVE_MS:
+ * latency objective of the callers. */
 struct limited_servers *limited_servers_new (struct router_fleet *fleet, int count,
                                              int objective_ms);
 void limited_servers_free (struct limited_servers *servers);
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -262,6 +262,8 @@
       .grace_us = 6 * WORLD_SECOND,
       .retry_ratio = 0.2,
       .retry_slack = 50,
+      .load_management = fleet->load_management,
+      .max_shift = fleet->max_shift,
       .decode = pl_platform_dialect.decode_row,
   };
 
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -60,8 +60,10 @@
   GHashTable *addresses; /* address -> index + 1 */
   int64_t now_us;
   int64_t step_us;
-  int version;           /* of the configuration in the store */
-  const char *resources; /* of the configuration, as JSON; NULL: none */
+  int version;                             /* of the configuration in the store */
+  const char *resources;                   /* of the configuration, as JSON; NULL: none */
+  enum pl_load_management load_management; /* of hosts that start, as max_shift */
+  double max_shift;
   int watches_started;
   uint64_t next_request;
   int admitted;
