--- a/core/call_shares.c
+++ b/core/call_shares.c
@@ -2,10 +2,6 @@
  * the choice of a server in time, and what their outcomes tell (see fair_share.h). */
 #include "internal/router_state.h"
 
-/* Part of the time until the end of the latency objective that the answer of a server may take,
- * while the load of its service is managed.  The rest is for the network. */
-#define ON_TIME_RATIO 0.9
-
 bool
 shares_apply (const struct pl_router *router, const struct call *call)
 {
@@ -17,7 +13,7 @@
 shares_record_missed (struct pl_router *router, const struct call *call)
 {
   if (shares_apply (router, call))
-    pl_fair_share_record (&router->shares, call->service, PL_SHARE_MISSED, 0, router->now_us);
+    pl_fair_share_record (&router->shares, call->service, PL_SHARE_MISSED, 0, -1, router->now_us);
 }
 
 void
@@ -41,6 +37,7 @@
       .account = account != NULL ? &account->share : NULL,
       .quota = account != NULL ? &account->quota : NULL,
       .hosts = router_view (router)->hosts,
+      .is_retry = call->wait.is_caller_retry,
       .time_left_us = call->deadline_us - router->now_us,
       .objective_us = call->objective_us,
       .on_time_us = call->on_time_until_us - router->now_us,
@@ -57,20 +54,11 @@
 shares_choose_server (struct pl_router *router, struct call *call,
                       struct pl_placement_request *request)
 {
-  int64_t left_us = call->on_time_until_us - router->now_us;
-  enum pl_placement_result result;
-
-  request->expected_max_us = MAX ((int64_t) ((double) left_us * ON_TIME_RATIO), 1);
-  result = pl_placement_choose (&router->placement, request, &limits_shares, router, &call->choice,
-                                router->now_us);
-  if (result != PL_PLACE_FULL || pl_fair_share_is_contended (&router->shares, call->service))
-    return result;
-  request->expected_max_us = 0;
-  result = pl_placement_choose (&router->placement, request, &limits_shares, router, &call->choice,
-                                router->now_us);
-  if (result == PL_PLACED)
-    shares_record_missed (router, call);
-  return result;
+  if (pl_fair_share_is_contended (&router->shares, call->service))
+    request->expected_max_us = pl_fair_share_answer_max_us (
+        &router->shares, call->service, call->on_time_until_us - router->now_us);
+  return pl_placement_choose (&router->placement, request, &limits_shares, router, &call->choice,
+                              router->now_us);
 }
 
 void
--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -20,15 +20,20 @@
 /* Time constant of the reaction to outcomes.  An answer takes some hundred milliseconds, and a
  * level that changes faster than the load that it causes oscillates. */
 #define REACTION_US 700e3
-/* Bounds the effect of one outcome. */
-#define OUTCOME_WEIGHT_MAX 0.08
+/* Bounds the effect of one outcome, so that a host with few requests is not misled by some. */
+#define OUTCOME_WEIGHT_MAX 0.05
 /* Rise of the level with an outcome that shows a free slot, relative to its fall with a missed one.
  * In balance, the missed outcomes are this fraction of those with a free slot.  At 0.4 to
  * 1, slots stayed free under overload; at 2, more answers were late. */
 #define RISE_RATIO 1.6
-/* The service is contended when more outcomes than this are missed.  Single overloaded servers
- * cause some at any load.  At 0.25, retries that were late already took slots from others. */
-#define CONTENDED_ABOVE 0.08
+/* The service is contended when more outcomes than this are missed, and more than this fraction of
+ * its slots is busy.  With free slots, requests are late since objects are in no cache or single
+ * servers are slow, and refusals bring the others nothing. */
+#define CONTENDED_MISSED_ABOVE 0.1
+#define CONTENDED_BUSY_ABOVE 0.8
+/* Not before this long after the first outcome: when callers or hosts start, the servers' caches
+ * may be cold, and refusals only delay that they get warm. */
+#define CONTENDED_AFTER_US INT64_C (2000000)
 /* The level does not fall below this fraction of the largest ratio, so that outcomes go on. */
 #define LEVEL_MIN_RATIO 0.05
 /* Without outcomes for this long, the level doubles in each second. */
@@ -38,6 +43,12 @@
 /* Part of the latency objective that the answer of a server may take.  The rest is for the network
  * and for requests that are on their way there. */
 #define ON_TIME_RATIO 0.75
+/* Part of the time until the end of the objective that a server may take while the service is
+ * contended. */
+#define ANSWER_RATIO 0.9
+/* An answer may take this many times the work in any case: a latency objective shorter than the
+ * work is missed by every request, whatever is refused. */
+#define WORK_TURNS_MIN 1.5
 /* Callers come again once, so that not more than half of an account's requests are retries.  If
  * more than this seem to be late on arrival, its callers wait for less time than others do. */
 #define LATE_RATIO_MAX 0.7
@@ -141,7 +152,9 @@
 static bool
 is_contended (const struct pl_share_service *state)
 {
-  return state->level > 0 || state->missed_ratio > CONTENDED_ABOVE;
+  return state->sampled_us - state->first_us >= CONTENDED_AFTER_US
+         && state->missed_ratio > CONTENDED_MISSED_ABOVE
+         && state->busy_ratio > CONTENDED_BUSY_ABOVE;
 }
 
 static void
@@ -174,6 +187,7 @@
   state->level *= exp2 ((double) overdue_us / 1e6);
   state->work_us *= exp2 (-(double) overdue_us / 1e6);
   state->missed_ratio *= exp2 (-(double) overdue_us / 1e6);
+  state->busy_ratio *= exp2 (-(double) overdue_us / 1e6);
   state->sampled_us += overdue_us;
 }
 
@@ -198,7 +212,10 @@
     return PL_SHARE_NO_TIME;
   if (verdict->on_time_us <= 0 && is_contended (state))
     return PL_SHARE_TOO_LATE;
-  if (state->level > 0 && verdict->use > share && random_unit (shares) * verdict->use >= share)
+  /* A caller that was told to come again is not turned away a second time; its account's new
+   * requests make room for it. */
+  if (!request->is_retry && state->level > 0 && verdict->use > share
+      && random_unit (shares) * verdict->use >= share)
     return PL_SHARE_OVER_SHARE;
   return PL_SHARE_ADMITTED;
 }
@@ -229,12 +246,16 @@
 
 void
 pl_fair_share_record (struct pl_fair_share *shares, int service, enum pl_share_outcome outcome,
-                      double answer_us, int64_t now_us)
+                      double answer_us, double busy_ratio, int64_t now_us)
 {
   struct pl_share_service *state = ensure_service (shares, service);
   double weight = fmin ((double) (now_us - state->sampled_us) / REACTION_US, OUTCOME_WEIGHT_MAX);
 
+  if (state->sampled_us == 0)
+    state->first_us = now_us;
   state->sampled_us = now_us;
+  if (busy_ratio >= 0)
+    state->busy_ratio += weight * (busy_ratio - state->busy_ratio);
   state->missed_ratio += weight * ((outcome == PL_SHARE_MISSED ? 1 : 0) - state->missed_ratio);
   if (answer_us > 0)
     state->answer_us += state->answer_us == 0 ? answer_us : weight * (answer_us - state->answer_us);
@@ -242,7 +263,7 @@
     state->level *= 1 + weight * RISE_RATIO;
   else if (outcome == PL_SHARE_MISSED && state->level > 0)
     state->level *= 1 - weight;
-  else if (outcome == PL_SHARE_MISSED && state->missed_ratio > CONTENDED_ABOVE)
+  else if (outcome == PL_SHARE_MISSED && is_contended (state))
     state->level = state->ratio_max * (1 - weight);
   limit_level (state);
 }
@@ -256,21 +277,27 @@
   int requests = load->running + load->waiting;
   bool has_slot = answer->has_load ? requests < load->slots : !answer->is_late;
   double turns = has_slot ? 1 : (double) (requests + 1) / MAX (load->slots, 1);
+  double busy_ratio = -1;
   enum pl_share_outcome outcome = PL_SHARE_BUSY;
 
   /* The server has a free slot, so the request hardly waited there. */
   if (has_slot && !answer->is_rejected)
     state->work_us += (state->work_us == 0 ? 1 : WORK_SMOOTHING)
                       * ((double) answer->latency_us - state->work_us);
+  if (answer->is_rejected || load->waiting > 0)
+    busy_ratio = 1;
+  else if (answer->has_load)
+    busy_ratio = fmin ((double) load->running / MAX (load->slots, 1), 1);
   if (answer->is_rejected)
     outcome = PL_SHARE_MISSED;
   else if (has_slot)
     outcome = PL_SHARE_FREE;
   else if (!answer->has_load
-           || state->work_us * turns > (double) answer->objective_us * ON_TIME_RATIO
+           || state->work_us * turns > fmax ((double) answer->objective_us * ON_TIME_RATIO,
+                                             state->work_us * WORK_TURNS_MIN)
            || (answer->is_late && load->waiting > 0))
     outcome = PL_SHARE_MISSED;
-  pl_fair_share_record (shares, service, outcome, state->work_us * turns, now_us);
+  pl_fair_share_record (shares, service, outcome, state->work_us * turns, busy_ratio, now_us);
 }
 
 void
@@ -303,3 +330,12 @@
   after_us = fmax (after_us, RETRY_AFTER_MIN_US) * (0.5 + random_unit (shares));
   return (int64_t) fmin (after_us, (double) time_left_us * RETRY_AFTER_LEFT_RATIO);
 }
+
+int64_t
+pl_fair_share_answer_max_us (const struct pl_fair_share *shares, int service, int64_t on_time_us)
+{
+  const struct pl_share_service *state = find_service (shares, service);
+  double work_us = state != NULL ? state->work_us : 0;
+
+  return (int64_t) fmax (fmax ((double) on_time_us * ANSWER_RATIO, work_us * WORK_TURNS_MIN), 1);
+}
--- a/include/internal/fair_share.h
+++ b/include/internal/fair_share.h
@@ -37,9 +37,11 @@
   double level;     /* fair level; 0: none is in force, all requests are admitted */
   double ratio_max; /* the largest recent ratio of use to weight, as of ratio_us */
   int64_t ratio_us;
+  double busy_ratio;   /* moving average of the busy fraction of its servers' slots */
   double missed_ratio; /* moving average of the outcomes that were PL_SHARE_MISSED */
   double answer_us;    /* moving average of the expected time to an answer; 0: unknown */
   double work_us;      /* moving average of the time of one request without waiting; 0: unknown */
+  int64_t first_us;    /* the first outcome */
   int64_t sampled_us;  /* the last outcome; 0: none */
   uint64_t admitted;
   uint64_t refused;
@@ -68,6 +70,7 @@
   struct pl_share_account *account; /* NULL: of no account */
   const struct pl_quota *quota;     /* of the account; NULL: of no account */
   int hosts;                        /* live hosts of the fleet, with this one */
+  bool is_retry;                    /* its caller was told to come again */
   int64_t time_left_us;             /* of its caller */
   int64_t objective_us;
   int64_t on_time_us; /* until the end of the objective, from the caller's first attempt */
@@ -117,9 +120,9 @@
 };
 
 /* Records OUTCOME.  ANSWER_US: the time in which its server is expected to answer one more request;
- * 0: unknown. */
+ * 0: unknown.  BUSY_RATIO: the fraction of its slots that are busy; negative: unknown. */
 void pl_fair_share_record (struct pl_fair_share *shares, int service, enum pl_share_outcome outcome,
-                           double answer_us, int64_t now_us);
+                           double answer_us, double busy_ratio, int64_t now_us);
 
 /* Records the outcome that ANSWER shows. */
 void pl_fair_share_record_answer (struct pl_fair_share *shares, int service,
@@ -132,6 +135,11 @@
  * others that could be answered in time. */
 bool pl_fair_share_is_contended (const struct pl_fair_share *shares, int service);
 
+/* Returns how long a server of SERVICE, which is contended, may take for a request that is in time
+ * for another ON_TIME_US. */
+int64_t pl_fair_share_answer_max_us (const struct pl_fair_share *shares, int service,
+                                     int64_t on_time_us);
+
 /* Returns after which time a refused request is to come again.  VERDICT NULL: it was refused for
  * lack of capacity.  TIME_LEFT_US: of its caller. */
 int64_t pl_fair_share_retry_after_us (struct pl_fair_share *shares, int service,
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -321,9 +321,7 @@
 bool shares_apply (const struct pl_router *router, const struct call *call);
 /* Decides on a CALL that is admitted otherwise.  Returns the refusal, or -1. */
 int shares_admit (struct pl_router *router, struct call *call);
-/* Chooses a server that answers CALL in time.  If there is none, a server that answers it late
- * takes it, but not while the service is contended: that would make the answers behind it late too.
- */
+/* Chooses a server for CALL; while its service is contended, only one that answers in time. */
 enum pl_placement_result shares_choose_server (struct pl_router *router, struct call *call,
                                                struct pl_placement_request *request);
 /* CALL could not be answered in time. */
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -267,6 +267,7 @@
       .retry_slack = 50,
       .load_management = fleet->load_management,
       .switches = fleet->switches,
+      .max_shift = fleet->max_shift,
       .decode = pl_platform_dialect.decode_row,
   };
 
