Front: requests that are pipelined on a connection run side by side

Cause: a connection belonged to libmicrohttpd, which reads a request only when the answer before it is out, so a request behind a slow one started late by the whole of it.

Change: modules/front_pipeline.c. Once a plain GET is seen behind another one, the front reads the heads of the connection itself and gives each to libmicrohttpd on a lane (a connection over a socket pair), at most 8 ahead of the first and 128 on a host. A lane is suspended until the answers before its own are out; its descriptor then refers to the caller's socket, so the answer is written without a copy and waits in the memory that was counted before. Callers that do not read are ended after 60 s as before, and after 5 s, the longest stalled first, while more than half of the memory limit is used. The copy that libmicrohttpd made of each answer (MHD_RESPMEM_MUST_COPY), which no limit counted, is gone.

Connections that do not pipeline: the watch on the socket is kept between requests, which saves two epoll_ctl() a request.

--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -40,6 +40,9 @@
  * far. */
 size_t pl_front_buffered_bytes (const struct pl_front *front, size_t *peak);
 
+/* Appends the front's metrics to TEXT. */
+void pl_front_metrics (const struct pl_front *front, GString *text);
+
 /* Headers between entry hosts.  A hand-over carries the version of the sender's configuration and
  * the number of attempts at servers so far; a peer's own refusal of it the reason and the number of
  * attempts.  Both are removed from what callers send. */
@@ -51,7 +54,12 @@
 #define PL_FRONT_HEAD_BYTES_MAX ((size_t) 64 << 10)
 #define PL_FRONT_HEAD_BYTES_DEFAULT ((size_t) 16 << 10)
 
-/* A connection of a caller or a peer; see front_connections.c. */
+/* A connection on which nothing arrives, or of which the caller reads nothing, for this long.
+ * Callers wait for at most some seconds, so that it has gone; a caller that reads slowly may take
+ * most of this time between two updates of its TCP window. */
+#define PL_FRONT_STALLED_S 60u
+
+/* A connection of a caller or a peer; see front_pipeline.h. */
 struct pl_front_connection;
 
 /* A port on which the front listens. */
@@ -64,8 +72,10 @@
   GHashTable *connections;        /* set of struct pl_front_connection */
   GHashTable *joining;            /* descriptor -> the one that is being given to a daemon */
   GPtrArray *between_requests;    /* those that have ended a request since the daemon last ran */
-  int listener;                   /* -1: closed */
-  bool accepts_later;             /* there was no descriptor for a connection */
+  /* Those on which something has arrived behind a request that was posted since then. */
+  GPtrArray *submitted;
+  int listener;       /* -1: closed */
+  bool accepts_later; /* there was no descriptor for a connection */
   bool takes_handovers;
   bool needs_run; /* connections were resumed, or have more to read, since the daemon last ran */
 };
@@ -84,6 +94,7 @@
   bool answer_ready; /* an answer, made here or by a server, is ready to be sent */
   bool caller_gone;  /* the caller closed its connection */
   bool closes;       /* the connection has no further use */
+  bool is_http_1_1;
   int64_t begun_us;
 
   char *method;
@@ -113,6 +124,11 @@
   GPtrArray *answer_headers;
   GByteArray *answer;
   struct pl_front_direct *direct; /* the answer while it is written without libmicrohttpd */
+  /* While the answer is written: what the caller has acknowledged, when that last grew, and when it
+   * is to be looked at again. */
+  uint64_t acked_bytes;
+  int64_t progress_us;
+  int64_t progress_check_us;
 };
 
 struct pl_front
@@ -131,7 +147,13 @@
   bool caller_check_armed;
   int connections_timer;
   int64_t connections_due_us; /* when that timer expires; 0: it is not armed */
-  char *peeked;               /* the bytes of a head that has not been read */
+  char *peeked;               /* the bytes of heads that have not been read */
+  unsigned lanes;             /* see front_pipeline.c */
+  int idle_fds[2];            /* a socket pair; lanes refer to the first before their answers */
+  int ended_fd;               /* a socket whose peer has closed; lanes refer to it after them */
+  unsigned pipelines;         /* callers' connections on which requests were sent ahead */
+  uint64_t requests_ahead;    /* that were read while one before them was in progress */
+  uint64_t unread_ended;      /* connections ended because the caller did not read */
 };
 
 /* How much a request's head takes; see front_heads.c. */
@@ -161,8 +183,12 @@
 void pl_front_on_connection (void *data, struct MHD_Connection *handle, void **context,
                              enum MHD_ConnectionNotificationCode code);
 struct pl_front_connection *pl_front_connection_of (struct MHD_Connection *handle);
-void pl_front_on_request_begun (struct pl_front_connection *connection);
-void pl_front_on_request_ended (struct pl_front_connection *connection);
+void pl_front_on_request_begun (struct pl_front_connection *connection,
+                                struct pl_front_request *request);
+/* The head of CONNECTION's request was read. */
+void pl_front_on_head_read (struct pl_front_connection *connection);
+/* IS_WHOLE: its answer was written. */
+void pl_front_on_request_ended (struct pl_front_connection *connection, bool is_whole);
 /* Returns whether CONNECTION ends with its answer. */
 bool pl_front_connection_is_wide (const struct pl_front_connection *connection);
 /* Returns whether nothing more is to be read from CONNECTION. */
@@ -186,12 +212,15 @@
 void pl_front_cancel_attempt (struct pl_front_request *request);
 void pl_front_start_probe (struct pl_front *front, const struct pl_router_effect *effect);
 
-/* front.c: marks the answer of REQUEST as ready and resumes its connection to send it. */
+/* front.c: marks the answer of REQUEST as ready and, if it is its turn, resumes its connection to
+ * send it. */
 void pl_front_finish (struct pl_front_request *request);
+/* front.c: tells the router that the caller of REQUEST has gone. */
+void pl_front_report_caller_gone (struct pl_front_request *request);
 
 /* front_direct.c: suspends the connection of REQUEST and writes the answer to it, whatever memory
- * the connection has; then resumes it to be closed. */
-void pl_front_send_directly (struct pl_front_request *request);
+ * the connection has; then resumes it to be closed, the caller's connection only if CLOSES. */
+void pl_front_send_directly (struct pl_front_request *request, bool closes);
 /* Ends such an answer if its caller does not read it. */
 void pl_front_check_direct (struct pl_front_request *request, int64_t now_us);
 
--- a/include/internal/net.h
+++ b/include/internal/net.h
@@ -21,6 +21,10 @@
 /* Returns whether the peer has neither sent bytes that are unread nor closed the connection FD. */
 bool pl_net_is_idle (int fd);
 
+/* Returns whether the peer of FD has ended its sending side, or the connection has failed, also if
+ * there are unread bytes. */
+bool pl_net_input_has_ended (int fd);
+
 /* Connects within TIMEOUT_MS milliseconds.  Returns a blocking socket, or -1. */
 int pl_net_connect (const struct sockaddr_in *address, int timeout_ms);
 
--- a/modules/front.c
+++ b/modules/front.c
@@ -4,7 +4,7 @@
  * is ready.  libmicrohttpd does not detect that the caller closes a suspended connection, so a
  * timer peeks at the sockets of requests that have waited for some time.
  */
-#include "internal/front.h"
+#include "internal/front_pipeline.h"
 #include "internal/clock.h"
 #include "internal/keys.h"
 #include "internal/log.h"
@@ -25,8 +25,6 @@
 /* Above this number of open connections each answer closes its connection.  Otherwise a flood of
  * callers that open a connection for each attempt would use up the file descriptors. */
 #define KEEPALIVE_CONNECTIONS_MAX 800u
-/* A connection on which nothing arrives, or of which the caller reads nothing, for this long. */
-#define CONNECTION_TIMEOUT_S 60u
 /* Above what the front admits, connections that share a socket counted twice. */
 #define DAEMON_CONNECTION_LIMIT 8192u
 #define BODY_MAX_DEFAULT ((int64_t) 64 << 20)
@@ -145,8 +143,7 @@
 bool
 pl_front_reserve_memory (struct pl_front *front, size_t *buffered_bytes, size_t bytes)
 {
-  size_t limit
-      = front->options.memory_limit > 0 ? front->options.memory_limit : MEMORY_LIMIT_DEFAULT;
+  size_t limit = front->options.memory_limit;
 
   if (*buffered_bytes + bytes > SMALL_BUFFER_BYTES)
     limit = limit / 100 * LARGE_BUFFERS_PERCENT;
@@ -202,7 +199,7 @@
   request->id = ++front->next_id;
   request->connection = connection;
   request->link = pl_front_connection_of (connection);
-  pl_front_on_request_begun (request->link);
+  pl_front_on_request_begun (request->link, request);
   request->closes = pl_front_connection_is_spent (request->link);
   request->target = g_strdup (target);
   request->correlation_id = g_strdup ("");
@@ -215,11 +212,12 @@
   return request;
 }
 
+/* The request is freed, with its answer, after libmicrohttpd has written the answer. */
 static enum MHD_Result
-queue_response (struct pl_front_request *request)
+queue_response (struct pl_front_request *request, bool closes)
 {
   struct MHD_Response *response = MHD_create_response_from_buffer (
-      request->answer->len, request->answer->data, MHD_RESPMEM_MUST_COPY);
+      request->answer->len, request->answer->data, MHD_RESPMEM_PERSISTENT);
   enum MHD_Result result;
 
   for (guint i = 0; i < request->answer_headers->len; i++)
@@ -230,8 +228,7 @@
       *colon = '\0';
       MHD_add_response_header (response, line, g_strchug (colon + 1));
     }
-  if (request->front->keepalive_disabled || pl_front_connection_is_wide (request->link)
-      || pl_front_connections_open (request->port) > KEEPALIVE_CONNECTIONS_MAX)
+  if (closes)
     MHD_add_response_header (response, "Connection", "close");
   result = MHD_queue_response (request->connection, (unsigned) request->status, response);
   MHD_destroy_response (response);
@@ -248,13 +245,38 @@
                         pl_clock_now_us () + CALLER_CHECK_PERIOD_US);
 }
 
+/* Returns whether the answer to REQUEST closes the caller's connection. */
+static bool
+closes_connection (const struct pl_front_request *request)
+{
+  return !pl_front_has_requests_behind (request->link)
+         && (request->front->keepalive_disabled || pl_front_connection_is_wide (request->link)
+             || pl_front_connections_open (request->port) > KEEPALIVE_CONNECTIONS_MAX
+             || !pl_front_answer_head_fits (request));
+}
+
 static enum MHD_Result
 queue_answer (struct pl_front_request *request)
 {
-  if (pl_front_answer_head_fits (request))
-    return queue_response (request);
-  pl_front_send_directly (request);
+  bool closes;
+  bool has_unread;
+
+  if (pl_front_awaits_turn (request->link))
+    {
+      request->suspended = true;
+      MHD_suspend_connection (request->connection);
+      pl_front_finish (request);
+      return MHD_YES;
+    }
+  pl_front_bind_turn (request->link);
+  closes = closes_connection (request);
+  has_unread = closes && pl_front_note_closing (request->link);
+  request->progress_us = pl_clock_now_us ();
+  request->progress_check_us = request->progress_us;
   arm_caller_check (request->front);
+  if (pl_front_answer_head_fits (request) && !has_unread)
+    return queue_response (request, closes);
+  pl_front_send_directly (request, closes);
   return MHD_YES;
 }
 
@@ -287,7 +309,7 @@
 pl_front_finish (struct pl_front_request *request)
 {
   request->answer_ready = true;
-  if (!request->suspended)
+  if (!request->suspended || !pl_front_take_turn (request->link))
     return;
   request->suspended = false;
   request->port->needs_run = true;
@@ -308,15 +330,6 @@
   return XXH3_64bits_digest (&state);
 }
 
-static bool
-peer_has_closed (struct MHD_Connection *connection)
-{
-  const union MHD_ConnectionInfo *info
-      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-
-  return pl_net_peer_has_closed (info->connect_fd);
-}
-
 static void
 submit_request (struct pl_front_request *request)
 {
@@ -343,6 +356,7 @@
   request->submitted = true;
   request->suspended = true;
   MHD_suspend_connection (request->connection);
+  pl_front_on_submitted (request->link);
   arm_caller_check (front);
   front->options.post (front->options.data, &event);
 }
@@ -354,10 +368,12 @@
 }
 
 static enum MHD_Result
-begin_request (struct pl_front_request *request, const char *method)
+begin_request (struct pl_front_request *request, const char *method, const char *version)
 {
   request->begun_us = pl_clock_now_us ();
   request->method = g_strdup (method);
+  request->is_http_1_1 = strcmp (version, "HTTP/1.1") == 0;
+  pl_front_on_head_read (request->link);
   request->taken_bytes = pl_front_measure_taken (request);
   MHD_get_connection_values (request->connection, MHD_HEADER_KIND, parse_header, request);
   if (pl_front_head_is_too_long (request))
@@ -420,11 +436,10 @@
   (void) data;
   (void) connection;
   (void) url;
-  (void) version;
   if (request->closes)
     return MHD_NO;
   if (request->method == NULL)
-    return begin_request (request, method);
+    return begin_request (request, method, version);
   if (*upload_size > 0)
     {
       append_body (request, upload, *upload_size);
@@ -437,7 +452,7 @@
     return MHD_YES;
   /* A busy host may read a request long after its caller has given up.  A caller that has only
    * ended its sending side gets the refusal. */
-  if (peer_has_closed (request->connection))
+  if (pl_front_caller_has_closed (request->link))
     {
       set_refusal (request, 503, "caller-gone", 0, 0);
       request->answer_ready = true;
@@ -447,8 +462,8 @@
   return MHD_YES;
 }
 
-static void
-report_caller_gone (struct pl_front_request *request)
+void
+pl_front_report_caller_gone (struct pl_front_request *request)
 {
   struct pl_router_event event = {.type = PL_ROUTER_CALLER_GONE};
 
@@ -465,14 +480,15 @@
 
   (void) data;
   (void) connection;
-  (void) code;
   if (request == NULL)
     return;
   assert (request->direct == NULL);
-  if (request->submitted && !request->answer_ready)
-    report_caller_gone (request);
+  if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && request->answer_ready)
+    pl_front_note_unread (request, PL_FRONT_STALLED_S * INT64_C (1000000));
+  if (request->submitted && !request->answer_ready && !request->caller_gone)
+    pl_front_report_caller_gone (request);
   pl_front_cancel_attempt (request);
-  pl_front_on_request_ended (request->link);
+  pl_front_on_request_ended (request->link, code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
   g_hash_table_remove (request->front->requests, &request->id);
   free_request (request);
   *context = NULL;
@@ -494,14 +510,15 @@
     {
       struct pl_front_request *request = value;
 
-      if (request->suspended && !request->caller_gone
+      if (request->suspended && !request->caller_gone && !request->answer_ready
           && now_us - request->begun_us > CALLER_CHECK_DELAY_US
-          && peer_has_closed (request->connection))
+          && pl_front_caller_has_closed (request->link))
         g_ptr_array_add (gone, request);
       pl_front_check_direct (request, now_us);
     }
   for (guint i = 0; i < gone->len; i++)
-    report_caller_gone (g_ptr_array_index (gone, i));
+    pl_front_report_caller_gone (g_ptr_array_index (gone, i));
+  pl_front_check_readers (front, now_us);
   front->caller_check_armed = false;
   accept_again (&front->callers);
   accept_again (&front->handovers);
@@ -614,7 +631,7 @@
       MHD_OPTION_NOTIFY_COMPLETED, on_completed, port->front, MHD_OPTION_NOTIFY_CONNECTION,
       pl_front_on_connection, port, MHD_OPTION_CONNECTION_MEMORY_LIMIT, memory,
       MHD_OPTION_CONNECTION_LIMIT, DAEMON_CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
-      CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+      PL_FRONT_STALLED_S, MHD_OPTION_END);
   const union MHD_DaemonInfo *info;
 
   if (daemon == NULL)
@@ -669,15 +686,18 @@
   struct pl_front *front = g_new0 (struct pl_front, 1);
 
   front->options = *options;
+  if (front->options.memory_limit == 0)
+    front->options.memory_limit = MEMORY_LIMIT_DEFAULT;
   front->requests = g_hash_table_new (g_int64_hash, g_int64_equal);
   front->handovers.takes_handovers = true;
   front->spare_fd = open_spare ();
-  if (!open_port (front, &front->callers, options->address)
+  if (!pl_front_open_pairs (front) || !open_port (front, &front->callers, options->address)
       || (options->handover_address != NULL
           && !open_port (front, &front->handovers, options->handover_address)))
     {
       close_port (&front->callers);
       close (front->spare_fd);
+      pl_front_close_pairs (front);
       g_hash_table_destroy (front->requests);
       g_free (front);
       return NULL;
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -13,8 +13,9 @@
  * when the answer is sent.
  */
 #include "internal/clock.h"
-#include "internal/front.h"
+#include "internal/front_pipeline.h"
 #include "internal/log.h"
+#include "internal/net.h"
 #include "internal/reactor.h"
 #include "pomelolatch/error.h"
 
@@ -57,22 +58,6 @@
 #define MEMORY_WAIT_US INT64_C (300000)
 #define DISCARD_BYTES 16384
 
-struct pl_front_connection
-{
-  struct pl_front_port *port;
-  int fd;
-  struct MHD_Connection *handle; /* NULL: no daemon has it yet */
-  /* The kept connection of which a wide one has taken the socket; NULL: none. */
-  struct pl_front_connection *origin;
-  bool is_wide;
-  bool awaits_head;
-  bool is_spent; /* nothing more is read from it */
-  /* Since when its head waits for the memory to have it read; 0: it does not. */
-  int64_t lacks_memory_since_us;
-  int64_t awaits_since_us;
-  size_t reserved_bytes; /* of the front's memory limit */
-};
-
 static size_t
 memory_of (const struct pl_front_connection *connection)
 {
@@ -94,8 +79,8 @@
   return size->fields * FIELD_BYTES + size->copied_bytes;
 }
 
-static bool
-is_narrow (const struct pl_head_size *size)
+bool
+pl_front_head_is_narrow (const struct pl_head_size *size)
 {
   return taken_bytes (NARROW_MEMORY, size->bytes, field_bytes (size)) + ANSWER_HEAD_MARGIN_BYTES
          <= NARROW_MEMORY;
@@ -181,50 +166,75 @@
   return g_hash_table_size (port->connections);
 }
 
-static void
-free_connection (struct pl_front_connection *connection)
+struct pl_front_connection *
+pl_front_new_connection (struct pl_front_port *port, int fd)
 {
+  struct pl_front_connection *connection = g_new0 (struct pl_front_connection, 1);
+
+  connection->port = port;
+  connection->fd = fd;
+  connection->feed_fd = -1;
+  return connection;
+}
+
+void
+pl_front_free_connection (struct pl_front_connection *connection)
+{
+  if (connection->pipeline != NULL && !connection->is_lane)
+    pl_front_end_pipeline (connection->pipeline);
   pl_front_release_memory (connection->port->front, &connection->reserved_bytes);
   g_hash_table_remove (connection->port->connections, connection);
   g_free (connection);
 }
 
-/* Has the daemon read what has arrived on CONNECTION, which it has suspended. */
-static void
-resume (struct pl_front_connection *connection)
+void
+pl_front_resume_connection (struct pl_front_connection *connection)
 {
   connection->port->needs_run = true;
   MHD_resume_connection (connection->handle);
   pl_reactor_skip_wait (connection->port->front->options.reactor);
 }
 
+void
+pl_front_unwatch_connection (struct pl_front_connection *connection)
+{
+  if (!connection->is_watched)
+    return;
+  connection->is_watched = false;
+  pl_reactor_watch (connection->port->front->options.reactor, connection->fd, 0, NULL, NULL);
+}
+
 static void
 stop_awaiting (struct pl_front_connection *connection)
 {
   connection->awaits_head = false;
   connection->lacks_memory_since_us = 0;
-  pl_reactor_watch (connection->port->front->options.reactor, connection->fd, 0, NULL, NULL);
 }
 
-/* Forgets CONNECTION, whose descriptor is closed. */
+/* Forgets CONNECTION, which libmicrohttpd closes. */
 static void
 end_connection (struct pl_front_connection *connection)
 {
   struct pl_front_connection *origin = connection->origin;
 
+  if (connection->is_lane)
+    {
+      pl_front_end_lane (connection);
+      return;
+    }
+  pl_front_unwatch_connection (connection);
   connection->port->wide_count -= connection->is_wide;
   if (origin != NULL)
     {
       origin->is_spent = true;
       shutdown (origin->fd, SHUT_RDWR);
-      resume (origin);
+      pl_front_resume_connection (origin);
     }
-  free_connection (connection);
+  pl_front_free_connection (connection);
 }
 
-/* Gives CONNECTION to DAEMON. */
-static void
-add_to_daemon (struct pl_front_connection *connection, struct MHD_Daemon *daemon)
+bool
+pl_front_give_to_daemon (struct pl_front_connection *connection, struct MHD_Daemon *daemon)
 {
   struct pl_front_port *port = connection->port;
   /* No use is made of the address. */
@@ -239,10 +249,11 @@
               json_pack ("{s:b,s:i}", "wide", connection->is_wide, "error", errno));
       g_hash_table_remove (port->joining, GINT_TO_POINTER (connection->fd));
       end_connection (connection);
-      return;
+      return false;
     }
   port->needs_run = true;
   pl_reactor_skip_wait (port->front->options.reactor);
+  return true;
 }
 
 static void
@@ -250,9 +261,9 @@
 {
   stop_awaiting (connection);
   if (connection->handle != NULL)
-    resume (connection);
+    pl_front_resume_connection (connection);
   else
-    add_to_daemon (connection, connection->port->daemon);
+    pl_front_give_to_daemon (connection, connection->port->daemon);
 }
 
 /* Returns a connection of the wide daemon for the socket of CONNECTION, which is itself if no
@@ -268,9 +279,7 @@
 
       if (fd < 0)
         return NULL;
-      wide = g_new0 (struct pl_front_connection, 1);
-      wide->port = connection->port;
-      wide->fd = fd;
+      wide = pl_front_new_connection (connection->port, fd);
       wide->origin = connection;
       g_hash_table_add (wide->port->connections, wide);
     }
@@ -296,6 +305,16 @@
   pl_reactor_arm_timer (front->options.reactor, front->connections_timer, due_us);
 }
 
+void
+pl_front_close_connection (struct pl_front_connection *connection)
+{
+  assert (connection->handle == NULL);
+  stop_awaiting (connection);
+  pl_front_unwatch_connection (connection);
+  close (connection->fd);
+  pl_front_free_connection (connection);
+}
+
 /* Nothing more is to be read from CONNECTION, which awaits a head. */
 static void
 end_awaiting (struct pl_front_connection *connection)
@@ -307,9 +326,7 @@
       read_by_narrow (connection); /* finds the end, and closes */
       return;
     }
-  stop_awaiting (connection);
-  close (connection->fd);
-  free_connection (connection);
+  pl_front_close_connection (connection);
 }
 
 /* Refuses a request that has not been read. */
@@ -364,7 +381,16 @@
   wide->reserved_bytes = reserved;
   port->wide_count++;
   stop_awaiting (connection);
-  add_to_daemon (wide, port->wide_daemon);
+  pl_front_unwatch_connection (connection);
+  pl_front_give_to_daemon (wide, port->wide_daemon);
+}
+
+ssize_t
+pl_front_peek (const struct pl_front_connection *connection, size_t *limit)
+{
+  /* One byte more than the limit tells a head that exceeds it. */
+  *limit = head_limit (connection->port) + 1;
+  return recv (connection->fd, connection->port->front->peeked, *limit, MSG_PEEK | MSG_DONTWAIT);
 }
 
 /* READY: events of the socket. */
@@ -372,16 +398,19 @@
 look_at_head (struct pl_front_connection *connection, uint32_t ready)
 {
   struct pl_front *front = connection->port->front;
-  /* One byte more than the limit tells a head that exceeds it. */
-  size_t limit = head_limit (connection->port) + 1;
-  ssize_t received = recv (connection->fd, front->peeked, limit, MSG_PEEK | MSG_DONTWAIT);
+  size_t limit;
+  ssize_t received = pl_front_peek (connection, &limit);
   struct pl_head_size size;
   bool is_whole;
 
+  connection->has_input = false;
   if (received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR))
     return;
   is_whole = received > 0 && pl_front_measure_head (front->peeked, (size_t) received, &size);
-  if (is_whole && size.has_request_line && !is_narrow (&size))
+  if (is_whole && pl_front_begin_pipeline (connection, (size_t) received, size.bytes))
+    return;
+  connection->has_input = is_whole && (size_t) received > size.bytes;
+  if (is_whole && size.has_request_line && !pl_front_head_is_narrow (&size))
     read_by_wide (connection, &size);
   /* What is no request, or too long, libmicrohttpd refuses. */
   else if (is_whole || received == (ssize_t) limit)
@@ -393,21 +422,39 @@
 static void
 on_readable (void *data, int fd, uint32_t ready)
 {
+  struct pl_front_connection *connection = data;
+
   (void) fd;
-  look_at_head (data, ready);
+  if (connection->awaits_head && !pl_front_has_lanes (connection))
+    {
+      look_at_head (connection, ready);
+      return;
+    }
+  connection->has_input = true;
+  pl_front_read_ahead (connection);
 }
 
-static void
-await_head (struct pl_front_connection *connection)
+/* Edge-triggered, as the bytes of an incomplete head stay in the socket.  The watch is kept while
+ * requests are processed, which saves two calls to the kernel for each of them and shows what is
+ * sent behind them. */
+void
+pl_front_watch_connection (struct pl_front_connection *connection)
 {
-  struct pl_front *front = connection->port->front;
+  connection->is_watched = true;
+  pl_reactor_watch (connection->port->front->options.reactor, connection->fd,
+                    EPOLLIN | EPOLLRDHUP | EPOLLET, on_readable, connection);
+}
 
+void
+pl_front_await_head (struct pl_front_connection *connection)
+{
   connection->awaits_head = true;
   connection->awaits_since_us = pl_clock_now_us ();
-  /* Edge-triggered, as the bytes of an incomplete head stay in the socket. */
-  pl_reactor_watch (front->options.reactor, connection->fd, EPOLLIN | EPOLLRDHUP | EPOLLET,
-                    on_readable, connection);
-  arm_check (front, connection->awaits_since_us + CHECK_PERIOD_US);
+  arm_check (connection->port->front, connection->awaits_since_us + CHECK_PERIOD_US);
+  if (!connection->is_watched)
+    pl_front_watch_connection (connection);
+  else if (connection->has_input)
+    look_at_head (connection, pl_net_input_has_ended (connection->fd) ? EPOLLRDHUP : 0);
 }
 
 void
@@ -421,11 +468,9 @@
       close (fd);
       return;
     }
-  connection = g_new0 (struct pl_front_connection, 1);
-  connection->port = port;
-  connection->fd = fd;
+  connection = pl_front_new_connection (port, fd);
   g_hash_table_add (port->connections, connection);
-  await_head (connection);
+  pl_front_await_head (connection);
 }
 
 void
@@ -450,6 +495,7 @@
     return;
   assert (!connection->awaits_head);
   g_ptr_array_remove (port->between_requests, connection);
+  g_ptr_array_remove (port->submitted, connection);
   end_connection (connection);
 }
 
@@ -460,15 +506,32 @@
 }
 
 void
-pl_front_on_request_begun (struct pl_front_connection *connection)
+pl_front_on_request_begun (struct pl_front_connection *connection, struct pl_front_request *request)
 {
+  connection->request = request;
   g_ptr_array_remove (connection->port->between_requests, connection);
 }
 
 void
-pl_front_on_request_ended (struct pl_front_connection *connection)
+pl_front_on_head_read (struct pl_front_connection *connection)
 {
-  if (!connection->is_wide && !connection->is_spent)
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection->handle, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+
+  connection->is_uncounted = connection->is_uncounted || info == NULL;
+  connection->read_bytes += info != NULL ? info->header_size : 0;
+}
+
+void
+pl_front_on_request_ended (struct pl_front_connection *connection, bool is_whole)
+{
+  int64_t body_length = connection->request->body_length;
+
+  connection->is_uncounted = connection->is_uncounted || body_length < 0;
+  connection->read_bytes += (uint64_t) MAX (body_length, 0);
+  connection->request = NULL;
+  if (connection->is_lane ? is_whole && pl_front_hold_lane (connection)
+                          : !connection->is_wide && !connection->is_spent)
     g_ptr_array_add (connection->port->between_requests, connection);
 }
 
@@ -484,11 +547,19 @@
     {
       struct pl_front_connection *connection = g_ptr_array_index (port->between_requests, i);
 
+      if (connection->is_lane)
+        {
+          pl_front_retire_lane (connection);
+          continue;
+        }
       /* Its manual asks for calls from handlers only; here the daemon is at rest, on its thread. */
       MHD_suspend_connection (connection->handle);
-      await_head (connection);
+      pl_front_await_head (connection);
     }
   g_ptr_array_set_size (port->between_requests, 0);
+  for (guint i = 0; i < port->submitted->len; i++)
+    pl_front_read_ahead (g_ptr_array_index (port->submitted, i));
+  g_ptr_array_set_size (port->submitted, 0);
 }
 
 static bool
@@ -516,7 +587,7 @@
     return;
   g_hash_table_iter_init (&iter, port->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (((struct pl_front_connection *) key)->awaits_head)
+    if (((struct pl_front_connection *) key)->awaits_head && !pl_front_has_lanes (key))
       g_ptr_array_add (waiting, key);
   for (guint i = 0; i < waiting->len; i++)
     {
@@ -551,6 +622,7 @@
   port->connections = g_hash_table_new (NULL, NULL);
   port->joining = g_hash_table_new (NULL, NULL);
   port->between_requests = g_ptr_array_new ();
+  port->submitted = g_ptr_array_new ();
   return PL_OK;
 }
 
--- a/modules/front_direct.c
+++ b/modules/front_direct.c
@@ -5,7 +5,7 @@
  * not fit there is written here, while the connection is suspended, and ends the connection.
  */
 #include "internal/clock.h"
-#include "internal/front.h"
+#include "internal/front_pipeline.h"
 #include "internal/reactor.h"
 
 #include <errno.h>
@@ -14,8 +14,7 @@
 #include <sys/socket.h>
 #include <time.h>
 
-/* A caller that reads nothing for this long has gone; as for the answers of libmicrohttpd. */
-#define STALLED_US INT64_C (60000000)
+#define STALLED_US (PL_FRONT_STALLED_S * INT64_C (1000000))
 /* After the answer, the caller has this long to close the connection.  Closing it while there are
  * unread bytes resets it, and the caller may lose what it has not read yet. */
 #define LINGER_US INT64_C (1000000)
@@ -29,6 +28,7 @@
   GByteArray *bytes;
   size_t sent;
   bool is_sent;
+  bool closes;    /* the caller's connection */
   int64_t due_us; /* when the connection is closed unless there is progress */
 };
 
@@ -39,7 +39,7 @@
 }
 
 static GByteArray *
-build_answer (const struct pl_front_request *request)
+build_answer (const struct pl_front_request *request, bool closes)
 {
   const char *reason = MHD_get_reason_phrase_for ((unsigned) request->status);
   g_autoptr (GString) head = g_string_new (NULL);
@@ -49,8 +49,8 @@
   struct tm parts;
 
   strftime (date, sizeof date, "%a, %d %b %Y %H:%M:%S GMT", gmtime_r (&now, &parts));
-  g_string_append_printf (head, "HTTP/1.1 %d %s\r\nDate: %s\r\nConnection: close\r\n",
-                          request->status, reason, date);
+  g_string_append_printf (head, "HTTP/1.1 %d %s\r\nDate: %s\r\n%s", request->status, reason, date,
+                          closes ? "Connection: close\r\n" : "");
   for (guint i = 0; i < request->answer_headers->len; i++)
     g_string_append_printf (head, "%s\r\n",
                             (const char *) g_ptr_array_index (request->answer_headers, i));
@@ -63,7 +63,7 @@
   return bytes;
 }
 
-/* Gives the connection back to libmicrohttpd, which closes it. */
+/* Gives the connection back to libmicrohttpd, which closes it, or the lane only. */
 static void
 end_direct (struct pl_front_direct *direct)
 {
@@ -71,6 +71,8 @@
 
   pl_reactor_watch (request->front->options.reactor, direct->fd, 0, NULL, NULL);
   g_byte_array_unref (direct->bytes);
+  if (!direct->closes && direct->is_sent)
+    pl_front_retire_lane (request->link);
   g_free (direct);
   request->direct = NULL;
   request->closes = true;
@@ -118,6 +120,11 @@
   if (!direct->is_sent && direct->sent == direct->bytes->len)
     {
       direct->is_sent = true;
+      if (!direct->closes)
+        {
+          end_direct (direct);
+          return;
+        }
       direct->due_us = pl_clock_now_us () + LINGER_US;
       shutdown (fd, SHUT_WR);
       pl_reactor_watch (reactor, fd, EPOLLIN, on_socket, direct);
@@ -127,14 +134,15 @@
 }
 
 void
-pl_front_send_directly (struct pl_front_request *request)
+pl_front_send_directly (struct pl_front_request *request, bool closes)
 {
   struct pl_front_direct *direct = g_new0 (struct pl_front_direct, 1);
 
   direct->request = request;
   direct->fd = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
                    ->connect_fd;
-  direct->bytes = build_answer (request);
+  direct->bytes = build_answer (request, closes);
+  direct->closes = closes;
   direct->due_us = pl_clock_now_us () + STALLED_US;
   request->direct = direct;
   MHD_suspend_connection (request->connection);
--- a/modules/front_heads.c
+++ b/modules/front_heads.c
@@ -3,7 +3,7 @@
  * libmicrohttpd keeps a record for each header field, query parameter and cookie, and a copy of
  * each Cookie field.  A head of many short fields therefore takes many times its own bytes.
  */
-#include "internal/front.h"
+#include "internal/front_pipeline.h"
 
 #include <string.h>
 
@@ -65,3 +65,73 @@
   size->bytes = length;
   return false;
 }
+
+static bool
+is_token (const char *text, size_t length)
+{
+  for (size_t i = 0; i < length; i++)
+    if (!g_ascii_isalnum (text[i]) && strchr ("!#$%&'*+-.^_`|~", text[i]) == NULL)
+      return false;
+  return length > 0;
+}
+
+/* Removes a line from the start of [*TEXT, END).  Returns its length without CR and LF; -1: it does
+ * not end with both, or has control characters. */
+static gssize
+take_line (const char **text, const char *end, const char **line)
+{
+  const char *newline = memchr (*text, '\n', (size_t) (end - *text));
+
+  *line = *text;
+  if (newline == NULL || newline == *text || newline[-1] != '\r')
+    return -1;
+  *text = newline + 1;
+  for (const char *at = *line; at < newline - 1; at++)
+    if (((unsigned char) *at < ' ' && *at != '\t') || *at == '\x7f')
+      return -1;
+  return newline - 1 - *line;
+}
+
+static bool
+is_plain_request_line (const char *line, size_t length)
+{
+  static const char start[] = "GET /";
+  static const char end[] = " HTTP/1.1";
+
+  return length >= strlen (start) + strlen (end) && memcmp (line, start, strlen (start)) == 0
+         && memcmp (line + length - strlen (end), end, strlen (end)) == 0
+         && count_chars (line, length, ' ') == 2 && memchr (line, '\t', length) == NULL;
+}
+
+static bool
+is_name (const char *line, size_t length, const char *name)
+{
+  return length == strlen (name) && g_ascii_strncasecmp (line, name, length) == 0;
+}
+
+bool
+pl_front_head_is_plain (const char *text, size_t length)
+{
+  static const char *const excluded[]
+      = {"Content-Length", "Transfer-Encoding", "Expect", "Connection", "Upgrade", "Trailer"};
+  const char *end = text + length;
+  const char *line;
+  gssize line_length = take_line (&text, end, &line);
+  int hosts = 0;
+
+  if (line_length < 0 || !is_plain_request_line (line, (size_t) line_length))
+    return false;
+  while ((line_length = take_line (&text, end, &line)) > 0)
+    {
+      const char *colon = memchr (line, ':', (size_t) line_length);
+      size_t name_length = colon != NULL ? (size_t) (colon - line) : 0;
+
+      if (!is_token (line, name_length))
+        return false;
+      for (size_t i = 0; i < G_N_ELEMENTS (excluded); i++)
+        if (is_name (line, name_length, excluded[i]))
+          return false;
+      hosts += is_name (line, name_length, "Host");
+    }
+  return line_length == 0 && text == end && hosts == 1;
+}
--- a/modules/net.c
+++ b/modules/net.c
@@ -67,6 +67,14 @@
   return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
 }
 
+bool
+pl_net_input_has_ended (int fd)
+{
+  struct pollfd ready = {.fd = fd, .events = POLLRDHUP};
+
+  return poll (&ready, 1, 0) == 1;
+}
+
 int
 pl_net_connect (const struct sockaddr_in *address, int timeout_ms)
 {
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -352,6 +352,7 @@
   *type = "text/plain";
   pl_router_metrics (entry->router, body);
   pl_beacon_socket_metrics (entry->beacons, body);
+  pl_front_metrics (entry->front, body);
   g_string_append_printf (body, "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n",
                           buffered, buffered_peak);
   return 200;
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -30,7 +30,8 @@
   char text[TEXT_BYTES];
 
   g_free (data);
-  for (int i = 0; i < ATTEMPTS_MAX && fixture->script->answers[i] != NULL; i++)
+  for (int i = 0;
+       fixture->answer != NULL || (i < ATTEMPTS_MAX && fixture->script->answers[i] != NULL); i++)
     {
       size_t length = 0;
 
@@ -44,6 +45,10 @@
           length += (size_t) received;
         }
       g_atomic_int_inc (&fixture->requests);
+      if (fixture->answer != NULL && fixture->answer (fixture, fd, text))
+        continue;
+      if (fixture->answer != NULL)
+        goto out;
       send_text (fd, fixture->script->answers[i]);
       if (!fixture->repeats)
         continue;
@@ -128,7 +133,10 @@
         effect.type = end == PL_ATTEMPT_ANSWERED ? PL_ROUTER_DELIVER : PL_ROUTER_REFUSE;
     }
   else
-    return;
+    {
+      g_atomic_int_add (&fixture->callers_gone, event->type == PL_ROUTER_CALLER_GONE);
+      return;
+    }
   g_queue_push_tail (&fixture->effects, g_memdup2 (&effect, sizeof effect));
   pl_reactor_skip_wait (fixture->reactor);
 }
@@ -158,6 +166,9 @@
     }
   if (g_atomic_int_compare_and_exchange (&fixture->probe_due, 1, 0))
     start_probe (fixture);
+  if (g_atomic_int_compare_and_exchange (&fixture->keepalive_due, 1, 0))
+    pl_front_execute (fixture->front,
+                      &(struct pl_router_effect){.type = PL_ROUTER_DISABLE_KEEPALIVE});
   if (g_atomic_int_get (&fixture->stopping))
     pl_reactor_quit (fixture->reactor);
   pl_reactor_arm_timer (fixture->reactor, fixture->timer, g_get_monotonic_time () + POLL_US);
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -22,6 +22,9 @@
 struct front_fixture
 {
   const struct front_script *script;
+  /* In place of the script: answers the request with HEAD, which may have the start of its body
+   * behind it.  Returns whether the connection is kept. */
+  bool (*answer) (struct front_fixture *fixture, int fd, const char *head);
   bool closes;  /* the server closes a connection after its last answer */
   bool resets;  /* the server resets a connection after its last answer */
   bool repeats; /* the server sends each answer once more, when it has been read */
@@ -41,11 +44,13 @@
   bool at_most_once;
   int attempts; /* that have ended; atomic */
   enum pl_attempt_end ends[ATTEMPTS_MAX];
-  GQueue effects;  /* of struct pl_router_effect; on the reactor's thread */
-  gint stopping;   /* atomic */
-  gint probe_due;  /* atomic */
-  gint probed;     /* atomic */
-  bool is_healthy; /* as the last probe found */
+  GQueue effects;     /* of struct pl_router_effect; on the reactor's thread */
+  gint stopping;      /* atomic */
+  gint probe_due;     /* atomic */
+  gint probed;        /* atomic */
+  bool is_healthy;    /* as the last probe found */
+  gint callers_gone;  /* that the front reported; atomic */
+  gint keepalive_due; /* to be disabled; atomic */
 };
 
 void set_up_front (struct front_fixture *fixture, const struct front_script *script);
