Pipelining: explicit keep-alive, and no request ahead when memory is short

Cause: callers that send Connection: keep-alive or Content-Length: 0 were not served side by side, and lanes took memory that the answers in progress needed.

Change: a plain head may have these two values; above half of the memory limit no request runs ahead. A wide request with others behind it is answered without a reset, too.

--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -281,6 +281,7 @@
         return NULL;
       wide = pl_front_new_connection (connection->port, fd);
       wide->origin = connection;
+      wide->has_input = connection->has_input;
       g_hash_table_add (wide->port->connections, wide);
     }
   wide->is_wide = true;
--- a/modules/front_heads.c
+++ b/modules/front_heads.c
@@ -109,11 +109,31 @@
   return length == strlen (name) && g_ascii_strncasecmp (line, name, length) == 0;
 }
 
+/* Returns whether the value in [TEXT, END) of a field is VALUE, which may be NULL. */
+static bool
+has_value (const char *text, const char *end, const char *value)
+{
+  g_autofree char *stripped = g_strstrip (g_strndup (text, (gsize) (end - text)));
+
+  return value != NULL && g_ascii_strcasecmp (stripped, value) == 0;
+}
+
 bool
 pl_front_head_is_plain (const char *text, size_t length)
 {
-  static const char *const excluded[]
-      = {"Content-Length", "Transfer-Encoding", "Expect", "Connection", "Upgrade", "Trailer"};
+  /* Fields that change how a message is read, and the only value that leaves it plain. */
+  static const struct
+  {
+    const char *name;
+    const char *plain_value; /* NULL: none */
+  } fields[] = {
+      {"Connection", "keep-alive"},
+      {"Content-Length", "0"},
+      {"Expect", NULL},
+      {"Trailer", NULL},
+      {"Upgrade", NULL},
+      {"Transfer-Encoding", NULL},
+  };
   const char *end = text + length;
   const char *line;
   gssize line_length = take_line (&text, end, &line);
@@ -128,8 +148,9 @@
 
       if (!is_token (line, name_length))
         return false;
-      for (size_t i = 0; i < G_N_ELEMENTS (excluded); i++)
-        if (is_name (line, name_length, excluded[i]))
+      for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+        if (is_name (line, name_length, fields[i].name)
+            && !has_value (colon + 1, line + line_length, fields[i].plain_value))
           return false;
       hosts += is_name (line, name_length, "Host");
     }
--- a/modules/front_pipeline.c
+++ b/modules/front_pipeline.c
@@ -40,8 +40,8 @@
 #define LANES_MAX 128u
 /* What libmicrohttpd takes for a lane. */
 #define LANE_BYTES ((size_t) 32 << 10)
-/* Of the memory limit; above it callers that do not read are ended early, while there is memory for
- * the others left. */
+/* Of the memory limit; above it no request runs ahead, and callers that do not read are ended
+ * early, while there is memory for the others left. */
 #define PRESSURE_PERCENT 50
 /* Under that pressure, how long a caller may read nothing.  TCP repeats a lost segment, and asks
  * for a full receiver's window, several times by then. */
@@ -217,6 +217,12 @@
   return true;
 }
 
+static bool
+is_short_of_memory (const struct pl_front *front)
+{
+  return front->buffered_bytes > front->options.memory_limit / 100 * PRESSURE_PERCENT;
+}
+
 static bool
 may_start_lane (const struct pl_front_connection *caller)
 {
@@ -225,8 +231,8 @@
 
   if (pipeline->closes || front->lanes >= LANES_MAX)
     return false;
-  /* The next answer may close the connection. */
-  if (front->keepalive_disabled && pipeline->lanes.length > 0)
+  /* Without keep-alive the next answer may close the connection. */
+  if (pipeline->lanes.length > 0 && (front->keepalive_disabled || is_short_of_memory (front)))
     return false;
   return pipeline->lanes.length < LANES_PER_CONNECTION_MAX;
 }
@@ -263,13 +269,17 @@
 may_run_ahead_of (const struct pl_front_connection *connection)
 {
   const struct pl_front_request *request = connection->request;
+  const char *persistence;
 
-  return request != NULL && request->submitted && request->suspended && !request->answer_ready
+  if (request == NULL)
+    return false;
+  persistence = MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, "Connection");
+  return request->submitted && request->suspended && !request->answer_ready
          && request->body_length == 0 && request->is_http_1_1
          && strcmp (request->method, "GET") == 0
-         && MHD_lookup_connection_value (request->connection, MHD_HEADER_KIND, "Connection") == NULL
+         && (persistence == NULL || g_ascii_strcasecmp (persistence, "keep-alive") == 0)
          && !connection->is_wide && !connection->is_spent && !request->front->keepalive_disabled
-         && request->front->lanes < LANES_MAX;
+         && !is_short_of_memory (request->front) && request->front->lanes < LANES_MAX;
 }
 
 /* Makes CONNECTION, whose request libmicrohttpd is processing, the first lane of a pipeline.
