--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -21,7 +21,7 @@
  * level that changes faster than the load that it causes oscillates. */
 #define REACTION_US 700e3
 /* Bounds the effect of one outcome, so that a host with few requests is not misled by some. */
-#define OUTCOME_WEIGHT_MAX 0.05
+#define OUTCOME_WEIGHT_MAX 0.08
 /* Rise of the level with an outcome that shows a free slot, relative to its fall with a missed one.
  * In balance, the missed outcomes are this fraction of those with a free slot.  At 0.4 to
  * 1, slots stayed free under overload; at 2, more answers were late. */
@@ -30,7 +30,7 @@
  * its slots is busy.  With free slots, requests are late since objects are in no cache or single
  * servers are slow, and refusals bring the others nothing. */
 #define CONTENDED_MISSED_ABOVE 0.1
-#define CONTENDED_BUSY_ABOVE 0.8
+#define CONTENDED_BUSY_ABOVE 0.75
 /* Not before this long after the first outcome: when callers or hosts start, the servers' caches
  * may be cold, and refusals only delay that they get warm. */
 #define CONTENDED_AFTER_US INT64_C (2000000)
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -30,7 +30,9 @@
   char text[TEXT_BYTES];
 
   g_free (data);
-  for (int i = 0; i < ATTEMPTS_MAX && fixture->script->answers[i] != NULL; i++)
+  for (int i = 0;
+       fixture->on_request != NULL || (i < ATTEMPTS_MAX && fixture->script->answers[i] != NULL);
+       i++)
     {
       size_t length = 0;
 
@@ -149,7 +151,10 @@
         effect.type = end == PL_ATTEMPT_ANSWERED ? PL_ROUTER_DELIVER : PL_ROUTER_REFUSE;
     }
   else
-    return;
+    {
+      g_atomic_int_add (&fixture->callers_gone, event->type == PL_ROUTER_CALLER_GONE);
+      return;
+    }
   front_add_effect (fixture, &effect);
 }
 
@@ -178,6 +183,9 @@
     }
   if (g_atomic_int_compare_and_exchange (&fixture->probe_due, 1, 0))
     start_probe (fixture);
+  if (g_atomic_int_compare_and_exchange (&fixture->keepalive_due, 1, 0))
+    pl_front_execute (fixture->front,
+                      &(struct pl_router_effect){.type = PL_ROUTER_DISABLE_KEEPALIVE});
   if (g_atomic_int_get (&fixture->stopping))
     pl_reactor_quit (fixture->reactor);
   pl_reactor_arm_timer (fixture->reactor, fixture->timer, g_get_monotonic_time () + POLL_US);
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -47,12 +47,14 @@
   bool at_most_once;
   int attempts; /* that have ended; atomic */
   enum pl_attempt_end ends[ATTEMPTS_MAX];
-  GQueue effects;  /* of struct pl_router_effect; on the reactor's thread */
-  gint stopping;   /* atomic */
-  gint probe_due;  /* atomic */
-  gint probed;     /* atomic */
-  bool is_healthy; /* as the last probe found */
-  bool has_load;   /* the last attempt or probe brought a load report */
+  GQueue effects;     /* of struct pl_router_effect; on the reactor's thread */
+  gint stopping;      /* atomic */
+  gint probe_due;     /* atomic */
+  gint probed;        /* atomic */
+  bool is_healthy;    /* as the last probe found */
+  bool has_load;      /* the last attempt or probe brought a load report */
+  gint callers_gone;  /* that the front reported; atomic */
+  gint keepalive_due; /* to be disabled; atomic */
   struct pl_load_report load;
 };
 
