Front: an end that comes together with a request is seen

Change: the front remembers the end from the event and looks at the socket after the last answer; a request that is incomplete although its caller has ended its sending side and everything has been read ends its connection at the next check of callers, at most 0.2 s later.

--- a/include/internal/front_pipeline.h
+++ b/include/internal/front_pipeline.h
@@ -28,6 +28,7 @@
   bool awaits_head;
   bool is_spent;  /* nothing more is read from it */
   bool has_input; /* there may be bytes, or an end, that have not been looked at */
+  bool has_ended; /* the reactor has told of the end of what is sent on it */
   /* Since when its head waits for the memory to have it read; 0: it does not. */
   int64_t lacks_memory_since_us;
   int64_t awaits_since_us;
--- a/modules/front.c
+++ b/modules/front.c
@@ -186,6 +186,16 @@
   g_free (request);
 }
 
+static void
+arm_caller_check (struct pl_front *front)
+{
+  if (front->caller_check_armed)
+    return;
+  front->caller_check_armed = true;
+  pl_reactor_arm_timer (front->options.reactor, front->caller_check_timer,
+                        pl_clock_now_us () + CALLER_CHECK_PERIOD_US);
+}
+
 /* Called by libmicrohttpd with the unparsed target of the request line. */
 static void *
 on_request_target (void *data, const char *target, struct MHD_Connection *connection)
@@ -209,6 +219,8 @@
   request->body = g_byte_array_new ();
   request->answer = g_byte_array_new ();
   g_hash_table_insert (front->requests, &request->id, request);
+  request->begun_us = pl_clock_now_us ();
+  arm_caller_check (front);
   return request;
 }
 
@@ -235,16 +247,6 @@
   return result;
 }
 
-static void
-arm_caller_check (struct pl_front *front)
-{
-  if (front->caller_check_armed)
-    return;
-  front->caller_check_armed = true;
-  pl_reactor_arm_timer (front->options.reactor, front->caller_check_timer,
-                        pl_clock_now_us () + CALLER_CHECK_PERIOD_US);
-}
-
 /* Returns whether the answer to REQUEST closes the caller's connection. */
 static bool
 closes_connection (const struct pl_front_request *request)
@@ -370,7 +372,6 @@
 static enum MHD_Result
 begin_request (struct pl_front_request *request, const char *method, const char *version)
 {
-  request->begun_us = pl_clock_now_us ();
   request->method = g_strdup (method);
   request->is_http_1_1 = strcmp (version, "HTTP/1.1") == 0;
   pl_front_on_head_read (request->link);
@@ -496,6 +497,18 @@
 
 static void accept_again (struct pl_front_port *port);
 
+/* libmicrohttpd does not find the end of a connection that has come together with a part of a
+ * request, since that is one event of its edge-triggered epoll set.  Ends the connection then. */
+static void
+end_if_incomplete (const struct pl_front_request *request)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+
+  if (pl_net_peer_has_closed (info->connect_fd))
+    shutdown (info->connect_fd, SHUT_RDWR);
+}
+
 static void
 check_callers (void *data)
 {
@@ -514,6 +527,9 @@
           && now_us - request->begun_us > CALLER_CHECK_DELAY_US
           && pl_front_caller_has_closed (request->link))
         g_ptr_array_add (gone, request);
+      else if (!request->submitted && !request->answer_ready
+               && now_us - request->begun_us > CALLER_CHECK_DELAY_US)
+        end_if_incomplete (request);
       pl_front_check_direct (request, now_us);
     }
   for (guint i = 0; i < gone->len; i++)
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -425,7 +425,8 @@
   struct pl_front_connection *connection = data;
 
   (void) fd;
-  (void) ready;
+  connection->has_ended
+      = connection->has_ended || (ready & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
   if (connection->awaits_head && !pl_front_has_lanes (connection))
     {
       look_at_head (connection);
@@ -454,7 +455,8 @@
   arm_check (connection->port->front, connection->awaits_since_us + CHECK_PERIOD_US);
   if (!connection->is_watched)
     pl_front_watch_connection (connection);
-  else if (connection->has_input)
+  /* An end that came with a head is no event of its own. */
+  else if (connection->has_input || connection->has_ended)
     look_at_head (connection);
 }
 
--- a/tests/test_pipelining.c
+++ b/tests/test_pipelining.c
@@ -5,7 +5,7 @@
 #include "loopback.h"
 #include "suite.h"
 
-#include <poll.h>
+#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -25,6 +25,7 @@
 #define LONG_HEAD_BYTES 20000 /* more than libmicrohttpd has the memory for */
 #define LISTEN_QUEUE 512      /* a connection for each request in progress */
 #define RANDOM_CALLERS 24
+#define LEAVES_ONE_IN 25   /* parts that a caller sends */
 #define RANDOM_REQUESTS 60 /* of each caller */
 #define AHEAD_MAX 8        /* as docs/LOAD.md says */
 
@@ -290,6 +291,34 @@
 }
 END_TEST
 
+/* Guards against a connection that stays open for a minute after its last answer, since its end
+ * came together with a request. */
+START_TEST (an_end_with_a_request_closes_the_connection)
+{
+  g_autoptr (GString) buffer = g_string_new (NULL);
+  int fd = connect_caller (0);
+  int64_t begun_us;
+
+  if (_i > 0)
+    send_requests (fd, "/200/" SMALL "/a");
+  if (_i > 0)
+    wait_until (&fixture.requests, 1);
+  setsockopt (fd, IPPROTO_TCP, TCP_CORK, &(int){1}, sizeof (int));
+  send_requests (fd, "/0/" SMALL "/b");
+  shutdown (fd, SHUT_WR);
+  begun_us = g_get_monotonic_time ();
+  for (int i = 0; i <= _i; i++)
+    {
+      g_autofree char *answer = read_answer (fd, buffer);
+
+      ck_assert_ptr_nonnull (answer);
+    }
+  ck_assert_ptr_null (read_answer (fd, buffer));
+  ck_assert_int_lt (g_get_monotonic_time () - begun_us, SECOND);
+  close (fd);
+}
+END_TEST
+
 /* Guards against answers that are lost for a caller that has only ended its sending side. */
 START_TEST (a_half_closed_caller_gets_its_answers)
 {
@@ -318,6 +347,7 @@
   int fd = connect_caller (0);
 
   send_text (fd, whole);
+  wait_until (&fixture.requests, 1);
   g_usleep (ARRIVAL_US);
   ck_assert_int_eq (g_atomic_int_get (&fixture.requests), 1);
   expect_answers (fd, buffer, "/200/" SMALL "/a /0/" SMALL "/b /0/" SMALL "/c /0/" SMALL "/d");
@@ -329,7 +359,7 @@
 /* Guards against a head being read in part, with a request before it or by itself. */
 START_TEST (a_head_in_parts_is_read_whole)
 {
-  static const char paths[] = "/500/" SMALL "/a /500/" SMALL "/b /500/" SMALL "/c";
+  static const char paths[] = "/1000/" SMALL "/a /1000/" SMALL "/b /1000/" SMALL "/c";
   g_autoptr (GString) buffer = g_string_new (NULL);
   g_autofree char *text = build_requests (paths);
   int fd = connect_caller (0);
@@ -443,11 +473,36 @@
 }
 END_TEST
 
+struct random_caller
+{
+  GRand *random;
+  bool leaves; /* at any time, without reading its answers */
+};
+
+/* Ends the connection FD in any way. */
+static void
+leave (int fd, GRand *random)
+{
+  const struct linger reset = {.l_onoff = 1};
+  char bytes[1024];
+  int way = g_rand_int_range (random, 0, 3);
+
+  if (way == 0)
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+  else if (way == 1)
+    {
+      shutdown (fd, SHUT_WR);
+      while (read (fd, bytes, sizeof bytes) > 0)
+        continue;
+    }
+}
+
 /* Sends requests of all kinds on a connection, in parts of any length, and checks the answers. */
 static void *
 call_at_random (void *data)
 {
-  GRand *random = data;
+  const struct random_caller *caller = data;
+  GRand *random = caller->random;
   g_autoptr (GString) text = g_string_new (NULL);
   g_autoptr (GString) paths = g_string_new (NULL);
   g_autoptr (GString) buffer = g_string_new (NULL);
@@ -456,7 +511,8 @@
   for (int i = 0; i < RANDOM_REQUESTS; i++)
     {
       g_autofree char *path = g_strdup_printf (
-          "/%d/%d/%d.", g_rand_int_range (random, 0, 4) * g_rand_int_range (random, 0, 10),
+          "/%d/%d/%d.",
+          g_rand_int_range (random, 0, 4) * g_rand_int_range (random, 0, caller->leaves ? 60 : 10),
           g_rand_int_range (random, 20, 2000), i);
       int kind = g_rand_int_range (random, 0, 10);
 
@@ -475,26 +531,43 @@
       part = MIN (part, text->len - sent);
       ck_assert_int_eq (send (fd, text->str + sent, part, MSG_NOSIGNAL), (ssize_t) part);
       sent += part;
+      if (caller->leaves && g_rand_int_range (random, 0, LEAVES_ONE_IN) == 0)
+        {
+          leave (fd, random);
+          goto out;
+        }
       g_usleep ((gulong) g_rand_int_range (random, 0, 3000));
     }
   expect_answers (fd, buffer, paths->str);
+out:
   close (fd);
   g_rand_free (random);
   return NULL;
 }
 
-/* Guards against requests that are lost, run twice or answered out of order where bodies and other
- * kinds of heads stand between pipelined ones, and where more are pipelined than run ahead. */
-START_TEST (any_requests_in_any_parts_are_answered_in_order)
+static void
+run_random_callers (int run, bool leave_early)
 {
-  const int requests = RANDOM_CALLERS * RANDOM_REQUESTS;
+  struct random_caller callers[RANDOM_CALLERS];
   pthread_t threads[RANDOM_CALLERS];
 
   for (int i = 0; i < RANDOM_CALLERS; i++)
-    pthread_create (&threads[i], NULL, call_at_random,
-                    g_rand_new_with_seed ((guint32) (_i * RANDOM_CALLERS + i)));
+    {
+      callers[i].random = g_rand_new_with_seed ((guint32) (run * RANDOM_CALLERS + i));
+      callers[i].leaves = leave_early;
+      pthread_create (&threads[i], NULL, call_at_random, &callers[i]);
+    }
   for (int i = 0; i < RANDOM_CALLERS; i++)
     pthread_join (threads[i], NULL);
+}
+
+/* Guards against requests that are lost, run twice or answered out of order where bodies and other
+ * kinds of heads stand between pipelined ones, and where more are pipelined than run ahead. */
+START_TEST (any_requests_in_any_parts_are_answered_in_order)
+{
+  const int requests = RANDOM_CALLERS * RANDOM_REQUESTS;
+
+  run_random_callers (_i, false);
   ck_assert_int_eq (g_atomic_int_get (&fixture.requests), requests);
   ck_assert_uint_gt (fixture.front->requests_ahead, RANDOM_CALLERS);
   g_usleep (ARRIVAL_US);
@@ -502,6 +575,19 @@
 }
 END_TEST
 
+/* Guards against connections, lanes or memory that stay behind when callers leave, and against an
+ * end that arrives with a part of a request going unnoticed until a timeout. */
+START_TEST (callers_that_leave_at_any_time_leave_nothing_behind)
+{
+  run_random_callers (_i, true);
+  g_usleep (SECOND);
+  ck_assert_uint_eq (pl_front_open_requests (fixture.front), 0);
+  ck_assert_uint_eq (fixture.front->lanes, 0);
+  ck_assert_uint_eq (fixture.front->pipelines, 0);
+  ck_assert_uint_eq (fixture.front->buffered_bytes, 0);
+}
+END_TEST
+
 /* Guards against requests being cut off that were accepted when the host began to stop, and against
  * others being accepted before the connection is closed. */
 START_TEST (a_graceful_stop_answers_what_was_accepted)
@@ -538,6 +624,7 @@
   tcase_add_test (tcase, answers_have_the_same_bytes);
   tcase_add_test (tcase, what_is_behind_a_closing_request_is_not_run);
   tcase_add_loop_test (tcase, a_caller_that_leaves_ends_all_its_requests, 0, 3);
+  tcase_add_loop_test (tcase, an_end_with_a_request_closes_the_connection, 0, 2);
   tcase_add_test (tcase, a_half_closed_caller_gets_its_answers);
   tcase_add_test (tcase, a_request_with_a_body_waits_its_turn);
   tcase_add_loop_test (tcase, a_head_in_parts_is_read_whole, 0, 5);
@@ -545,6 +632,7 @@
   tcase_add_test (tcase, the_longest_unread_answer_is_dropped_under_pressure);
   tcase_add_test (tcase, an_answer_with_a_long_head_leaves_the_connection_open);
   tcase_add_loop_test (tcase, any_requests_in_any_parts_are_answered_in_order, 0, 3);
+  tcase_add_loop_test (tcase, callers_that_leave_at_any_time_leave_nothing_behind, 208, 212);
   tcase_add_test (tcase, a_graceful_stop_answers_what_was_accepted);
   return suite_run (suite);
 }
