Tests: the outcomes of test_router_copies come within the service's recent time

A service counts as contended only after its first two seconds, and outcomes that are long past are forgotten.

--- a/include/internal/placement.h
+++ b/include/internal/placement.h
@@ -117,7 +117,7 @@
   bool is_cut_off; /* this host reaches no server: none is chosen */
   enum pl_load_management load_management;
   bool ignores_speeds; /* servers of managed services are chosen as those of others */
-  double max_shift; /* of the plans, see struct pl_router_options; 0: there are none */
+  double max_shift;    /* of the plans, see struct pl_router_options; 0: there are none */
 };
 
 /* The request to be placed. */
--- a/tests/test_router_copies.c
+++ b/tests/test_router_copies.c
@@ -433,15 +433,21 @@
 }
 END_TEST
 
+static int
+requested_service (void)
+{
+  return pl_placement_ensure_service (&world->router->placement, "stock");
+}
+
 /* Records OUTCOME for the service of all requests until it is CONTENDED or not. */
 static void
 record_outcomes (enum pl_share_outcome outcome, bool contended)
 {
   struct pl_fair_share *shares = &world->router->shares;
-  int service = pl_placement_ensure_service (&world->router->placement, "stock");
+  int service = requested_service ();
   struct pl_share_service *state = (struct pl_share_service *) pl_fair_share_find (shares, service);
   /* In the past, so that the outcomes of the world's own requests come after them. */
-  int64_t now_us = world->now_us - 5 * WORLD_SECOND;
+  int64_t now_us = world->now_us - 1500 * WORLD_MS;
 
   state->sampled_us = now_us;
   /* The service has been in use for longer than the time in which it does not count as contended.
@@ -476,6 +482,9 @@
   for (int i = 0; i < 1000 && (refused == NULL || refused->answers == 0); i++)
     {
       refused = world_send_request (world, "/write/1", "key-1");
+      /* The level is set by what is missed while the account uses the service. */
+      pl_fair_share_record (&world->router->shares, requested_service (), PL_SHARE_MISSED, 0, 1,
+                            world->now_us);
       if (refused->answers == 0)
         world_end_attempt (world, refused, PL_ATTEMPT_ANSWERED, 200);
       if (refused->delivered)
