Fair shares get a setting of their own; findings of the review mended

Settings: fair_shares on or off, default off.

Found by a review, each seen to fail by a run before: - one request without a key and with a long timeout made all others of its route count as retries, which no share refuses: only admitted requests teach the longest timeout, and a single long one is forgotten; - requests were refused for lack of time while servers had free slots, since the routes of a service differ in their work: only under contention now; - loads from health checks were recorded without load management; - one server's report of a load beyond its slots and queue moved a whole region's requests away: it is limited; - failed answers counted as work time; the level was not a number after 17 minutes without requests; Retry-After could be negative.

--- a/core/call_shares.c
+++ b/core/call_shares.c
@@ -67,6 +67,7 @@
 {
   struct pl_share_answer answer = {
       .is_rejected = event->end == PL_ATTEMPT_NOT_RUN,
+      .is_failure = event->status >= 500,
       .is_late = router->now_us > call->on_time_until_us,
       .has_load = event->has_load,
       .load = event->load,
--- a/core/fair_share.c
+++ b/core/fair_share.c
@@ -187,7 +187,8 @@
 
   if (state->sampled_us == 0 || overdue_us <= 0)
     return;
-  state->level *= exp2 ((double) overdue_us / 1e6);
+  if (state->level > 0)
+    state->level = fmin (state->level * exp2 ((double) overdue_us / 1e6), state->ratio_max);
   state->work_us *= exp2 (-(double) overdue_us / 1e6);
   state->missed_ratio *= exp2 (-(double) overdue_us / 1e6);
   state->busy_ratio *= exp2 (-(double) overdue_us / 1e6);
@@ -211,7 +212,8 @@
 {
   double share = state->level * verdict->weight;
 
-  if ((double) request->time_left_us < state->work_us)
+  /* The work of the service's routes differs, so that a free slot may still serve the caller. */
+  if ((double) request->time_left_us < state->work_us && is_contended (state))
     return PL_SHARE_NO_TIME;
   /* Where little is missed, late requests take no slots from those that can be in time. */
   if (verdict->on_time_us <= 0 && is_contended (state)
@@ -286,7 +288,7 @@
   enum pl_share_outcome outcome = PL_SHARE_BUSY;
 
   /* The server has a free slot, so the request hardly waited there. */
-  if (has_slot && !answer->is_rejected)
+  if (has_slot && !answer->is_rejected && !answer->is_failure)
     state->work_us += (state->work_us == 0 ? 1 : WORK_SMOOTHING)
                       * ((double) answer->latency_us - state->work_us);
   if (answer->has_load)
@@ -299,7 +301,7 @@
   else if (answer->is_rejected)
     outcome = PL_SHARE_BUSY;
   else if (has_slot)
-    outcome = PL_SHARE_FREE;
+    outcome = answer->is_failure ? PL_SHARE_BUSY : PL_SHARE_FREE;
   else if (!answer->has_load
            || state->work_us * turns > fmax ((double) answer->objective_us * ON_TIME_RATIO,
                                              state->work_us * WORK_TURNS_MIN)
@@ -336,7 +338,7 @@
   if (verdict != NULL && verdict->level > 0)
     after_us *= fmin (verdict->use / (verdict->level * verdict->weight), RETRY_AFTER_FACTOR_MAX);
   after_us = fmax (after_us, RETRY_AFTER_MIN_US) * (0.5 + random_unit (shares));
-  return (int64_t) fmin (after_us, (double) time_left_us * RETRY_AFTER_LEFT_RATIO);
+  return (int64_t) fmin (after_us, fmax ((double) time_left_us, 0) * RETRY_AFTER_LEFT_RATIO);
 }
 
 int64_t
--- a/core/placement_plan.c
+++ b/core/placement_plan.c
@@ -1,6 +1,10 @@
 /* Inputs of the plans between regions: what this host knows of the servers of a service. */
 #include "internal/placement.h"
 
+/* Slots that a server may report for each that its registration has: one that reports more must not
+ * fill its region. */
+#define REPORTED_SLOTS_MAX_RATIO 4
+
 G_STATIC_ASSERT (PL_REGION_PLAN_REGIONS_MAX == PL_PLACEMENT_REGIONS_MAX);
 
 void
@@ -52,8 +56,10 @@
       slots += MAX (backend->entry.slots, 1);
       inputs[backend->region].slots += MAX (backend->entry.slots, 1);
       if (backend->load.slots > 0)
-        pl_region_input_add_report (&inputs[backend->region], load_by_report (backend),
-                                    backend->load.slots, now_us - backend->load.reported_us);
+        pl_region_input_add_report (
+            &inputs[backend->region], load_by_report (backend),
+            MIN (backend->load.slots, MAX (backend->entry.slots, 1) * REPORTED_SLOTS_MAX_RATIO),
+            now_us - backend->load.reported_us);
     }
   options.server_slots = servers > 0 ? (double) slots / servers : 1;
   pl_region_plan_update (&entry->plan, &options, inputs, now_us);
--- a/core/region_plan.c
+++ b/core/region_plan.c
@@ -73,6 +73,9 @@
 /* A change of the own fraction that is logged, and the time between two log lines. */
 #define LOG_CHANGE 0.05
 #define LOG_PERIOD_US INT64_C (2000000)
+/* Requests for each slot that a report may count: a server queues three at most, and one that
+ * reports more must not empty its region. */
+#define LOAD_MAX_RATIO 4
 
 void
 pl_region_input_add_report (struct pl_region_input *input, int load, int slots, int64_t age_us)
@@ -85,7 +88,7 @@
     input->report_age_us = MAX (age_us, 0);
   input->is_known = true;
   input->reported_slots += slots * count;
-  input->reported_load += load * count;
+  input->reported_load += MIN (load, slots * LOAD_MAX_RATIO) * count;
 }
 
 void
--- a/core/router.c
+++ b/core/router.c
@@ -446,7 +446,7 @@
   if (backend == NULL)
     return;
   reach_on_probed (router, backend, event->u.probed.connected);
-  if (event->u.probed.has_load)
+  if (event->u.probed.has_load && router->options.load_management != PL_LOAD_MANAGEMENT_OFF)
     pl_placement_record_load (&router->placement, backend, &event->u.probed.load, router->now_us);
   if (pl_reach_is_cut_off (&router->reach) && !event->u.probed.connected)
     backend->probe_pending = false;
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -39,6 +39,8 @@
 /* A caller timeout below this fraction of the longest one on the route shows that the caller has
  * spent the difference on an earlier try. */
 #define CALLER_RETRY_RATIO 0.97
+/* Requests in which the excess of the longest timeout over the others falls by a factor of e. */
+#define CALLER_TIMEOUT_MEMORY 1024
 #define LARGE_BODY_BYTES 16384
 #define RETRY_AFTER_FULL_US (150 * US_PER_MS)
 #define RETRY_AFTER_NO_SERVER_US (400 * US_PER_MS)
@@ -343,15 +345,32 @@
   return -1;
 }
 
+/* Learns the longest timeout of the callers of CALL's route, which is admitted.  In managed
+ * services, where much depends on it, a single longer one is forgotten. */
 static void
-detect_caller_retry (struct call *call, int64_t caller_timeout_us)
+learn_caller_timeout (const struct pl_router *router, const struct call *call,
+                      int64_t caller_timeout_us)
+{
+  struct router_route *route = call->route;
+  int64_t longer_us = route->longest_caller_timeout_us - caller_timeout_us;
+
+  if (longer_us < 0)
+    route->longest_caller_timeout_us = caller_timeout_us;
+  else if (shares_apply (router, call))
+    route->longest_caller_timeout_us -= longer_us / CALLER_TIMEOUT_MEMORY;
+}
+
+static void
+detect_caller_retry (const struct pl_router *router, struct call *call, int64_t caller_timeout_us,
+                     bool is_admitted)
 {
   struct router_route *route = call->route;
 
   call->on_time_until_us = call->wait.arrived_us + call->objective_us;
   if (route == NULL || caller_timeout_us <= 0)
     return;
-  route->longest_caller_timeout_us = MAX (route->longest_caller_timeout_us, caller_timeout_us);
+  if (is_admitted)
+    learn_caller_timeout (router, call, caller_timeout_us);
   call->wait.is_caller_retry
       = (double) caller_timeout_us < (double) route->longest_caller_timeout_us * CALLER_RETRY_RATIO;
   if (call->wait.is_caller_retry)
@@ -410,7 +429,7 @@
       = router->now_us + MAX (caller_timeout_us - ANSWER_MARGIN_US, caller_timeout_us / 2);
   g_hash_table_insert (router->calls, &call->id, call);
   refusal = admit_call (router, call, event);
-  detect_caller_retry (call, event->caller_timeout_us);
+  detect_caller_retry (router, call, event->caller_timeout_us, refusal < 0);
   if (refusal < 0)
     refusal = shares_admit (router, call);
   if (refusal >= 0)
--- a/include/internal/fair_share.h
+++ b/include/internal/fair_share.h
@@ -112,6 +112,7 @@
 struct pl_share_answer
 {
   bool is_rejected; /* the server has not run the request */
+  bool is_failure;  /* it tells nothing of how long the work takes */
   bool is_late;
   int64_t latency_us;
   bool has_load;
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -63,6 +63,7 @@
     {"load_management", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"load_management_terms", PL_FIELD_LIST, false, 0, 0, NULL},
     {"terms", PL_FIELD_LIST, false, 0, 0, NULL},
+    {"fair_shares", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"max_shift", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"hedge_ratio", PL_FIELD_TEXT, false, 0, 0, NULL},
     {"cpu_share", PL_FIELD_TEXT, true, 0, 0, NULL},
@@ -457,6 +458,22 @@
   return false;
 }
 
+/* Reads whether managed services are shared fairly between client accounts. */
+static int
+read_fair_shares (const json_t *settings, struct pl_router_options *options)
+{
+  const char *text = pl_settings_text (settings, "fair_shares", "off");
+
+  if (strcmp (text, "on") != 0 && strcmp (text, "off") != 0)
+    {
+      log_bad_setting ("fair_shares", text);
+      return PL_ERR_INVALID;
+    }
+  if (strcmp (text, "off") == 0)
+    options->switches |= PL_ROUTER_NO_SHARES;
+  return PL_OK;
+}
+
 static int
 read_load_management (const json_t *settings, struct pl_router_options *options)
 {
@@ -475,6 +492,8 @@
     }
   options->load_management
       = has_managed_terms (settings) ? PL_LOAD_MANAGEMENT_ON : (enum pl_load_management) management;
+  if (read_fair_shares (settings, options) < 0)
+    return PL_ERR_INVALID;
   if (read_ratio (settings, "max_shift", MAX_SHIFT_DEFAULT, &options->max_shift) < 0)
     return PL_ERR_INVALID;
   return read_ratio (settings, "hedge_ratio", 0, &options->hedge_ratio);
--- a/tests/test_fair_share.c
+++ b/tests/test_fair_share.c
@@ -234,12 +234,49 @@
 
   pl_fair_share_record_answer (&shares, STOCK, &answer, now_us);
   request.time_left_us = 250 * WORLD_MS;
+  /* Other routes of the service may need less time, and there are free slots. */
+  ck_assert_int_eq (pl_fair_share_admit (&shares, &request, now_us).decision, PL_SHARE_ADMITTED);
+  pass_first_seconds ();
+  send (1, 100, PL_SHARE_MISSED);
+  send (1, 100, PL_SHARE_MISSED);
+  ck_assert (pl_fair_share_is_contended (&shares, STOCK));
   ck_assert_int_eq (pl_fair_share_admit (&shares, &request, now_us).decision, PL_SHARE_NO_TIME);
   request.time_left_us = 350 * WORLD_MS;
   ck_assert_int_eq (pl_fair_share_admit (&shares, &request, now_us).decision, PL_SHARE_ADMITTED);
 }
 END_TEST
 
+/* After a quarter of an hour without requests the level was not a number, and a refused request
+ * that was over its time got a negative Retry-After. */
+START_TEST (a_long_pause_leaves_numbers)
+{
+  struct pl_share_request request = make_request (0);
+  const struct pl_share_service *state = pl_fair_share_find (&shares, STOCK);
+
+  pass_first_seconds ();
+  now_us += 2000 * WORLD_SECOND;
+  pl_fair_share_admit (&shares, &request, now_us);
+  state = pl_fair_share_find (&shares, STOCK);
+  ck_assert (state->level >= 0 && state->busy_ratio >= 0);
+  ck_assert_int_ge (pl_fair_share_retry_after_us (&shares, STOCK, NULL, -300 * WORLD_MS), 0);
+}
+END_TEST
+
+/* A server that fails at once seemed to work fast and to have room. */
+START_TEST (failures_tell_nothing_of_the_work_time)
+{
+  struct pl_share_answer answer = {.latency_us = 300 * WORLD_MS, .has_load = true};
+
+  answer.load.slots = 3;
+  pl_fair_share_record_answer (&shares, STOCK, &answer, now_us);
+  answer.is_failure = true;
+  answer.latency_us = 2 * WORLD_MS;
+  for (int i = 0; i < 60; i++)
+    pl_fair_share_record_answer (&shares, STOCK, &answer, now_us += 10 * WORLD_MS);
+  ck_assert_double_ge (pl_fair_share_find (&shares, STOCK)->work_us, 299 * WORLD_MS);
+}
+END_TEST
+
 /* Refused callers came again together, or later than they wait. */
 START_TEST (retry_after_grows_with_the_backlog_is_spread_and_bounded)
 {
@@ -524,6 +561,8 @@
   tcase_add_test (tcase, the_level_rises_with_room_and_without_outcomes);
   tcase_add_test (tcase, late_retries_are_refused_under_contention_only);
   tcase_add_test (tcase, a_request_without_time_for_its_work_is_refused);
+  tcase_add_test (tcase, a_long_pause_leaves_numbers);
+  tcase_add_test (tcase, failures_tell_nothing_of_the_work_time);
   tcase_add_test (tcase, retry_after_grows_with_the_backlog_is_spread_and_bounded);
   tcase_set_timeout (fleet, 120);
   tcase_add_loop_test (fleet, usual_rates_are_served_in_time_beside_hot_accounts, 0, 3);
