Review: short losses of slots keep a region's units; a refused head has nothing run behind it

Slots count as lost after four updates; - after a loss of all servers the first ones back got all units: the plan starts anew; - a pipelined head of one byte more than the limit was read ahead, and its 431 closed the connection before answers of requests that had run; - of two callers that stopped reading within half a second of one another, which was ended under memory pressure was left to chance; the test for it starts them further apart than the front can tell apart.

test_region_plan: units follow lost slots after four updates, in place of at once, as the ranking passes over lost servers by itself.

Left open, by the review: a caller that reads steadily but slower than a window in 5 s loses its answer under memory pressure; a closing answer may be reset if bytes arrive behind it in that moment; bodies at one server are bounded for each host by one body at least.

--- a/core/region_plan.c
+++ b/core/region_plan.c
@@ -178,8 +178,25 @@
   plan->has_started = true;
 }
 
-/* Takes over the slots of INPUTS.  Regions that lose slots lose units in proportion, at once, as
- * the ranking has already passed over their servers.  Regions that gain slots keep their units. */
+/* Returns the most slots that REGION has had in the last periods, SLOTS now.  The ranking passes
+ * over lost servers by itself, so that a short loss, such as that of a server with a tripped
+ * breaker, needs no change of the plan; units come back slowly. */
+static int
+most_recent_slots (struct pl_region_plan_region *region, int slots)
+{
+  int most = slots;
+
+  for (int i = PL_REGION_PLAN_LOSS_PERIODS - 1; i > 0; i--)
+    {
+      region->recent_slots[i] = region->recent_slots[i - 1];
+      most = MAX (most, region->recent_slots[i]);
+    }
+  region->recent_slots[0] = slots;
+  return most;
+}
+
+/* Takes over the slots of INPUTS.  Regions that lose slots for some periods lose units in
+ * proportion.  Regions that gain slots keep their units. */
 static void
 set_slots (struct pl_region_plan *plan, const struct pl_region_input *inputs)
 {
@@ -189,14 +206,15 @@
   for (int r = 0; r < PL_REGION_PLAN_REGIONS_MAX; r++)
     {
       struct pl_region_plan_region *region = &plan->regions[r];
+      int slots = most_recent_slots (region, inputs[r].slots);
 
-      shares[r] = region->units + WEIGHT_MIN * inputs[r].slots;
-      if (inputs[r].slots < region->slots)
+      shares[r] = region->units + WEIGHT_MIN * slots;
+      if (slots < region->slots)
         {
-          shares[r] *= (double) inputs[r].slots / region->slots;
+          shares[r] *= (double) slots / region->slots;
           is_lost = true;
         }
-      region->slots = inputs[r].slots;
+      region->slots = slots;
     }
   if (is_lost && plan->has_started)
     divide_units (plan, shares);
@@ -410,6 +428,10 @@
     }
   for (int r = 0; r < PL_REGION_PLAN_REGIONS_MAX; r++)
     slots += inputs[r].slots;
+  /* After the loss of all servers the plan starts anew: the units of the first region that comes
+   * back would else be all there are. */
+  if (slots == 0)
+    plan->has_started = plan->has_reports = false;
   if (periods <= 0 || slots == 0)
     return;
   plan->own_region = options->own_region;
--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -201,6 +201,8 @@
 size_t pl_front_measure_taken (const struct pl_front_request *request);
 /* Returns whether libmicrohttpd certainly has the memory to build the head of the answer. */
 bool pl_front_answer_head_fits (const struct pl_front_request *request);
+/* Returns how many bytes the head of a request on PORT may have. */
+size_t pl_front_head_limit (const struct pl_front_port *port);
 /* Returns whether the head of REQUEST exceeds the limit of the configuration. */
 bool pl_front_head_is_too_long (const struct pl_front_request *request);
 
--- a/include/internal/region_plan.h
+++ b/include/internal/region_plan.h
@@ -32,10 +32,15 @@
   double reported_load;  /* requests running and waiting */
 };
 
+/* Updates for which slots must be lost before the plan follows: a server whose breaker trips is
+ * back after half a second. */
+#define PL_REGION_PLAN_LOSS_PERIODS 4
+
 struct pl_region_plan_region
 {
   int units;
-  int slots;          /* at the last update */
+  int slots;                                     /* the most at the last updates */
+  int recent_slots[PL_REGION_PLAN_LOSS_PERIODS]; /* the latest first */
   bool is_known;      /* there is a recent report, and utilisation is set */
   double utilisation; /* requests running and waiting per slot */
   double average;     /* of the utilisation, over a longer time */
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -86,8 +86,8 @@
          <= NARROW_MEMORY;
 }
 
-static size_t
-head_limit (const struct pl_front_port *port)
+size_t
+pl_front_head_limit (const struct pl_front_port *port)
 {
   int64_t configured = port->front->limits.header_bytes_max;
   size_t limit = configured > 0 ? (size_t) MIN (configured, (int64_t) PL_FRONT_HEAD_BYTES_MAX)
@@ -102,7 +102,7 @@
   const union MHD_ConnectionInfo *info
       = MHD_get_connection_info (request->connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
 
-  return info != NULL && info->header_size > head_limit (request->port);
+  return info != NULL && info->header_size > pl_front_head_limit (request->port);
 }
 
 static int64_t
@@ -390,7 +390,7 @@
 pl_front_peek (const struct pl_front_connection *connection, size_t *limit)
 {
   /* One byte more than the limit tells a head that exceeds it. */
-  *limit = head_limit (connection->port) + 1;
+  *limit = pl_front_head_limit (connection->port) + 1;
   return recv (connection->fd, connection->port->front->peeked, *limit, MSG_PEEK | MSG_DONTWAIT);
 }
 
--- a/modules/front_pipeline.c
+++ b/modules/front_pipeline.c
@@ -238,10 +238,11 @@
 }
 
 static bool
-starts_with_plain_head (const char *text, size_t length, struct pl_head_size *size)
+starts_with_plain_head (const struct pl_front_port *port, const char *text, size_t length,
+                        struct pl_head_size *size)
 {
   return pl_front_measure_head (text, length, size) && pl_front_head_is_narrow (size)
-         && pl_front_head_is_plain (text, size->bytes);
+         && size->bytes <= pl_front_head_limit (port) && pl_front_head_is_plain (text, size->bytes);
 }
 
 /* Has the heads read by lanes at the start of the LENGTH bytes that are peeked of CALLER, as far as
@@ -253,7 +254,8 @@
   struct pl_head_size size;
   size_t taken = 0;
 
-  while (may_start_lane (caller) && starts_with_plain_head (peeked + taken, length - taken, &size)
+  while (may_start_lane (caller)
+         && starts_with_plain_head (caller->port, peeked + taken, length - taken, &size)
          && start_lane (caller, peeked + taken, size.bytes))
     taken += size.bytes;
   caller->has_input = taken < length;
@@ -305,7 +307,7 @@
 
   if (connection->port->takes_handovers || (connection->pipeline == NULL && length == first_bytes)
       || connection->port->front->lanes >= LANES_MAX
-      || !starts_with_plain_head (peeked, length, &size))
+      || !starts_with_plain_head (connection->port, peeked, length, &size))
     return false;
   if (connection->handle != NULL)
     {
@@ -345,7 +347,8 @@
         return;
       received = pl_front_peek (connection, &limit);
       if (received <= 0
-          || !starts_with_plain_head (connection->port->front->peeked, (size_t) received, &size)
+          || !starts_with_plain_head (connection->port, connection->port->front->peeked,
+                                      (size_t) received, &size)
           || !daemon_holds_no_bytes (connection))
         return;
       connection = make_first_lane (connection);
@@ -576,7 +579,9 @@
   const struct pl_front_request *first = *(struct pl_front_request *const *) a;
   const struct pl_front_request *second = *(struct pl_front_request *const *) b;
 
-  return (first->progress_us > second->progress_us) - (first->progress_us < second->progress_us);
+  if (first->progress_us != second->progress_us)
+    return first->progress_us < second->progress_us ? -1 : 1;
+  return (first->id > second->id) - (first->id < second->id);
 }
 
 void
--- a/tests/test_pipelining.c
+++ b/tests/test_pipelining.c
@@ -187,6 +187,31 @@
     ck_assert_int_lt (g_get_monotonic_time (), until_us);
 }
 
+/* A head that was too long by one byte ran ahead; its refusal closed the connection, and the
+ * answers to the requests behind it, which had run, were lost. */
+START_TEST (what_is_behind_a_refused_head_is_not_run)
+{
+  g_autoptr (GString) buffer = g_string_new (NULL);
+  g_autoptr (GString) text = g_string_new ("GET /0/10/b HTTP/1.1\r\nHost: h\r\nX-Filler: ");
+  const size_t limit = 1024;
+  int fd = connect_caller (0);
+
+  fixture.front->limits.header_bytes_max = (int64_t) limit;
+  while (text->len < limit + 1 - strlen ("\r\n\r\n"))
+    g_string_append_c (text, 'x');
+  g_string_append (text, "\r\n\r\n");
+  ck_assert_uint_eq (text->len, limit + 1);
+  send_requests (fd, "/300/10/a");
+  g_usleep (ARRIVAL_US);
+  ck_assert_int_eq (send (fd, text->str, text->len, MSG_NOSIGNAL), (ssize_t) text->len);
+  send_requests (fd, "/0/10/c /0/10/d");
+  expect_answers (fd, buffer, "/300/10/a");
+  g_usleep (300 * MS);
+  ck_assert_int_eq (g_atomic_int_get (&answered), 1);
+  close (fd);
+}
+END_TEST
+
 /* Guards against requests that start only when those before them have been answered, and against
  * answers out of order.  The three come in one segment, on a new or a kept connection, or one after
  * the other. */
@@ -431,7 +456,9 @@
       fds[i] = connect_caller (4096);
       send_requests (fds[i], "/0/" HUGE "/a");
       wait_until (&answered, 2 + i + 1);
-      g_usleep (ARRIVAL_US);
+      /* The front looks at what callers have read twice a second, and tells apart no closer ones.
+       */
+      g_usleep (700 * MS);
       ck_assert_uint_ge (fixture.front->buffered_bytes, (size_t) (i + 1) * HUGE_BYTES);
     }
   ck_assert_int_lt (g_get_monotonic_time () - begun_us, 2 * SECOND);
@@ -621,6 +648,7 @@
   tcase_add_checked_fixture (tcase, set_up, tear_down);
   tcase_set_timeout (tcase, 60);
   tcase_add_loop_test (tcase, requests_behind_one_another_run_side_by_side, 0, 3);
+  tcase_add_test (tcase, what_is_behind_a_refused_head_is_not_run);
   tcase_add_test (tcase, answers_have_the_same_bytes);
   tcase_add_test (tcase, what_is_behind_a_closing_request_is_not_run);
   tcase_add_loop_test (tcase, a_caller_that_leaves_ends_all_its_requests, 0, 3);
--- a/tests/test_region_plan.c
+++ b/tests/test_region_plan.c
@@ -237,7 +237,8 @@
   update (&model, now_us);
   update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
   set_input (&model, 0, 0, -1);
-  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  for (int i = 0; i < PL_REGION_PLAN_LOSS_PERIODS; i++)
+    update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
   ck_assert_int_eq (model.plan.regions[0].units, 0);
   set_input (&model, 0, 24, -1);
   update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
@@ -245,6 +246,53 @@
 }
 END_TEST
 
+/* Servers that were out for a moment, again and again, took units along each time, and a region
+ * lost nearly all of them. */
+START_TEST (short_losses_of_slots_move_no_units)
+{
+  struct model model;
+  int64_t now_us = WORLD_SECOND;
+  int units;
+
+  set_up_model (&model);
+  set_input (&model, 0, 24, 0.7);
+  update (&model, now_us);
+  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  units = model.plan.regions[0].units;
+  for (int i = 0; i < 40; i++)
+    {
+      set_input (&model, 0, i % 4 == 0 ? 12 : 24, 0.7);
+      update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+    }
+  ck_assert_int_ge (model.plan.regions[0].units, units * 9 / 10);
+}
+END_TEST
+
+/* After the loss of all servers the first few that came back got all units. */
+START_TEST (after_a_loss_of_all_servers_the_plan_starts_anew)
+{
+  struct model model;
+  int64_t now_us = WORLD_SECOND;
+  int units;
+
+  set_up_model (&model);
+  update (&model, now_us);
+  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  units = model.plan.regions[0].units;
+  for (int r = 0; r < REGION_WAVES_REGIONS; r++)
+    set_input (&model, r, 0, -1);
+  for (int i = 0; i < 8; i++)
+    update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  set_input (&model, 0, 3, -1);
+  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  for (int r = 0; r < REGION_WAVES_REGIONS; r++)
+    set_input (&model, r, 24 * region_waves_tenths[r], -1);
+  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  update (&model, now_us += PL_REGION_PLAN_PERIOD_US);
+  ck_assert_int_le (model.plan.regions[0].units, units + 2);
+}
+END_TEST
+
 /* Guards against a region without servers that fills one of the others. */
 START_TEST (a_region_without_servers_uses_the_free_capacity_of_others)
 {
@@ -372,6 +420,8 @@
   tcase_add_test (tcase, a_plan_starts_with_what_the_slots_justify);
   tcase_add_test (tcase, hosts_with_the_same_reports_have_the_same_plan);
   tcase_add_test (tcase, a_plan_changes_slowly_whatever_it_is_told);
+  tcase_add_test (tcase, short_losses_of_slots_move_no_units);
+  tcase_add_test (tcase, after_a_loss_of_all_servers_the_plan_starts_anew);
   tcase_add_test (tcase, lost_slots_take_their_units_along_and_gained_slots_bring_none);
   tcase_add_test (tcase, a_region_without_servers_uses_the_free_capacity_of_others);
   tcase_add_test (tcase, an_overloaded_region_keeps_its_requests_if_others_are_as_full);
