--- a/core/placement.c
+++ b/core/placement.c
@@ -518,11 +518,12 @@
                     const struct pl_placement_request *request, const struct scan *scan, int last,
                     int64_t now_us)
 {
+  const struct pl_backend *first = scan->ranked[0].backend;
   struct pl_backend *alternative = draw_alternative (service, request, scan, last, now_us);
 
-  if (alternative == NULL
+  if (first == NULL || alternative == NULL
       || expected_us (service, alternative, now_us) * CLEARLY_SLOWER
-             >= expected_us (service, scan->ranked[0].backend, now_us))
+             >= expected_us (service, first, now_us))
     return NULL;
   service->alternatives++;
   return alternative;
--- a/tools/bench_fair_share.c
+++ b/tools/bench_fair_share.c
@@ -125,7 +125,7 @@
       int64_t now_us = SECOND + INT64_C (5000) * i;
 
       pl_fair_share_admit (shares, &request, now_us);
-      pl_fair_share_record (shares, service, i % 4 == 0 ? PL_SHARE_MISSED : PL_SHARE_BUSY, 300e3,
+      pl_fair_share_record (shares, service, i % 4 == 0 ? PL_SHARE_MISSED : PL_SHARE_BUSY, 300e3, 1,
                             now_us);
     }
   return (processor_seconds () - started) / CHOICES * 1e6;
