Rows: logs and metrics tell how recently the store confirmed the configuration

Beacons now carry how long ago the store confirmed that the control rows held are its newest, in bits that were unused and that earlier versions ignore (sent by them as 0, taken as confirmed unless they say that the store is lost). No decision depends on it yet. Requests' lines and configuration-adopted have the age; the latter also its source and how long a newer version was known. Fetches that fail, are refused or take 0.1 s are logged and counted.

No bytes are added to beacons (test_beacon).

--- a/core/router.c
+++ b/core/router.c
@@ -496,7 +496,7 @@
       rows_on_store_quiet (router);
       break;
     case PL_ROUTER_FETCH_DONE:
-      rows_on_fetch_done (router, event->u.fetch);
+      rows_on_fetch_done (router, event->u.fetch_done.number, event->u.fetch_done.end);
       break;
     case PL_ROUTER_BUSY_PERCENT:
       router->busy_percent = event->u.busy_percent;
--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -80,14 +80,15 @@
   const struct pl_backend *passed_over
       = pl_placement_find_by_hash (&router->placement, call->passed_over);
   json_t *fields = json_pack (
-      "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I}", "request", call->correlation_id, "outcome",
+      "{s:s,s:s,s:s,s:s,s:s,s:i,s:i,s:I,s:I,s:I,s:I}", "request", call->correlation_id, "outcome",
       outcome, "route", call->route != NULL ? call->route->name : "", "account",
       call->account != NULL ? call->account->name : "", "service",
       call->service != PL_NONE ? pl_placement_service_name (&router->placement, call->service) : "",
       "status", status, "attempts", call->attempts, "after_us",
       (json_int_t) (router->now_us - call->wait.arrived_us), "left_us",
       (json_int_t) (call->deadline_us - router->now_us), "version",
-      (json_int_t) (router->routing != NULL ? router->routing->version : 0));
+      (json_int_t) (router->routing != NULL ? router->routing->version : 0), "version_age_us",
+      (json_int_t) freshness_age_us (router));
   if (call->object != 0)
     json_object_set_new (fields, "object", json_integer ((json_int_t) (call->object >> 1)));
   if (backend != NULL)
--- a/core/router_fleet.c
+++ b/core/router_fleet.c
@@ -138,6 +138,7 @@
   beacon->servers_lost = pl_reach_is_cut_off (&router->reach);
   beacon->store_error_us
       = router->store.failed_us < 0 ? -1 : router->now_us - router->store.failed_us;
+  beacon->confirmed_age_us = freshness_age_us (router);
   for (int t = 0; t < PL_TABLES_MAX; t++)
     beacon->held[t] = router->held[t].version;
   beacon->retained_configuration = eras_retained_configuration (router);
@@ -674,6 +675,7 @@
   else if (!is_known && beacon->has_identity)
     send_identity (router, member);
   outages_on_beacon (router, member, beacon);
+  freshness_on_beacon (router, member, beacon);
   on_accounts (router, member, beacon);
   on_suspects (router, beacon);
   limits_on_beacon (router, beacon);
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -211,6 +211,19 @@
     }
 }
 
+/* Appends what tells whether the configuration in force is the newest. */
+static void
+append_freshness (const struct pl_router *router, GString *text)
+{
+  if (router->confirmed_us > 0)
+    g_string_append_printf (text, "pomelolatch_configuration_confirmed_age_seconds %.3f\n",
+                            (double) freshness_age_us (router) / 1e6);
+  for (int end = 0; end < PL_FETCH_END_COUNT; end++)
+    g_string_append_printf (text,
+                            "pomelolatch_row_fetches_total{end=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                            router_fetch_end_names[end], router->counts_fetches[end]);
+}
+
 void
 pl_router_metrics (const struct pl_router *router, GString *text)
 {
@@ -226,6 +239,7 @@
                           router->routing != NULL ? router->routing->version : 0);
   g_string_append_printf (text, "pomelolatch_configuration_findings %d\n",
                           router->routing != NULL ? router->routing->findings : 0);
+  append_freshness (router, text);
   g_string_append_printf (text, "pomelolatch_store_lost %d\n", router->store.is_lost);
   g_string_append_printf (text,
                           "pomelolatch_store_era %" G_GINT64_FORMAT "\n"
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -40,6 +40,8 @@
 #define FETCH_SILENT_US (400 * US_PER_MS)
 /* The same while this host has no configuration: all rows of a fleet that starts take longer. */
 #define FIRST_FETCH_SILENT_US US_PER_S
+/* A fetch that takes this long is logged, like those that fail. */
+#define LOGGED_FETCH_US (100 * US_PER_MS)
 #define TOMBSTONES_MAX 2000
 /* Before it watches the store, a host that starts waits this long for a beacon of a host of its
  * region, which may be watching already.  Without a configuration it can do nothing else. */
@@ -54,6 +56,15 @@
  * region. */
 #define SETTLE_CONFIGURED_US (1200 * US_PER_MS)
 
+/* Returns the name of the host with this id, "" if it is not known any more. */
+static const char *
+member_name (const struct pl_router *router, uint64_t id)
+{
+  const struct pl_member *member = g_hash_table_lookup (router->membership.members, &id);
+
+  return member != NULL ? member->contact.name : "";
+}
+
 int64_t
 pl_router_held_version (const struct pl_router *router, enum pl_table table)
 {
@@ -181,11 +192,15 @@
                                 rule->cold_time_us, rule->cold_per_second);
     }
   router_add_effect (router, PL_ROUTER_SET_LIMITS)->u.limits = routing->limits;
-  router_log (router, PL_ROUTER_LOG_STATE, "configuration-adopted",
-              json_pack ("{s:I,s:i,s:i,s:i,s:i}", "version", (json_int_t) routing->version,
-                         "routes", (int) routing->routes->len, "services",
-                         (int) routing->services->len, "accounts", (int) routing->accounts->len,
-                         "findings", routing->findings));
+  router_log (
+      router, PL_ROUTER_LOG_STATE, "configuration-adopted",
+      json_pack (
+          "{s:I,s:i,s:i,s:i,s:i,s:s,s:I,s:I}", "version", (json_int_t) routing->version, "routes",
+          (int) routing->routes->len, "services", (int) routing->services->len, "accounts",
+          (int) routing->accounts->len, "findings", routing->findings, "source",
+          router->rows_source, "behind_us",
+          (json_int_t) (router->newer_since_us > 0 ? router->now_us - router->newer_since_us : 0),
+          "confirmed_age_us", (json_int_t) freshness_age_us (router)));
 }
 
 /* Returns until when the servers of DELETED_COUNT rows are used that EVENT lacks or deletes. */
@@ -494,6 +509,7 @@
   row->restored = (struct row_value){0};
   decode_row (router, table, &store_row, &decoded);
   put_row (held, &decoded);
+  router->rows_source = "store";
   apply_row (router, &decoded, false, router->now_us);
   pl_row_update_clear (&decoded.update);
   g_free (restored.bytes);
@@ -572,6 +588,18 @@
   held->oldest_delta_version = held->version;
 }
 
+/* Returns the name of the source of EVENT: a peer or "store". */
+static const char *
+source_name (const struct pl_router *router, const struct pl_rows_event *event)
+{
+  if (!event->from_peer)
+    return "store";
+  for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
+    if (router->fetching[i].number != 0 && router->fetching[i].number == event->fetch)
+      return member_name (router, router->fetching[i].peer);
+  return "peer";
+}
+
 void
 rows_on_update (struct pl_router *router, const struct pl_rows_event *event)
 {
@@ -581,6 +609,7 @@
   bool is_new_era = pl_position_era (event->version) > pl_position_era (held->version);
   int64_t until_us = server_grace_until (router, event, count_deleted (event));
 
+  router->rows_source = source_name (router, event);
   for (int i = 0; i < event->count; i++)
     receive_row (router, event, &event->rows[i], at_start, until_us);
   if (event->is_snapshot && !is_outdated)
@@ -593,6 +622,8 @@
       router->has_row_updates = router->has_row_updates || event->count > 0;
       router->behind_since_us = 0;
       router->next_fetch_us = 0;
+      if (event->table == PL_TABLE_CONTROL)
+        freshness_on_rows (router);
     }
   purge_tombstones (held);
 }
@@ -619,6 +650,7 @@
   router->beacon_pending = router->beacon_pending || router->store.is_quiet;
   router->store.is_quiet = false;
   outages_on_call (router, is_reachable, call);
+  freshness_on_store_answer (router, call);
   if (was_lost == !is_reachable)
     return;
   router->beacon_pending = true;
@@ -765,12 +797,36 @@
     start_fetch (router, fetch, member);
 }
 
+const char *const router_fetch_end_names[PL_FETCH_END_COUNT] = {
+    [PL_FETCH_ANSWERED] = "answered",
+    [PL_FETCH_REFUSED] = "refused",
+    [PL_FETCH_FAILED] = "failed",
+};
+
+static void
+log_fetch (struct pl_router *router, const struct router_fetch *fetch, enum pl_fetch_end end)
+{
+  router_log (router, PL_ROUTER_LOG_STATE, "rows-fetched",
+              json_pack ("{s:s,s:s,s:I,s:o}", "host", member_name (router, fetch->peer), "end",
+                         router_fetch_end_names[end], "after_us",
+                         (json_int_t) (router->now_us - fetch->started_us), "held",
+                         held_positions (router)));
+}
+
 void
-rows_on_fetch_done (struct pl_router *router, uint64_t number)
+rows_on_fetch_done (struct pl_router *router, uint64_t number, enum pl_fetch_end end)
 {
+  router->counts_fetches[end]++;
   for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
-    if (router->fetching[i].number == number)
-      router->fetching[i].number = 0;
+    {
+      struct router_fetch *fetch = &router->fetching[i];
+
+      if (fetch->number != number)
+        continue;
+      if (end != PL_FETCH_ANSWERED || router->now_us - fetch->started_us >= LOGGED_FETCH_US)
+        log_fetch (router, fetch, end);
+      fetch->number = 0;
+    }
 }
 
 static void
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -96,7 +96,9 @@
   bool active;      /* had requests recently, so it needs account reports */
   bool ready;       /* accepts callers */
   bool leaving;
-  bool watching;     /* watches the platform's store itself */
+  bool watching; /* watches the platform's store itself */
+  /* Time since the store confirmed that held[PL_TABLE_CONTROL] is its newest; -1: not known. */
+  int64_t confirmed_age_us;
   bool store_lost;   /* cannot reach the store */
   bool store_quiet;  /* watches the store, and an answer is overdue */
   bool servers_lost; /* cannot reach backend servers */
@@ -193,6 +195,7 @@
   int64_t permit_trip_us;   /* last time from an ask for permits to its answer; 0: unknown */
   int64_t held[PL_TABLES_MAX];
   int64_t retained_configuration;
+  int64_t confirmed_us; /* when the store confirmed its control rows; 0: not known */
 };
 
 struct pl_membership
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -35,7 +35,7 @@
   /* Called for each table of which the answer contains a version; DONE is called last, also after
    * a failure. */
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  void (*done) (void *data, uint64_t number);
+  void (*done) (void *data, uint64_t number, enum pl_fetch_end end);
   uint64_t number; /* of the fetch */
   void *data;
 };
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -212,6 +212,7 @@
   bool from_peer;
   bool tells_use;  /* used_for_us of deleted rows is set; servers of missing rows are not used */
   int64_t version; /* of the table */
+  uint64_t fetch;  /* number of the fetch from the peer */
   const struct pl_row *rows;
   int count;
 };
@@ -221,8 +222,18 @@
 {
   int64_t age_us; /* since it was sent */
   bool timed_out; /* it failed as nothing came for too long; otherwise it was refused or reset */
+  bool confirms_control; /* with the rows posted before, all of the control table are known */
 };
 
+/* How a fetch of rows from a peer has ended. */
+enum pl_fetch_end
+{
+  PL_FETCH_ANSWERED,
+  PL_FETCH_REFUSED, /* the peer spends its share of the link on others */
+  PL_FETCH_FAILED,
+};
+#define PL_FETCH_END_COUNT (PL_FETCH_FAILED + 1)
+
 enum pl_router_event_type
 {
   PL_ROUTER_TICK,
@@ -248,7 +259,11 @@
   {
     struct pl_call_event call;
     uint64_t request; /* of PL_ROUTER_CALLER_GONE */
-    uint64_t fetch;   /* of PL_ROUTER_FETCH_DONE: its number */
+    struct
+    {
+      uint64_t number;
+      enum pl_fetch_end end;
+    } fetch_done;
     int busy_percent;
     struct pl_attempt_event attempt;
     struct
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -239,9 +239,13 @@
   struct pl_store_access store;
   int64_t store_check_due_us; /* no check of the store before */
   struct router_fetch fetching[ROUTER_FETCHES_MAX];
-  uint64_t fetches;        /* started so far; the number of the last one */
+  uint64_t fetches; /* started so far; the number of the last one */
+  uint64_t counts_fetches[PL_FETCH_END_COUNT];
   int64_t next_fetch_us;   /* no rows are fetched from a peer before */
   int64_t behind_since_us; /* since when a peer is known to hold newer rows; 0: none is */
+  int64_t confirmed_us;    /* when the store confirmed the control rows held; 0: never */
+  int64_t newer_since_us;  /* since when a peer is known to hold newer control rows; 0: none is */
+  const char *rows_source; /* where the rows of this step come from */
   int64_t started_us;
   bool was_delegate;         /* as of the last round of beacons */
   int64_t delegate_since_us; /* when was_delegate last changed */
@@ -411,12 +415,23 @@
 /* An answer of the store is overdue.  A host that watches can not tell a store without changes from
  * a path that is cut, so it has another host watch as well. */
 void rows_on_store_quiet (struct pl_router *router);
+extern const char *const router_fetch_end_names[PL_FETCH_END_COUNT];
 void rows_run_timers (struct pl_router *router);
-void rows_on_fetch_done (struct pl_router *router, uint64_t number);
+void rows_on_fetch_done (struct pl_router *router, uint64_t number, enum pl_fetch_end end);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
 void rows_settle (struct pl_router *router, enum pl_table table, const char *key);
 
+/* router_freshness.c */
+void freshness_on_store_answer (struct pl_router *router, const struct pl_store_call_event *call);
+/* BEACON of MEMBER tells what that holds, and how recently the store confirmed it. */
+void freshness_on_beacon (struct pl_router *router, struct pl_member *member,
+                          const struct pl_beacon *beacon);
+/* The position held of the control table has changed. */
+void freshness_on_rows (struct pl_router *router);
+/* Returns how long ago the store confirmed the control rows held; PL_NONE: not known. */
+int64_t freshness_age_us (const struct pl_router *router);
+
 /* router_outages.c */
 /* A call of this host to the store has ended. */
 void outages_on_call (struct pl_router *router, bool is_answered,
--- a/modules/beacon_socket.c
+++ b/modules/beacon_socket.c
@@ -113,9 +113,32 @@
   return true;
 }
 
-/* The flags and busy_percent share one number; busy_percent is above the flags. */
+/* The flags, busy_percent and confirmed_age_us share one number.  Of the age, which is told in
+ * hundredths of a second and one more, 0 means that the sender runs a version which does not tell
+ * it, and the highest one that it does not know it. */
 #define BUSY_SHIFT 16
 #define BUSY_MASK 0x7fU
+#define CONFIRMED_SHIFT 23
+#define CONFIRMED_UNIT_US 10000
+#define CONFIRMED_UNKNOWN 0x1ffU
+
+static u_int
+encode_confirmed_age (int64_t age_us)
+{
+  int64_t units = (age_us + CONFIRMED_UNIT_US - 1) / CONFIRMED_UNIT_US + 1;
+
+  return age_us < 0 || units > CONFIRMED_UNKNOWN ? CONFIRMED_UNKNOWN : (u_int) units;
+}
+
+/* Hosts of earlier versions are taken to know the newest rows as long as they do not say that the
+ * store is lost. */
+static int64_t
+decode_confirmed_age (u_int units, const struct pl_beacon *beacon)
+{
+  if (units == CONFIRMED_UNKNOWN || (units == 0 && (beacon->store_lost || beacon->store_quiet)))
+    return -1;
+  return units > 0 ? (int64_t) (units - 1) * CONFIRMED_UNIT_US : 0;
+}
 
 static bool
 code_flags (XDR *xdr, struct pl_beacon *beacon)
@@ -124,11 +147,13 @@
       = {&beacon->has_identity, &beacon->active,     &beacon->ready,        &beacon->leaving,
          &beacon->watching,     &beacon->store_lost, &beacon->store_down,   &beacon->wants_contacts,
          &beacon->is_delegate,  &beacon->is_short,   &beacon->servers_lost, &beacon->store_quiet};
-  u_int number = ((u_int) beacon->busy_percent & BUSY_MASK) << BUSY_SHIFT;
+  u_int number = ((u_int) beacon->busy_percent & BUSY_MASK) << BUSY_SHIFT
+                 | encode_confirmed_age (beacon->confirmed_age_us) << CONFIRMED_SHIFT;
 
   if (!code_bits (xdr, flags, G_N_ELEMENTS (flags), &number, 0))
     return false;
   beacon->busy_percent = (int) (number >> BUSY_SHIFT & BUSY_MASK);
+  beacon->confirmed_age_us = decode_confirmed_age (number >> CONFIRMED_SHIFT, beacon);
   return true;
 }
 
--- a/modules/relay.c
+++ b/modules/relay.c
@@ -89,7 +89,7 @@
 struct fetch
 {
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
-  void (*done) (void *data, uint64_t number);
+  void (*done) (void *data, uint64_t number, enum pl_fetch_end end);
   uint64_t number;
   void *data;
 };
@@ -105,6 +105,7 @@
       .is_snapshot = json_is_true (json_object_get (answer, "whole")),
       .tells_use = json_is_true (json_object_get (answer, "tells_use")),
       .version = json_integer_value (json_object_get (answer, "version")),
+      .fetch = fetch->number,
       .rows = rows,
   };
   size_t i;
@@ -133,14 +134,19 @@
   json_t *tables
       = end == PL_HTTP_COMPLETE && status == 200 ? json_loads (text, JSON_ALLOW_NUL, NULL) : NULL;
 
-  if (end == PL_HTTP_COMPLETE && status == BUSY_STATUS)
+  bool is_refused = end == PL_HTTP_COMPLETE && status == BUSY_STATUS;
+  enum pl_fetch_end fetch_end = is_refused               ? PL_FETCH_REFUSED
+                                : json_is_array (tables) ? PL_FETCH_ANSWERED
+                                                         : PL_FETCH_FAILED;
+
+  if (is_refused)
     pl_log (PL_LOG_INFO, "relay-busy", json_object ());
   else if (!json_is_array (tables))
     pl_log (PL_LOG_WARNING, "relay-failed",
             json_pack ("{s:i,s:i}", "end", (int) end, "status", status));
   for (int t = 0; t < PL_TABLES_MAX && t < (int) json_array_size (tables); t++)
     post_table_rows (fetch, (enum pl_table) t, json_array_get (tables, (size_t) t));
-  fetch->done (fetch->data, fetch->number);
+  fetch->done (fetch->data, fetch->number, fetch_end);
   json_decref (tables);
   g_free (fetch);
 }
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -116,7 +116,7 @@
 }
 
 static void handle_rows (void *data, const struct pl_rows_event *rows);
-static void handle_relay_done (void *data, uint64_t number);
+static void handle_relay_done (void *data, uint64_t number, enum pl_fetch_end end);
 
 static void
 fetch_rows (struct entry *entry, const struct pl_router_effect *effect)
@@ -255,9 +255,10 @@
 }
 
 static void
-handle_relay_done (void *data, uint64_t number)
+handle_relay_done (void *data, uint64_t number, enum pl_fetch_end end)
 {
-  struct pl_router_event event = {.type = PL_ROUTER_FETCH_DONE, .u.fetch = number};
+  struct pl_router_event event
+      = {.type = PL_ROUTER_FETCH_DONE, .u.fetch_done = {.number = number, .end = end}};
 
   step_router (data, &event);
 }
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -216,7 +216,8 @@
       if (message->version > 0)
         deliver_configuration (fleet, message->to, message->version, true);
       event.type = PL_ROUTER_FETCH_DONE;
-      event.u.fetch = message->fetch;
+      event.u.fetch_done.number = message->fetch;
+      event.u.fetch_done.end = message->version > 0 ? PL_FETCH_ANSWERED : PL_FETCH_FAILED;
       router_fleet_step_host (fleet, message->to, &event);
       break;
     }
--- a/tests/test_beacon.c
+++ b/tests/test_beacon.c
@@ -128,6 +128,31 @@
 }
 END_TEST
 
+/* An age that is not sent exactly is sent as a higher one. */
+START_TEST (the_age_of_a_confirmation_is_kept)
+{
+  static const struct
+  {
+    int64_t age_us;
+    int64_t decoded_us;
+  } cases[] = {{0, 0}, {1, 10000}, {1234567, 1240000}, {5090000, 5090000}, {5090001, -1}, {-1, -1}};
+  struct pl_beacon beacon = make_beacon (false);
+  struct pl_beacon decoded;
+  char bytes[PL_BEACON_BYTES_MAX];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int length;
+
+      beacon.confirmed_age_us = cases[i].age_us;
+      length = pl_beacon_encode (&beacon, bytes, sizeof bytes);
+      ck_assert_int_eq (pl_beacon_decode (bytes, (size_t) length, &decoded), 0);
+      ck_assert_int_eq (decoded.confirmed_age_us, cases[i].decoded_us);
+      ck_assert_int_eq (decoded.busy_percent, beacon.busy_percent);
+    }
+}
+END_TEST
+
 /* Versions before limits wrote nothing behind the lists. */
 START_TEST (limits_and_permits_take_no_bytes_when_there_are_none)
 {
@@ -377,6 +402,7 @@
   tcase_add_loop_test (tcase, decode_returns_the_encoded_beacon, 0, 2);
   tcase_add_test (tcase, the_fullest_beacon_with_the_longest_names_is_sent_whole);
   tcase_add_test (tcase, state_without_identity_is_small);
+  tcase_add_test (tcase, the_age_of_a_confirmation_is_kept);
   tcase_add_test (tcase, limits_and_permits_take_no_bytes_when_there_are_none);
   tcase_add_test (tcase, every_field_is_received_as_it_was_sent);
   tcase_add_test (tcase, an_altered_beacon_stays_within_bounds);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -77,6 +77,7 @@
 {
   struct peer *peer = data;
 
+  ck_assert_uint_eq (event->fetch, FETCH_NUMBER);
   peer->rows += event->count;
   for (int i = 0; i < event->count; i++)
     {
@@ -89,11 +90,12 @@
 }
 
 static void
-on_done (void *data, uint64_t number)
+on_done (void *data, uint64_t number, enum pl_fetch_end end)
 {
   struct peer *peer = data;
 
   ck_assert_uint_eq (number, FETCH_NUMBER);
+  ck_assert_int_eq (end, PL_FETCH_ANSWERED);
 
   peer->done = true;
   pl_reactor_quit (peer->reactor);
