Rows: a host that is not told that it has the newest rows reads the store itself

Cause: the time in which a row is in force was the sum of bounds of single steps on its way (an overdue answer of the store 1.35 s, a silent source 0.4 s at each level of hosts, a silent delegate 1.7 s, a host known by report 4.2 s), and nothing bounded the sum. The host that owes the promise waited for others to act.

Watchers send a beacon with each answer of the store, and poll for 0.9 s in place of 1 s, so that in a fleet without failures no host is due (1.03 + 0.5 s at most).

A read that fails is tried again after 0.5 s, doubling to 4 s, and after 2 s at least when all watchers known have lost the store too. It takes no part in judging outages, but one that succeeds shows that the store is reached.

Ruled out: shorter bounds for the single steps (they still add up); polls of all hosts (84 calls a second in place of 3).

--- a/core/router.c
+++ b/core/router.c
@@ -495,6 +495,9 @@
     case PL_ROUTER_STORE_QUIET:
       rows_on_store_quiet (router);
       break;
+    case PL_ROUTER_STORE_READ:
+      freshness_on_store_read (router, event->u.store_read_succeeded);
+      break;
     case PL_ROUTER_FETCH_DONE:
       rows_on_fetch_done (router, event->u.fetch_done.number, event->u.fetch_done.end);
       break;
@@ -519,6 +522,7 @@
       router->due_us = router->now_us + MAINTENANCE_PERIOD_US;
       run_maintenance (router);
       rows_run_timers (router);
+      freshness_run_timers (router);
       reach_run_timers (router);
       fleet_run_timers (router);
       calls_run_timers (router);
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -218,6 +218,10 @@
   if (router->confirmed_us > 0)
     g_string_append_printf (text, "pomelolatch_configuration_confirmed_age_seconds %.3f\n",
                             (double) freshness_age_us (router) / 1e6);
+  g_string_append_printf (text,
+                          "pomelolatch_store_reads_total{end=\"answered\"} %" G_GUINT64_FORMAT "\n"
+                          "pomelolatch_store_reads_total{end=\"failed\"} %" G_GUINT64_FORMAT "\n",
+                          router->counts_store_reads[true], router->counts_store_reads[false]);
   for (int end = 0; end < PL_FETCH_END_COUNT; end++)
     g_string_append_printf (text,
                             "pomelolatch_row_fetches_total{end=\"%s\"} %" G_GUINT64_FORMAT "\n",
--- a/include/internal/dialect.h
+++ b/include/internal/dialect.h
@@ -68,6 +68,8 @@
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
   /* After each call to the store. */
   void (*on_state) (void *data, bool succeeded, const struct pl_store_call_event *call);
+  /* A read_once has ended: all rows were read, or not. */
+  void (*on_read) (void *data, bool succeeded);
   /* An answer is overdue; the call that it belongs to has not failed yet.  NULL: ignored. */
   void (*on_quiet) (void *data);
   void *data;
@@ -79,6 +81,9 @@
   void (*watch) (struct pl_store_reader *reader, bool on);
   /* Finds out at once whether the store answers: polls that may hang are given up and repeated. */
   void (*check) (struct pl_store_reader *reader);
+  /* Reads what has changed in all tables since the positions HELD, without watching them.  Ends
+   * with on_read; on_state is not called.  Does nothing but fail while the tables are watched. */
+  void (*read_once) (struct pl_store_reader *reader, const int64_t *held);
 };
 
 /* The built-in adapter. */
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -246,6 +246,7 @@
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_OK,
   PL_ROUTER_STORE_QUIET,  /* an answer of the store is overdue */
+  PL_ROUTER_STORE_READ,   /* PL_ROUTER_READ_STORE has ended; rows were posted before */
   PL_ROUTER_FETCH_DONE,   /* a fetch of rows from a peer has ended, with or without rows */
   PL_ROUTER_BUSY_PERCENT, /* percentage of time that the process was not waiting for events */
   PL_ROUTER_STOP,
@@ -280,6 +281,7 @@
     const struct pl_beacon *beacon;
     struct pl_rows_event rows;
     struct pl_store_call_event store_call; /* STORE_FAILED, STORE_OK */
+    bool store_read_succeeded;             /* of PL_ROUTER_STORE_READ */
   } u;
 };
 
@@ -295,6 +297,7 @@
   PL_ROUTER_FETCH_ROWS,        /* fetch rows from a peer */
   PL_ROUTER_WATCH_STORE,       /* start or stop watching the store */
   PL_ROUTER_CHECK_STORE,       /* find out at once whether the store answers */
+  PL_ROUTER_READ_STORE,        /* read all tables of the store once, from the positions held */
   PL_ROUTER_SET_LIMITS,        /* apply changed limits on callers' requests */
   PL_ROUTER_DISABLE_KEEPALIVE, /* close each connection after its answer from now on */
   PL_ROUTER_STOP_LISTENING,    /* accept no new connections */
@@ -360,6 +363,10 @@
       char address[PL_ADDRESS_CHARS];
       int64_t held[PL_TABLES_MAX];
     } fetch;
+    struct
+    {
+      int64_t held[PL_TABLES_MAX];
+    } read;
     bool watch;
     struct pl_caller_limits limits;
     struct
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -210,6 +210,15 @@
   int64_t started_us;
 };
 
+/* The reading of the store by a host that does not watch it. */
+struct router_store_read
+{
+  bool in_progress;
+  int64_t sent_us; /* the last one */
+  int64_t due_us;  /* none before */
+  int failures;    /* since the last one that succeeded */
+};
+
 struct pl_router
 {
   struct pl_router_options options;
@@ -245,7 +254,9 @@
   int64_t behind_since_us; /* since when a peer is known to hold newer rows; 0: none is */
   int64_t confirmed_us;    /* when the store confirmed the control rows held; 0: never */
   int64_t newer_since_us;  /* since when a peer is known to hold newer control rows; 0: none is */
-  const char *rows_source; /* where the rows of this step come from */
+  struct router_store_read store_read;
+  uint64_t counts_store_reads[2]; /* that failed, that succeeded */
+  const char *rows_source;        /* where the rows of this step come from */
   int64_t started_us;
   bool was_delegate;         /* as of the last round of beacons */
   int64_t delegate_since_us; /* when was_delegate last changed */
@@ -429,6 +440,9 @@
                           const struct pl_beacon *beacon);
 /* The position held of the control table has changed. */
 void freshness_on_rows (struct pl_router *router);
+/* A PL_ROUTER_READ_STORE has ended. */
+void freshness_on_store_read (struct pl_router *router, bool succeeded);
+void freshness_run_timers (struct pl_router *router);
 /* Returns how long ago the store confirmed the control rows held; PL_NONE: not known. */
 int64_t freshness_age_us (const struct pl_router *router);
 
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -151,6 +151,9 @@
     case PL_ROUTER_CHECK_STORE:
       pl_platform_store.check (entry->store);
       break;
+    case PL_ROUTER_READ_STORE:
+      pl_platform_store.read_once (entry->store, effect->u.read.held);
+      break;
     case PL_ROUTER_STOPPED:
       entry->router_stopped = true;
       break;
@@ -272,6 +275,15 @@
   post_event (data, &event);
 }
 
+static void
+handle_store_read (void *data, bool succeeded)
+{
+  struct pl_router_event event
+      = {.type = PL_ROUTER_STORE_READ, .u.store_read_succeeded = succeeded};
+
+  post_event (data, &event);
+}
+
 static void
 handle_store_quiet (void *data)
 {
@@ -653,6 +665,7 @@
       .address = pl_settings_text (entry->settings, "store", ""),
       .on_rows = handle_rows,
       .on_state = handle_store_state,
+      .on_read = handle_store_read,
       .on_quiet = handle_store_quiet,
       .data = entry,
   };
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -32,6 +32,7 @@
   MESSAGE_BEACON,
   MESSAGE_STORE,
   MESSAGE_RELAY,
+  MESSAGE_STORE_READ,
 };
 
 struct message
@@ -111,6 +112,12 @@
   g_array_append_val (fleet->messages, message);
 }
 
+static bool
+reaches_store (const struct router_fleet_host *host)
+{
+  return !host->is_partitioned && !host->is_cut_from_store;
+}
+
 static void
 fetch_rows (struct router_fleet *fleet, int index, const struct pl_router_effect *effect)
 {
@@ -151,6 +158,12 @@
     case PL_ROUTER_FETCH_ROWS:
       fetch_rows (fleet, index, effect);
       break;
+    case PL_ROUTER_READ_STORE:
+      fleet->store_reads++;
+      post_message (fleet, MESSAGE_STORE_READ, index, fleet->version,
+                    reaches_store (host) ? ROUTER_FLEET_STORE_ANSWER_US
+                                         : ROUTER_FLEET_POLL_TIMEOUT_US);
+      break;
     case PL_ROUTER_STOPPED:
       host->has_stopped = true;
       break;
@@ -210,12 +223,6 @@
   router_fleet_step_host (fleet, index, &event);
 }
 
-static bool
-reaches_store (const struct router_fleet_host *host)
-{
-  return !host->is_partitioned && !host->is_cut_from_store;
-}
-
 /* Ends the poll of host INDEX, or tells the host that it is overdue. */
 static void
 run_poll (struct router_fleet *fleet, int index)
@@ -273,6 +280,13 @@
       deliver_configuration (fleet, message->to, message->version, false);
       confirm_rows (fleet, message->to);
       break;
+    case MESSAGE_STORE_READ:
+      event.type = PL_ROUTER_STORE_READ;
+      event.u.store_read_succeeded = reaches_store (&fleet->hosts[message->to]);
+      if (event.u.store_read_succeeded)
+        deliver_configuration (fleet, message->to, message->version, false);
+      router_fleet_step_host (fleet, message->to, &event);
+      break;
     case MESSAGE_RELAY:
       if (message->version > 0)
         deliver_configuration (fleet, message->to, message->version, true);
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -12,7 +12,7 @@
 #define ROUTER_FLEET_STORE_ANSWER_US (5 * WORLD_MS)
 /* How long a poll of the store waits, when its answer is overdue after that, and when it has
  * failed, as in platform/store.c. */
-#define ROUTER_FLEET_POLL_US (1000 * WORLD_MS)
+#define ROUTER_FLEET_POLL_US (900 * WORLD_MS)
 #define ROUTER_FLEET_QUIET_US (350 * WORLD_MS)
 #define ROUTER_FLEET_POLL_TIMEOUT_US (1500 * WORLD_MS)
 #define ROUTER_FLEET_FIRST_VERSION 7
@@ -82,6 +82,7 @@
   enum pl_load_management load_management; /* of hosts that start, as max_shift */
   double max_shift;
   int watches_started;
+  int store_reads; /* by hosts that do not watch */
   uint64_t next_request;
   int admitted;
   int refused;
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -219,6 +219,9 @@
     case PL_ROUTER_CHECK_STORE:
       world->store_checks++;
       break;
+    case PL_ROUTER_READ_STORE:
+      world->store_reads++;
+      break;
     case PL_ROUTER_SET_LIMITS:
     case PL_ROUTER_STOP_LISTENING:
       break;
--- a/tests/router_world.h
+++ b/tests/router_world.h
@@ -65,6 +65,7 @@
   int fetches;
   bool watching;
   int store_checks;
+  int store_reads;
   bool stopped;
   bool keepalive_disabled;
   int warnings;               /* log lines of level warning */
--- a/tests/test_store_reader.c
+++ b/tests/test_store_reader.c
@@ -63,6 +63,8 @@
   int64_t quiet_us; /* when the reader last said that an answer is overdue; 0: never */
   int failures_when_quiet;
   bool is_back; /* the last call was answered */
+  bool is_history_gone;
+  int reads[2]; /* read_once that failed, that succeeded */
 };
 
 static struct server server;
@@ -71,7 +73,7 @@
 select_answer (const char *request)
 {
   if (strstr (request, "rows-feed") != NULL)
-    return changes;
+    return server.is_history_gone ? "" : changes;
   if (strstr (request, "Table=servers") == NULL)
     return empty_page;
   if (server.has_odd_keys)
@@ -141,7 +143,10 @@
     }
   g_mutex_unlock (&server.lock);
   reply = g_strdup_printf ("HTTP/1.1 %s\r\nConnection: close\r\nContent-Length: %zu\r\n\r\n%s",
-                           body[0] != '\0' ? "200 OK" : "503 Busy", strlen (body), body);
+                           body[0] != '\0'          ? "200 OK"
+                           : server.is_history_gone ? "410 Gone"
+                                                    : "503 Busy",
+                           strlen (body), body);
   if (write (fd, reply, strlen (reply)) < 0)
     g_printerr ("could not write the answer\n");
   close (fd);
@@ -355,6 +360,81 @@
 }
 END_TEST
 
+static void
+count_read (void *data, bool succeeded)
+{
+  (void) data;
+  server.reads[succeeded]++;
+  pl_reactor_quit (server.reactor);
+}
+
+static void
+refuse_state (void *data, bool succeeded, const struct pl_store_call_event *call)
+{
+  (void) data;
+  (void) succeeded;
+  (void) call;
+  ck_abort_msg ("a host that does not watch the store has no part in judging its outages");
+}
+
+/* Reads the tables once, from version HELD on. */
+static void
+read_once (int64_t held)
+{
+  const int64_t positions[PL_TABLES_MAX] = {held, held};
+  struct pl_store_reader_options options = {
+      .address = server.address,
+      .client = pl_http_client_new_on_reactor (server.reactor),
+      .reactor = server.reactor,
+      .on_rows = on_rows,
+      .on_state = refuse_state,
+      .on_read = count_read,
+  };
+
+  pl_reactor_arm_timer (server.reactor, pl_reactor_add_timer (server.reactor, quit, NULL),
+                        g_get_monotonic_time () + G_USEC_PER_SEC);
+  pl_platform_store.read_once (pl_platform_store.start (&options), positions);
+  pl_reactor_run (server.reactor);
+}
+
+START_TEST (a_host_that_does_not_watch_reads_changes_once)
+{
+  read_once (7);
+  ck_assert_int_eq (server.reads[true], 1);
+  ck_assert_ptr_nonnull (strstr (server.first_feed, "after=7&WaitMs=0 "));
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_CONTROL], 1);
+  ck_assert_int_eq (server.immediate_polls[PL_TABLE_SERVERS], 1);
+}
+END_TEST
+
+START_TEST (a_host_that_holds_nothing_reads_all_rows_once)
+{
+  read_once (0);
+  ck_assert_int_eq (server.reads[true], 1);
+  ck_assert_int_eq (server.rows, 2);
+  ck_assert_int_eq (server.feeds, 0);
+}
+END_TEST
+
+START_TEST (all_rows_are_read_where_the_history_is_gone)
+{
+  server.is_history_gone = true;
+  read_once (7);
+  ck_assert_int_eq (server.reads[true], 1);
+  ck_assert_int_eq (server.rows, 2);
+}
+END_TEST
+
+START_TEST (a_read_that_fails_is_told_once)
+{
+  close (server.listener);
+  server.listener = -1;
+  read_once (7);
+  ck_assert_int_eq (server.reads[false], 1);
+  ck_assert_int_eq (server.reads[true], 0);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -370,5 +450,9 @@
   tcase_add_test (tcase, a_check_repeats_polls_that_may_hang);
   tcase_add_test (tcase, an_overdue_answer_is_told_before_the_call_fails);
   tcase_add_test (tcase, a_store_that_answers_is_not_quiet);
+  tcase_add_test (tcase, a_host_that_does_not_watch_reads_changes_once);
+  tcase_add_test (tcase, a_host_that_holds_nothing_reads_all_rows_once);
+  tcase_add_test (tcase, all_rows_are_read_where_the_history_is_gone);
+  tcase_add_test (tcase, a_read_that_fails_is_told_once);
   return suite_run (suite);
 }
