Rows: a source that has failed is not asked again before the others

Cause: the source of rows was chosen among the peers that count as live and are known to hold newer ones, the relay parent before all others. What fetches from it had come to played no part. A peer whose process is gone answers each fetch at once with a reset, counts as live for 1.7 s or longer, and was asked every 0.15 s all that time, and no other. The same holds for one that spends its share of the link on others.

Evidence: rows-fetched lines of a watcher that is itself cut off from the store, in test_configuration_in_force: ten fetches from one host in 1.5 s, the rows 3.1 s after their acknowledgement.

--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -40,6 +40,9 @@
 #define FETCH_SILENT_US (400 * US_PER_MS)
 /* The same while this host has no configuration: all rows of a fleet that starts take longer. */
 #define FIRST_FETCH_SILENT_US US_PER_S
+/* For this long a source from which a fetch has failed is asked only if there is no other.  About
+ * the time for which a host whose process has ended still counts as live. */
+#define FETCH_FAILED_US (2 * US_PER_S)
 /* A fetch that takes this long is logged, like those that fail. */
 #define LOGGED_FETCH_US (100 * US_PER_MS)
 #define TOMBSTONES_MAX 2000
@@ -693,9 +696,9 @@
   return false;
 }
 
-/* Returns a live peer with newer rows than this host that is not being asked, or NULL.  The relay
- * parent is preferred, then a peer of this region; among equals the choice varies by host and
- * fetch.
+/* Returns a live peer with newer rows than this host that is not being asked, or NULL.  Peers that
+ * have just failed to send rows come last.  The relay parent is preferred, then a peer of this
+ * region; among equals the choice varies by host and fetch.
  */
 static const struct pl_member *
 find_fetch_source (const struct pl_router *router, bool *is_parent)
@@ -708,16 +711,19 @@
   for (guint i = 0; i < membership->order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (membership->order, i);
-      uint64_t weight = pl_hash_pair (membership->self ^ router->fetches, member->id) >> 1;
+      uint64_t weight = pl_hash_pair (membership->self ^ router->fetches, member->id) >> 2;
+      bool has_failed = router->now_us < member->fetch_due_us;
 
       if (!has_newer_rows (router, member) || is_fetching_from (router, member))
         continue;
-      if (pl_membership_is_relay_parent (membership, member, router->now_us))
+      if (!has_failed && pl_membership_is_relay_parent (membership, member, router->now_us))
         {
           *is_parent = true;
           return member;
         }
       if (member->region == membership->self_region)
+        weight |= UINT64_C (1) << 62;
+      if (!has_failed)
         weight |= UINT64_C (1) << 63;
       if (best == NULL || weight > best_weight)
         {
@@ -761,13 +767,14 @@
 {
   struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_FETCH_ROWS);
 
-  *fetch = (struct router_fetch){++router->fetches, member->id, router->now_us};
+  *fetch = (struct router_fetch){
+      .number = ++router->fetches, .peer = member->id, .started_us = router->now_us};
   router->next_fetch_us = router->now_us + FETCH_INTERVAL_US;
   effect->u.fetch.number = fetch->number;
   g_strlcpy (effect->u.fetch.address, member->contact.relay_address,
              sizeof effect->u.fetch.address);
   for (int t = 0; t < PL_TABLES_MAX; t++)
-    effect->u.fetch.held[t] = router->held[t].version;
+    fetch->held[t] = effect->u.fetch.held[t] = router->held[t].version;
 }
 
 static void
@@ -813,6 +820,26 @@
                          held_positions (router)));
 }
 
+/* Makes the host PEER the last choice as a source of rows for a while. */
+static void
+avoid_source (struct pl_router *router, uint64_t peer)
+{
+  struct pl_member *member = g_hash_table_lookup (router->membership.members, &peer);
+
+  if (member != NULL)
+    member->fetch_due_us = router->now_us + FETCH_FAILED_US;
+}
+
+/* Returns whether this host has got rows since FETCH was started. */
+static bool
+has_got_rows (const struct pl_router *router, const struct router_fetch *fetch)
+{
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    if (router->held[t].version > fetch->held[t])
+      return true;
+  return false;
+}
+
 void
 rows_on_fetch_done (struct pl_router *router, uint64_t number, enum pl_fetch_end end)
 {
@@ -825,6 +852,8 @@
         continue;
       if (end != PL_FETCH_ANSWERED || router->now_us - fetch->started_us >= LOGGED_FETCH_US)
         log_fetch (router, fetch, end);
+      if (end != PL_FETCH_ANSWERED || !has_got_rows (router, fetch))
+        avoid_source (router, fetch->peer);
       fetch->number = 0;
     }
 }
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -184,6 +184,7 @@
   bool servers_lost;
   bool is_delegate;
   struct pl_store_access store;
+  int64_t fetch_due_us;     /* last choice as a source of rows before */
   int64_t handover_due_us;  /* no requests are handed over to it before */
   int64_t heard_us;         /* when its state was current, from a beacon or a delegate's report */
   int64_t last_beacon_us;   /* its last own beacon; 0: none */
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -208,6 +208,7 @@
   uint64_t number; /* 0: none */
   uint64_t peer;
   int64_t started_us;
+  int64_t held[PL_TABLES_MAX]; /* by this host when it was started */
 };
 
 /* The reading of the store by a host that does not watch it. */
