Rows: news of one table do not put off the fetch of the other

A host waits for 0.3 s for row updates to arrive the regular way before it fetches them from a peer. The time ran from when it was first behind in either table, and started again with any rows. A watcher whose poll of the configuration hangs, while servers' entries change more often than that, so never fetched a configuration that it knew a peer to have, until the poll had failed after 2.4 s.

Now it runs for each table by itself. The new check of test_router failed before.

--- a/core/router_freshness.c
+++ b/core/router_freshness.c
@@ -45,8 +45,6 @@
       = beacon->confirmed_age_us >= 0 ? router->now_us - beacon->confirmed_age_us : 0;
   if (beacon->held[PL_TABLE_CONTROL] <= held->version)
     router->confirmed_us = MAX (router->confirmed_us, member->confirmed_us);
-  else if (router->newer_since_us == 0)
-    router->newer_since_us = router->now_us;
 }
 
 void
@@ -54,19 +52,13 @@
 {
   const struct held_table *held = &router->held[PL_TABLE_CONTROL];
 
-  bool is_behind = false;
-
   for (guint i = 0; i < router->membership.order->len; i++)
     {
       const struct pl_member *member = g_ptr_array_index (router->membership.order, i);
 
       if (member->held[PL_TABLE_CONTROL] <= held->version)
         router->confirmed_us = MAX (router->confirmed_us, member->confirmed_us);
-      else
-        is_behind = is_behind || pl_member_is_live (&router->membership, member, router->now_us);
     }
-  if (!is_behind)
-    router->newer_since_us = 0;
 }
 
 int64_t
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -179,6 +179,9 @@
 static void
 adopt_routing (struct pl_router *router, struct pl_routing *routing)
 {
+  int64_t behind_since_us = router->held[PL_TABLE_CONTROL].behind_since_us;
+  int64_t behind_us = behind_since_us > 0 ? router->now_us - behind_since_us : 0;
+
   if (router->routing != NULL && routing->version < router->routing->version)
     return;
   router->beacon_pending = router->beacon_pending || router->routing == NULL;
@@ -195,15 +198,13 @@
                                 rule->cold_time_us, rule->cold_per_second);
     }
   router_add_effect (router, PL_ROUTER_SET_LIMITS)->u.limits = routing->limits;
-  router_log (
-      router, PL_ROUTER_LOG_STATE, "configuration-adopted",
-      json_pack (
-          "{s:I,s:i,s:i,s:i,s:i,s:s,s:I,s:I}", "version", (json_int_t) routing->version, "routes",
-          (int) routing->routes->len, "services", (int) routing->services->len, "accounts",
-          (int) routing->accounts->len, "findings", routing->findings, "source",
-          router->rows_source, "behind_us",
-          (json_int_t) (router->newer_since_us > 0 ? router->now_us - router->newer_since_us : 0),
-          "confirmed_age_us", (json_int_t) freshness_age_us (router)));
+  router_log (router, PL_ROUTER_LOG_STATE, "configuration-adopted",
+              json_pack ("{s:I,s:i,s:i,s:i,s:i,s:s,s:I,s:I}", "version",
+                         (json_int_t) routing->version, "routes", (int) routing->routes->len,
+                         "services", (int) routing->services->len, "accounts",
+                         (int) routing->accounts->len, "findings", routing->findings, "source",
+                         router->rows_source, "behind_us", (json_int_t) behind_us,
+                         "confirmed_age_us", (json_int_t) freshness_age_us (router)));
 }
 
 /* Returns until when the servers of DELETED_COUNT rows are used that EVENT lacks or deletes. */
@@ -623,7 +624,7 @@
     {
       held->version = event->version;
       router->has_row_updates = router->has_row_updates || event->count > 0;
-      router->behind_since_us = 0;
+      held->behind_since_us = 0;
       router->next_fetch_us = 0;
       if (event->table == PL_TABLE_CONTROL)
         freshness_on_rows (router);
@@ -675,16 +676,35 @@
               json_pack ("{s:o}", "held", held_positions (router)));
 }
 
+/* Returns whether MEMBER is a source of rows of TABLE that are newer than those held. */
+static bool
+has_newer_rows_of (const struct pl_router *router, const struct pl_member *member,
+                   enum pl_table table)
+{
+  bool is_newer = member->held[table] > router->held[table].version
+                  || (table == PL_TABLE_CONTROL && router->routing != NULL
+                      && member->retained_configuration > router->routing->version);
+
+  return is_newer && pl_member_is_live (&router->membership, member, router->now_us)
+         && member->contact.relay_address[0] != '\0';
+}
+
 static bool
 has_newer_rows (const struct pl_router *router, const struct pl_member *member)
 {
-  if (!pl_member_is_live (&router->membership, member, router->now_us)
-      || member->contact.relay_address[0] == '\0')
-    return false;
   for (int t = 0; t < PL_TABLES_MAX; t++)
-    if (member->held[t] > router->held[t].version)
+    if (has_newer_rows_of (router, member, (enum pl_table) t))
+      return true;
+  return false;
+}
+
+static bool
+is_behind (const struct pl_router *router, enum pl_table table)
+{
+  for (guint i = 0; i < router->membership.order->len; i++)
+    if (has_newer_rows_of (router, g_ptr_array_index (router->membership.order, i), table))
       return true;
-  return router->routing != NULL && member->retained_configuration > router->routing->version;
+  return false;
 }
 
 static bool
@@ -777,27 +797,40 @@
     fetch->held[t] = effect->u.fetch.held[t] = router->held[t].version;
 }
 
+/* Returns since when live peers are known to hold newer rows of any table than this host. */
+static int64_t
+behind_since (struct pl_router *router)
+{
+  int64_t since_us = INT64_MAX;
+
+  for (int t = 0; t < PL_TABLES_MAX; t++)
+    {
+      struct held_table *held = &router->held[t];
+
+      if (!is_behind (router, (enum pl_table) t))
+        held->behind_since_us = 0;
+      else if (held->behind_since_us == 0)
+        held->behind_since_us = router->now_us;
+      if (held->behind_since_us > 0)
+        since_us = MIN (since_us, held->behind_since_us);
+    }
+  return since_us;
+}
+
 static void
 fetch_from_peer (struct pl_router *router)
 {
   bool is_parent;
+  int64_t since_us = behind_since (router);
   const struct pl_member *member = find_fetch_source (router, &is_parent);
   int64_t silent_due_us;
   struct router_fetch *fetch = find_free_fetch (router, &silent_due_us);
   int64_t due_us;
 
-  if (member == NULL)
-    {
-      if (silent_due_us == 0)
-        router->behind_since_us = 0;
-      return;
-    }
-  if (router->behind_since_us == 0)
-    router->behind_since_us = router->now_us;
-  due_us = MAX (router->next_fetch_us, router->behind_since_us + fetch_delay (router, is_parent));
-  due_us = MAX (due_us, silent_due_us);
-  if (fetch == NULL)
+  if (member == NULL || fetch == NULL)
     return;
+  due_us = MAX (router->next_fetch_us, since_us + fetch_delay (router, is_parent));
+  due_us = MAX (due_us, silent_due_us);
   if (router->now_us < due_us)
     router->due_us = MIN (router->due_us, MAX (due_us, router->now_us + US_PER_MS));
   else
@@ -861,7 +894,7 @@
 static void
 update_watching (struct pl_router *router)
 {
-  bool has_source = router->routing != NULL || router->behind_since_us > 0;
+  bool has_source = router->routing != NULL || router->held[PL_TABLE_CONTROL].behind_since_us > 0;
   bool is_weak = router->options.capacity < WEAK_CAPACITY;
   int64_t settle_us = has_source ? SETTLE_CONFIGURED_US : is_weak ? SETTLE_WEAK_US : SETTLE_US;
   bool settled = router->now_us - router->started_us >= settle_us
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -169,6 +169,7 @@
   int tombstones;               /* in rows */
   int64_t contest_until_us;     /* when contested rows are replaced by restored ones; 0: none is */
   int64_t settled_era;          /* the last era in which that was done; PL_NONE: none */
+  int64_t behind_since_us;      /* since when a peer is known to hold newer rows; 0: none is */
 };
 
 enum row_verdict
@@ -251,10 +252,8 @@
   struct router_fetch fetching[ROUTER_FETCHES_MAX];
   uint64_t fetches; /* started so far; the number of the last one */
   uint64_t counts_fetches[PL_FETCH_END_COUNT];
-  int64_t next_fetch_us;   /* no rows are fetched from a peer before */
-  int64_t behind_since_us; /* since when a peer is known to hold newer rows; 0: none is */
-  int64_t confirmed_us;    /* when the store confirmed the control rows held; 0: never */
-  int64_t newer_since_us;  /* since when a peer is known to hold newer control rows; 0: none is */
+  int64_t next_fetch_us; /* no rows are fetched from a peer before */
+  int64_t confirmed_us;  /* when the store confirmed the control rows held; 0: never */
   struct router_store_read store_read;
   uint64_t counts_store_reads[2]; /* that failed, that succeeded */
   const char *rows_source;        /* where the rows of this step come from */
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -628,6 +628,24 @@
 }
 END_TEST
 
+/* Guards against CONFIG: a watcher whose poll of the configuration hung put off fetching a newer
+ * one with each change of a server. */
+START_TEST (changes_of_servers_do_not_put_off_a_newer_configuration)
+{
+  struct pl_beacon beacon = world_peer_beacon ("host-b", "b-1");
+
+  ck_assert (world->watching);
+  beacon.held[PL_TABLE_CONTROL] = world->version + 1000;
+  world_receive_beacon (world, &beacon);
+  for (int i = 0; i < 5; i++)
+    {
+      world_advance (world, 100 * WORLD_MS);
+      world_put_server (world, "s-0", "a-1", i % 2 == 0 ? "draining" : "ready", 1);
+    }
+  ck_assert_int_ge (world->fetches, 1);
+}
+END_TEST
+
 static void
 count_row (void *data, enum pl_table table, const struct pl_row *row)
 {
@@ -935,6 +953,7 @@
   tcase_add_test (tcase, a_stopping_host_takes_no_request_that_may_outlast_it);
   tcase_add_test (tcase, a_late_answer_of_a_peer_brings_nothing_back);
   tcase_add_test (tcase, a_host_fetches_newer_rows_from_a_peer);
+  tcase_add_test (tcase, changes_of_servers_do_not_put_off_a_newer_configuration);
   tcase_add_test (tcase, a_change_among_many_servers_is_sent_as_one_row);
   tcase_add_test (tcase, old_tombstones_are_removed);
   tcase_add_test (tcase, a_host_without_peers_watches_the_store_at_once);
