Membership: reports count in the ranking no longer than their reporters

Cause: a host that is not a delegate hears its delegates only, and knows all others of its domain by their reports, which keep a host live for 4.2 s. When the delegates failed together with the hosts next in order, the survivors saw the delegates silent after 1.7 s, but ranked the others, which had failed too, before themselves. For 2.5 s more the domain had no delegate: no account sums, no news of requests that crash servers, no permits from its issuers, no row updates the regular way.

Now a report counts in the ranking as long as a host is heard that was already sending reports when it came. If all have become silent, each survivor ranks only itself, becomes a delegate and sends a beacon to all; some milliseconds later they have heard from each other, and two remain.

--- a/core/membership.c
+++ b/core/membership.c
@@ -11,7 +11,11 @@
  * a delegate becomes silent, each host replaces it by the next in order as soon as it
  * notices.
  *
- * A host is live while its beacons arrive, or while a delegate reports it as live.  A
+ * A host is live while its beacons arrive, or while a delegate reports it as live.  In
+ * the ranking a report counts no longer than the hosts that were sending reports when it
+ * came: if all of them fail, hosts that they reported may have failed with them, and a
+ * domain in which all wait for those would have no delegates.  So each survivor first
+ * ranks only itself and becomes a delegate, and they hear from each other.  A
  * host that stops announces it.  A host that becomes silent without announcing it may
  * be partitioned and still serve requests, so for a while it still counts as using its
  * share of the rates that hold over the fleet.
@@ -155,6 +159,7 @@
     return member;
   member = g_new0 (struct pl_member, 1);
   member->id = id;
+  member->reports_since_us = INT64_MAX;
   member->store = (struct pl_store_access){
       .lost_since_us = -1, .failed_us = -1, .back_us = -1, .watching_since_us = -1};
   set_contact (membership, member, contact, region);
@@ -310,6 +315,10 @@
   member->incarnation = beacon->incarnation;
   if (member->last_beacon_us > 0 && now_us - member->last_beacon_us > PL_MEMBER_SILENT_AFTER_US)
     member->resumed_us = now_us;
+  if (!is_heard_directly (member, LIVE_US, now_us))
+    member->reports_since_us = INT64_MAX;
+  if (beacon->state_count > 0)
+    member->reports_since_us = MIN (member->reports_since_us, now_us);
   update_state (member, &state, now_us);
   member->heard_us = now_us;
   member->last_beacon_us = now_us;
@@ -349,6 +358,29 @@
   return pl_member_is_live (membership, member, now_us) && member->ready && !member->leaving;
 }
 
+void
+pl_membership_update_reporters (struct pl_membership *membership, int64_t now_us)
+{
+  membership->reporter_since_us = INT64_MAX;
+  for (guint i = 0; i < membership->order->len; i++)
+    {
+      const struct pl_member *member = pl_membership_at (membership, i);
+
+      if (is_heard_directly (member, LIVE_US, now_us))
+        membership->reporter_since_us
+            = MIN (membership->reporter_since_us, member->reports_since_us);
+    }
+}
+
+/* Returns whether MEMBER counts in the ranking of its domain. */
+static bool
+is_ranked (const struct pl_membership *membership, const struct pl_member *member, int64_t now_us)
+{
+  return pl_member_is_live (membership, member, now_us)
+         && (!pl_member_is_local (membership, member) || is_heard_directly (member, LIVE_US, now_us)
+             || member->reported_us >= membership->reporter_since_us);
+}
+
 /* The position of a host in the ranking, which is the same on all hosts. */
 struct rank_key
 {
@@ -393,7 +425,7 @@
       const struct pl_member *member = pl_membership_at (membership, i);
       struct rank_key other = rank_key_of (member);
 
-      rank += member->domain == domain && pl_member_is_live (membership, member, now_us)
+      rank += member->domain == domain && is_ranked (membership, member, now_us)
               && ranks_before (&other, key);
     }
   return rank;
@@ -449,7 +481,7 @@
       const struct pl_member *member = pl_membership_at (membership, i);
       struct rank_key key = rank_key_of (member);
 
-      if (pl_member_is_local (membership, member) && pl_member_is_live (membership, member, now_us))
+      if (pl_member_is_local (membership, member) && is_ranked (membership, member, now_us))
         count = insert_key (first, count, &key);
     }
   memset (ids, 0, sizeof *ids * PL_DELEGATES);
--- a/core/router.c
+++ b/core/router.c
@@ -92,12 +92,13 @@
 const struct pl_fleet_view *
 router_view (struct pl_router *router)
 {
-  const struct pl_membership *membership = &router->membership;
+  struct pl_membership *membership = &router->membership;
   uint64_t delegates[PL_DELEGATES];
   int others;
 
   if (router->now_us < router->view_due_us)
     return &router->view;
+  pl_membership_update_reporters (membership, router->now_us);
   others = pl_membership_delegates (membership, delegates, router->now_us);
   router->is_delegate = others < PL_DELEGATES;
   /* The only delegate of a domain reports all accounts. */
--- a/include/internal/membership.h
+++ b/include/internal/membership.h
@@ -189,6 +189,8 @@
   int64_t heard_us;         /* when its state was current, from a beacon or a delegate's report */
   int64_t last_beacon_us;   /* its last own beacon; 0: none */
   int64_t reported_us;      /* the last report of it by a delegate; 0: none */
+  int64_t reports_since_us; /* since when its own beacons report states, without a silence;
+                               INT64_MAX: they do not */
   int64_t resumed_us;       /* its last own beacon that ended a silence; 0: none */
   int64_t contact_seen_us;  /* when its contact was last received */
   int64_t changed_us;       /* when its state last changed */
@@ -208,9 +210,10 @@
   int self_domain; /* index */
   int self_region;
   int self_capacity;
-  bool self_active;    /* had requests recently */
-  bool self_watching;  /* watches the platform's store */
-  bool lacks_contacts; /* the state of a host was reported whose contact is not known */
+  bool self_active;          /* had requests recently */
+  bool self_watching;        /* watches the platform's store */
+  int64_t reporter_since_us; /* the earliest reports_since_us of the hosts that are heard */
+  bool lacks_contacts;       /* the state of a host was reported whose contact is not known */
   guint state_cursor;
   guint contact_cursor;
   guint standby_cursor;
@@ -255,6 +258,10 @@
 bool pl_member_is_serving (const struct pl_membership *membership, const struct pl_member *member,
                            int64_t now_us);
 
+/* Finds out which reports of states still count in the ranking.  To be called regularly, and
+ * before it is asked who is a delegate. */
+void pl_membership_update_reporters (struct pl_membership *membership, int64_t now_us);
+
 /* Returns whether this host is a delegate of its domain. */
 bool pl_membership_is_delegate (const struct pl_membership *membership, int64_t now_us);
 
--- a/tests/test_configuration_in_force.c
+++ b/tests/test_configuration_in_force.c
@@ -181,6 +181,37 @@
 }
 END_TEST
 
+/* By then the survivors have noticed that their delegates are silent, and one has watched the store
+ * for its region if the watcher is among them. */
+#define REPLACED_US (2200 * WORLD_MS)
+/* For a change that comes the regular way. */
+#define RELAYED_US (700 * WORLD_MS)
+
+/* Guards against survivors of a domain that took hosts for its new delegates of which they knew by
+ * reports of the old ones only, as long as those reports held. */
+START_TEST (a_domain_that_loses_its_first_hosts_has_delegates_again)
+{
+  static const int losses[] = {2, 4, 7, 10};
+  int reads;
+
+  for (int loses_power = 0; loses_power < 2; loses_power++)
+    for (int domain = 0; domain < 3; domain++)
+      {
+        struct router_fleet *fleet = new_fleet (sizes[_i / 4]);
+
+        for (int lost = 0; lost < losses[_i % 4]; lost++)
+          end_host (fleet, domain + lost * fleet->domain_count, loses_power != 0);
+        router_fleet_run (fleet, REPLACED_US);
+        reads = fleet->store_reads;
+        router_fleet_change_configuration (fleet, fleet->version + 1);
+        router_fleet_run (fleet, RELAYED_US);
+        ck_assert_int_eq (router_fleet_count_missing (fleet), 0);
+        ck_assert_int_eq (fleet->store_reads, reads);
+        router_fleet_free (fleet);
+      }
+}
+END_TEST
+
 int
 main (void)
 {
@@ -189,6 +220,7 @@
 
   tcase_add_loop_test (tcase, a_domain_that_loses_its_first_hosts_gets_a_configuration_in_time, 0,
                        12);
+  tcase_add_loop_test (tcase, a_domain_that_loses_its_first_hosts_has_delegates_again, 0, 8);
   tcase_add_loop_test (tcase, silent_watchers_and_failing_sources_do_not_add_up, 0, 15);
   tcase_add_loop_test (tcase, sources_that_fail_one_after_the_other_do_not_hold_up_a_configuration,
                        0, 9);
