Rows: a watcher whose answer is overdue does not wait for the store any longer

A host that watches the store gives it 0.3 s before it fetches newer rows from a peer, also when it had itself said that its answer is overdue. A watcher that is cut off and whose first source has failed had the rows 1.997 s after their acknowledgement, of 2 s promised; it is not owed them as long as it is cut off, but its peers get rows from it.

--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -758,7 +758,7 @@
 static int64_t
 fetch_delay (const struct pl_router *router, bool is_parent)
 {
-  if (router->watching && !router->store.is_lost)
+  if (router->watching && !router->store.is_lost && !router->store.is_quiet)
     return FETCH_DELAY_US;
   if (is_parent)
     return 0;
