--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -34,9 +34,8 @@
  * them from another peer; shorter while it has no configuration and serves no requests. */
 #define FETCH_DELAY_US (300 * US_PER_MS)
 #define FIRST_FETCH_DELAY_US (60 * US_PER_MS)
-/* A source is silent when a fetch from it takes this long; another one is asked then as well.  From
- * the acknowledgement of a version to the last host there are two levels of hosts, of which each
- * may meet two silent sources before it finds one that answers, within two seconds. */
+/* A source is silent when a fetch from it takes this long; another one is asked then as well.  That
+ * only makes updates fast: router_freshness.c bounds the time until rows are in force. */
 #define FETCH_SILENT_US (400 * US_PER_MS)
 /* The same while this host has no configuration: all rows of a fleet that starts take longer. */
 #define FIRST_FETCH_SILENT_US US_PER_S
