review: machines cut off from the store pass for its outage (case 13)

Cause: failures of six hosts of one region outvote the two hosts that watch the store undisturbed, so that servers whose entries are removed are used for 2.3 s, as after an outage of the store; Drain is 2 s.

--- a/review/rig3/rig.c
+++ b/review/rig3/rig.c
@@ -27,10 +27,15 @@
 #define PORT_METRICS 9464
 #define PORT_STORE 8205
 #define PORT_SERVER 8080
-#define ROWS_MAX 32
+#define ROWS_MAX 64
 #define ROW_BYTES 4096
 #define READY_LIMIT_MS 10000
 #define IDLE_MS 30000
+#define DOMAINS_MAX 9
+#define SESSIONS_MAX 512
+#define POLL_MS 20
+/* A host that watches the store asks for changes at least this often. */
+#define WATCH_MS 1200
 /* Less than a script may take. */
 #define LIMIT_S 100
 
@@ -41,13 +46,23 @@
   const char *table;
   char key[40];
   char value[ROW_BYTES];
+  bool is_gone;
   int version;
 };
 
+struct domain
+{
+  const char *name;
+  const char *region;
+};
+
 struct host
 {
   pid_t pid;
   int status;
+  bool has_proxy;
+  volatile bool is_silent;
+  volatile int64_t polled_ms; /* when it last asked for changes of the configuration */
   char settings[128];
 };
 
@@ -64,6 +79,17 @@
 static int host_count;
 static int server_count;
 static rig_serve *serve_request;
+static struct domain domains[DOMAINS_MAX];
+static int domain_count;
+static volatile bool is_cut;
+static int listeners[RIG_SERVERS_MAX];
+/* The connections of servers that are open; -1: none. */
+static struct
+{
+  int server;
+  int fd;
+} sessions[SESSIONS_MAX];
+static pthread_mutex_t sessions_lock = PTHREAD_MUTEX_INITIALIZER;
 
 int64_t
 rig_now_ms (void)
@@ -231,6 +257,23 @@
   _exit (2);
 }
 
+/* Replaces each FROM in TEXT, which has room for it. */
+static void
+replace (char *text, const char *from, const char *to)
+{
+  size_t from_length = strlen (from);
+  size_t to_length = strlen (to);
+  char *at = text;
+
+  while ((at = strstr (at, from)) != NULL)
+    {
+      memmove (at + to_length, at + from_length, strlen (at + from_length) + 1);
+      for (size_t i = 0; i < to_length; i++)
+        at[i] = to[i];
+      at += to_length;
+    }
+}
+
 /* The store. */
 
 static void
@@ -245,7 +288,8 @@
     row_count++;
   row->table = table;
   snprintf (row->key, sizeof row->key, "%s", key);
-  snprintf (row->value, sizeof row->value, "%s", value);
+  snprintf (row->value, sizeof row->value, "%s", value != NULL ? value : "");
+  row->is_gone = value == NULL;
   row->version = ++newest;
   pthread_mutex_unlock (&rows_lock);
 }
@@ -271,21 +315,22 @@
   *at = '\0';
 }
 
-/* Writes the rows of TABLE after a version to TEXT.  Returns their number. */
+/* Writes the rows of TABLE after a version to TEXT, those that are gone only in a FEED.  Returns
+ * their number. */
 static int
-list_rows (const char *table, int after, char *text)
+list_rows (const char *table, int after, bool feed, char *text)
 {
   int count = 0;
 
   text[0] = '\0';
   pthread_mutex_lock (&rows_lock);
   for (int i = 0; i < row_count; i++)
-    if (strcmp (rows[i].table, table) == 0 && rows[i].version > after)
+    if (strcmp (rows[i].table, table) == 0 && rows[i].version > after && (feed || !rows[i].is_gone))
       {
         sprintf (text + strlen (text),
                  "%s{\"Table\":\"%s\",\"part\":\"\",\"Key\":\"%s\",\"Ver\":%d",
                  count++ > 0 ? "," : "", table, rows[i].key, rows[i].version);
-        strcat (text, ",\"Value\":\"");
+        strcat (text, rows[i].is_gone ? ",\"IsGone\":true,\"Value\":\"" : ",\"Value\":\"");
         append_base64 (text, rows[i].value);
         strcat (text, "\"}");
       }
@@ -320,7 +365,8 @@
   get_argument (head, "after=", after, sizeof after);
   get_argument (head, "WaitMs=", wait_ms, sizeof wait_ms);
   until_ms = rig_now_ms () + atoi (wait_ms);
-  while (list_rows (table, atoi (after), list) == 0 && rig_now_ms () < until_ms)
+  while (list_rows (table, atoi (after), strstr (head, "rows-feed") != NULL, list) == 0
+         && rig_now_ms () < until_ms)
     usleep (2000);
   snprintf (body, size + 128, "{\"Rows\":[%s],\"HasMore\":false,\"Ver\":%d,\"Now\":\"%lldms\"}",
             list, newest, (long long) (rig_now_ms () - started_ms));
@@ -396,15 +442,40 @@
   return serve_request (request);
 }
 
+/* Returns where the connection of SESSION is noted. */
+static int
+note_session (const struct session *session)
+{
+  int at = 0;
+
+  pthread_mutex_lock (&sessions_lock);
+  while (at < SESSIONS_MAX - 1 && sessions[at].fd > 0)
+    at++;
+  sessions[at].server = session->server;
+  sessions[at].fd = session->stream.fd;
+  pthread_mutex_unlock (&sessions_lock);
+  return at;
+}
+
+static void
+close_session (const struct session *session, int at)
+{
+  pthread_mutex_lock (&sessions_lock);
+  sessions[at].fd = 0;
+  close (session->stream.fd);
+  pthread_mutex_unlock (&sessions_lock);
+}
+
 static void *
 run_session (void *data)
 {
   struct session *session = data;
   struct rig_request *request = calloc (1, sizeof *request);
+  int at = note_session (session);
 
   while (serve_session (session, request))
     continue;
-  close (session->stream.fd);
+  close_session (session, at);
   free (request);
   free (session);
   return NULL;
@@ -412,7 +483,7 @@
 
 struct listener
 {
-  int server;
+  int server; /* or the host of a proxy */
   int fd;
 };
 
@@ -447,7 +518,145 @@
   listener->fd = server < 0 ? listen_on (2, PORT_STORE) : listen_on (100 + server, PORT_SERVER);
   if (listener->fd < 0 || pthread_create (&thread, NULL, run_listener, listener) != 0)
     rig_fail ("no port for a stand-in");
+  if (server >= 0)
+    listeners[server] = listener->fd;
+  pthread_detach (thread);
+}
+
+static void
+reset_connection (int fd)
+{
+  struct linger linger = {1, 0};
+
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+}
+
+void
+rig_end_server (int server)
+{
+  rig_record ("server %d ends", server);
+  shutdown (listeners[server], SHUT_RDWR);
+  pthread_mutex_lock (&sessions_lock);
+  for (int i = 0; i < SESSIONS_MAX; i++)
+    if (sessions[i].fd > 0 && sessions[i].server == server)
+      {
+        reset_connection (sessions[i].fd);
+        shutdown (sessions[i].fd, SHUT_RDWR);
+      }
+  pthread_mutex_unlock (&sessions_lock);
+}
+
+/* Proxies before the store. */
+
+/* A connection of HOST. */
+struct proxied
+{
+  int host;
+  int fd;
+};
+
+/* Passes on what has arrived on FROM.  Returns whether both connections stay open. */
+static bool
+pass_on (int from, int to, struct host *host)
+{
+  char bytes[16384 + 1];
+  ssize_t length = recv (from, bytes, sizeof bytes - 1, 0);
+
+  if (length <= 0)
+    return false;
+  bytes[length] = '\0';
+  if (strstr (bytes, "rows-feed?Table=op&") != NULL)
+    host->polled_ms = rig_now_ms ();
+  return rig_send (to, bytes, (size_t) length);
+}
+
+static void *
+run_proxied (void *data)
+{
+  struct proxied *proxied = data;
+  struct host *host = &hosts[proxied->host];
+  struct sockaddr_in address = socket_address (2, PORT_STORE);
+  int outer = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  struct pollfd ready[] = {{.fd = proxied->fd, .events = POLLIN}, {.fd = outer, .events = POLLIN}};
+  bool is_open = connect (outer, (struct sockaddr *) &address, sizeof address) == 0;
+
+  while (is_open && !is_cut)
+    {
+      if (host->is_silent)
+        usleep (POLL_MS * 1000);
+      if (host->is_silent || poll (ready, 2, POLL_MS) <= 0)
+        continue;
+      if (ready[0].revents != 0)
+        is_open = pass_on (proxied->fd, outer, host);
+      if (is_open && ready[1].revents != 0)
+        is_open = pass_on (outer, proxied->fd, host);
+    }
+  if (is_cut)
+    reset_connection (proxied->fd);
+  close (proxied->fd);
+  close (outer);
+  free (proxied);
+  return NULL;
+}
+
+static void *
+run_proxy (void *data)
+{
+  const struct listener *listener = data;
+  int fd;
+
+  while ((fd = accept4 (listener->fd, NULL, NULL, SOCK_CLOEXEC)) >= 0)
+    {
+      struct proxied *proxied = malloc (sizeof *proxied);
+      pthread_t thread;
+
+      *proxied = (struct proxied){listener->server, fd};
+      if (pthread_create (&thread, NULL, run_proxied, proxied) == 0)
+        pthread_detach (thread);
+    }
+  return NULL;
+}
+
+void
+rig_proxy_store (int host)
+{
+  struct listener *listener = calloc (1, sizeof *listener);
+  pthread_t thread;
+
+  listener->server = host;
+  listener->fd = listen_on (40 + host, PORT_STORE);
+  if (listener->fd < 0 || pthread_create (&thread, NULL, run_proxy, listener) != 0)
+    rig_fail ("no port for a proxy");
   pthread_detach (thread);
+  hosts[host].has_proxy = true;
+}
+
+bool
+rig_is_silent (int host)
+{
+  return hosts[host].is_silent;
+}
+
+void
+rig_silence_watchers (bool on)
+{
+  int64_t now_ms = rig_now_ms ();
+
+  for (int i = 0; i < host_count; i++)
+    {
+      hosts[i].is_silent = on && now_ms - hosts[i].polled_ms < WATCH_MS;
+      if (hosts[i].is_silent)
+        rig_record ("host %d, which watches the store, is cut off from it", i);
+    }
+  if (!on)
+    rig_record ("the cut ends");
+}
+
+void
+rig_cut_store (bool on)
+{
+  rig_record (on ? "the hosts with a proxy are cut off from the store" : "the cut ends");
+  is_cut = on;
 }
 
 /* Finds a loopback network on which nothing listens. */
@@ -470,6 +679,19 @@
   rig_fail ("no free loopback address");
 }
 
+/* Returns the domain of hosts and servers with NUMBER. */
+static const struct domain *
+domain_of (int number)
+{
+  return &domains[number % domain_count];
+}
+
+void
+rig_add_domain (const char *name, const char *region)
+{
+  domains[domain_count++] = (struct domain){name, region};
+}
+
 static void
 register_server (int server)
 {
@@ -480,13 +702,23 @@
   snprintf (key, sizeof key, "s%d", server);
   snprintf (value, sizeof value,
             "{\"Address\":\"%s\",\"born\":%d,\"Info\":{\"Service\":\"desk\",\"Version\":\"v1\","
-            "\"Zone\":\"north-%c\",\"Slots\":4},\"Status\":{\"State\":\"ready\",\"Sequence\":1,"
+            "\"Zone\":\"%s\",\"Slots\":4},\"Status\":{\"State\":\"ready\",\"Sequence\":1,"
             "\"ColdRemaining\":\"0ms\"}}",
             address_of (100 + server, PORT_SERVER, address, sizeof address), 1000 + server,
-            server % 2 == 0 ? 'a' : 'b');
+            domain_of (server)->name);
   put_row ("servers", key, value);
 }
 
+void
+rig_remove_server (int server)
+{
+  char key[16];
+
+  snprintf (key, sizeof key, "s%d", server);
+  put_row ("servers", key, NULL);
+  rig_record ("the store has removed the entry of server %d", server);
+}
+
 void
 rig_start (const char *record, int count, rig_serve *serve)
 {
@@ -507,6 +739,11 @@
   if (mkdtemp (folder) == NULL)
     rig_fail ("no temporary folder");
   choose_network ();
+  if (domain_count == 0)
+    {
+      rig_add_domain ("north-a", "north");
+      rig_add_domain ("north-b", "north");
+    }
   serve_request = serve;
   server_count = count;
   start_listener (-1);
@@ -517,76 +754,70 @@
     }
 }
 
+void
+rig_put_version (int version)
+{
+  char value[ROW_BYTES]
+      = "{\"Version\":\"r0\",\"Resources\":["
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":"
+        "\"rig.example\",\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Timeout\":\"3000ms\","
+        "\"TargetLatency\":\"300ms\",\"Priority\":1,\"Service\":\"desk\",\"Attempts\":2}},"
+        "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"order\"},\"Spec\":{\"Host\":"
+        "\"rig.example\",\"Prefix\":\"/order/\",\"Kind\":\"non_idempotent\",\"Timeout\":"
+        "\"3000ms\",\"TargetLatency\":\"400ms\",\"Priority\":1,\"Service\":\"desk\","
+        "\"Attempts\":2}},"
+        "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"desk\"},\"Spec\":{"
+        "\"HealthPath\":\"/health\",\"MaxConnections\":1680,\"ColdStart\":\"0s\",\"ColdPerS\":"
+        "100.0}},"
+        "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"shop\"},\"Spec\":{\"ApiKeys\":["
+        "\"k1\"],\"Priority\":1,\"RatePerS\":0,\"Burst\":0}},"
+        "{\"ResourceKind\":\"Limits\",\"Metadata\":{},\"Spec\":{\"MaxHeaderBytes\":16384,"
+        "\"MaxBodyBytes\":67108864,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}]}";
+  char text[16];
+
+  snprintf (text, sizeof text, "\"r%d\"", version);
+  replace (value, "\"r0\"", text);
+  put_row ("op", "config", value);
+}
+
 void
 rig_configure (void)
 {
-  put_row (
-      "op", "config",
-      "{\"Version\":\"r1\",\"Resources\":["
-      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":"
-      "\"rig.example\",\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Timeout\":\"3000ms\","
-      "\"TargetLatency\":\"300ms\",\"Priority\":1,\"Service\":\"desk\",\"Attempts\":2}},"
-      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"order\"},\"Spec\":{\"Host\":"
-      "\"rig.example\",\"Prefix\":\"/order/\",\"Kind\":\"non_idempotent\",\"Timeout\":"
-      "\"3000ms\",\"TargetLatency\":\"400ms\",\"Priority\":1,\"Service\":\"desk\","
-      "\"Attempts\":2}},"
-      "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"desk\"},\"Spec\":{"
-      "\"HealthPath\":\"/health\",\"MaxConnections\":1680,\"ColdStart\":\"0s\",\"ColdPerS\":"
-      "100.0}},"
-      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"shop\"},\"Spec\":{\"ApiKeys\":["
-      "\"k1\"],\"Priority\":1,\"RatePerS\":0,\"Burst\":0}},"
-      "{\"ResourceKind\":\"Limits\",\"Metadata\":{},\"Spec\":{\"MaxHeaderBytes\":16384,"
-      "\"MaxBodyBytes\":67108864,\"HeaderTimeout\":\"3000ms\",\"IdleTimeout\":\"15000ms\"}}]}");
+  rig_put_version (1);
 }
 
 /* Entry hosts. */
 
-/* Replaces each FROM in TEXT, which has room for it. */
-static void
-replace (char *text, const char *from, const char *to)
-{
-  size_t from_length = strlen (from);
-  size_t to_length = strlen (to);
-  char *at = text;
-
-  while ((at = strstr (at, from)) != NULL)
-    {
-      memmove (at + to_length, at + from_length, strlen (at + from_length) + 1);
-      for (size_t i = 0; i < to_length; i++)
-        at[i] = to[i];
-      at += to_length;
-    }
-}
-
 static void
 fill_template (int host, char *text)
 {
   static const char *const fixed[][2] = {
-      {"{{Bounds.Grace}}", "6s"},
-      {"{{Bounds.RetryBudgetRatio}}", "0.2"},
-      {"{{Bounds.BudgetSlack}}", "58"},
-      {"{{Bounds.MaxShift}}", "0.15"},
-      {"{{Limits.CpuShare}}", "0.5"},
-      {"{{Limits.LinkMbps}}", "200.0"},
-      {"{{Limits.MemoryMb}}", "260"},
-      {"{{InternalPorts.0}}", "7600"},
+      {"{{Bounds.Grace}}", "6s"},       {"{{Bounds.RetryBudgetRatio}}", "0.2"},
+      {"{{Bounds.BudgetSlack}}", "58"}, {"{{Bounds.MaxShift}}", "0.15"},
+      {"{{Limits.CpuShare}}", "0.5"},   {"{{Limits.LinkMbps}}", "200.0"},
+      {"{{Limits.MemoryMb}}", "260"},   {"{{InternalPorts.0}}", "7600"},
       {"{{InternalPorts.1}}", "7615"},
-      {"{{#Zones}}\"{{@}}={{.}}\"{{,}}{{/Zones}}", "\"north-a=north\",\"north-b=north\""},
   };
   char value[64];
+  char zones[512] = "";
   char ip[40];
 
   snprintf (ip, sizeof ip, "%s%d", network, 10 + host);
   for (size_t i = 0; i < sizeof fixed / sizeof fixed[0]; i++)
     replace (text, fixed[i][0], fixed[i][1]);
-  snprintf (value, sizeof value, "edge-north-%c-1", 'a' + host);
+  for (int i = 0; i < domain_count; i++)
+    snprintf (zones + strlen (zones), sizeof zones - strlen (zones), "%s\"%s=%s\"",
+              i > 0 ? "," : "", domains[i].name, domains[i].region);
+  replace (text, "{{#Zones}}\"{{@}}={{.}}\"{{,}}{{/Zones}}", zones);
+  snprintf (value, sizeof value, "edge-%s-%d", domain_of (host)->name, 1 + host / domain_count);
   replace (text, "{{Node}}", value);
-  replace (text, "{{Zone}}", host % 2 == 0 ? "north-a" : "north-b");
+  replace (text, "{{Zone}}", domain_of (host)->name);
   replace (text, "{{Listen.Front}}", address_of (10 + host, PORT_FRONT, value, sizeof value));
   replace (text, "{{Listen.Ready}}", address_of (10 + host, PORT_READY, value, sizeof value));
   replace (text, "{{Listen.Directory}}",
            address_of (10 + host, PORT_DIRECTORY, value, sizeof value));
-  replace (text, "{{Platform.Address}}", address_of (2, PORT_STORE, value, sizeof value));
+  replace (text, "{{Platform.Address}}",
+           address_of (hosts[host].has_proxy ? 40 + host : 2, PORT_STORE, value, sizeof value));
   snprintf (value, sizeof value, "\"%s10:8200\"", network);
   replace (text, "{{#Seeds}}\"{{.}}\"{{,}}{{/Seeds}}", value);
   replace (text, "{{Ip}}", ip);
--- a/review/rig3/rig.h
+++ b/review/rig3/rig.h
@@ -10,8 +10,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define RIG_HOSTS_MAX 4
-#define RIG_SERVERS_MAX 8
+#define RIG_HOSTS_MAX 18
+#define RIG_SERVERS_MAX 32
 #define RIG_STREAM_BYTES 65536
 #define RIG_ID_BYTES 40
 
@@ -57,6 +57,23 @@
 void rig_start (const char *record, int count, rig_serve *serve);
 /* Sets the configuration: one idempotent route /read/ and one non-idempotent route /order/. */
 void rig_configure (void);
+/* Adds the failure domain NAME of REGION; without any there are north-a and north-b of north. Hosts
+ * take the domains in turn. */
+void rig_add_domain (const char *name, const char *region);
+/* Has HOST, which starts later, reach the store through a proxy. */
+void rig_proxy_store (int host);
+/* Resets the connections through the proxies, and new ones, until ON is false. */
+void rig_cut_store (bool on);
+/* Has the proxies of all hosts that watch the store pass nothing on, until ON is false. */
+void rig_silence_watchers (bool on);
+/* Returns whether the proxy of HOST passes nothing on. */
+bool rig_is_silent (int host);
+/* Writes the configuration again, as a new VERSION. */
+void rig_put_version (int version);
+/* Removes the entry of SERVER from the store. */
+void rig_remove_server (int server);
+/* Ends SERVER: its connections are reset and new ones refused. */
+void rig_end_server (int server);
 void rig_start_hosts (int count);
 void rig_signal_host (int host, int number);
 /* Returns the wait status of HOST, or -1 if it still runs at UNTIL_MS. */
