--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,7 +4,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p build-review-3
-for name in closing garbled leaving watchers; do
+for name in clipped closing garbled leaving watchers; do
   cc -D_GNU_SOURCE -std=c11 -O2 -g -Wall -Wextra -pthread -Ireview/rig3 \
     -o "build-review-3/$name" review/rig3/rig.c "review/rig3/$name.c"
 done
