Settings: an optional setting with an empty value counts as not set

Callers and operators: the program ended with bad-settings when a template's placeholder, unknown to the platform that fills it in, left max_shift: "".

Cause: the reader of settings kept an empty text as the value of an optional field, so the default was not taken; read_ratio() then refused it.

Change: when a settings file is read, an optional field with an empty value is left out, whatever its type, so that each reader's default applies. Required fields, releases and layouts are read as before. Ruled out: a check in read_ratio() alone, as load_management, fair_shares, log_level, handover and directory_ttl_ms had the same fault.

Evidence: tests/system/test_entry_settings.sh failed before the change with 'refused: max_shift: ""' and passes now.

--- a/core/schema.c
+++ b/core/schema.c
@@ -207,9 +207,16 @@
       pl_findings_add (findings, pl_schema_location (node), "field '%s' is missing", fields->name);
 }
 
-json_t *
-pl_schema_read_mapping (yaml_document_t *document, yaml_node_t *node, const struct pl_field *fields,
-                        bool partial, json_t *locations, struct pl_findings *findings)
+static bool
+is_empty_scalar (const yaml_node_t *node)
+{
+  return node->type == YAML_SCALAR_NODE && node->data.scalar.length == 0;
+}
+
+/* OMITS_EMPTY: an optional field with an empty value counts as absent. */
+static json_t *
+read_mapping (yaml_document_t *document, yaml_node_t *node, const struct pl_field *fields,
+              bool partial, bool omits_empty, json_t *locations, struct pl_findings *findings)
 {
   GHashTable *seen;
   json_t *object;
@@ -248,7 +255,8 @@
                            field->name);
           continue;
         }
-      if (field->type == PL_FIELD_ANY)
+      if (field->type == PL_FIELD_ANY
+          || (omits_empty && !field->required && is_empty_scalar (value)))
         continue;
       read = read_value (document, field, value, findings);
       if (read == NULL)
@@ -264,6 +272,13 @@
   return object;
 }
 
+json_t *
+pl_schema_read_mapping (yaml_document_t *document, yaml_node_t *node, const struct pl_field *fields,
+                        bool partial, json_t *locations, struct pl_findings *findings)
+{
+  return read_mapping (document, node, fields, partial, false, locations, findings);
+}
+
 json_t *
 pl_schema_read_list (yaml_document_t *document, yaml_node_t *node, const struct pl_field *fields,
                      json_t *locations, struct pl_findings *findings)
@@ -380,8 +395,8 @@
 
   if (pl_schema_parse (text, length, &document, findings) < 0)
     return NULL;
-  object = pl_schema_read_mapping (&document, yaml_document_get_root_node (&document), fields,
-                                   false, NULL, findings);
+  object = read_mapping (&document, yaml_document_get_root_node (&document), fields, false, true,
+                         NULL, findings);
   yaml_document_delete (&document);
   if (pl_findings_count (findings) > 0)
     g_clear_pointer (&object, json_decref);
--- a/include/pomelolatch/schema.h
+++ b/include/pomelolatch/schema.h
@@ -56,8 +56,8 @@
                                 const struct pl_field *fields, bool partial, json_t *locations,
                                 struct pl_findings *findings);
 
-/* Parses TEXT as one mapping by FIELDS.  Returns an object, owned by the caller, or NULL with
- * findings added. */
+/* Parses TEXT as one mapping by FIELDS.  An optional field with an empty value counts as absent.
+ * Returns an object, owned by the caller, or NULL with findings added. */
 json_t *pl_schema_read_text (const char *text, size_t length, const struct pl_field *fields,
                              struct pl_findings *findings);
 
--- a/tests/system/test_entry_settings.sh
+++ b/tests/system/test_entry_settings.sh
@@ -32,6 +32,20 @@
   'load_management_terms: [a, b]'; do
   check_line "$line" || { echo "refused: $line"; cat "$folder/findings"; exit 1; }
 done
+# Guards against a template's unknown placeholder, which leaves an empty value, ending the host: an
+# empty value of an optional setting leaves the default in force.
+for line in 'max_shift: ""' 'max_shift:' 'hedge_ratio: ""' 'fair_shares: ""' 'load_management: ""' \
+  'memory_mb: ""' 'log_level: ""' 'handover: ""' 'directory_ttl_ms: ""' 'switches: ""' 'terms: ""'; do
+  check_line "$line" || { echo "refused: $line"; cat "$folder/findings"; exit 1; }
+done
+check 5 5
+sed -i 's/^store:.*/store: ""/' "$folder/entry.yaml"
+if "$entry" --settings "$folder/entry.yaml" --check 2> "$folder/findings"; then
+  echo "accepted: an empty required setting"
+  exit 1
+fi
+grep -q "'store' must be" "$folder/findings"
+
 for line in 'load_management: sometimes' 'fair_shares: "maybe"' 'hedge_ratio: "1.5"' 'hedge_ratio: "-0.1"' \
   'hedge_ratio: "5%"' 'max_shift: "nan"'; do
   ! check_line "$line" || { echo "accepted: $line"; exit 1; }
