--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -10,6 +10,7 @@
 
 #include <microhttpd.h>
 
+struct pl_lingering;
 struct pl_reactor;
 struct pl_front;
 
@@ -36,6 +37,13 @@
 /* Returns the number of requests that are being read, processed or answered. */
 unsigned pl_front_open_requests (const struct pl_front *front);
 
+/* The connections that the front, and other ports, have ended and are about to close. */
+struct pl_lingering *pl_front_lingering (const struct pl_front *front);
+
+/* Closes the callers' connections on which no request is in progress.  The front must have stopped
+ * listening. */
+void pl_front_close_idle (struct pl_front *front);
+
 /* Returns the bytes of bodies and answers that are buffered now; PEAK gets the highest value so
  * far. */
 size_t pl_front_buffered_bytes (const struct pl_front *front, size_t *peak);
@@ -98,6 +106,7 @@
   bool answer_ready; /* an answer, made here or by a server, is ready to be sent */
   bool caller_gone;  /* the caller closed its connection */
   bool closes;       /* the connection has no further use */
+  bool is_written;   /* the whole answer, without libmicrohttpd */
   bool is_http_1_1;
   int64_t begun_us;
 
@@ -144,6 +153,8 @@
   struct pl_caller_limits limits;
   size_t buffered_bytes; /* over all requests and attempts */
   size_t buffered_peak;
+  struct pl_lingering *lingering;
+  uint64_t answers_cut; /* that could not be written whole */
   struct pl_load_findings load_findings;
   bool keepalive_disabled; /* each answer closes its connection */
   int spare_fd;            /* closed to accept a connection when no descriptor is left */
@@ -173,7 +184,9 @@
  * covers what there is. */
 bool pl_front_measure_head (const char *text, size_t length, struct pl_head_size *size);
 
-/* front_connections.c: opens the daemons of PORT.  Returns a negative error number on failure. */
+/* front_connections.c: closes the idle connections of PORT; see pl_front_close_idle(). */
+void pl_front_close_idle_connections (struct pl_front_port *port);
+/* Opens the daemons of PORT.  Returns a negative error number on failure. */
 int pl_front_open_daemons (struct pl_front_port *port);
 void pl_front_start_checks (struct pl_front *front);
 /* Takes the accepted connection FD, or closes it if there are too many. */
@@ -191,7 +204,7 @@
                                 struct pl_front_request *request);
 /* The head of CONNECTION's request was read. */
 void pl_front_on_head_read (struct pl_front_connection *connection);
-/* IS_WHOLE: its answer was written. */
+/* IS_WHOLE: its answer was written.  Takes the id of the request. */
 void pl_front_on_request_ended (struct pl_front_connection *connection, bool is_whole);
 /* Returns whether CONNECTION ends with its answer. */
 bool pl_front_connection_is_wide (const struct pl_front_connection *connection);
--- a/include/internal/front_pipeline.h
+++ b/include/internal/front_pipeline.h
@@ -29,6 +29,11 @@
   bool is_spent;  /* nothing more is read from it */
   bool has_input; /* there may be bytes, or an end, that have not been looked at */
   bool has_ended; /* the reactor has told of the end of what is sent on it */
+  bool is_reset;  /* on purpose, as its caller does not read */
+  /* Of the last request that was answered on a caller's connection: its id (NULL: none), and until
+   * when its caller waits (0: it has not said). */
+  char *answered_id;
+  int64_t answered_until_us;
   /* Since when its head waits for the memory to have it read; 0: it does not. */
   int64_t lacks_memory_since_us;
   int64_t awaits_since_us;
@@ -50,8 +55,11 @@
 struct pl_front_connection *pl_front_new_connection (struct pl_front_port *port, int fd);
 /* Releases CONNECTION, whose descriptor is closed or belongs to libmicrohttpd. */
 void pl_front_free_connection (struct pl_front_connection *connection);
-/* Closes a caller's connection that no daemon has. */
+/* Closes a caller's connection that no daemon has, without a reset. */
 void pl_front_close_connection (struct pl_front_connection *connection);
+/* Makes the descriptor of CONNECTION refer to what FD does.  libmicrohttpd must not have it in its
+ * epoll set. */
+void pl_front_bind_connection (const struct pl_front_connection *connection, int fd);
 /* Gives CONNECTION to DAEMON.  If that fails, ends it and returns false. */
 bool pl_front_give_to_daemon (struct pl_front_connection *connection, struct MHD_Daemon *daemon);
 /* Has the daemon go on with CONNECTION, which it has suspended. */
@@ -92,12 +100,13 @@
 void pl_front_bind_turn (struct pl_front_connection *connection);
 /* Returns whether CONNECTION is a lane whose turn has not come. */
 bool pl_front_awaits_turn (const struct pl_front_connection *connection);
+/* Returns the caller's connection of CONNECTION, which may be a lane; NULL: it has ended. */
+struct pl_front_connection *pl_front_caller_of (struct pl_front_connection *connection);
 /* Returns whether requests behind that of CONNECTION are in progress, so that its answer must leave
  * the caller's connection open. */
 bool pl_front_has_requests_behind (const struct pl_front_connection *connection);
-/* The answer to the request of CONNECTION closes the caller's connection.  Returns whether there
- * may be unread bytes, which would make the kernel reset it. */
-bool pl_front_note_closing (struct pl_front_connection *connection);
+/* The answer to the request of CONNECTION closes the caller's connection. */
+void pl_front_note_closing (struct pl_front_connection *connection);
 /* Returns whether the caller of CONNECTION has ended at least its sending side. */
 bool pl_front_caller_has_closed (const struct pl_front_connection *connection);
 /* The answer of LANE was written.  Returns whether the lane was suspended, for
--- a/include/internal/net.h
+++ b/include/internal/net.h
@@ -25,6 +25,10 @@
  * there are unread bytes. */
 bool pl_net_input_has_ended (int fd);
 
+/* Returns how many bytes, or ends, have been sent on FD, or wait to be sent, that its peer has not
+ * acknowledged; 0 if that can not be told. */
+int pl_net_unacked_bytes (int fd);
+
 /* Connects within TIMEOUT_MS milliseconds.  Returns a blocking socket, or -1. */
 int pl_net_connect (const struct sockaddr_in *address, int timeout_ms);
 
--- a/include/internal/small_port.h
+++ b/include/internal/small_port.h
@@ -21,6 +21,7 @@
   struct pl_reactor *reactor;
   pl_small_port_handler answer;
   void *data;
+  struct pl_lingering *lingering; /* for its connections; NULL: they are closed at once */
 };
 
 /* Starts a server that runs until the process ends.  Returns 0 or PL_ERR_UNAVAILABLE. */
--- a/modules/front.c
+++ b/modules/front.c
@@ -7,6 +7,7 @@
 #include "internal/front_pipeline.h"
 #include "internal/clock.h"
 #include "internal/keys.h"
+#include "internal/lingering.h"
 #include "internal/log.h"
 #include "internal/net.h"
 #include "internal/reactor.h"
@@ -260,7 +261,6 @@
 queue_answer (struct pl_front_request *request)
 {
   bool closes;
-  bool has_unread;
 
   if (pl_front_awaits_turn (request->link))
     {
@@ -271,11 +271,12 @@
     }
   pl_front_bind_turn (request->link);
   closes = closes_connection (request);
-  has_unread = closes && pl_front_note_closing (request->link);
+  if (closes)
+    pl_front_note_closing (request->link);
   request->progress_us = pl_clock_now_us ();
   request->progress_check_us = request->progress_us;
   arm_caller_check (request->front);
-  if (pl_front_answer_head_fits (request) && !has_unread)
+  if (pl_front_answer_head_fits (request))
     return queue_response (request, closes);
   pl_front_send_directly (request, closes);
   return MHD_YES;
@@ -472,6 +473,18 @@
   request->front->options.post (request->front->options.data, &event);
 }
 
+/* Counts and logs that the connection of REQUEST ended before its answer was written. */
+static void
+note_cut (const struct pl_front_request *request)
+{
+  g_autofree char *label = g_utf8_make_valid (request->correlation_id, -1);
+
+  request->front->answers_cut++;
+  pl_log (PL_LOG_INFO, "answer-cut",
+          json_pack ("{s:s,s:s,s:i,s:I}", "request", label, "reason", "not-written", "status",
+                     request->status, "answer_bytes", (json_int_t) request->answer->len));
+}
+
 static void
 on_completed (void *data, struct MHD_Connection *connection, void **context,
               enum MHD_RequestTerminationCode code)
@@ -485,6 +498,9 @@
   assert (request->direct == NULL);
   if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && request->answer_ready)
     pl_front_note_unread (request, PL_FRONT_STALLED_S * INT64_C (1000000));
+  else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->answer_ready
+           && !request->is_written && !request->link->is_reset)
+    note_cut (request);
   if (request->submitted && !request->answer_ready && !request->caller_gone)
     pl_front_report_caller_gone (request);
   pl_front_cancel_attempts (request);
@@ -612,7 +628,7 @@
         pl_front_add_connection (port, fd);
       else if (errno == EMFILE || errno == ENFILE)
         {
-          if (drop_connection (port))
+          if (pl_lingering_make_room (port->front->lingering) || drop_connection (port))
             continue;
           /* The wait would end at once until there is a descriptor. */
           pl_reactor_watch (port->front->options.reactor, listener, 0, NULL, NULL);
@@ -717,6 +733,7 @@
       g_free (front);
       return NULL;
     }
+  front->lingering = pl_lingering_new (options->reactor);
   pl_reactor_add_wait_hook (options->reactor, run_ports, front);
   pl_front_start_checks (front);
   front->caller_check_timer = pl_reactor_add_timer (options->reactor, check_callers, front);
@@ -729,6 +746,19 @@
   return g_hash_table_size (front->requests);
 }
 
+struct pl_lingering *
+pl_front_lingering (const struct pl_front *front)
+{
+  return front->lingering;
+}
+
+void
+pl_front_close_idle (struct pl_front *front)
+{
+  pl_front_close_idle_connections (&front->callers);
+  pl_front_close_idle_connections (&front->handovers);
+}
+
 void
 pl_front_execute (struct pl_front *front, const struct pl_router_effect *effect)
 {
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -14,6 +14,7 @@
  */
 #include "internal/clock.h"
 #include "internal/front_pipeline.h"
+#include "internal/lingering.h"
 #include "internal/log.h"
 #include "internal/net.h"
 #include "internal/reactor.h"
@@ -56,7 +57,6 @@
 #define MEMORY_RETRY_US INT64_C (50000)
 /* A head that waits for memory for longer than this is refused. */
 #define MEMORY_WAIT_US INT64_C (300000)
-#define DISCARD_BYTES 16384
 
 static size_t
 memory_of (const struct pl_front_connection *connection)
@@ -177,6 +177,15 @@
   return connection;
 }
 
+void
+pl_front_bind_connection (const struct pl_front_connection *connection, int fd)
+{
+  int bound = dup3 (fd, connection->fd, O_CLOEXEC);
+
+  assert (bound == connection->fd);
+  (void) bound;
+}
+
 void
 pl_front_free_connection (struct pl_front_connection *connection)
 {
@@ -184,6 +193,7 @@
     pl_front_end_pipeline (connection->pipeline);
   pl_front_release_memory (connection->port->front, &connection->reserved_bytes);
   g_hash_table_remove (connection->port->connections, connection);
+  g_free (connection->answered_id);
   g_free (connection);
 }
 
@@ -211,6 +221,24 @@
   connection->lacks_memory_since_us = 0;
 }
 
+static struct pl_lingering_options
+lingering_options_of (const struct pl_front_connection *connection)
+{
+  return (struct pl_lingering_options){.fd = connection->fd,
+                                       .until_us = connection->answered_until_us,
+                                       .label = connection->answered_id};
+}
+
+/* Has the socket of CONNECTION, which libmicrohttpd closes, outlive that. */
+static void
+linger_on_copy (const struct pl_front_connection *connection)
+{
+  const struct pl_lingering_options options = lingering_options_of (connection);
+
+  if (!connection->is_lane && !connection->is_reset && !connection->is_spent)
+    pl_lingering_close_copy (connection->port->front->lingering, &options);
+}
+
 /* Forgets CONNECTION, which libmicrohttpd closes. */
 static void
 end_connection (struct pl_front_connection *connection)
@@ -227,7 +255,7 @@
   if (origin != NULL)
     {
       origin->is_spent = true;
-      shutdown (origin->fd, SHUT_RDWR);
+      pl_front_bind_connection (origin, connection->port->front->ended_fd);
       pl_front_resume_connection (origin);
     }
   pl_front_free_connection (connection);
@@ -309,25 +337,57 @@
 void
 pl_front_close_connection (struct pl_front_connection *connection)
 {
+  struct pl_front *front = connection->port->front;
+  const struct pl_lingering_options options = lingering_options_of (connection);
+
   assert (connection->handle == NULL);
   stop_awaiting (connection);
   pl_front_unwatch_connection (connection);
-  close (connection->fd);
+  if (connection->is_reset)
+    close (connection->fd);
+  else
+    pl_lingering_close (front->lingering, &options);
   pl_front_free_connection (connection);
 }
 
+/* Has libmicrohttpd close CONNECTION, which it has suspended, and not the caller's socket. */
+static void
+detach_connection (struct pl_front_connection *connection)
+{
+  pl_front_unwatch_connection (connection);
+  pl_front_bind_connection (connection, connection->port->front->ended_fd);
+  connection->is_spent = true;
+  read_by_narrow (connection); /* finds the end */
+}
+
 /* Nothing more is to be read from CONNECTION, which awaits a head. */
 static void
 end_awaiting (struct pl_front_connection *connection)
+{
+  const struct pl_lingering_options options = lingering_options_of (connection);
+
+  if (connection->handle == NULL)
+    {
+      pl_front_close_connection (connection);
+      return;
+    }
+  pl_lingering_close_copy (connection->port->front->lingering, &options);
+  detach_connection (connection);
+}
+
+/* Closes CONNECTION, which awaits a head.  The kernel resets it if something has arrived, so that
+ * the caller knows that it has not been read, or arrives. */
+static void
+close_unread (struct pl_front_connection *connection)
 {
   if (connection->handle != NULL)
     {
-      connection->is_spent = true;
-      shutdown (connection->fd, SHUT_RDWR);
-      read_by_narrow (connection); /* finds the end, and closes */
+      detach_connection (connection);
       return;
     }
-  pl_front_close_connection (connection);
+  pl_front_unwatch_connection (connection);
+  close (connection->fd);
+  pl_front_free_connection (connection);
 }
 
 /* Refuses a request that has not been read. */
@@ -336,13 +396,9 @@
 {
   static const char answer[] = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.300\r\n"
                                "Connection: close\r\nContent-Length: 0\r\n\r\n";
-  char bytes[DISCARD_BYTES];
 
   pl_log (PL_LOG_WARNING, "head-dropped",
           json_pack ("{s:I}", "held_bytes", (json_int_t) connection->port->front->buffered_bytes));
-  /* Closing the connection while there are unread bytes would reset it. */
-  while (recv (connection->fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0)
-    continue;
   if (send (connection->fd, answer, strlen (answer), MSG_DONTWAIT | MSG_NOSIGNAL) < 0)
     pl_log (PL_LOG_INFO, "caller-unreachable", json_pack ("{s:i}", "error", errno));
   end_awaiting (connection);
@@ -415,7 +471,9 @@
   /* What is no request, or too long, libmicrohttpd refuses. */
   else if (is_whole || received == (ssize_t) limit)
     read_by_narrow (connection);
-  else if (received <= 0 || pl_net_input_has_ended (connection->fd))
+  else if (received <= 0)
+    close_unread (connection);
+  else if (pl_net_input_has_ended (connection->fd))
     end_awaiting (connection);
 }
 
@@ -460,13 +518,22 @@
     look_at_head (connection);
 }
 
+/* Connections that linger have descriptors, too. */
+static bool
+is_full (const struct pl_front_port *port)
+{
+  if (port->takes_handovers)
+    return pl_front_connections_open (port) >= HANDOVER_CONNECTION_LIMIT;
+  return pl_front_connections_open (port) + pl_lingering_count (port->front->lingering)
+         >= CONNECTION_LIMIT;
+}
+
 void
 pl_front_add_connection (struct pl_front_port *port, int fd)
 {
   struct pl_front_connection *connection;
 
-  if (pl_front_connections_open (port)
-      >= (port->takes_handovers ? HANDOVER_CONNECTION_LIMIT : CONNECTION_LIMIT))
+  if (is_full (port) && !pl_lingering_make_room (port->front->lingering))
     {
       close (fd);
       return;
@@ -499,6 +566,7 @@
   assert (!connection->awaits_head);
   g_ptr_array_remove (port->between_requests, connection);
   g_ptr_array_remove (port->submitted, connection);
+  linger_on_copy (connection);
   end_connection (connection);
 }
 
@@ -528,8 +596,17 @@
 void
 pl_front_on_request_ended (struct pl_front_connection *connection, bool is_whole)
 {
-  int64_t body_length = connection->request->body_length;
+  struct pl_front_request *request = connection->request;
+  struct pl_front_connection *caller = pl_front_caller_of (connection);
+  int64_t body_length = request->body_length;
 
+  if (caller != NULL)
+    {
+      g_free (caller->answered_id);
+      caller->answered_id = g_steal_pointer (&request->correlation_id);
+      caller->answered_until_us
+          = request->caller_timeout_us > 0 ? request->begun_us + request->caller_timeout_us : 0;
+    }
   connection->is_uncounted = connection->is_uncounted || body_length < 0;
   connection->read_bytes += (uint64_t) MAX (body_length, 0);
   connection->request = NULL;
@@ -605,6 +682,30 @@
     arm_check (port->front, now_us + CHECK_PERIOD_US);
 }
 
+void
+pl_front_close_idle_connections (struct pl_front_port *port)
+{
+  g_autoptr (GPtrArray) idle = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+
+  if (port->connections == NULL)
+    return;
+  g_hash_table_iter_init (&iter, port->connections);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    if (((struct pl_front_connection *) key)->awaits_head && !pl_front_has_lanes (key))
+      g_ptr_array_add (idle, key);
+  for (guint i = 0; i < idle->len; i++)
+    {
+      struct pl_front_connection *connection = g_ptr_array_index (idle, i);
+
+      if (pl_net_unacked_bytes (connection->fd) > 0)
+        end_awaiting (connection);
+      else
+        close_unread (connection);
+    }
+}
+
 static void
 check_connections (void *data)
 {
--- a/modules/front_direct.c
+++ b/modules/front_direct.c
@@ -15,10 +15,6 @@
 #include <time.h>
 
 #define STALLED_US (PL_FRONT_STALLED_S * INT64_C (1000000))
-/* After the answer, the caller has this long to close the connection.  Closing it while there are
- * unread bytes resets it, and the caller may lose what it has not read yet. */
-#define LINGER_US INT64_C (1000000)
-#define DISCARD_BYTES 16384
 #define DATE_CHARS 40
 
 struct pl_front_direct
@@ -27,7 +23,6 @@
   int fd; /* the connection's, watched by libmicrohttpd's own epoll set as well */
   GByteArray *bytes;
   size_t sent;
-  bool is_sent;
   bool closes;    /* the caller's connection */
   int64_t due_us; /* when the connection is closed unless there is progress */
 };
@@ -70,8 +65,9 @@
   struct pl_front_request *request = direct->request;
 
   pl_reactor_watch (request->front->options.reactor, direct->fd, 0, NULL, NULL);
+  request->is_written = direct->sent == direct->bytes->len;
   g_byte_array_unref (direct->bytes);
-  if (!direct->closes && direct->is_sent)
+  if (!direct->closes && request->is_written)
     pl_front_retire_lane (request->link);
   g_free (direct);
   request->direct = NULL;
@@ -81,19 +77,6 @@
   pl_reactor_skip_wait (request->front->options.reactor);
 }
 
-/* Returns whether there is nothing more to discard. */
-static bool
-discard_input (const struct pl_front_direct *direct)
-{
-  char bytes[DISCARD_BYTES];
-  ssize_t received;
-
-  do
-    received = recv (direct->fd, bytes, sizeof bytes, MSG_DONTWAIT);
-  while (received > 0 || (received < 0 && errno == EINTR));
-  return received == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 static void
 send_part (struct pl_front_direct *direct)
 {
@@ -112,24 +95,11 @@
 on_socket (void *data, int fd, uint32_t ready)
 {
   struct pl_front_direct *direct = data;
-  struct pl_reactor *reactor = direct->request->front->options.reactor;
 
+  (void) fd;
   (void) ready;
-  if (!direct->is_sent)
-    send_part (direct);
-  if (!direct->is_sent && direct->sent == direct->bytes->len)
-    {
-      direct->is_sent = true;
-      if (!direct->closes)
-        {
-          end_direct (direct);
-          return;
-        }
-      direct->due_us = pl_clock_now_us () + LINGER_US;
-      shutdown (fd, SHUT_WR);
-      pl_reactor_watch (reactor, fd, EPOLLIN, on_socket, direct);
-    }
-  if (direct->due_us == 0 || (direct->is_sent && discard_input (direct)))
+  send_part (direct);
+  if (direct->due_us == 0 || direct->sent == direct->bytes->len)
     end_direct (direct);
 }
 
--- a/modules/front_pipeline.c
+++ b/modules/front_pipeline.c
@@ -18,6 +18,7 @@
  */
 #include "internal/front_pipeline.h"
 #include "internal/clock.h"
+#include "internal/lingering.h"
 #include "internal/log.h"
 #include "internal/net.h"
 #include "internal/reactor.h"
@@ -163,22 +164,11 @@
   return caller;
 }
 
-/* Makes the descriptor of LANE refer to what FD does.  libmicrohttpd must not have it in its epoll
- * set. */
-static void
-bind_lane (const struct pl_front_connection *lane, int fd)
-{
-  int bound = dup3 (fd, lane->fd, O_CLOEXEC);
-
-  assert (bound == lane->fd);
-  (void) bound;
-}
-
 /* Has libmicrohttpd close LANE, which it has suspended, and not the caller's socket. */
 static void
 detach_lane (struct pl_front_connection *lane)
 {
-  bind_lane (lane, lane->port->front->ended_fd);
+  pl_front_bind_connection (lane, lane->port->front->ended_fd);
   lane->is_spent = true;
   pl_front_resume_connection (lane);
 }
@@ -293,7 +283,7 @@
 
   if (caller == NULL)
     return NULL;
-  bind_lane (connection, caller->port->front->idle_fds[0]);
+  pl_front_bind_connection (connection, caller->port->front->idle_fds[0]);
   g_queue_push_tail (&caller->pipeline->lanes, connection);
   return caller;
 }
@@ -376,7 +366,7 @@
 {
   if (connection->feed_fd >= 0)
     {
-      bind_lane (connection, connection->port->front->idle_fds[0]);
+      pl_front_bind_connection (connection, connection->port->front->idle_fds[0]);
       close (connection->feed_fd);
       connection->feed_fd = -1;
     }
@@ -407,7 +397,7 @@
 pl_front_bind_turn (struct pl_front_connection *connection)
 {
   if (connection->is_lane)
-    bind_lane (connection, connection->pipeline->caller->fd);
+    pl_front_bind_connection (connection, connection->pipeline->caller->fd);
 }
 
 bool
@@ -416,19 +406,17 @@
   return connection->is_lane && g_queue_peek_tail (&connection->pipeline->lanes) != connection;
 }
 
-bool
-pl_front_note_closing (struct pl_front_connection *connection)
+struct pl_front_connection *
+pl_front_caller_of (struct pl_front_connection *connection)
 {
-  const struct pl_front_connection *caller = connection;
-  char byte;
+  return connection->is_lane ? connection->pipeline->caller : connection;
+}
 
+void
+pl_front_note_closing (struct pl_front_connection *connection)
+{
   if (connection->is_lane)
-    {
-      connection->pipeline->closes = true;
-      caller = connection->pipeline->caller;
-    }
-  return caller != NULL && caller->has_input
-         && recv (caller->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    connection->pipeline->closes = true;
 }
 
 bool
@@ -601,10 +589,14 @@
 end_unread (struct pl_front_request *request, int64_t now_us)
 {
   const struct linger reset = {.l_onoff = 1};
+  struct pl_front_connection *caller = pl_front_caller_of (request->link);
 
   pl_front_note_unread (request, now_us - request->progress_us);
   setsockopt (request->link->fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   shutdown (request->link->fd, SHUT_RDWR);
+  request->link->is_reset = true;
+  if (caller != NULL)
+    caller->is_reset = true;
   request->progress_us = now_us;
 }
 
@@ -648,7 +640,9 @@
                           "pomelolatch_requests_ahead_total %" G_GUINT64_FORMAT "\n"
                           "pomelolatch_pipelining_connections %u\n"
                           "pomelolatch_pipeline_lanes %u\n"
-                          "pomelolatch_unread_connections_total %" G_GUINT64_FORMAT "\n",
+                          "pomelolatch_unread_connections_total %" G_GUINT64_FORMAT "\n"
+                          "pomelolatch_answers_cut_total %" G_GUINT64_FORMAT "\n",
                           front->requests_ahead, front->pipelines, front->lanes,
-                          front->unread_ended);
+                          front->unread_ended, front->answers_cut);
+  pl_lingering_metrics (front->lingering, text);
 }
--- a/modules/net.c
+++ b/modules/net.c
@@ -6,10 +6,12 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -75,6 +77,14 @@
   return poll (&ready, 1, 0) == 1;
 }
 
+int
+pl_net_unacked_bytes (int fd)
+{
+  int bytes = 0;
+
+  return ioctl (fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
 int
 pl_net_connect (const struct sockaddr_in *address, int timeout_ms)
 {
--- a/modules/small_port.c
+++ b/modules/small_port.c
@@ -1,6 +1,8 @@
 /* Minimal HTTP server for readiness, directory, metrics and relay: a request is answered by one
  * function call that does not block. */
 #include "internal/small_port.h"
+#include "internal/clock.h"
+#include "internal/lingering.h"
 #include "internal/net.h"
 #include "pomelolatch/error.h"
 
@@ -9,6 +11,8 @@
 
 #define CONNECTION_LIMIT 600u
 #define CONNECTION_TIMEOUT_S 20u
+/* For a caller to read its answer after the end of the connection. */
+#define LINGER_US INT64_C (1000000)
 
 struct small_port
 {
@@ -41,6 +45,22 @@
   return result;
 }
 
+/* libmicrohttpd closes a connection when this returns. */
+static void
+on_connection (void *data, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct small_port *port = data;
+  struct pl_lingering_options options = {.fd = -1};
+
+  (void) context;
+  if (code != MHD_CONNECTION_NOTIFY_CLOSED || port->options.lingering == NULL)
+    return;
+  options.fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+  options.until_us = pl_clock_now_us () + LINGER_US;
+  pl_lingering_close_copy (port->options.lingering, &options);
+}
+
 static void
 run_daemon (void *data, int fd, uint32_t ready)
 {
@@ -63,10 +83,10 @@
   if (pl_net_parse (options->address, &address) == 0)
     fd = pl_net_listen (&address);
   if (fd >= 0)
-    port->daemon = MHD_start_daemon (MHD_USE_EPOLL, 0, NULL, NULL, on_request, port,
-                                     MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_CONNECTION_LIMIT,
-                                     CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
-                                     CONNECTION_TIMEOUT_S, MHD_OPTION_END);
+    port->daemon = MHD_start_daemon (
+        MHD_USE_EPOLL, 0, NULL, NULL, on_request, port, MHD_OPTION_LISTEN_SOCKET, fd,
+        MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT,
+        CONNECTION_TIMEOUT_S, MHD_OPTION_NOTIFY_CONNECTION, on_connection, port, MHD_OPTION_END);
   if (port->daemon == NULL)
     {
       g_free (port);
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -7,6 +7,7 @@
 #include "internal/beacon_socket.h"
 #include "internal/clock.h"
 #include "internal/front.h"
+#include "internal/lingering.h"
 #include "internal/log.h"
 #include "internal/reactor.h"
 #include "internal/relay.h"
@@ -195,6 +196,20 @@
   pl_reactor_skip_wait (entry->reactor);
 }
 
+/* When the router has stopped, the last answers may still be in transmission, and their callers may
+ * still be reading. */
+static void
+finish_stop (struct entry *entry)
+{
+  bool is_overdue = pl_clock_now_us () >= entry->stop_deadline_us;
+
+  if (!is_overdue && pl_front_open_requests (entry->front) > 0)
+    return;
+  pl_front_close_idle (entry->front);
+  if (is_overdue || pl_lingering_count (pl_front_lingering (entry->front)) == 0)
+    pl_reactor_quit (entry->reactor);
+}
+
 static void
 process_events (void *data)
 {
@@ -210,11 +225,8 @@
   if (pl_router_due_us (entry->router) <= pl_clock_now_us ())
     step_router (entry, &tick);
   pl_reactor_arm_timer (entry->reactor, entry->router_timer, pl_router_due_us (entry->router));
-  /* When the router has stopped, the last answers may still be in transmission. */
-  if (entry->router_stopped
-      && (pl_front_open_requests (entry->front) == 0
-          || pl_clock_now_us () >= entry->stop_deadline_us))
-    pl_reactor_quit (entry->reactor);
+  if (entry->router_stopped)
+    finish_stop (entry);
 }
 
 static double
@@ -575,7 +587,7 @@
       .on_beacon = handle_beacon,
       .data = entry,
   };
-  const struct pl_small_port_options ports[] = {
+  struct pl_small_port_options ports[] = {
       {pl_settings_text (settings, "ready", ""), entry->reactor, answer_ready, entry},
       {pl_settings_text (settings, "directory", ""), entry->reactor, answer_directory, entry},
       {pl_settings_text (settings, "metrics", ""), entry->reactor, answer_metrics, entry},
@@ -597,11 +609,13 @@
       return PL_ERR_UNAVAILABLE;
     }
   for (size_t i = 0; i < G_N_ELEMENTS (ports); i++)
-    if (pl_small_port_open (&ports[i]) < 0)
-      {
-        pl_log (PL_LOG_ERROR, "can-not-listen", json_pack ("{s:s}", "address", ports[i].address));
-        return PL_ERR_UNAVAILABLE;
-      }
+    {
+      ports[i].lingering = pl_front_lingering (entry->front);
+      if (pl_small_port_open (&ports[i]) == PL_OK)
+        continue;
+      pl_log (PL_LOG_ERROR, "can-not-listen", json_pack ("{s:s}", "address", ports[i].address));
+      return PL_ERR_UNAVAILABLE;
+    }
   return PL_OK;
 }
 
@@ -693,6 +707,7 @@
   pl_log (PL_LOG_INFO, "started",
           json_pack ("{s:s}", "domain", pl_settings_text (entry->settings, "domain", "")));
   pl_reactor_run (entry->reactor);
+  pl_lingering_end_all (pl_front_lingering (entry->front));
   pl_log (PL_LOG_INFO, "stopped", NULL);
   pl_log_flush ();
   /* Every request that was read is answered, or the stop deadline has passed.  The kernel closes
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -186,6 +186,8 @@
   if (g_atomic_int_compare_and_exchange (&fixture->keepalive_due, 1, 0))
     pl_front_execute (fixture->front,
                       &(struct pl_router_effect){.type = PL_ROUTER_DISABLE_KEEPALIVE});
+  if (g_atomic_int_compare_and_exchange (&fixture->closing_due, 1, 0))
+    pl_front_close_idle (fixture->front);
   if (g_atomic_int_get (&fixture->stopping))
     pl_reactor_quit (fixture->reactor);
   pl_reactor_arm_timer (fixture->reactor, fixture->timer, g_get_monotonic_time () + POLL_US);
@@ -245,19 +247,29 @@
 }
 
 int
-begin_exchange (const struct front_fixture *fixture, const char *method, const char *id)
+connect_to_front (const struct front_fixture *fixture, int receive_bytes)
 {
   struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+  if (receive_bytes > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+  address.sin_port
+      = htons ((uint16_t) g_ascii_strtoull (strchr (fixture->caller_address, ':') + 1, NULL, 10));
+  ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  return fd;
+}
+
+int
+begin_exchange (const struct front_fixture *fixture, const char *method, const char *id)
+{
   g_autofree char *header = id != NULL
                                 ? g_strdup_printf ("%s: %s\r\n", pl_platform_dialect.request_id, id)
                                 : g_strdup ("");
   g_autofree char *text = g_strdup_printf (
       "%s /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n%s\r\n", method, header);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd = connect_to_front (fixture, 0);
 
-  address.sin_port
-      = htons ((uint16_t) g_ascii_strtoull (strchr (fixture->caller_address, ':') + 1, NULL, 10));
-  ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
   ck_assert_int_eq (send (fd, text, strlen (text), MSG_NOSIGNAL), (ssize_t) strlen (text));
   return fd;
 }
--- a/tests/front_fixture.h
+++ b/tests/front_fixture.h
@@ -55,6 +55,7 @@
   bool has_load;      /* the last attempt or probe brought a load report */
   gint callers_gone;  /* that the front reported; atomic */
   gint keepalive_due; /* to be disabled; atomic */
+  gint closing_due;   /* of idle connections; atomic */
   struct pl_load_report load;
 };
 
@@ -62,6 +63,8 @@
 void tear_down_front (struct front_fixture *fixture);
 /* Has the front execute a copy of EFFECT; to be called from on_event(). */
 void front_add_effect (struct front_fixture *fixture, const struct pl_router_effect *effect);
+/* Returns a caller's connection, with RECEIVE_BYTES of buffer if they are not 0. */
+int connect_to_front (const struct front_fixture *fixture, int receive_bytes);
 /* Returns a connection of a caller that has sent a request with ID, or without one if it is NULL.
  */
 int begin_exchange (const struct front_fixture *fixture, const char *method, const char *id);
--- a/tests/test_pipelining.c
+++ b/tests/test_pipelining.c
@@ -88,20 +88,13 @@
   tear_down_front (&fixture);
 }
 
-/* Returns a caller's connection, with RECEIVE_BYTES of buffer if they are not 0. */
 static int
 connect_caller (int receive_bytes)
 {
-  struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   struct timeval limit = {.tv_sec = WAIT_MS / 1000};
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  int fd = connect_to_front (&fixture, receive_bytes);
 
-  if (receive_bytes > 0)
-    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
   setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  address.sin_port
-      = htons ((uint16_t) g_ascii_strtoull (strchr (fixture.caller_address, ':') + 1, NULL, 10));
-  ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
   return fd;
 }
 
