--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -581,17 +581,27 @@
   return true;
 }
 
+/* Callers take these statuses to say that the request did not run.  A server's answer says so only
+ * where it is marked as such, and then arrives as PL_ATTEMPT_NOT_RUN. */
+static bool
+status_implies_not_run (int status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 static void
 deliver (struct pl_router *router, struct call *call, int status)
 {
   int64_t latency_us = router->now_us - call->wait.arrived_us;
   struct pl_router_effect *effect;
 
+  assert (!status_implies_not_run (status));
   cancel_other (router, call);
   router->hedging.won += call->attempt.is_copy;
   effect = router_add_effect (router, PL_ROUTER_DELIVER);
   effect->request = call->id;
   effect->attempt = call->attempt.number;
+  effect->u.deliver.status = status;
   if (call->account != NULL)
     {
       call->account->counts.served += status < 400;
@@ -603,14 +613,6 @@
   remove_call (router, call);
 }
 
-/* Callers take these statuses to say that the request did not run.  A server's answer says so only
- * where it is marked as such, and then arrives as PL_ATTEMPT_NOT_RUN. */
-static bool
-status_implies_not_run (int status)
-{
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 /* Records for the route of CALL how long its first attempt has taken, and for its server if that
  * was too slow for the copy. */
 static void
--- a/include/internal/front.h
+++ b/include/internal/front.h
@@ -228,8 +228,9 @@
                              const struct pl_router_effect *effect);
 void pl_front_start_handover (struct pl_front *front, struct pl_front_request *request,
                               const struct pl_router_effect *effect);
-/* Takes the whole answer to the attempt NUMBER of REQUEST as the one to be sent to the caller. */
-void pl_front_take_answer (struct pl_front_request *request, uint32_t number);
+/* Takes the whole answer to the attempt NUMBER of REQUEST, with STATUS, as the one to be sent to
+ * the caller. */
+void pl_front_take_answer (struct pl_front_request *request, uint32_t number, int status);
 /* Cancels the attempt NUMBER of REQUEST, or discards its answer. */
 void pl_front_cancel_attempt (struct pl_front_request *request, uint32_t number);
 /* Does that with all its attempts. */
--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -11,6 +11,7 @@
 #include <stdint.h>
 #include <stddef.h>
 
+struct pl_answer_head;
 struct pl_http_client;
 struct pl_http_call;
 
@@ -30,16 +31,19 @@
 /* All functions are called on the client's thread; any but done may be NULL. */
 struct pl_http_handler
 {
-  /* Gets one line of the answer's head, with its line end; also the status line.  Returns false to
-   * abort the call and close its connection. */
-  bool (*header) (void *data, const char *line, size_t length);
+  /* Get the parts of a head, of an interim answer or the final one: its status, whose line has
+   * LENGTH bytes; a field; its end.  What belongs to an earlier head is void when another begins.
+   * Trailers are not passed on.  Return false to abort the call and close its connection. */
+  bool (*head_begun) (void *data, int status, size_t length);
+  bool (*field) (void *data, const char *name, const char *value);
+  bool (*head_ended) (void *data, const struct pl_answer_head *head);
   /* Gets bytes of the answer's body.  Returns LENGTH, PL_HTTP_PAUSE, or any other number to abort
    * the call. */
   size_t (*write) (void *data, const char *bytes, size_t length);
   /* Fills at most LENGTH bytes of the request body.  Returns their number, 0 at its end, or
    * PL_HTTP_PAUSE. */
   size_t (*read) (void *data, char *bytes, size_t length);
-  /* Called exactly once, when the call has ended. */
+  /* Called exactly once, when the call has ended.  STATUS is that of the last head. */
   void (*done) (void *data, enum pl_http_end end, int status);
 };
 
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -338,6 +338,10 @@
       bool at_most_once;
     } hand_over;
     struct
+    {
+      int status; /* of the server's answer; none that would say that the request did not run */
+    } deliver;
+    struct
     {
       int status;
       const char *reason;     /* static */
--- a/modules/attempts.c
+++ b/modules/attempts.c
@@ -8,6 +8,7 @@
  * the attempt's number, whatever else it says.  Any other answer loses that of the
  * attempt, and the connection is closed.
  */
+#include "internal/answer_head.h"
 #include "internal/clock.h"
 #include "internal/entry.h"
 
@@ -17,13 +18,11 @@
 
 #define PROGRESS_PERIOD_US 50000
 #define PROBE_TIMEOUT_US 800000
-#define OUTCOME_HEADER "Pomelolatch-Outcome:"
-#define ECHO_HEADER PL_ATTEMPT_ECHO_HEADER ":"
+#define OUTCOME_HEADER "Pomelolatch-Outcome"
 
 /* What one head of an answer says.  An interim answer has a head of its own. */
 struct answer_head
 {
-  bool is_complete;
   int status;
   bool echoes_attempt;
   bool echoes_other;
@@ -75,25 +74,22 @@
   attempt->entry->options.post (attempt->entry->options.data, &event);
 }
 
+/* Returns whether the header NAME applies to one connection only or is set by this host; what an
+ * entry host says of a request by itself, no server may say. */
 static bool
-line_has_prefix (const char *line, const char *prefix)
+is_hop_header (const char *name)
 {
-  return g_ascii_strncasecmp (line, prefix, strlen (prefix)) == 0;
-}
-
-/* Returns whether the header applies to one connection only or is set by this host; what an entry
- * host says of a request by itself, no server may say. */
-static bool
-is_hop_header (const char *line)
-{
-  static const char *const prefixes[] = {
-      "HTTP/",           "Connection:", "Keep-Alive:",  "Transfer-Encoding:",
-      "Content-Length:", "Date:",       "Trailer:",     "Upgrade:",
-      "Proxy-",          "Server:",     "Pomelolatch-",
+  static const char *const names[] = {
+      "Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length",
+      "Date",       "Trailer",    "Upgrade",           "Server",
   };
+  static const char *const prefixes[] = {"Proxy-", "Pomelolatch-"};
 
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (g_ascii_strcasecmp (name, names[i]) == 0)
+      return true;
   for (size_t i = 0; i < G_N_ELEMENTS (prefixes); i++)
-    if (line_has_prefix (line, prefixes[i]))
+    if (g_ascii_strncasecmp (name, prefixes[i], strlen (prefixes[i])) == 0)
       return true;
   return false;
 }
@@ -106,38 +102,25 @@
 }
 
 static void
-begin_head (struct attempt *attempt, const char *line)
-{
-  const char *space = strchr (line, ' ');
-
-  attempt->head = (struct answer_head){.status = space != NULL ? atoi (space + 1) : 0};
-  attempt->exchange->answer_length = -1;
-  g_ptr_array_set_size (attempt->exchange->answer_headers, 0);
-}
-
-static void
-parse_header (struct attempt *attempt, const char *line)
+parse_field (struct attempt *attempt, const char *name, const char *value)
 {
   struct pl_exchange *exchange = attempt->exchange;
   struct answer_head *head = &attempt->head;
 
-  if (line_has_prefix (line, "Content-Length:"))
-    exchange->answer_length = strtoll (line + strlen ("Content-Length:"), NULL, 10);
-  else if (line_has_prefix (line, ECHO_HEADER))
+  if (g_ascii_strcasecmp (name, PL_ATTEMPT_ECHO_HEADER) == 0)
     {
-      const char *echo = line + strlen (ECHO_HEADER);
-      bool is_own = strcmp (echo + strspn (echo, " \t"), attempt->echo) == 0;
+      bool is_own = strcmp (value, attempt->echo) == 0;
 
       head->echoes_attempt = head->echoes_attempt || is_own;
       head->echoes_other = head->echoes_other || !is_own;
     }
-  else if (line_has_prefix (line, OUTCOME_HEADER))
+  else if (g_ascii_strcasecmp (name, OUTCOME_HEADER) == 0)
     {
       head->is_marked = true;
-      head->not_run = strstr (line, "not-run") != NULL;
+      head->not_run = strstr (value, "not-run") != NULL;
     }
-  if (!is_hop_header (line) && strchr (line, ':') != NULL)
-    g_ptr_array_add (exchange->answer_headers, g_strdup (line));
+  if (!is_hop_header (name))
+    g_ptr_array_add (exchange->answer_headers, g_strdup_printf ("%s: %s", name, value));
 }
 
 /* Returns whether the caller has been refused, so that no attempt may answer it any more. */
@@ -148,27 +131,47 @@
 }
 
 static bool
-on_header (void *data, const char *line, size_t length)
+on_head_begun (void *data, int status, size_t length)
 {
   struct attempt *attempt = data;
-  struct answer_head *head = &attempt->head;
-  g_autofree char *text = g_strchomp (g_strndup (line, length));
-  bool accepted = true;
+  bool accepted;
 
+  (void) length;
   g_mutex_lock (&attempt->exchange->lock);
-  if (is_refused (attempt->exchange))
-    accepted = false;
-  else if (line_has_prefix (text, "HTTP/"))
-    begin_head (attempt, text);
-  else if (head->is_complete)
-    accepted = true; /* a trailer */
-  else if (text[0] == '\0')
+  accepted = !is_refused (attempt->exchange);
+  if (accepted)
     {
-      head->is_complete = true;
-      accepted = is_own_head (head);
+      attempt->head = (struct answer_head){.status = status};
+      g_ptr_array_set_size (attempt->exchange->answer_headers, 0);
     }
-  else
-    parse_header (attempt, text);
+  g_mutex_unlock (&attempt->exchange->lock);
+  return accepted;
+}
+
+static bool
+on_field (void *data, const char *name, const char *value)
+{
+  struct attempt *attempt = data;
+  bool accepted;
+
+  g_mutex_lock (&attempt->exchange->lock);
+  accepted = !is_refused (attempt->exchange);
+  if (accepted)
+    parse_field (attempt, name, value);
+  g_mutex_unlock (&attempt->exchange->lock);
+  return accepted;
+}
+
+static bool
+on_head_ended (void *data, const struct pl_answer_head *head)
+{
+  struct attempt *attempt = data;
+  bool accepted;
+
+  g_mutex_lock (&attempt->exchange->lock);
+  accepted = !is_refused (attempt->exchange) && is_own_head (&attempt->head);
+  if (accepted)
+    attempt->exchange->answer_length = head->has_length ? (int64_t) head->length : -1;
   g_mutex_unlock (&attempt->exchange->lock);
   return accepted;
 }
@@ -313,7 +316,14 @@
   g_free (attempt);
 }
 
-static const struct pl_http_handler attempt_handler = {on_header, on_write, on_read, on_done};
+static const struct pl_http_handler attempt_handler = {
+    .head_begun = on_head_begun,
+    .field = on_field,
+    .head_ended = on_head_ended,
+    .write = on_write,
+    .read = on_read,
+    .done = on_done,
+};
 
 static GPtrArray *
 make_headers (struct pl_entry *entry, struct pl_exchange *exchange, const struct attempt *attempt,
@@ -326,7 +336,7 @@
 
   for (guint i = 0; i < exchange->headers->len; i++)
     g_ptr_array_add (headers, g_strdup (g_ptr_array_index (exchange->headers, i)));
-  g_ptr_array_add (headers, g_strdup_printf ("%s %s", ECHO_HEADER, attempt->echo));
+  g_ptr_array_add (headers, g_strdup_printf ("%s: %s", PL_ATTEMPT_ECHO_HEADER, attempt->echo));
   g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Deadline-Ms: %s", deadline));
   g_ptr_array_add (headers, g_strdup_printf ("Pomelolatch-Account: %s", account));
   if (attempt->is_forward)
--- a/modules/front.c
+++ b/modules/front.c
@@ -777,7 +777,7 @@
     case PL_ROUTER_DELIVER:
       if (request != NULL)
         {
-          pl_front_take_answer (request, effect->attempt);
+          pl_front_take_answer (request, effect->attempt, effect->u.deliver.status);
           pl_front_finish (request);
         }
       break;
--- a/modules/front_attempts.c
+++ b/modules/front_attempts.c
@@ -10,6 +10,7 @@
  * connection, headers and memory.
  */
 #include "internal/front.h"
+#include "internal/answer_head.h"
 #include "internal/clock.h"
 #include "internal/log.h"
 #include "pomelolatch/error.h"
@@ -35,7 +36,8 @@
  * send. */
 #define HEAD_BYTES_MAX ((size_t) 64 << 10)
 #define ANSWER_BYTES_MAX ((size_t) 64 << 20)
-#define STATUS_MAX 999
+/* Of a field line, beside its name and value. */
+#define FIELD_MARGIN_BYTES ((size_t) 4)
 /* Servers are cold for seconds; a day is as good as forever. */
 #define COLD_MAX_MS INT64_C (86400000)
 /* Callers honour a fraction of their time, which is seconds. */
@@ -46,7 +48,6 @@
 /* What one head of an answer says.  An interim answer has a head of its own. */
 struct answer_head
 {
-  bool is_complete;
   int status;
   enum pl_answer_id id;
   enum pl_answer_framing framing;
@@ -158,7 +159,7 @@
 }
 
 static void
-parse_header (struct pl_front_attempt *attempt, const char *name, const char *value)
+parse_field (struct pl_front_attempt *attempt, const char *name, const char *value)
 {
   const struct pl_dialect *dialect = attempt->front->options.dialect;
   struct answer_head *head = &attempt->head;
@@ -177,10 +178,6 @@
   else if (attempt->is_handover && g_ascii_strcasecmp (name, "Retry-After") == 0)
     head->refusal.retry_after_us
         = (int64_t) (fmin (fmax (g_ascii_strtod (value, NULL), 0), RETRY_AFTER_MAX_S) * 1e6);
-  else if (g_ascii_strcasecmp (name, "Content-Length") == 0)
-    head->framing = MAX (head->framing, PL_ANSWER_FRAMING_LENGTH);
-  else if (g_ascii_strcasecmp (name, "Transfer-Encoding") == 0)
-    head->framing = PL_ANSWER_FRAMING_CHUNKED;
   if (!is_unforwarded (name))
     g_ptr_array_add (attempt->headers, g_strdup_printf ("%s: %s", name, value));
 }
@@ -219,49 +216,51 @@
   return fits;
 }
 
-/* Returns the status in a status line, or 0. */
-static int
-parse_status (const char *line)
+/* Reserves memory for LENGTH bytes of a head. */
+static bool
+reserve_head_memory (struct pl_front_attempt *attempt, size_t length)
+{
+  if (!reserve_answer_memory (attempt, "head", attempt->head_length, HEAD_BYTES_MAX, length))
+    return false;
+  attempt->head_length += length;
+  return true;
+}
+
+static bool
+on_head_begun (void *data, int status, size_t length)
 {
-  const char *space = strchr (line, ' ');
+  struct pl_front_attempt *attempt = data;
 
-  return space != NULL ? (int) CLAMP (g_ascii_strtoll (space + 1, NULL, 10), 0, STATUS_MAX) : 0;
+  attempt->head = (struct answer_head){
+      .status = status,
+      .rate_limit_report = PL_RATE_LIMIT_ABSENT,
+  };
+  g_ptr_array_set_size (attempt->headers, 0);
+  return reserve_head_memory (attempt, length);
 }
 
 static bool
-on_header (void *data, const char *line, size_t length)
+on_field (void *data, const char *name, const char *value)
 {
   struct pl_front_attempt *attempt = data;
-  g_autofree char *text = g_strchomp (g_strndup (line, length));
-  char *colon;
 
-  if (!reserve_answer_memory (attempt, "head", attempt->head_length, HEAD_BYTES_MAX, length))
+  if (!reserve_head_memory (attempt, strlen (name) + strlen (value) + FIELD_MARGIN_BYTES))
     return false;
-  attempt->head_length += length;
-  if (attempt->head.is_complete && attempt->head.status >= 200)
-    return true; /* a trailer */
-  if (g_str_has_prefix (text, "HTTP/"))
-    {
-      attempt->head = (struct answer_head){
-          .status = parse_status (text),
-          .rate_limit_report = PL_RATE_LIMIT_ABSENT,
-      };
-      g_ptr_array_set_size (attempt->headers, 0);
-      return true;
-    }
-  if (text[0] == '\0')
-    {
-      attempt->head.is_complete = true;
-      return is_own_head (attempt);
-    }
-  colon = strchr (text, ':');
-  if (colon == NULL)
-    return false;
-  *colon = '\0';
-  parse_header (attempt, text, g_strchug (colon + 1));
+  parse_field (attempt, name, value);
   return true;
 }
 
+static bool
+on_head_ended (void *data, const struct pl_answer_head *head)
+{
+  struct pl_front_attempt *attempt = data;
+
+  attempt->head.framing = head->is_encoded   ? PL_ANSWER_FRAMING_CHUNKED
+                          : head->has_length ? PL_ANSWER_FRAMING_LENGTH
+                                             : PL_ANSWER_FRAMING_CLOSE;
+  return is_own_head (attempt);
+}
+
 static size_t
 on_write (void *data, const char *bytes, size_t length)
 {
@@ -330,13 +329,15 @@
   g_free (attempt);
 }
 
+/* STATUS: what the router has decided by. */
 static void
-move_answer (struct pl_front_attempt *attempt, struct pl_front_request *request)
+move_answer (struct pl_front_attempt *attempt, struct pl_front_request *request, int status)
 {
   GPtrArray *headers = request->answer_headers;
   GByteArray *answer = request->answer;
 
-  request->status = attempt->head.status;
+  assert (attempt->head.status == status);
+  request->status = status;
   request->answer_headers = attempt->headers;
   request->answer = attempt->answer;
   attempt->headers = headers;
@@ -398,12 +399,12 @@
 }
 
 void
-pl_front_take_answer (struct pl_front_request *request, uint32_t number)
+pl_front_take_answer (struct pl_front_request *request, uint32_t number, int status)
 {
   struct pl_front_attempt **slot = find_number (request, number);
 
   assert (slot != NULL && (*slot)->call == NULL);
-  move_answer (*slot, request);
+  move_answer (*slot, request, status);
   pl_front_cancel_attempts (request);
 }
 
@@ -446,7 +447,14 @@
   front->options.post (front->options.data, &event);
 }
 
-static const struct pl_http_handler attempt_handler = {on_header, on_write, on_read, on_done};
+static const struct pl_http_handler attempt_handler = {
+    .head_begun = on_head_begun,
+    .field = on_field,
+    .head_ended = on_head_ended,
+    .write = on_write,
+    .read = on_read,
+    .done = on_done,
+};
 
 /* Returns the headers that are sent for REQUEST, but for those of the kind of attempt. */
 static GPtrArray *
@@ -603,7 +611,6 @@
 /* What one head of the answer to a probe says. */
 struct probe_head
 {
-  bool is_complete;
   int status;
   bool names_server;
   bool is_other_server;
@@ -625,48 +632,50 @@
 };
 
 static bool
-on_probe_header (void *data, const char *line, size_t length)
+on_probe_head_begun (void *data, int status, size_t length)
+{
+  struct probe *probe = data;
+
+  (void) length;
+  probe->head = (struct probe_head){.status = status};
+  return true;
+}
+
+static bool
+on_probe_field (void *data, const char *name, const char *value)
 {
   struct probe *probe = data;
   struct probe_head *head = &probe->head;
   const struct pl_dialect *dialect = probe->front->options.dialect;
-  g_autofree char *text = g_strchomp (g_strndup (line, length));
-  char *colon = strchr (text, ':');
 
-  if (head->is_complete && head->status >= 200)
-    return true; /* a trailer */
-  if (g_str_has_prefix (text, "HTTP/"))
-    {
-      *head = (struct probe_head){.status = parse_status (text)};
-      return true;
-    }
-  /* The rest of the connection may belong to any request unless the answer is the probe's. */
-  if (text[0] == '\0')
-    {
-      head->is_complete = true;
-      return head->status < 200 || (head->names_server && !head->has_request_id);
-    }
-  if (colon == NULL)
-    return true;
-  *colon = '\0';
-  if (g_ascii_strcasecmp (text, dialect->request_id) == 0)
-    head->has_request_id = g_strchug (colon + 1)[0] != '\0';
-  if (g_ascii_strcasecmp (text, dialect->cold_time) == 0)
-    head->cold_us = CLAMP (g_ascii_strtoll (colon + 1, NULL, 10), 0, COLD_MAX_MS) * 1000;
-  if (g_ascii_strcasecmp (text, dialect->load) == 0)
-    head->has_load = parse_load (probe->front, probe->server_id, g_strchug (colon + 1), &head->load)
-                     || head->has_load;
-  if (g_ascii_strcasecmp (text, dialect->rate_limit) == 0)
+  if (g_ascii_strcasecmp (name, dialect->request_id) == 0)
+    head->has_request_id = value[0] != '\0';
+  if (g_ascii_strcasecmp (name, dialect->cold_time) == 0)
+    head->cold_us = CLAMP (g_ascii_strtoll (value, NULL, 10), 0, COLD_MAX_MS) * 1000;
+  if (g_ascii_strcasecmp (name, dialect->load) == 0)
+    head->has_load
+        = parse_load (probe->front, probe->server_id, value, &head->load) || head->has_load;
+  if (g_ascii_strcasecmp (name, dialect->rate_limit) == 0)
     head->rate_limit_report
-        = parse_rate_limit (dialect, probe->server_id, g_strchug (colon + 1), &head->rate_limit);
-  if (g_ascii_strcasecmp (text, dialect->server_id) == 0)
+        = parse_rate_limit (dialect, probe->server_id, value, &head->rate_limit);
+  if (g_ascii_strcasecmp (name, dialect->server_id) == 0)
     {
       head->names_server = true;
-      head->is_other_server = strcmp (g_strchug (colon + 1), probe->server_id) != 0;
+      head->is_other_server = strcmp (value, probe->server_id) != 0;
     }
   return true;
 }
 
+/* The rest of the connection may belong to any request unless the answer is the probe's. */
+static bool
+on_probe_head_ended (void *data, const struct pl_answer_head *head)
+{
+  const struct probe *probe = data;
+
+  return !pl_answer_head_is_final (head)
+         || (probe->head.names_server && !probe->head.has_request_id);
+}
+
 static void
 on_probe_done (void *data, enum pl_http_end end, int status)
 {
@@ -692,7 +701,12 @@
   g_free (probe);
 }
 
-static const struct pl_http_handler probe_handler = {on_probe_header, NULL, NULL, on_probe_done};
+static const struct pl_http_handler probe_handler = {
+    .head_begun = on_probe_head_begun,
+    .field = on_probe_field,
+    .head_ended = on_probe_head_ended,
+    .done = on_probe_done,
+};
 
 void
 pl_front_start_probe (struct pl_front *front, const struct pl_router_effect *effect)
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -11,11 +11,14 @@
  *
  * libcurl 7.88 is less strict about answers than a caller that acts on them has to be.  It reuses a
  * connection on which bytes have arrived since the last answer, takes the end of a connection
- * within a head for the end of the answer, and reads heads with malformed fields or several
- * lengths.  Therefore a kept connection is checked before each send, and the lines of each head
- * before they are passed on; a call that fails these checks does not end as complete.
+ * within a head for the end of the answer, takes a malformed version for HTTP/1.0 with status 200,
+ * and reads heads with malformed fields or several lengths.  Therefore a kept connection is checked
+ * before each send, and each head is read by pl_answer_head_read() as well: handlers get that
+ * result, and a call that it or libcurl refuses, or of which they read different statuses, does not
+ * end as complete.
  */
 #include "internal/http_client.h"
+#include "internal/answer_head.h"
 #include "internal/clock.h"
 #include "internal/log.h"
 #include "internal/net.h"
@@ -36,9 +39,6 @@
 #define CONNECTION_IDLE_LIMIT_S 20L
 #define IDLE_CONNECTIONS_MAX 1024L
 #define POLL_MS 200
-/* Statuses of final answers (RFC 9110, section 15). */
-#define STATUS_MIN 200
-#define STATUS_MAX 599
 /* libcurl 7.88 may drop a timer that expires in the same millisecond as the limit that it stands
  * for, and then never ends the call unless something else happens on its connection. */
 #define OVERDUE_CHECK_US INT64_C (100000)
@@ -81,10 +81,7 @@
   bool connection_unusable; /* found before sending; the call is started again */
   bool send_started;
   bool answer_started;
-  /* Of the last head that was begun: */
-  bool head_complete;
-  bool has_length;
-  guint64 length; /* of the body, bytes */
+  struct pl_answer_head head;
   bool paused;
 };
 
@@ -115,65 +112,46 @@
   g_free (call);
 }
 
-static bool
-is_status_line (const char *line, size_t length)
-{
-  return length > strlen ("HTTP/") && memcmp (line, "HTTP/", strlen ("HTTP/")) == 0;
-}
-
-/* Returns whether a status line begins inside a line of a head.  Then a part of one answer is
- * joined with the next one. */
-static bool
-holds_status_line (const char *line, size_t length)
+/* Logs that PART of what a server sends is not that of an answer. */
+static void
+log_malformed (const struct pl_http_call *call, const char *part)
 {
-  static const char start[] = "HTTP/1.1 ";
-  size_t start_length = strlen (start);
-
-  for (size_t i = 1; i + start_length < length; i++)
-    if (memcmp (line + i, start, start_length) == 0 && g_ascii_isdigit (line[i + start_length]))
-      return true;
-  return false;
-}
+  const char *address = NULL;
+  long port = 0;
 
-static bool
-is_token_character (char character)
-{
-  return g_ascii_isalnum (character)
-         || (character != '\0' && strchr ("!#$%&'*+-.^_`|~", character) != NULL);
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_IP, &address);
+  curl_easy_getinfo (call->easy, CURLINFO_PRIMARY_PORT, &port);
+  pl_log (PL_LOG_WARNING, "answer-malformed",
+          json_pack ("{s:s?,s:i,s:s}", "address", address, "port", (int) port, "part", part));
 }
 
-/* Returns whether LINE, with its line end, is a field whose name and value have no characters that
- * are read in more than one way. */
 static bool
-is_field (const char *line, size_t length)
+read_head_line (struct pl_http_call *call, const char *line, size_t length)
 {
-  size_t name_length = 0;
+  const struct pl_http_handler *handler = call->handler;
+  bool had_head = call->head.state == PL_ANSWER_HEAD_FIELDS;
+  struct pl_answer_field field = {0};
+  bool accepted = true;
 
-  while (length > 0 && (line[length - 1] == '\n' || line[length - 1] == '\r'))
-    length--;
-  while (name_length < length && is_token_character (line[name_length]))
-    name_length++;
-  return name_length > 0 && name_length < length && line[name_length] == ':'
-         && memchr (line, '\r', length) == NULL;
-}
-
-/* Reads a field of a head.  Returns false unless it is a length that is a number, and the only one,
- * or another field.  libcurl takes the last of several lengths, and what it can read of one. */
-static bool
-check_length (struct pl_http_call *call, const char *line, size_t length)
-{
-  static const char name[] = "Content-Length:";
-  g_autofree char *text = g_strndup (line, length);
-  guint64 number;
-
-  if (g_ascii_strncasecmp (text, name, strlen (name)) != 0)
-    return true;
-  if (!g_ascii_string_to_unsigned (g_strstrip (text + strlen (name)), 10, 0, G_MAXINT64, &number,
-                                   NULL)
-      || (call->has_length && call->length != number))
-    return false;
-  call->has_length = true;
-  call->length = number;
+  switch (pl_answer_head_read (&call->head, line, length, &field))
+    {
+    case PL_ANSWER_LINE_MALFORMED:
+      log_malformed (call, had_head ? "field" : "status-line");
+      return false;
+    case PL_ANSWER_LINE_STATUS:
+      return handler->head_begun == NULL
+             || handler->head_begun (call->data, call->head.status, length);
+    case PL_ANSWER_LINE_FIELD:
+      if (handler->field != NULL)
+        accepted = handler->field (call->data, field.name, field.value);
+      g_free (field.text);
+      return accepted;
+    case PL_ANSWER_LINE_END:
+      return !had_head || handler->head_ended == NULL
+             || handler->head_ended (call->data, &call->head);
+    case PL_ANSWER_LINE_TRAILER:
+      break;
+    }
   return true;
 }
 
@@ -183,18 +161,7 @@
   struct pl_http_call *call = data;
 
   call->answer_started = true;
-  if (holds_status_line (line, size * count))
-    return 0;
-  if (is_status_line (line, size * count))
-    call->head_complete = call->has_length = false;
-  else if (line[0] == '\r' || line[0] == '\n')
-    call->head_complete = true;
-  else if (!is_field (line, size * count)
-           || (!call->head_complete && !check_length (call, line, size * count)))
-    return 0;
-  if (call->handler->header != NULL && !call->handler->header (call->data, line, size * count))
-    return 0;
-  return size * count;
+  return read_head_line (call, line, size * count) ? size * count : 0;
 }
 
 static size_t
@@ -286,6 +253,7 @@
       return CURL_PREREQFUNC_ABORT;
     }
   call->send_started = true;
+  call->head = (struct pl_answer_head){0};
   return CURL_PREREQFUNC_OK;
 }
 
@@ -320,13 +288,14 @@
   curl_multi_remove_handle (call->client->multi, call->easy);
   g_hash_table_remove (call->client->running, call);
   curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-  /* libcurl takes a connection that ends inside a head for the end of an answer, and 101 or any
-   * other number of three digits for the status of an answer. */
-  if (code != CURLE_OK || !call->head_complete || status < STATUS_MIN || status > STATUS_MAX)
+  if (code == CURLE_OK && call->head.status != status)
+    log_malformed (call, "status");
+  /* libcurl takes a connection that ends inside a head for the end of an answer. */
+  if (code != CURLE_OK || !pl_answer_head_is_final (&call->head) || call->head.status != status)
     end = call->answer_started ? PL_HTTP_TRUNCATED
           : call->send_started ? PL_HTTP_NO_ANSWER
                                : PL_HTTP_NOT_SENT;
-  call->handler->done (call->data, end, (int) status);
+  call->handler->done (call->data, end, call->head.status);
   pl_http_call_unref (call);
 }
 
@@ -738,17 +707,12 @@
 #define FETCH_ANSWER_BYTES_MAX ((size_t) 16 << 20)
 
 static bool
-fetch_header (void *data, const char *line, size_t length)
+fetch_field (void *data, const char *name, const char *value)
 {
   struct fetch *fetch = data;
-  size_t name_length = fetch->answer_header != NULL ? strlen (fetch->answer_header) : 0;
-  g_autofree char *value = NULL;
-
-  if (name_length == 0 || length <= name_length || line[name_length] != ':'
-      || g_ascii_strncasecmp (line, fetch->answer_header, name_length) != 0)
-    return true;
-  value = g_strstrip (g_strndup (line + name_length + 1, length - name_length - 1));
-  fetch->on_answer_header (fetch->data, value);
+
+  if (fetch->answer_header != NULL && g_ascii_strcasecmp (name, fetch->answer_header) == 0)
+    fetch->on_answer_header (fetch->data, value);
   return true;
 }
 
@@ -786,7 +750,7 @@
 }
 
 static const struct pl_http_handler fetch_handler
-    = {fetch_header, fetch_write, fetch_read, fetch_done};
+    = {.field = fetch_field, .write = fetch_write, .read = fetch_read, .done = fetch_done};
 
 void
 pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *request)
--- a/programs/load/caller.c
+++ b/programs/load/caller.c
@@ -185,15 +185,14 @@
 }
 
 static bool
-on_header (void *data, const char *line, size_t length)
+on_field (void *data, const char *name, const char *value)
 {
   struct request *request = data;
-  g_autofree char *text = g_strchomp (g_strndup (line, length));
 
-  if (g_ascii_strncasecmp (text, "Pomelolatch-Outcome: ", 21) == 0)
-    g_strlcpy (request->outcome, text + 21, sizeof request->outcome);
-  if (g_ascii_strncasecmp (text, "Pomelolatch-Reason: ", 20) == 0)
-    g_strlcpy (request->reason, text + 20, sizeof request->reason);
+  if (g_ascii_strcasecmp (name, "Pomelolatch-Outcome") == 0)
+    g_strlcpy (request->outcome, value, sizeof request->outcome);
+  if (g_ascii_strcasecmp (name, "Pomelolatch-Reason") == 0)
+    g_strlcpy (request->reason, value, sizeof request->reason);
   return true;
 }
 
@@ -266,7 +265,8 @@
     finish_request (request, false, false, end == PL_HTTP_TRUNCATED ? "cut" : "no-answer");
 }
 
-static const struct pl_http_handler handler = {on_header, on_write, on_read, on_done};
+static const struct pl_http_handler handler
+    = {.field = on_field, .write = on_write, .read = on_read, .done = on_done};
 
 static void
 send_request (struct request *request)
--- a/tests/front_fixture.c
+++ b/tests/front_fixture.c
@@ -149,6 +149,8 @@
         set_send (fixture, &effect, 2);
       else
         effect.type = end == PL_ATTEMPT_ANSWERED ? PL_ROUTER_DELIVER : PL_ROUTER_REFUSE;
+      if (effect.type == PL_ROUTER_DELIVER)
+        effect.u.deliver.status = event->u.attempt.status;
     }
   else
     {
--- a/tests/test_early_answers.c
+++ b/tests/test_early_answers.c
@@ -86,7 +86,7 @@
   pl_reactor_quit (early->reactor);
 }
 
-static const struct pl_http_handler handler = {NULL, on_write, on_read, on_done};
+static const struct pl_http_handler handler = {.write = on_write, .read = on_read, .done = on_done};
 
 /* Sends one upload to a server that answers it early and resets the connection. */
 static void
--- a/tests/test_front_copies.c
+++ b/tests/test_front_copies.c
@@ -97,6 +97,8 @@
       effect.u.refuse.status = 502;
       effect.u.refuse.reason = "answer-lost";
     }
+  else
+    effect.u.deliver.status = 200;
   front_add_effect (fixture, &effect);
 }
 
--- a/tests/test_front_requests.c
+++ b/tests/test_front_requests.c
@@ -150,6 +150,8 @@
       effect.attempt = event->u.attempt.attempt;
       effect.u.refuse.status = 502;
       effect.u.refuse.reason = "answer-lost";
+      if (effect.type == PL_ROUTER_DELIVER)
+        effect.u.deliver.status = event->u.attempt.status;
     }
   else
     return; /* an order that was sent is left to run when its caller has gone */
--- a/tests/test_handovers.c
+++ b/tests/test_handovers.c
@@ -152,6 +152,7 @@
       queued->effect.request = event->u.attempt.request;
       queued->effect.attempt = event->u.attempt.attempt;
       queued->effect.type = PL_ROUTER_DELIVER;
+      queued->effect.u.deliver.status = event->u.attempt.status;
       if (event->u.attempt.end != PL_ATTEMPT_ANSWERED)
         set_refuse (&queued->effect);
     }
--- a/tests/test_whole_answers.c
+++ b/tests/test_whole_answers.c
@@ -65,6 +65,61 @@
 }
 END_TEST
 
+/* Status lines that RFC 9112 does not allow, from servers that have run the request. */
+static const char *const odd_versions[] = {
+    "HTTP/x.1 ",  "HTTP/-.1 ",  "HTTP//.1 ",  "HTTP/ ",     "HTTP/1.x ",  "HTTP/1. ",
+    "HTTP/.1 ",   "HTTP/ 1.1 ", "HTTP/1.10 ", "HTTP/01.1 ", "http/1.1 ",  "HTTP/1.1\t",
+    "HTTP/1.1  ", "HTTP/1.2 ",  "HTTP/2.1 ",  "HTTP ",      "HTTP/1.1 +", "HTTP/1.1 0",
+};
+static const char *const odd_status_ends[]
+    = {"\r\n", "\t\r\n", "0 x\r\n", "x\r\n", " \x01\r\n", " a\rb\r\n"};
+static const char *const promises[] = {"503", "429", "408", "421"};
+
+static void
+expect_lost (const char *answer)
+{
+  struct front_script script = {{answer}};
+  struct front_fixture fixture;
+
+  set_up_front (&fixture, &script);
+  fixture.closes = true;
+  ck_assert_msg (request (&fixture, "a") == 502, "%s", answer);
+  ck_assert_int_eq (fixture.ends[0], PL_ATTEMPT_ANSWER_LOST);
+  tear_down_front (&fixture);
+}
+
+/* Guards against REFUSED: libcurl took a malformed version for status 200, by which the router
+ * decided, and the caller got the status behind it, which says that the request did not run. */
+START_TEST (an_answer_with_a_malformed_status_line_is_lost)
+{
+  static const char rest[] = "X-Request-Id: a\r\nX-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok";
+  static const char interim[] = "HTTP/1.1 103 Early Hints\r\nX-Request-Id: a\r\n\r\n";
+  int version = _i / 2;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (promises); i++)
+    {
+      g_autofree char *answer = g_strdup_printf ("%s%s%s x\r\n%s", _i % 2 == 0 ? "" : interim,
+                                                 odd_versions[version], promises[i], rest);
+
+      expect_lost (answer);
+    }
+}
+END_TEST
+
+START_TEST (an_answer_with_a_malformed_status_is_lost)
+{
+  static const char rest[] = "X-Request-Id: a\r\nContent-Length: 2\r\n\r\nok";
+
+  for (size_t i = 0; i < G_N_ELEMENTS (promises); i++)
+    {
+      g_autofree char *answer
+          = g_strdup_printf ("HTTP/1.1 %s%s%s", promises[i], odd_status_ends[_i], rest);
+
+      expect_lost (answer);
+    }
+}
+END_TEST
+
 #define LENGTHS_OF(first, second)                                                                  \
   HEAD_OF ("a") "Content-Length: " first "\r\nContent-Length: " second "\r\n\r\nabc"
 
@@ -318,6 +373,10 @@
                        (int) G_N_ELEMENTS (cut_heads));
   tcase_add_loop_test (tcase, an_answer_with_a_status_line_inside_its_head_is_lost, 0,
                        (int) G_N_ELEMENTS (joined_heads));
+  tcase_add_loop_test (tcase, an_answer_with_a_malformed_status_line_is_lost, 0,
+                       2 * (int) G_N_ELEMENTS (odd_versions));
+  tcase_add_loop_test (tcase, an_answer_with_a_malformed_status_is_lost, 0,
+                       (int) G_N_ELEMENTS (odd_status_ends));
   tcase_add_loop_test (tcase, an_answer_of_uncertain_length_is_lost, 0,
                        (int) G_N_ELEMENTS (odd_lengths));
   tcase_add_test (tcase, an_interim_answer_alone_is_no_answer);
--- a/tools/bench_http.c
+++ b/tools/bench_http.c
@@ -50,7 +50,7 @@
     send_next (worker);
 }
 
-static const struct pl_http_handler handler = {NULL, NULL, NULL, on_done};
+static const struct pl_http_handler handler = {.done = on_done};
 
 static void
 send_next (struct worker *worker)
