Soak: callers send lookups ahead and read slowly, and their proxies let hosts notice

Change: half of the exchanges send a lookup behind the request, at any time before its answer is read, and read slowly; what a server has run of it must be answered like any other request. The proxies of the callers' leg have small buffers and pass an end on as an end, so that what the caller sends afterwards still reaches the host.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -18,6 +18,11 @@
 #define UPLOAD_PERIOD 4
 #define SLOW_PERIOD 10
 #define SLOW_PACE_US (8 * SOAK_MS)
+/* Of a caller, so that a slow one slows what sends to it. */
+#define RECEIVE_BUFFER_BYTES 16384
+/* One in so many requests has a lookup sent behind it before its answer is read. */
+#define AHEAD_PERIOD 2
+#define AHEAD_DELAY_MAX_US (400 * SOAK_MS)
 /* A withdrawn key must stop working within this time while hosts and the store are undisturbed. */
 #define WITHDRAWAL_LIMIT_US (3 * SOAK_SECOND)
 
@@ -34,6 +39,13 @@
   int wire_host; /* to which it is connected */
 };
 
+/* A lookup that was sent behind another request. */
+struct ahead
+{
+  char id[40];
+  int64_t begun_us; /* 0: none was sent */
+};
+
 static int running;
 static int staying;
 static pthread_t threads[2 * SOAK_CALLERS_MAX];
@@ -88,6 +100,7 @@
 connect_to_host (struct caller *caller, bool *is_new)
 {
   struct timeval limit = {.tv_sec = 1, .tv_usec = 500000};
+  const int receive_buffer = RECEIVE_BUFFER_BYTES;
   struct sockaddr_in address;
   int fd;
 
@@ -100,6 +113,7 @@
   if (fd < 0)
     return false;
   setsockopt (fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
   soak_wire_open (&caller->wire, fd);
   caller->wire_host = caller->host;
   return true;
@@ -260,24 +274,20 @@
   return message;
 }
 
-/* Sends MESSAGE and reads its answer. */
+/* Reads the answer to the caller's request, which was sent at BEGUN_US. */
 static void
-exchange (struct caller *caller, const char *key, const GByteArray *message)
+receive_answer (struct caller *caller, const char *key, bool is_new, bool is_sent, int64_t begun_us)
 {
+  /* The answer to a lookup sent ahead can be read when the one before it has been. */
+  int64_t until_us
+      = MAX (begun_us, soak_now_us () - AHEAD_DELAY_MAX_US) + CALLER_TIMEOUT_MS * SOAK_MS;
   g_autoptr (GByteArray) body = g_byte_array_new ();
   g_autofree char *head = NULL;
-  int64_t begun_us = soak_now_us ();
   const char *reason = "no connection";
   char value[16];
-  bool is_new = false;
-  bool is_sent = false;
 
-  if (connect_to_host (caller, &is_new))
-    {
-      is_sent = soak_wire_send (&caller->wire, message->data, message->len);
-      caller->wire.pace_us = random_below (caller, SLOW_PERIOD) == 0 ? SLOW_PACE_US : 0;
-      reason = read_answer (caller, begun_us + CALLER_TIMEOUT_MS * SOAK_MS, &head, body);
-    }
+  if (caller->wire.fd >= 0)
+    reason = read_answer (caller, until_us, &head, body);
   if (reason != NULL)
     {
       soak_wire_close (&caller->wire);
@@ -295,6 +305,56 @@
     soak_wire_close (&caller->wire);
 }
 
+/* Sends a lookup behind the caller's request, at any time before it reads the answer to that. */
+static void
+send_ahead (struct caller *caller, const char *account, const char *key, struct ahead *ahead)
+{
+  g_autoptr (GByteArray) message = NULL;
+  char first_id[sizeof caller->id];
+
+  memcpy (first_id, caller->id, sizeof first_id);
+  g_usleep (random_below (caller, AHEAD_DELAY_MAX_US));
+  g_snprintf (caller->id, sizeof caller->id, "%.30s-ahead", first_id);
+  memcpy (ahead->id, caller->id, sizeof ahead->id);
+  message = encode_request (caller, key, "/read/", 0);
+  memcpy (caller->id, first_id, sizeof first_id);
+  soak_ledger_record_sent (ahead->id, account, false);
+  ahead->begun_us = soak_now_us ();
+  soak_wire_send (&caller->wire, message->data, message->len);
+  g_usleep (random_below (caller, AHEAD_DELAY_MAX_US) / 2);
+}
+
+/* Sends MESSAGE, with one in AHEAD_PERIOD a lookup behind it, and reads the answers.  What is sent
+ * behind an answer that ends the connection has not been read. */
+static void
+exchange (struct caller *caller, const char *account, const char *key, const GByteArray *message)
+{
+  bool sends_ahead = random_below (caller, AHEAD_PERIOD) == 0;
+  struct ahead ahead = {0};
+  int64_t begun_us = soak_now_us ();
+  int host = caller->host;
+  bool is_new = false;
+  bool is_sent = false;
+
+  if (connect_to_host (caller, &is_new))
+    {
+      is_sent = soak_wire_send (&caller->wire, message->data, message->len);
+      caller->wire.pace_us
+          = sends_ahead || random_below (caller, SLOW_PERIOD) == 0 ? SLOW_PACE_US : 0;
+      if (is_sent && sends_ahead)
+        send_ahead (caller, account, key, &ahead);
+    }
+  receive_answer (caller, key, is_new, is_sent, begun_us);
+  if (ahead.begun_us == 0)
+    return;
+  memcpy (caller->id, ahead.id, sizeof caller->id);
+  if (caller->wire.fd >= 0)
+    receive_answer (caller, key, false, true, ahead.begun_us);
+  else
+    soak_ledger_record_no_answer (ahead.id, host, false, ahead.begun_us,
+                                  "the connection ended before");
+}
+
 static void
 send_request (struct caller *caller)
 {
@@ -322,7 +382,7 @@
     }
   message = encode_request (caller, key, path, body_bytes);
   soak_ledger_record_sent (caller->id, account, at_most_once);
-  exchange (caller, key, message);
+  exchange (caller, account, key, message);
 }
 
 static void *
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -4,6 +4,7 @@
 #include "internal/net.h"
 
 #include <arpa/inet.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <pthread.h>
 #include <stdlib.h>
@@ -14,6 +15,10 @@
 #define POLL_INTERVAL_MS 20
 #define CHUNK_DELAY_US 60000
 #define CHUNK_BYTES 16384
+/* Of the callers' leg, so that the hosts notice callers that read slowly. */
+#define CALLERS_BUFFER_BYTES 16384
+/* TCP stalls on the loopback if a segment is larger than the receiver's buffer. */
+#define CALLERS_SEGMENT_BYTES 1448
 #define FLAW_BYTES_MIN 200
 #define FLAW_PERIOD 50
 
@@ -117,11 +122,21 @@
   return send (to, bytes, (size_t) length, MSG_NOSIGNAL) == length;
 }
 
+/* Returns whether the peer of FD has ended its sending side in order, and all of it was read. */
+static bool
+has_ended (int fd)
+{
+  char byte;
+
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void *
 run_connection (void *data)
 {
   struct connection *connection = data;
   int reset_count = resets_of (connection);
+  bool upstream_ended = false;
   bool open = true;
 
   while (open)
@@ -129,7 +144,7 @@
       struct pollfd ready[2] = {{.fd = connection->client_fd, .events = POLLIN},
                                 {.fd = connection->upstream_fd, .events = POLLIN}};
       enum soak_behaviour behaviour = behaviour_of (connection);
-      nfds_t watched_count = behaviour == BEHAVE_ONE_WAY ? 1 : 2;
+      nfds_t watched_count = behaviour == BEHAVE_ONE_WAY || upstream_ended ? 1 : 2;
 
       if (behaviour == BEHAVE_RESET || resets_of (connection) != reset_count)
         {
@@ -148,7 +163,14 @@
         g_usleep (CHUNK_DELAY_US);
       if (ready[0].revents != 0)
         open = forward_chunk (connection->client_fd, connection->upstream_fd, false);
-      if (open && watched_count == 2 && ready[1].revents != 0)
+      if (!open || watched_count == 1 || ready[1].revents == 0)
+        continue;
+      if (connection->leg == LEG_CALLERS && has_ended (connection->upstream_fd))
+        {
+          upstream_ended = true;
+          shutdown (connection->client_fd, SHUT_WR);
+        }
+      else
         open = forward_chunk (connection->upstream_fd, connection->client_fd,
                               flaws != 0 && connection->leg == LEG_CALLERS);
     }
@@ -176,12 +198,20 @@
 start_connection (const struct listener *listener, int client_fd)
 {
   struct connection *connection = g_new0 (struct connection, 1);
+  const int buffer = CALLERS_BUFFER_BYTES;
+  const int upstream_buffer = 2 * CALLERS_BUFFER_BYTES;
   pthread_t thread;
 
   connection->leg = listener->leg;
   connection->client_fd = client_fd;
   connection->host = listener->leg == LEG_SERVERS ? find_host (client_fd) : -1;
   connection->upstream_fd = pl_net_connect (&listener->to, 500);
+  if (listener->leg == LEG_CALLERS)
+    {
+      setsockopt (client_fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
+      setsockopt (connection->upstream_fd, SOL_SOCKET, SO_RCVBUF, &upstream_buffer,
+                  sizeof upstream_buffer);
+    }
   if (connection->upstream_fd < 0
       || pthread_create (&thread, NULL, run_connection, connection) != 0)
     {
@@ -214,12 +244,14 @@
 soak_proxy_open (enum soak_leg leg, const char *from, const char *to)
 {
   struct listener *listener = g_new0 (struct listener, 1);
+  const int segment = CALLERS_SEGMENT_BYTES;
   struct sockaddr_in address;
   pthread_t thread;
 
   listener->leg = leg;
   if (pl_net_parse (from, &address) < 0 || pl_net_parse (to, &listener->to) < 0
       || (listener->fd = pl_net_listen (&address)) < 0
+      || setsockopt (listener->fd, IPPROTO_TCP, TCP_MAXSEG, &segment, sizeof segment) < 0
       || pthread_create (&thread, NULL, run_listener, listener) != 0)
     {
       g_printerr ("soak: cannot listen on %s\n", from);
