Lingering close: one system call less, and one way to detach a connection

Cause: a copy that lingers was read twice when it began, and lanes and kept connections were detached from their sockets by code that stood twice. Change: pl_lingering_close_copy() reads once, and duplicates the descriptor only where the peer has not ended; pl_front_detach_connection() serves lanes, wide connections and idle ones.

--- a/include/internal/front_pipeline.h
+++ b/include/internal/front_pipeline.h
@@ -64,6 +64,8 @@
 bool pl_front_give_to_daemon (struct pl_front_connection *connection, struct MHD_Daemon *daemon);
 /* Has the daemon go on with CONNECTION, which it has suspended. */
 void pl_front_resume_connection (struct pl_front_connection *connection);
+/* Has the daemon close CONNECTION, which it has suspended, and not the caller's socket. */
+void pl_front_detach_connection (struct pl_front_connection *connection);
 void pl_front_watch_connection (struct pl_front_connection *connection);
 void pl_front_unwatch_connection (struct pl_front_connection *connection);
 /* Waits for the next head on CONNECTION. */
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -239,6 +239,16 @@
     pl_lingering_close_copy (connection->port->front->lingering, &options);
 }
 
+void
+pl_front_detach_connection (struct pl_front_connection *connection)
+{
+  stop_awaiting (connection);
+  pl_front_unwatch_connection (connection);
+  pl_front_bind_connection (connection, connection->port->front->ended_fd);
+  connection->is_spent = true;
+  pl_front_resume_connection (connection); /* finds the end */
+}
+
 /* Forgets CONNECTION, which libmicrohttpd closes. */
 static void
 end_connection (struct pl_front_connection *connection)
@@ -253,11 +263,7 @@
   pl_front_unwatch_connection (connection);
   connection->port->wide_count -= connection->is_wide;
   if (origin != NULL)
-    {
-      origin->is_spent = true;
-      pl_front_bind_connection (origin, connection->port->front->ended_fd);
-      pl_front_resume_connection (origin);
-    }
+    pl_front_detach_connection (origin);
   pl_front_free_connection (connection);
 }
 
@@ -350,16 +356,6 @@
   pl_front_free_connection (connection);
 }
 
-/* Has libmicrohttpd close CONNECTION, which it has suspended, and not the caller's socket. */
-static void
-detach_connection (struct pl_front_connection *connection)
-{
-  pl_front_unwatch_connection (connection);
-  pl_front_bind_connection (connection, connection->port->front->ended_fd);
-  connection->is_spent = true;
-  read_by_narrow (connection); /* finds the end */
-}
-
 /* Nothing more is to be read from CONNECTION, which awaits a head. */
 static void
 end_awaiting (struct pl_front_connection *connection)
@@ -372,7 +368,7 @@
       return;
     }
   pl_lingering_close_copy (connection->port->front->lingering, &options);
-  detach_connection (connection);
+  pl_front_detach_connection (connection);
 }
 
 /* Closes CONNECTION, which awaits a head.  The kernel resets it if something has arrived, so that
@@ -382,7 +378,7 @@
 {
   if (connection->handle != NULL)
     {
-      detach_connection (connection);
+      pl_front_detach_connection (connection);
       return;
     }
   pl_front_unwatch_connection (connection);
--- a/modules/front_pipeline.c
+++ b/modules/front_pipeline.c
@@ -164,15 +164,6 @@
   return caller;
 }
 
-/* Has libmicrohttpd close LANE, which it has suspended, and not the caller's socket. */
-static void
-detach_lane (struct pl_front_connection *lane)
-{
-  pl_front_bind_connection (lane, lane->port->front->ended_fd);
-  lane->is_spent = true;
-  pl_front_resume_connection (lane);
-}
-
 /* Reads a head of LENGTH bytes by a lane.  Returns false without a descriptor or memory for it. */
 static bool
 start_lane (struct pl_front_connection *caller, const char *head, size_t length)
@@ -306,7 +297,7 @@
       caller = replace_connection (connection);
       if (caller == NULL)
         return false;
-      detach_lane (connection);
+      pl_front_detach_connection (connection);
     }
   ensure_pipeline (caller);
   /* Without memory for the first one, libmicrohttpd reads it when CALLER is looked at again. */
@@ -494,7 +485,7 @@
   struct pl_front_pipeline *pipeline = lane->pipeline;
 
   g_queue_remove (&pipeline->lanes, lane);
-  detach_lane (lane);
+  pl_front_detach_connection (lane);
   if (pipeline->caller != NULL)
     advance (pipeline);
 }
--- a/modules/lingering.c
+++ b/modules/lingering.c
@@ -96,18 +96,27 @@
   g_free (socket);
 }
 
+/* Discards a part of the input of FD, whose answer was to LABEL.  Returns whether its peer can not
+ * cause a reset any more. */
+static bool
+discard_input (struct pl_lingering *lingering, int fd, const char *label)
+{
+  ssize_t received;
+  bool has_ended = discard_part (fd, &received);
+
+  if (has_ended && received < 0)
+    note_cut (lingering, fd, label, "reset-by-peer");
+  return has_ended;
+}
+
 static void
 on_socket (void *data, int fd, uint32_t ready)
 {
   struct lingering_socket *socket = data;
-  ssize_t received;
 
   (void) ready;
-  if (!discard_part (fd, &received))
-    return;
-  if (received < 0)
-    note_cut (socket->lingering, fd, socket->label, "reset-by-peer");
-  end_socket (socket);
+  if (discard_input (socket->lingering, fd, socket->label))
+    end_socket (socket);
 }
 
 static void
@@ -159,23 +168,14 @@
     arm_timer (lingering, MAX (next_us, now_us + CHECK_PERIOD_US));
 }
 
-void
-pl_lingering_close (struct pl_lingering *lingering, const struct pl_lingering_options *options)
+/* Has the socket in OPTIONS, whose peer has not ended its sending side, linger. */
+static void
+add_socket (struct pl_lingering *lingering, const struct pl_lingering_options *options)
 {
-  struct lingering_socket *socket;
-  int64_t now_us;
-  ssize_t received;
+  struct lingering_socket *socket = g_new0 (struct lingering_socket, 1);
+  int64_t now_us = pl_clock_now_us ();
 
   shutdown (options->fd, SHUT_WR);
-  if (discard_part (options->fd, &received))
-    {
-      if (received < 0)
-        note_cut (lingering, options->fd, options->label, "reset-by-peer");
-      close (options->fd);
-      return;
-    }
-  now_us = pl_clock_now_us ();
-  socket = g_new0 (struct lingering_socket, 1);
   socket->lingering = lingering;
   socket->link.data = socket;
   socket->fd = options->fd;
@@ -190,26 +190,35 @@
   pl_reactor_watch (lingering->reactor, socket->fd, EPOLLIN | EPOLLRDHUP, on_socket, socket);
 }
 
+void
+pl_lingering_close (struct pl_lingering *lingering, const struct pl_lingering_options *options)
+{
+  if (discard_input (lingering, options->fd, options->label))
+    close (options->fd);
+  else
+    add_socket (lingering, options);
+}
+
 void
 pl_lingering_close_copy (struct pl_lingering *lingering, const struct pl_lingering_options *options)
 {
   struct pl_lingering_options copy = *options;
-  ssize_t received;
 
-  if (discard_part (options->fd, &received) && received == 0)
-    return; /* nothing can arrive any more */
+  if (discard_input (lingering, options->fd, options->label))
+    return;
   copy.fd = fcntl (options->fd, F_DUPFD_CLOEXEC, 0);
   if (copy.fd >= 0)
     {
-      pl_lingering_close (lingering, &copy);
+      add_socket (lingering, &copy);
       return;
     }
   pl_log (
       PL_LOG_WARNING, "closed-without-lingering",
       json_pack ("{s:i,s:i}", "error", errno, "unacked_bytes", pl_net_unacked_bytes (options->fd)));
-  for (int parts = 0; parts < DISCARDED_PARTS_MAX; parts++)
-    if (discard_part (options->fd, &received) || received < 0)
-      break;
+  for (int parts = 0;
+       parts < DISCARDED_PARTS_MAX && !discard_input (lingering, options->fd, options->label);
+       parts++)
+    continue;
 }
 
 bool
