--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -652,19 +652,28 @@
   return has_more (port->daemon) || (port->wide_count > 0 && has_more (port->wide_daemon));
 }
 
-static void
-check_port (struct pl_front_port *port, int64_t now_us)
+/* Returns the connections of PORT on which no request is in progress. */
+static GPtrArray *
+list_idle (const struct pl_front_port *port)
 {
-  g_autoptr (GPtrArray) waiting = g_ptr_array_new ();
+  GPtrArray *idle = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer key;
 
   if (port->connections == NULL)
-    return;
+    return idle;
   g_hash_table_iter_init (&iter, port->connections);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     if (((struct pl_front_connection *) key)->awaits_head && !pl_front_has_lanes (key))
-      g_ptr_array_add (waiting, key);
+      g_ptr_array_add (idle, key);
+  return idle;
+}
+
+static void
+check_port (struct pl_front_port *port, int64_t now_us)
+{
+  g_autoptr (GPtrArray) waiting = list_idle (port);
+
   for (guint i = 0; i < waiting->len; i++)
     {
       struct pl_front_connection *connection = g_ptr_array_index (waiting, i);
@@ -681,16 +690,8 @@
 void
 pl_front_close_idle_connections (struct pl_front_port *port)
 {
-  g_autoptr (GPtrArray) idle = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer key;
+  g_autoptr (GPtrArray) idle = list_idle (port);
 
-  if (port->connections == NULL)
-    return;
-  g_hash_table_iter_init (&iter, port->connections);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    if (((struct pl_front_connection *) key)->awaits_head && !pl_front_has_lanes (key))
-      g_ptr_array_add (idle, key);
   for (guint i = 0; i < idle->len; i++)
     {
       struct pl_front_connection *connection = g_ptr_array_index (idle, i);
