pomelolatchd: callers' connections linger, as those of pomelolatch-entry do

Change: a duplicate of the descriptor is left to the thread that looked for callers that have gone, which runs a reactor with the lingering close now; a process that ends waits for it for 2 s at most. In the front, answer-cut does not count answers to callers that had gone before.

Ruled out: an early form of the test, which set the receive buffer after the connection, passed on the code before, since the caller's kernel had taken the whole answer.

The operators' and metrics ports of pomelolatchd close as before; a fault there is only suspected.

--- a/include/internal/entry.h
+++ b/include/internal/entry.h
@@ -12,6 +12,8 @@
 #define PL_ATTEMPT_ECHO_HEADER "Pomelolatch-Request"
 
 struct pl_entry;
+struct pl_lingering;
+struct pl_reactor;
 
 struct pl_entry_options
 {
@@ -30,6 +32,10 @@
 /* Stops listening and ends all open requests; no effect may be executed afterwards. */
 void pl_entry_free (struct pl_entry *entry);
 
+/* Waits until callers have closed the connections that the entry has ended, for a short time at
+ * most. */
+void pl_entry_finish_closing (struct pl_entry *entry);
+
 /* Executes a dispatch, forward, refusal, replay, cancellation or probe. */
 void pl_entry_execute (struct pl_entry *entry, struct pl_effect *effect);
 
@@ -49,8 +55,13 @@
   GMutex lock;
   GHashTable *exchanges;       /* id -> struct pl_exchange, one reference each */
   GHashTable *partitioned;     /* set of peer ids */
-  pthread_t disconnect_poller; /* finds callers that have closed their connections */
-  uint32_t keepalive_disabled; /* a graceful stop has begun */
+  pthread_t connection_thread; /* runs the reactor below */
+  struct pl_reactor *reactor;
+  int poll_timer;                 /* finds callers that have closed their connections */
+  struct pl_lingering *lingering; /* used on that thread only */
+  GQueue closing;                 /* descriptors that are to linger; guarded by lock */
+  unsigned lingering_count;       /* as of the last poll; guarded by lock */
+  uint32_t keepalive_disabled;    /* a graceful stop has begun */
   uint32_t stopping;
 };
 
@@ -67,6 +78,8 @@
 void pl_attempt_probe (struct pl_entry *entry, const struct pl_effect *effect);
 
 /* entry.c */
+/* Has the socket FD, which its owner is about to close, linger. */
+void pl_entry_linger (struct pl_entry *entry, int fd);
 struct pl_exchange *pl_entry_find (struct pl_entry *entry, uint64_t id);
 /* Returns references to all open exchanges.  Lock order: an exchange's lock before the table's. */
 GPtrArray *pl_entry_list (struct pl_entry *entry);
--- a/include/internal/lingering.h
+++ b/include/internal/lingering.h
@@ -25,8 +25,11 @@
   const char *label; /* for the log; NULL: none */
 };
 
-/* Returns an empty set of closing connections on REACTOR; it lasts until the process ends. */
+/* Returns an empty set of closing connections on REACTOR.  The functions below are called on the
+ * reactor's thread, or when it has ended. */
 struct pl_lingering *pl_lingering_new (struct pl_reactor *reactor);
+/* Closes all connections.  The reactor must not run any more. */
+void pl_lingering_free (struct pl_lingering *lingering);
 
 /* Closes a connection as OPTIONS say. */
 void pl_lingering_close (struct pl_lingering *lingering,
--- a/modules/caller_http.c
+++ b/modules/caller_http.c
@@ -559,6 +559,20 @@
     }
 }
 
+/* libmicrohttpd closes a connection when this returns. */
+static void
+on_connection (void *data, struct MHD_Connection *connection, void **context,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct port *port = data;
+
+  (void) context;
+  if (code == MHD_CONNECTION_NOTIFY_CLOSED)
+    pl_entry_linger (
+        port->entry,
+        MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd);
+}
+
 struct MHD_Daemon *
 pl_callers_start (struct pl_entry *entry, const char *address, bool forwarded)
 {
@@ -577,7 +591,8 @@
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL, on_request, port,
       MHD_OPTION_LISTEN_SOCKET, fd, MHD_OPTION_THREAD_POOL_SIZE, CALLER_THREADS,
       MHD_OPTION_URI_LOG_CALLBACK, on_target, port, MHD_OPTION_NOTIFY_COMPLETED, on_completed, port,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT,
-      CONNECTION_LIMIT, MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
-      MHD_OPTION_STRICT_FOR_CLIENT, 0, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, port, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      CONNECTION_MEMORY, MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+      MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S, MHD_OPTION_STRICT_FOR_CLIENT, 0,
+      MHD_OPTION_END);
 }
--- a/modules/entry.c
+++ b/modules/entry.c
@@ -5,14 +5,23 @@
  * attempt that it requested is reported as not sent.
  */
 #include "internal/entry.h"
+#include "internal/clock.h"
+#include "internal/lingering.h"
+#include "internal/log.h"
+#include "internal/net.h"
+#include "internal/reactor.h"
 #include "pomelolatch/error.h"
 
 #include <ck_pr.h>
+#include <errno.h>
+#include <fcntl.h>
 #include <sodium.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define DISCONNECT_POLL_PERIOD_US 50000
+#define CONNECTION_POLL_PERIOD_US INT64_C (50000)
+/* Of a process that ends: callers that read have closed their connections by then. */
+#define CLOSING_WAIT_US INT64_C (2000000)
 
 struct pl_exchange *
 pl_entry_find (struct pl_entry *entry, uint64_t id)
@@ -196,19 +205,83 @@
   ck_pr_store_32 (&entry->keepalive_disabled, 1);
 }
 
-static void *
-poll_disconnects (void *data)
+void
+pl_entry_linger (struct pl_entry *entry, int fd)
 {
-  struct pl_entry *entry = data;
+  int copy;
+
+  if (pl_net_peer_has_closed (fd))
+    return;
+  copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
+  if (copy < 0)
+    {
+      pl_log (PL_LOG_WARNING, "closed-without-lingering",
+              json_pack ("{s:i,s:i}", "error", errno, "unacked_bytes", pl_net_unacked_bytes (fd)));
+      return;
+    }
+  g_mutex_lock (&entry->lock);
+  g_queue_push_tail (&entry->closing, GINT_TO_POINTER (copy));
+  g_mutex_unlock (&entry->lock);
+}
 
-  while (ck_pr_load_32 (&entry->stopping) == 0)
+/* Has the sockets linger that libmicrohttpd's threads have left to the reactor. */
+static void
+take_closing (struct pl_entry *entry)
+{
+  struct pl_lingering_options options = {.fd = -1};
+
+  g_mutex_lock (&entry->lock);
+  while (!g_queue_is_empty (&entry->closing))
     {
-      g_usleep (DISCONNECT_POLL_PERIOD_US);
-      pl_callers_abort_disconnected (entry);
+      options.fd = GPOINTER_TO_INT (g_queue_pop_head (&entry->closing));
+      pl_lingering_close (entry->lingering, &options);
     }
+  entry->lingering_count = pl_lingering_count (entry->lingering);
+  g_mutex_unlock (&entry->lock);
+}
+
+static void
+poll_connections (void *data)
+{
+  struct pl_entry *entry = data;
+
+  take_closing (entry);
+  pl_callers_abort_disconnected (entry);
+  if (ck_pr_load_32 (&entry->stopping) != 0)
+    pl_reactor_quit (entry->reactor);
+  pl_reactor_arm_timer (entry->reactor, entry->poll_timer,
+                        pl_clock_now_us () + CONNECTION_POLL_PERIOD_US);
+}
+
+static void *
+run_connections (void *data)
+{
+  struct pl_entry *entry = data;
+
+  pl_reactor_run (entry->reactor);
   return NULL;
 }
 
+static bool
+has_closing (struct pl_entry *entry)
+{
+  bool result;
+
+  g_mutex_lock (&entry->lock);
+  result = !g_queue_is_empty (&entry->closing) || entry->lingering_count > 0;
+  g_mutex_unlock (&entry->lock);
+  return result;
+}
+
+void
+pl_entry_finish_closing (struct pl_entry *entry)
+{
+  int64_t until_us = pl_clock_now_us () + CLOSING_WAIT_US;
+
+  while (has_closing (entry) && pl_clock_now_us () < until_us)
+    g_usleep (CONNECTION_POLL_PERIOD_US);
+}
+
 struct pl_entry *
 pl_entry_new (const struct pl_entry_options *options)
 {
@@ -219,7 +292,12 @@
   entry->exchanges = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                             (GDestroyNotify) pl_exchange_unref);
   entry->partitioned = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  pthread_create (&entry->disconnect_poller, NULL, poll_disconnects, entry);
+  g_queue_init (&entry->closing);
+  entry->reactor = pl_reactor_new ();
+  entry->lingering = pl_lingering_new (entry->reactor);
+  entry->poll_timer = pl_reactor_add_timer (entry->reactor, poll_connections, entry);
+  pl_reactor_arm_timer (entry->reactor, entry->poll_timer, 0);
+  pthread_create (&entry->connection_thread, NULL, run_connections, entry);
   entry->caller_daemon = pl_callers_start (entry, options->caller_address, false);
   entry->forward_daemon = pl_callers_start (entry, options->forward_address, true);
   if (entry->caller_daemon == NULL || entry->forward_daemon == NULL)
@@ -272,12 +350,15 @@
   if (entry == NULL)
     return;
   ck_pr_store_32 (&entry->stopping, 1);
-  pthread_join (entry->disconnect_poller, NULL);
+  pthread_join (entry->connection_thread, NULL);
   resume_all (entry);
   if (entry->caller_daemon != NULL)
     MHD_stop_daemon (entry->caller_daemon);
   if (entry->forward_daemon != NULL)
     MHD_stop_daemon (entry->forward_daemon);
+  take_closing (entry);
+  pl_lingering_free (entry->lingering);
+  pl_reactor_free (entry->reactor);
   g_hash_table_destroy (entry->exchanges);
   g_hash_table_destroy (entry->partitioned);
   g_mutex_clear (&entry->lock);
--- a/modules/front.c
+++ b/modules/front.c
@@ -499,7 +499,7 @@
   if (code == MHD_REQUEST_TERMINATED_TIMEOUT_REACHED && request->answer_ready)
     pl_front_note_unread (request, PL_FRONT_STALLED_S * INT64_C (1000000));
   else if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK && request->answer_ready
-           && !request->is_written && !request->link->is_reset)
+           && !request->caller_gone && !request->is_written && !request->link->is_reset)
     note_cut (request);
   if (request->submitted && !request->answer_ready && !request->caller_gone)
     pl_front_report_caller_gone (request);
--- a/modules/front_connections.c
+++ b/modules/front_connections.c
@@ -371,8 +371,8 @@
   pl_front_detach_connection (connection);
 }
 
-/* Closes CONNECTION, which awaits a head.  The kernel resets it if something has arrived, so that
- * the caller knows that it has not been read, or arrives. */
+/* Closes CONNECTION, which awaits a head.  If something has arrived on it, or still does, the
+ * kernel resets it, which tells the caller that it has not been read. */
 static void
 close_unread (struct pl_front_connection *connection)
 {
--- a/modules/lingering.c
+++ b/modules/lingering.c
@@ -278,3 +278,10 @@
   g_queue_init (&lingering->sockets);
   return lingering;
 }
+
+void
+pl_lingering_free (struct pl_lingering *lingering)
+{
+  pl_lingering_end_all (lingering);
+  g_free (lingering);
+}
--- a/programs/pomelolatchd.c
+++ b/programs/pomelolatchd.c
@@ -336,6 +336,7 @@
   g_unix_signal_add (SIGINT, start_graceful_stop, &host);
   pl_log (PL_LOG_INFO, "started", NULL);
   g_main_loop_run (host.main_loop);
+  pl_entry_finish_closing (host.entry);
   pl_log (PL_LOG_INFO, "stopped", NULL);
   pl_log_flush ();
   /* Nothing is freed: every request is complete and the host's name is released in the store. */
--- a/tests/test_attempts.c
+++ b/tests/test_attempts.c
@@ -15,6 +15,8 @@
 #define ANSWERS_MAX 4
 #define OUTCOMES_MAX 8
 #define BODY_MAX 1000
+/* Of an answer, more than a caller takes at once. */
+#define LARGE_BYTES 30000
 /* Long enough for what must not happen to happen. */
 #define SETTLE_US ((gulong) 100000)
 
@@ -232,12 +234,15 @@
   client = pl_http_client_new ("test");
 }
 
+/* Returns a caller's connection, with RECEIVE_BYTES of buffer if they are not 0. */
 static int
-connect_caller (const struct host *host)
+connect_caller (const struct host *host, int receive_bytes)
 {
   struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK)};
   int fd = socket (AF_INET, SOCK_STREAM, 0);
 
+  if (receive_bytes > 0)
+    setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
   address.sin_port
       = htons ((uint16_t) g_ascii_strtoull (strchr (host->callers, ':') + 1, NULL, 10));
   ck_assert_int_eq (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
@@ -251,7 +256,7 @@
 {
   size_t length = 0;
   ssize_t received;
-  int fd = connect_caller (host);
+  int fd = connect_caller (host, 0);
 
   memset (text, 0, TEXT_BYTES);
   send_text (fd, "GET /stock HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -385,7 +390,7 @@
   start_server (answers);
   open_host (&host, PL_EFFECT_DISPATCH, server_address);
   g_atomic_int_set (&host.held, 1);
-  fd = connect_caller (&host);
+  fd = connect_caller (&host, 0);
   send_text (fd, text);
   g_usleep (SETTLE_US);
   send_text (fd, "2\r\nxx\r\n");
@@ -418,6 +423,47 @@
 }
 END_TEST
 
+/* Guards against LOST: the request that a caller sent behind one whose answer ends the connection
+ * made the kernel reset it, before the caller had read the answer.  The caller (0) or a stop of the
+ * host (1) has asked for the end. */
+START_TEST (an_answer_outlives_what_is_sent_behind_it)
+{
+  g_autofree char *body = g_strnfill (LARGE_BYTES, '.');
+  g_autofree char *large = g_strdup_printf (
+      "HTTP/1.1 200 OK\r\n" ECHO "Content-Length: %d\r\n\r\n%s", "%s", LARGE_BYTES, body);
+  const char *const answers[] = {large, NULL};
+  size_t length = 0;
+  ssize_t received;
+  char text[TEXT_BYTES];
+  struct host host;
+  int fd;
+
+  start_server (answers);
+  open_host (&host, PL_EFFECT_DISPATCH, server_address);
+  if (_i == 1)
+    pl_entry_disable_keepalive (host.entry);
+  fd = connect_caller (&host, TEXT_BYTES);
+  send_text (fd, _i == 0 ? "GET /stock HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+                         : "GET /stock HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (g_atomic_int_get (&host.outcomes) == 0)
+    g_usleep (1000);
+  g_usleep (SETTLE_US);
+  send_text (fd, "GET /stock HTTP/1.1\r\nHost: h\r\n\r\n");
+  g_usleep (SETTLE_US);
+  while ((received = read (fd, text, sizeof text)) > 0)
+    {
+      length += (size_t) received;
+      g_usleep (SETTLE_US / 20);
+    }
+  ck_assert_int_eq (received, 0);
+  ck_assert_uint_gt (length, LARGE_BYTES);
+  ck_assert_int_eq (g_atomic_int_get (&requests), 1);
+  close (fd);
+  pl_entry_finish_closing (host.entry);
+  close_host (&host);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -435,5 +481,6 @@
   tcase_add_loop_test (tcase, a_peer_echoes_the_attempt, 0, 2);
   tcase_add_test (tcase, a_request_that_was_refused_is_not_sent_afterwards);
   tcase_add_test (tcase, a_caller_that_has_left_is_not_told_that_its_request_did_not_run);
+  tcase_add_loop_test (tcase, an_answer_outlives_what_is_sent_behind_it, 0, 2);
   return suite_run (suite);
 }
