--- a/modules/answer_head.c
+++ b/modules/answer_head.c
@@ -143,7 +143,7 @@
   /* One line with another end than the first has a byte too few, too many or replaced. */
   if (head->state == PL_ANSWER_HEAD_FIELDS && ends_with_crlf != head->ends_lines_with_crlf)
     return PL_ANSWER_LINE_MALFORMED;
-  /* A single LF in place of a CR ends the first line and the head. */
+  /* A CR of the first line that was replaced by LF would end the head there. */
   if (content_length == 0 && !ends_with_crlf && !head->has_fields)
     return PL_ANSWER_LINE_MALFORMED;
   if (content_length == 0)
--- a/modules/lingering.c
+++ b/modules/lingering.c
@@ -23,7 +23,7 @@
 /* Between two checks of what is due. */
 #define CHECK_PERIOD_US INT64_C (50000)
 #define DISCARD_BYTES 16384
-/* Read of a connection that can not linger; more than the kernel usually buffers. */
+/* Parts that are read of a connection that can not linger: more than the kernel usually buffers. */
 #define DISCARDED_PARTS_MAX 32
 /* Connections that pl_lingering_make_room() looks at. */
 #define SCANNED_MAX 16
