Logs: requests tell the version that decided them, their homes and the server's region

Cause: the line of a request named the version that the host held when the line was written. A host without the new version and a request that had kept an older decision left the same line, and neither named the homes nor where the server stands, so a report that a request ran outside its home region could not be traced from its id. Change: version is that of the decision; held_version says that the host holds another one; home_regions, and region of the server.

--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -72,6 +72,24 @@
   return true;
 }
 
+/* Returns the names of the regions to which CALL is bound. */
+static json_t *
+pack_home_regions (const struct pl_router *router, const struct call *call)
+{
+  json_t *names = json_array ();
+
+  for (guint i = 0; i < router->region_names->len; i++)
+    if ((call->home_regions >> i & 1) != 0)
+      json_array_append_new (names, json_string (g_ptr_array_index (router->region_names, i)));
+  return names;
+}
+
+static const char *
+region_name (const struct pl_router *router, int region)
+{
+  return region != PL_NONE ? g_ptr_array_index (router->region_names, (guint) region) : "";
+}
+
 /* Returns the fields of a log line about CALL. */
 static json_t *
 pack_call (const struct pl_router *router, const struct call *call, const char *outcome, int status)
@@ -87,14 +105,18 @@
       "status", status, "attempts", call->attempts, "after_us",
       (json_int_t) (router->now_us - call->wait.arrived_us), "left_us",
       (json_int_t) (call->deadline_us - router->now_us), "version",
-      (json_int_t) (router->routing != NULL ? router->routing->version : 0), "version_age_us",
-      (json_int_t) freshness_age_us (router));
+      (json_int_t) call->version, "version_age_us", (json_int_t) freshness_age_us (router));
+  if (router->routing != NULL && router->routing->version != call->version)
+    json_object_set_new (fields, "held_version", json_integer (router->routing->version));
+  if (call->has_home_regions)
+    json_object_set_new (fields, "home_regions", pack_home_regions (router, call));
   if (call->object != 0)
     json_object_set_new (fields, "object", json_integer ((json_int_t) (call->object >> 1)));
   if (backend != NULL)
     json_object_update_new (
-        fields, json_pack ("{s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
-                           backend->entry.domain, "load", call->attempt.load_at_send, "in_flight",
+        fields, json_pack ("{s:s,s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
+                           backend->entry.domain, "region", region_name (router, backend->region),
+                           "load", call->attempt.load_at_send, "in_flight",
                            backend->in_flight, "load_age_us",
                            (json_int_t) (backend->load.reported_us > 0
                                              ? router->now_us - backend->load.reported_us
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -296,6 +296,7 @@
     return ROUTER_NO_ROUTING;
   if (event->is_handover && router->routing->version < event->handover_version)
     return ROUTER_OLD_ROUTING;
+  call->version = router->routing->version;
   index = pl_routing_find_route (router->routing, event->host, event->path);
   if (index == PL_NONE)
     return refusal_of_unknown (router, router->routing->lacks_routes, ROUTER_NO_ROUTE);
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -101,7 +101,8 @@
   enum call_state state;
   struct router_account *account; /* NULL: an open route */
   struct router_route *route;
-  int service; /* handle; PL_NONE: not chosen yet */
+  int64_t version; /* of the configuration that decided on it; 0: none has */
+  int service;     /* handle; PL_NONE: not chosen yet */
   bool repeatable;
   bool sticky;
   bool has_home_regions;
