--- a/core/router_call_log.c
+++ b/core/router_call_log.c
@@ -104,8 +104,8 @@
       call->service != PL_NONE ? pl_placement_service_name (&router->placement, call->service) : "",
       "status", status, "attempts", call->attempts, "after_us",
       (json_int_t) (router->now_us - call->wait.arrived_us), "left_us",
-      (json_int_t) (call->deadline_us - router->now_us), "version",
-      (json_int_t) call->version, "version_age_us", (json_int_t) freshness_age_us (router));
+      (json_int_t) (call->deadline_us - router->now_us), "version", (json_int_t) call->version,
+      "version_age_us", (json_int_t) freshness_age_us (router));
   if (router->routing != NULL && router->routing->version != call->version)
     json_object_set_new (fields, "held_version", json_integer (router->routing->version));
   if (call->has_home_regions)
@@ -114,14 +114,14 @@
     json_object_set_new (fields, "object", json_integer ((json_int_t) (call->object >> 1)));
   if (backend != NULL)
     json_object_update_new (
-        fields, json_pack ("{s:s,s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
-                           backend->entry.domain, "region", region_name (router, backend->region),
-                           "load", call->attempt.load_at_send, "in_flight",
-                           backend->in_flight, "load_age_us",
-                           (json_int_t) (backend->load.reported_us > 0
-                                             ? router->now_us - backend->load.reported_us
-                                             : -1),
-                           "work_us", (json_int_t) backend->work_us));
+        fields,
+        json_pack ("{s:s,s:s,s:s,s:f,s:i,s:I,s:I}", "server", backend->entry.id, "domain",
+                   backend->entry.domain, "region", region_name (router, backend->region), "load",
+                   call->attempt.load_at_send, "in_flight", backend->in_flight, "load_age_us",
+                   (json_int_t) (backend->load.reported_us > 0
+                                     ? router->now_us - backend->load.reported_us
+                                     : -1),
+                   "work_us", (json_int_t) backend->work_us));
   if (backend != NULL && pl_placement_is_managed (&router->placement, backend->service))
     json_object_update_new (
         fields,
