--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 
 $(BUILD)/tests/test_fuzz: $(patsubst %.c,$(BUILD)/%.o,$(wildcard tests/fleet/*.c))
 
-$(BUILD)/tests/test_documents $(BUILD)/tests/test_document_fuzz $(BUILD)/tests/test_freshness $(BUILD)/tests/test_hedging $(BUILD)/tests/test_long_texts $(BUILD)/tests/test_relay $(BUILD)/tests/test_router $(BUILD)/tests/test_router_copies $(BUILD)/tests/test_router_fuzz $(BUILD)/tests/test_server_load $(BUILD)/tests/test_store_eras $(BUILD)/tests/test_store_outages: $(BUILD)/tests/router_world.o
+$(BUILD)/tests/test_decisions_in_force $(BUILD)/tests/test_documents $(BUILD)/tests/test_document_fuzz $(BUILD)/tests/test_freshness $(BUILD)/tests/test_hedging $(BUILD)/tests/test_long_texts $(BUILD)/tests/test_relay $(BUILD)/tests/test_router $(BUILD)/tests/test_router_copies $(BUILD)/tests/test_router_fuzz $(BUILD)/tests/test_server_load $(BUILD)/tests/test_store_eras $(BUILD)/tests/test_store_outages: $(BUILD)/tests/router_world.o
 
 $(BUILD)/tests/test_answer_identity $(BUILD)/tests/test_closing $(BUILD)/tests/test_front_copies $(BUILD)/tests/test_pipelining $(BUILD)/tests/test_server_load $(BUILD)/tests/test_whole_answers: $(BUILD)/tests/front_fixture.o
 
--- a/tests/router_world.c
+++ b/tests/router_world.c
@@ -100,6 +100,7 @@
 {
   struct world_call *call = record_attempt (world, effect);
 
+  g_strlcpy (call->address, effect->u.hand_over.address, sizeof call->address);
   call->time_left_us = effect->u.hand_over.time_left_us;
   call->at_most_once = effect->u.hand_over.at_most_once;
   if (world->on_attempt != NULL)
