Router: each sending follows the configuration in force

Class: decided once, used later, with nothing that ties the decision to its use. Why this works: decisions are in a module of their own and carry the number of the adoption that they were made by. send_to() and hand_over(), the only places that emit a sending, assert that it is the last one; all paths to them pass decision_renew(). Homes are not a special case: route, account, service, kind and attempts are decided together. What the caller was admitted with stays: the charge to its account, order, objective, deadline. A copy is not sent across a change.

--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -15,6 +15,8 @@
  * (see hedging.h).  The first success ends the call and the other attempt; an attempt
  * that fails while the other one runs does not end the call.
  *
+ * Each sending follows the configuration in force at that moment (see call_decision.c).
+ *
  * Invariants: a call is in the queue exactly while it is CALL_WAITING; a backend's
  * in_flight counts the attempts that run there, of calls that are CALL_AT_SERVER; such
  * a call has one attempt at a server, or two at different ones, and any other call has
@@ -53,7 +55,7 @@
 /* HTTP status of each refusal: for a request that ran nowhere, and for one that may have run. */
 static const int refusal_status[ROUTER_REFUSAL_COUNT][2] = {
     [ROUTER_NO_ROUTING] = {503, 502},      [ROUTER_STALE] = {503, 502},
-    [ROUTER_NO_ROUTE] = {404, 404},        [ROUTER_NO_KEY] = {401, 401},
+    [ROUTER_NO_ROUTE] = {404, 502},        [ROUTER_NO_KEY] = {401, 502},
     [ROUTER_QUARANTINED] = {503, 502},     [ROUTER_OVER_RATE] = {429, 502},
     [ROUTER_NO_SERVER] = {503, 502},       [ROUTER_SERVERS_FULL] = {503, 502},
     [ROUTER_SERVERS_LIMITED] = {503, 502}, [ROUTER_SERVERS_REFUSED] = {503, 502},
@@ -129,6 +131,47 @@
   remove_call (router, call);
 }
 
+static int64_t
+retry_after (struct pl_router *router, const struct call *call, enum router_refusal refusal)
+{
+  switch (refusal)
+    {
+    case ROUTER_NO_ROUTING:
+    case ROUTER_STALE:
+    case ROUTER_UNUSABLE_RULE:
+      return RETRY_AFTER_NO_ROUTING_US;
+    case ROUTER_OVER_RATE:
+      return MAX (pl_quota_token_wait_us (&call->account->quota), 100 * US_PER_MS);
+    case ROUTER_NO_SERVER:
+      return RETRY_AFTER_NO_SERVER_US;
+    case ROUTER_SERVERS_LOST:
+      return RETRY_AFTER_SERVERS_LOST_US;
+    case ROUTER_SERVERS_FULL:
+    case ROUTER_SERVERS_LIMITED:
+    case ROUTER_SERVERS_REFUSED:
+      return RETRY_AFTER_FULL_US;
+    case ROUTER_OVER_SHARE:
+    case ROUTER_TOO_LATE:
+      return retry_after_full (router, call);
+    default:
+      return 0;
+    }
+}
+
+/* Refuses CALL, which is not sent again, with REFUSAL unless the configuration in force forbids it.
+ */
+static void
+refuse_unsent (struct pl_router *router, struct call *call, enum router_refusal refusal,
+               int64_t retry_after_us)
+{
+  enum router_refusal renewed = (enum router_refusal) call->refusal;
+
+  if (call->refusal < 0)
+    refuse (router, call, refusal, retry_after_us);
+  else
+    refuse (router, call, renewed, retry_after (router, call, renewed));
+}
+
 /* Refuses CALL, for which no server has capacity in time. */
 static void
 refuse_full (struct pl_router *router, struct call *call)
@@ -144,7 +187,6 @@
 {
   struct pl_wait_entry *displaced;
 
-  call->wait.service = call->service;
   call->wait.until_us = MIN (router->now_us + MAX (call->objective_us / WAIT_DIVISOR, WAIT_MIN_US),
                              call->deadline_us);
   call->state = CALL_WAITING;
@@ -174,6 +216,7 @@
 {
   struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_SEND);
 
+  assert (decision_is_in_force (router, call));
   shares_record_waiting (router, call);
   call->state = CALL_AT_SERVER;
   call->attempt = (struct call_attempt){.number = ++call->attempts_begun,
@@ -208,6 +251,7 @@
       = call->handovers < HANDOVERS_MAX ? reach_choose_peer (router, call) : NULL;
   struct pl_router_effect *effect;
 
+  assert (decision_is_in_force (router, call));
   if (peer == NULL)
     return false;
   effect = router_add_effect (router, PL_ROUTER_HAND_OVER);
@@ -254,11 +298,14 @@
 static enum pl_placement_result
 place (struct pl_router *router, struct call *call)
 {
-  struct pl_placement_request placement_request = describe_placement (router, call);
+  struct pl_placement_request placement_request;
   enum pl_placement_result result;
 
+  if (decision_renew (router, call) >= 0)
+    return PL_PLACE_NONE;
   if (reach_holds_back (router, call) && hand_over (router, call))
     return PL_PLACED;
+  placement_request = describe_placement (router, call);
   if (shares_apply (router, call))
     result = shares_choose_server (router, call, &placement_request);
   else
@@ -271,81 +318,6 @@
   return result;
 }
 
-/* Returns why a request is refused whose route or key this host does not find; IS_INCOMPLETE: the
- * configuration has more of them, which can not be read. */
-static int
-refusal_of_unknown (const struct pl_router *router, bool is_incomplete,
-                    enum router_refusal if_unknown)
-{
-  if (rows_are_stale (router))
-    return ROUTER_STALE;
-  return is_incomplete ? ROUTER_UNUSABLE_RULE : (int) if_unknown;
-}
-
-/* Checks a CALL that has just arrived and fills in its fields.  Returns the refusal, or -1 when it
- * is admitted. */
-static int
-admit_call (struct pl_router *router, struct call *call, const struct pl_call_event *event)
-{
-  int index;
-  const struct pl_route_rule *route;
-  const struct pl_route_part *part;
-  const struct pl_account_rule *account = NULL;
-
-  if (router->routing == NULL)
-    return ROUTER_NO_ROUTING;
-  if (event->is_handover && router->routing->version < event->handover_version)
-    return ROUTER_OLD_ROUTING;
-  call->version = router->routing->version;
-  index = pl_routing_find_route (router->routing, event->host, event->path);
-  if (index == PL_NONE)
-    return refusal_of_unknown (router, router->routing->lacks_routes, ROUTER_NO_ROUTE);
-  route = PL_RULE_ROUTE (router->routing, index);
-  call->route = router_ensure_route (router, route->name);
-  call->route->counts.requests++;
-  index = event->has_key ? pl_routing_find_account (router->routing, event->key_hash) : PL_NONE;
-  if (index != PL_NONE)
-    account = PL_RULE_ACCOUNT (router->routing, index);
-  if (account == NULL && pl_routing_needs_key (router->routing, route))
-    return refusal_of_unknown (router, router->routing->lacks_accounts, ROUTER_NO_KEY);
-  if (route->is_unusable || (account != NULL && account->is_unusable))
-    return ROUTER_UNUSABLE_RULE;
-  call->repeatable = route->repeatable;
-  call->sticky = route->sticky;
-  call->has_home_regions = route->has_home_regions;
-  call->home_regions = route->has_home_regions ? route->home_regions : UINT32_MAX;
-  call->wait.priority = route->priority;
-  call->attempts_max = MAX (route->attempts, 1);
-  call->objective_us = route->objective_us;
-  call->deadline_us = MIN (call->deadline_us, router->now_us + route->timeout_us);
-  if (router_may_exit_before (router, call->deadline_us))
-    return ROUTER_STOPPING;
-  if (account != NULL)
-    {
-      call->account = router_ensure_account (router, account);
-      call->account->counts.requests++;
-      call->has_home_regions = call->has_home_regions || account->has_home_regions;
-      call->home_regions &= account->has_home_regions ? account->home_regions : UINT32_MAX;
-      call->wait.priority = account->priority != PL_NONE ? account->priority : call->wait.priority;
-    }
-  if (quarantine_get_status (&router->quarantine, call->fingerprint) == QUARANTINE_CONFIRMED)
-    return ROUTER_QUARANTINED;
-  /* A request that is handed over was admitted by the peer. */
-  if (call->account != NULL && !call->is_handover
-      && (router->options.switches & PL_ROUTER_NO_QUOTA) == 0
-      && !pl_quota_admit (&call->account->quota, router_view (router)->silent, router->now_us))
-    return ROUTER_OVER_RATE;
-  if (call->account != NULL && !call->is_handover)
-    fleet_record_admitted (router, call->account);
-  /* After all other refusals, which would take one part more than another if they come in turns. */
-  part = pl_traffic_split_next (&call->route->split, route,
-                                router->self.incarnation ^ router->membership.self);
-  if (part->service == PL_NONE)
-    return ROUTER_UNUSABLE_RULE;
-  call->service = pl_placement_ensure_service (&router->placement, part->service_name);
-  return -1;
-}
-
 /* Learns the longest timeout of the callers of CALL's route, which is admitted.  In managed
  * services, where much depends on it, a single longer one is forgotten. */
 static void
@@ -378,58 +350,47 @@
     call->on_time_until_us -= route->longest_caller_timeout_us - caller_timeout_us;
 }
 
-static int64_t
-retry_after (struct pl_router *router, const struct call *call, enum router_refusal refusal)
-{
-  switch (refusal)
-    {
-    case ROUTER_NO_ROUTING:
-    case ROUTER_STALE:
-    case ROUTER_UNUSABLE_RULE:
-      return RETRY_AFTER_NO_ROUTING_US;
-    case ROUTER_OVER_RATE:
-      return MAX (pl_quota_token_wait_us (&call->account->quota), 100 * US_PER_MS);
-    case ROUTER_NO_SERVER:
-      return RETRY_AFTER_NO_SERVER_US;
-    case ROUTER_SERVERS_LOST:
-      return RETRY_AFTER_SERVERS_LOST_US;
-    case ROUTER_SERVERS_FULL:
-    case ROUTER_SERVERS_LIMITED:
-    case ROUTER_SERVERS_REFUSED:
-      return RETRY_AFTER_FULL_US;
-    case ROUTER_OVER_SHARE:
-    case ROUTER_TOO_LATE:
-      return retry_after_full (router, call);
-    default:
-      return 0;
-    }
-}
-
-void
-calls_on_arrival (struct pl_router *router, const struct pl_call_event *event)
+static struct call *
+new_call (const struct pl_call_event *event)
 {
   size_t id_size = strlen (event->correlation_id) + 1;
-  struct call *call = g_malloc0 (sizeof *call + id_size);
-  int64_t caller_timeout_us
-      = event->caller_timeout_us > 0 ? event->caller_timeout_us : CALLER_TIMEOUT_DEFAULT_US;
-  int refusal;
+  size_t host_size = strlen (event->host) + 1;
+  size_t path_size = strlen (event->path) + 1;
+  struct call *call = g_malloc0 (sizeof *call + id_size + host_size + path_size);
 
   call->id = event->request;
   call->service = PL_NONE;
+  call->refusal = -1;
+  call->host = memcpy (call->correlation_id + id_size, event->host, host_size);
+  call->path = memcpy (call->correlation_id + id_size + host_size, event->path, path_size);
   memcpy (call->correlation_id, event->correlation_id, id_size);
+  call->has_key = event->has_key;
+  memcpy (call->key_hash, event->key_hash, sizeof call->key_hash);
+  call->repeatable = true;
   call->object = event->object;
   call->fingerprint = event->fingerprint;
   call->body_bytes = event->body_bytes;
   call->is_handover = event->is_handover;
   call->attempts = event->handover_attempts;
-  call->wait.arrived_us = router->now_us;
   call->copy_due_us = INT64_MAX;
+  return call;
+}
+
+void
+calls_on_arrival (struct pl_router *router, const struct pl_call_event *event)
+{
+  struct call *call = new_call (event);
+  int64_t caller_timeout_us
+      = event->caller_timeout_us > 0 ? event->caller_timeout_us : CALLER_TIMEOUT_DEFAULT_US;
+  int refusal;
+
+  call->wait.arrived_us = router->now_us;
   router->counts_handovers.taken += event->is_handover;
   fleet_record_request (router);
   call->deadline_us
       = router->now_us + MAX (caller_timeout_us - ANSWER_MARGIN_US, caller_timeout_us / 2);
   g_hash_table_insert (router->calls, &call->id, call);
-  refusal = admit_call (router, call, event);
+  refusal = decision_admit (router, call, event);
   detect_caller_retry (router, call, event->caller_timeout_us, refusal < 0);
   if (refusal < 0)
     refusal = shares_admit (router, call);
@@ -461,8 +422,8 @@
               MAX (limits_wait_us (router, call->choice.unpermitted), RETRY_AFTER_FULL_US));
       break;
     case PL_PLACE_NONE:
-      refuse (router, call, call->attempts > 0 ? ROUTER_SERVERS_REFUSED : ROUTER_NO_SERVER,
-              RETRY_AFTER_NO_SERVER_US);
+      refuse_unsent (router, call, call->attempts > 0 ? ROUTER_SERVERS_REFUSED : ROUTER_NO_SERVER,
+                     RETRY_AFTER_NO_SERVER_US);
       break;
     case PL_PLACE_CUT_OFF:
       refuse (router, call, ROUTER_SERVERS_LOST, RETRY_AFTER_SERVERS_LOST_US);
@@ -557,11 +518,12 @@
 
 /* Returns whether CALL may be sent once more, but for the retry budget. */
 static bool
-may_retry (const struct pl_router *router, const struct call *call)
+may_retry (struct pl_router *router, struct call *call)
 {
+  bool is_allowed = decision_renew (router, call) < 0;
   bool may_repeat = call->repeatable || (router->options.switches & PL_ROUTER_RETRY_ALL) != 0;
 
-  return !call->caller_gone && (!call->may_have_run || may_repeat)
+  return is_allowed && !call->caller_gone && (!call->may_have_run || may_repeat)
          && call->attempts < call->attempts_max
          && call->deadline_us - router->now_us >= MIN_RETRY_TIME_US
          && quarantine_get_status (&router->quarantine, call->fingerprint) != QUARANTINE_CONFIRMED;
@@ -668,7 +630,7 @@
   if (!reach_is_suspect (router))
     fleet_record_suspect (router, call->fingerprint, backend->hash, backend->in_flight == 0);
   if (!retry_call (router, call))
-    refuse (router, call, ROUTER_ANSWER_LOST, 0);
+    refuse_unsent (router, call, ROUTER_ANSWER_LOST, 0);
 }
 
 static void
@@ -692,12 +654,12 @@
     return;
   if (!reach_is_suspect (router))
     {
-      refuse (router, call, ROUTER_SERVERS_REFUSED, RETRY_AFTER_FULL_US);
+      refuse_unsent (router, call, ROUTER_SERVERS_REFUSED, RETRY_AFTER_FULL_US);
       return;
     }
   call->attempts--;
   if (!may_retry (router, call) || !hand_over (router, call))
-    refuse (router, call, ROUTER_SERVERS_LOST, RETRY_AFTER_SERVERS_LOST_US);
+    refuse_unsent (router, call, ROUTER_SERVERS_LOST, RETRY_AFTER_SERVERS_LOST_US);
 }
 
 /* Returns the refusal called REASON; the front of a peer has reasons of its own, such as that it is
@@ -727,7 +689,7 @@
 {
   reach_avoid_peer (router, call->peer);
   if (!may_retry (router, call) || !hand_over (router, call))
-    refuse (router, call, refusal, retry_after_us);
+    refuse_unsent (router, call, refusal, retry_after_us);
 }
 
 static void
@@ -778,7 +740,7 @@
       reach_avoid_peer (router, call->peer);
       if (!may_retry (router, call) || !pl_hedging_spend_retry (&router->hedging, call->service)
           || !hand_over (router, call))
-        refuse (router, call, ROUTER_ANSWER_LOST, 0);
+        refuse_unsent (router, call, ROUTER_ANSWER_LOST, 0);
       return;
     }
 }
@@ -841,7 +803,7 @@
       break;
     }
   if (!retry_call (router, call))
-    refuse (router, call, ROUTER_SERVERS_REFUSED, retry_after_full (router, call));
+    refuse_unsent (router, call, ROUTER_SERVERS_REFUSED, retry_after_full (router, call));
 }
 
 /* A repeatable request is cancelled.  One that may run at most once and has been sent is left to
@@ -895,7 +857,7 @@
   call->may_have_run = true;
   if (call->is_handover || !may_retry (router, call)
       || !pl_hedging_spend_retry (&router->hedging, call->service) || !hand_over (router, call))
-    refuse (router, call, ROUTER_ANSWER_LOST, 0);
+    refuse_unsent (router, call, ROUTER_ANSWER_LOST, 0);
 }
 
 void
@@ -918,7 +880,8 @@
     give_back (router, g_ptr_array_index (lost, i));
 }
 
-/* Sends a second copy of CALL, which is due, if it may have one. */
+/* Sends a second copy of CALL, which is due, if it may have one: both attempts follow the same
+ * configuration. */
 static void
 try_copy (struct pl_router *router, struct call *call)
 {
@@ -938,6 +901,8 @@
   enum pl_hedging_verdict verdict;
 
   call->copy_due_us = INT64_MAX;
+  if (!decision_is_in_force (router, call))
+    return;
   verdict = pl_hedging_judge (&router->hedging, call->route->hedging, &request, router->now_us);
   placement_request.is_copy = true;
   if (verdict == PL_HEDGING_COPY
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -187,6 +187,7 @@
   router->notify_domain = router->notify_domain || router->routing == NULL;
   pl_routing_unref (router->routing);
   router->routing = pl_routing_ref (routing);
+  router->adoptions++;
   adopt_accounts (router);
   for (guint i = 0; i < routing->services->len; i++)
     {
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -101,8 +101,14 @@
   enum call_state state;
   struct router_account *account; /* NULL: an open route */
   struct router_route *route;
-  int64_t version; /* of the configuration that decided on it; 0: none has */
-  int service;     /* handle; PL_NONE: not chosen yet */
+  const char *host; /* normalized */
+  const char *path;
+  bool has_key;
+  uint8_t key_hash[PL_KEY_HASH_BYTES];
+  uint64_t adoption; /* number of the adoption of the configuration that decided on it */
+  int64_t version;   /* of that configuration; 0: none has decided */
+  int refusal;       /* its decision, of enum router_refusal; -1: it may be sent */
+  int service;       /* handle; PL_NONE: not chosen yet */
   bool repeatable;
   bool sticky;
   bool has_home_regions;
@@ -131,7 +137,7 @@
   bool is_handover;            /* a peer has handed it over; it is not handed over again */
   int handovers;               /* to peers, by this host */
   uint64_t peer;               /* that has it, or had it last; 0: none */
-  char correlation_id[];
+  char correlation_id[];       /* host and path are behind it */
 };
 
 /* How the writer of a row orders what it writes; in contrast to positions, that holds also when
@@ -231,6 +237,7 @@
   struct pl_router_effects *effects;
 
   struct pl_routing *routing;
+  uint64_t adoptions; /* of configurations */
   GPtrArray *region_names;
   GHashTable *domain_regions; /* domain name -> region index + 1 */
   GHashTable *accounts;       /* name -> struct router_account */
@@ -331,6 +338,17 @@
  * peers that reach them. */
 void calls_on_servers_lost (struct pl_router *router);
 
+/* call_decision.c */
+/* Decides on CALL, which arrives with EVENT, by the configuration in force.  Returns the refusal,
+ * or -1 if it is admitted: then it is charged to its account, and has a service. */
+int decision_admit (struct pl_router *router, struct call *call, const struct pl_call_event *event);
+/* Decides again on CALL, which was admitted, if a configuration has been adopted since.  Returns
+ * the refusal, or -1 if it may be sent. */
+int decision_renew (struct pl_router *router, struct call *call);
+/* Returns whether CALL may be sent by the configuration in force, and its fields are as that says.
+ */
+bool decision_is_in_force (const struct pl_router *router, const struct call *call);
+
 /* call_shares.c */
 /* Returns whether CALL's service is shared fairly between accounts.  Where it is not, the functions
  * below that record something do nothing, and all calls are admitted. */
--- a/tests/test_decisions_in_force.c
+++ b/tests/test_decisions_in_force.c
@@ -1,5 +1,6 @@
-/* Guards against requests that are sent by rules which were replaced while the requests waited, were
- * tried again or were handed over: each sending has to follow the configuration then in force. */
+/* Guards against requests that are sent by rules which were replaced while the requests waited,
+ * were tried again or were handed over: each sending has to follow the configuration then in force.
+ */
 #include "internal/router_state.h"
 #include "router_world.h"
 #include "suite.h"
@@ -30,25 +31,26 @@
 static char *
 make_route (const struct rules *rules, const char *name, const char *kind)
 {
-  return g_strdup_printf ("{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"bound-%s\"},\"Spec\":"
-                          "{\"Host\":\"h\",\"Prefix\":\"/%s/bound/\",\"Kind\":\"%s\",\"Timeout\":"
-                          "\"1500ms\",\"TargetLatency\":\"200ms\",\"Attempts\":%d,%s}},",
-                          name, name, kind, rules->attempts > 0 ? rules->attempts : 3,
-                          rules->route != NULL ? rules->route : "\"Service\":\"stock\"");
+  return g_strdup_printf (
+      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"bound-%s\"},\"Spec\":"
+      "{\"Host\":\"h\",\"Prefix\":\"/%s/bound/\",\"Kind\":\"%s\",\"Timeout\":"
+      "\"1500ms\",\"TargetLatency\":\"200ms\",\"Attempts\":%d,%s}},",
+      name, name, kind, rules->attempts > 0 ? rules->attempts : 3,
+      rules->route != NULL ? rules->route : "\"Service\":\"stock\"");
 }
 
 static void
 put_rules (int version, const struct rules *rules, bool has_routes)
 {
-  g_autofree char *read = make_route (rules, "read",
-                                      rules->read_kind != NULL ? rules->read_kind : "idempotent");
+  g_autofree char *read
+      = make_route (rules, "read", rules->read_kind != NULL ? rules->read_kind : "idempotent");
   g_autofree char *write = make_route (rules, "write", "non_idempotent");
   g_autofree char *resources = g_strdup_printf (
       "%s%s{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"other\"},\"Spec\":{"
       "\"HealthPath\":\"/health\"}},{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"%s\"},"
       "\"Spec\":{%s\"ApiKeys\":[%s],\"RatePerS\":1000,\"Burst\":1000}},",
-      has_routes ? read : "", has_routes ? write : "",
-      rules->name != NULL ? rules->name : "bound", rules->account != NULL ? rules->account : "",
+      has_routes ? read : "", has_routes ? write : "", rules->name != NULL ? rules->name : "bound",
+      rules->account != NULL ? rules->account : "",
       g_strcmp0 (rules->name, "keyless") == 0 ? "" : "\"key\"");
 
   world_put_config (world, version, resources);
@@ -96,12 +98,13 @@
   enum pl_attempt_end end;
   bool reads;
 } retried_ends[] = {
-    {PL_ATTEMPT_NOT_RUN, false}, {PL_ATTEMPT_NOT_SENT, false}, {PL_ATTEMPT_OTHER_SERVER, false},
-    {PL_ATTEMPT_NOT_RUN, true},  {PL_ATTEMPT_NOT_SENT, true},  {PL_ATTEMPT_OTHER_SERVER, true},
+    {PL_ATTEMPT_NOT_RUN, false},    {PL_ATTEMPT_NOT_SENT, false}, {PL_ATTEMPT_OTHER_SERVER, false},
+    {PL_ATTEMPT_NOT_RUN, true},     {PL_ATTEMPT_NOT_SENT, true},  {PL_ATTEMPT_OTHER_SERVER, true},
     {PL_ATTEMPT_ANSWER_LOST, true},
 };
 
-/* Sends a request by BEFORE, adopts AFTER and ends the first attempt like case I of retried_ends. */
+/* Sends a request by BEFORE, adopts AFTER and ends the first attempt like case I of retried_ends.
+ */
 static struct world_call *
 retry_across (const struct rules *before, const struct rules *after, bool has_routes, int i)
 {
