HTTP client: connections whose request was given up are reset

A request that a cut holds up and that the host gives up with 502 was delivered when the cut ended. Cause: the client closed the connection in order, so the kernel went on sending what was in the socket's buffer: the decision to send outlived the request. Change: from the first byte of a request to the end of its whole answer the socket is set to be reset when it is closed (SO_LINGER with 0), also by the kernel when the process ends. libcurl closes a connection before it tells how the call has ended ("Connection: close", failures), so the descriptor stays open until that is known. A connection whose last exchange did not end whole is not used again, should libcurl keep it. Why it works: a reset drops what the kernel has not sent, and tells the server. What has reached the server's kernel by then is still read there.

What a reset changes: - A server that has answered meanwhile: its answer was given up, and a late answer was met with a reset before, too, when the server wrote it. - Requests that run at most once whose caller left (calls_on_caller_gone) are not cancelled, so their connections stay as they were. They are reset only at their own limit or when the process ends; the kernel closed them then. - Hand-overs: a peer takes a reset as it takes an end, the caller is gone (EPOLLERR and EPOLLHUP count as EPOLLRDHUP in front_connections.c, and POLLRDHUP or POLLHUP in pl_net_input_has_ended()). - Calls to the store: entry hosts only read rows; a write of pomelolatchd that gets no answer stays PL_ERR_TIMEOUT, neither applied nor not applied. - Whole answers with "Connection: close", HTTP/1.0, after 1xx, to HEAD, ended by the connection, and early answers to long bodies: in order, as before, so no byte of the answer is lost; idle connections too. - TCP_USER_TIMEOUT and keep-alive probes are the same. They do not bound the fault on the platform, which delivers what an orderly close has left.

test_kept_connections, a_late_answer_is_read_by_no_other_call, had the server write a late answer after the call had ended; that write fails now. The test asks for that failure, ECONNRESET, and otherwise for the same as before.

Ruled out: asking SIOCOUTQ at the close, since a process that is killed closes without it; one setting for the whole life of a connection, since idle ones would be reset when the process ends.

--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -81,7 +81,9 @@
                                            const struct pl_http_call_options *options);
 /* Resumes a call whose handler returned PL_HTTP_PAUSE. */
 void pl_http_call_resume (struct pl_http_call *call);
-/* Aborts a call that has not ended yet; its done function is called. */
+/* Aborts a call that has not ended yet; its done function is called.  As after each call that does
+ * not end with a complete answer, the connection is reset: what the server has not received yet is
+ * lost. */
 void pl_http_call_cancel (struct pl_http_call *call);
 void pl_http_call_unref (struct pl_http_call *call);
 /* Returns whether the call has opened a connection, successfully or not, rather than used a kept
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -16,6 +16,12 @@
  * before each send, and each head is read by pl_answer_head_read() as well: handlers get that
  * result, and a call that it or libcurl refuses, or of which they read different statuses, does not
  * end as complete.
+ *
+ * A connection is reset when it is closed unless each of its exchanges ended with a complete
+ * answer.  A partition may hold up a request that is given up; after an orderly close the kernel
+ * would deliver it when the partition ends, to a server that may not be used any more.  The socket
+ * is set so from the first byte of a request to the end of the answer, since the kernel closes the
+ * connections of a process that is killed.
  */
 #include "internal/http_client.h"
 #include "internal/answer_head.h"
@@ -80,6 +86,8 @@
   curl_socket_t opened_fd;  /* of the connection opened last, if connection_opened */
   bool connection_unusable; /* found before sending; the call is started again */
   bool send_started;
+  int sent_fd;            /* of the connection that the request was sent on last; -1: none */
+  bool sent_fd_is_closed; /* by libcurl; the descriptor stays open until the call ends */
   bool answer_started;
   struct pl_answer_head head;
   bool paused;
@@ -95,6 +103,8 @@
   GHashTable *unacked_limits_ms; /* of connections, by their descriptors; as running */
   GHashTable *connections;       /* descriptors, by the addresses of both ends; as running */
   GHashTable *connection_ends;   /* the keys of connections, by descriptor; as running */
+  GHashTable *exchanges;         /* struct pl_http_call by the descriptor on which its request was
+                                    sent; NULL: it has ended without a complete answer; as running */
   bool stopping;
   struct pl_reactor *reactor; /* NULL: the client has a thread of its own */
   int timer;
@@ -219,16 +229,69 @@
   g_hash_table_insert (client->connection_ends, GINT_TO_POINTER (fd), key);
 }
 
+static void
+set_reset_on_close (int fd, bool reset)
+{
+  const struct linger linger = {.l_onoff = reset};
+
+  if (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) < 0)
+    pl_log (PL_LOG_WARNING, "socket-option-refused", json_pack ("{s:i}", "errno", errno));
+}
+
+/* Closes the connection that CALL sent its request on, if libcurl has closed it. */
+static void
+close_sent_fd (struct pl_http_call *call)
+{
+  if (call->sent_fd_is_closed)
+    close (call->sent_fd);
+  call->sent_fd_is_closed = false;
+  call->sent_fd = -1;
+}
+
+/* Notes that the request of CALL is about to be sent on FD. */
+static void
+begin_exchange (struct pl_http_call *call, int fd)
+{
+  close_sent_fd (call); /* libcurl sends the request again */
+  call->sent_fd = fd;
+  g_hash_table_insert (call->client->exchanges, GINT_TO_POINTER (fd), call);
+  set_reset_on_close (fd, true);
+}
+
+/* Notes that CALL has ended. */
+static void
+end_exchange (struct pl_http_call *call, bool complete)
+{
+  GHashTable *exchanges = call->client->exchanges;
+
+  if (call->sent_fd < 0)
+    return;
+  if (complete)
+    {
+      set_reset_on_close (call->sent_fd, false);
+      g_hash_table_remove (exchanges, GINT_TO_POINTER (call->sent_fd));
+    }
+  else if (!call->sent_fd_is_closed)
+    g_hash_table_insert (exchanges, GINT_TO_POINTER (call->sent_fd), NULL);
+  close_sent_fd (call);
+}
+
 static int
 on_socket_closed (void *data, curl_socket_t fd)
 {
   struct pl_http_client *client = data;
   const char *ends = g_hash_table_lookup (client->connection_ends, GINT_TO_POINTER (fd));
+  struct pl_http_call *call = g_hash_table_lookup (client->exchanges, GINT_TO_POINTER (fd));
 
   g_hash_table_remove (client->connection_ends, GINT_TO_POINTER (fd));
   if (ends != NULL)
     g_hash_table_remove (client->connections, ends);
-  return close (fd);
+  g_hash_table_remove (client->exchanges, GINT_TO_POINTER (fd));
+  if (call == NULL)
+    return close (fd);
+  /* libcurl may close a connection before it tells how the call has ended. */
+  call->sent_fd_is_closed = true;
+  return 0;
 }
 
 /* Called by libcurl when the connection is established and the request is about to be sent. */
@@ -244,14 +307,19 @@
   g_snprintf (ends, sizeof ends, "%s:%d %s:%d", local, local_port, remote, remote_port);
   fd = find_connection (call->client, ends);
   if (fd < 0)
-    add_connection (call->client, ends, call->opened_fd);
+    {
+      fd = call->opened_fd;
+      add_connection (call->client, ends, fd);
+    }
   /* What has arrived since the last answer is the connection's end, or bytes that would pass for
    * the answer to this request. */
-  else if (!pl_net_is_idle (fd))
+  else if (!pl_net_is_idle (fd)
+           || g_hash_table_contains (call->client->exchanges, GINT_TO_POINTER (fd)))
     {
       call->connection_unusable = true;
       return CURL_PREREQFUNC_ABORT;
     }
+  begin_exchange (call, fd);
   call->send_started = true;
   call->head = (struct pl_answer_head){0};
   return CURL_PREREQFUNC_OK;
@@ -295,6 +363,7 @@
     end = call->answer_started ? PL_HTTP_TRUNCATED
           : call->send_started ? PL_HTTP_NO_ANSWER
                                : PL_HTTP_NOT_SENT;
+  end_exchange (call, end == PL_HTTP_COMPLETE);
   call->handler->done (call->data, end, call->head.status);
   pl_http_call_unref (call);
 }
@@ -430,6 +499,7 @@
   client->unacked_limits_ms = g_hash_table_new (NULL, NULL);
   client->connections = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   client->connection_ends = g_hash_table_new (NULL, NULL);
+  client->exchanges = g_hash_table_new (NULL, NULL);
   return client;
 }
 
@@ -565,9 +635,11 @@
       pl_http_call_unref (command->call);
       g_free (command);
     }
+  g_hash_table_remove_all (client->exchanges); /* calls that still run do not end any more */
   curl_multi_cleanup (client->multi);
   g_hash_table_destroy (client->running);
   g_hash_table_destroy (client->unacked_limits_ms);
+  g_hash_table_destroy (client->exchanges);
   g_hash_table_destroy (client->connection_ends);
   g_hash_table_destroy (client->connections);
   g_mutex_clear (&client->lock);
@@ -632,6 +704,7 @@
 
   call->references = 1;
   call->client = client;
+  call->sent_fd = -1;
   call->handler = options->handler;
   call->data = options->data;
   call->send_at_most_once = options->send_at_most_once;
--- a/tests/test_kept_connections.c
+++ b/tests/test_kept_connections.c
@@ -5,6 +5,7 @@
 #include "loopback.h"
 #include "suite.h"
 
+#include <errno.h>
 #include <poll.h>
 #include <string.h>
 #include <unistd.h>
@@ -231,6 +232,15 @@
 }
 END_TEST
 
+/* Checks that the client has reset FD, and that no answer can be sent on it. */
+static void
+fail_to_send_answer (int fd)
+{
+  ck_assert (is_readable (fd, WAIT_MS));
+  ck_assert_int_eq (send (fd, answer, sizeof answer - 1, MSG_NOSIGNAL), -1);
+  ck_assert_int_eq (errno, ECONNRESET);
+}
+
 /* A call that ends before its answer leaves no connection on which the answer could arrive for a
  * later call: the store's answers bear no id. */
 START_TEST (a_late_answer_is_read_by_no_other_call)
@@ -244,7 +254,7 @@
     pl_http_call_cancel (call);
   wait_for_ended_calls (1);
   ck_assert_int_eq (last_end, PL_HTTP_NO_ANSWER);
-  send_answer (fds[0]);
+  fail_to_send_answer (fds[0]);
   start_call (0);
   fds[1] = accept_request ();
   send_answer (fds[1]);
