--- a/tests/test_decisions_in_force.c
+++ b/tests/test_decisions_in_force.c
@@ -262,6 +262,55 @@
 }
 END_TEST
 
+/* Sends a read whose first attempt is lost while all servers of region a are busy, so that its next
+ * attempt waits, and then adopts AFTER. */
+static struct world_call *
+wait_for_retry_across (const struct rules *after)
+{
+  struct world_call *call;
+  const struct world_call *last;
+
+  put_rules (4, &in_region_a, true);
+  call = world_send_request (world, "/read/bound/1", "key");
+  do
+    last = world_send_request (world, "/read/bound/1", "key");
+  while (last->sends > 0);
+  world_end_attempt (world, call, PL_ATTEMPT_ANSWER_LOST, 0);
+  ck_assert_int_eq (last->sends, 1);
+  ck_assert_int_eq (call->sends, 1);
+  ck_assert_int_eq (call->answers, 0);
+  put_rules (5, after, true);
+  return call;
+}
+
+/* Both guard against a retry that was decided on before the change, and is sent after it. */
+START_TEST (fewer_attempts_end_waits_for_a_retry)
+{
+  static const struct rules once
+      = {.route = "\"HomeRegions\":[\"b\"],\"Service\":\"stock\"", .attempts = 1};
+
+  check_refused (wait_for_retry_across (&once), 503);
+}
+END_TEST
+
+START_TEST (requests_that_must_run_once_now_wait_for_no_retry)
+{
+  static const struct rules once
+      = {.route = "\"HomeRegions\":[\"b\"],\"Service\":\"stock\"", .read_kind = "non_idempotent"};
+
+  check_refused (wait_for_retry_across (&once), 503);
+}
+END_TEST
+
+START_TEST (waits_for_a_retry_follow_the_homes)
+{
+  struct world_call *call = wait_for_retry_across (&in_region_b);
+
+  ck_assert_int_eq (call->sends, 2);
+  ck_assert_int_eq (call->server[0], 'b');
+}
+END_TEST
+
 START_TEST (withdrawn_routes_end_waits)
 {
   struct world_call *call;
@@ -315,6 +364,9 @@
   tcase_add_loop_test (tcase, withdrawn_keys_end_retries, 0, ends);
   tcase_add_loop_test (tcase, fewer_attempts_end_retries, 0, ends);
   tcase_add_test (tcase, requests_that_must_run_once_now_are_not_repeated);
+  tcase_add_test (tcase, fewer_attempts_end_waits_for_a_retry);
+  tcase_add_test (tcase, requests_that_must_run_once_now_wait_for_no_retry);
+  tcase_add_test (tcase, waits_for_a_retry_follow_the_homes);
   tcase_add_test (tcase, withdrawn_routes_end_waits);
   tcase_add_test (tcase, answers_are_delivered_after_a_change);
   return suite_run (suite);
