Router: a retry that waits is judged again by the configuration in force

What callers could see: a read whose answer was lost, and whose retry waits for a slot, was sent again after its route had come to run requests once; and more often than a lowered number of attempts. Cause: may_retry() judged kind and attempts when the retry was queued; place() renewed the decision, which updates both, and did not compare the request with them. Change: one function, allows_attempt(), compares them; may_retry() and place() call it. A request that fails it is refused as one that no server takes: 503, or 502 if it may have run. Ruled out: first attempts, which have neither run nor used an attempt, and requests that a peer hands over, which the peer does only while it has attempts left by a version that is no newer.

--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -295,13 +295,22 @@
   };
 }
 
+/* Returns whether the decision on CALL allows an attempt beside those that it had. */
+static bool
+allows_attempt (const struct pl_router *router, const struct call *call)
+{
+  bool may_repeat = call->repeatable || (router->options.switches & PL_ROUTER_RETRY_ALL) != 0;
+
+  return (!call->may_have_run || may_repeat) && call->attempts < call->attempts_max;
+}
+
 static enum pl_placement_result
 place (struct pl_router *router, struct call *call)
 {
   struct pl_placement_request placement_request;
   enum pl_placement_result result;
 
-  if (decision_renew (router, call) >= 0)
+  if (decision_renew (router, call) >= 0 || !allows_attempt (router, call))
     return PL_PLACE_NONE;
   if (reach_holds_back (router, call) && hand_over (router, call))
     return PL_PLACED;
@@ -520,12 +529,9 @@
 static bool
 may_retry (struct pl_router *router, struct call *call)
 {
-  bool is_allowed = decision_renew (router, call) < 0;
-  bool may_repeat = call->repeatable || (router->options.switches & PL_ROUTER_RETRY_ALL) != 0;
+  bool is_allowed = decision_renew (router, call) < 0 && allows_attempt (router, call);
 
-  return is_allowed && !call->caller_gone && (!call->may_have_run || may_repeat)
-         && call->attempts < call->attempts_max
-         && call->deadline_us - router->now_us >= MIN_RETRY_TIME_US
+  return is_allowed && !call->caller_gone && call->deadline_us - router->now_us >= MIN_RETRY_TIME_US
          && quarantine_get_status (&router->quarantine, call->fingerprint) != QUARANTINE_CONFIRMED;
 }
 
