--- a/core/call_decision.c
+++ b/core/call_decision.c
@@ -1,10 +1,10 @@
 /* What the configuration says about a call: whether it may be sent, for which account, to which
  * service, in which regions and how often.
  *
- * A call may wait, be tried again or be handed over, and the configuration may change meanwhile.  So
- * a decision holds for one configuration, and each sending requires a decision by the one in force:
- * home regions, services, keys and kinds that were replaced are never used for another sending, and
- * a call whose route or key was withdrawn is refused.
+ * A call may wait, be tried again or be handed over, and the configuration may change meanwhile.
+ * So a decision holds for one configuration, and each sending requires a decision by the one in
+ * force: home regions, services, keys and kinds that were replaced are never used for another
+ * sending, and a call whose route or key was withdrawn is refused.
  *
  * What the caller was admitted with stays: the charge to its account, its place in the queue, its
  * latency objective and its deadline.  A call that must run at most once by any of its decisions is
