Peer protocol: connections whose messages were given up are reset

Cause: a call that gets no answer within CALL_TIMEOUT_S is given up and its connection closed in order, so the kernel delivers its messages when a partition ends. The peer takes their sender as heard then: the sequence number refuses only what is older than a message that has arrived. Only pomelolatchd uses it. Change: the connection is reset. Each call awaits its answer, so a connection on which all calls succeeded has nothing to lose and is closed in order. Not covered: a process that is killed during a call; the kernel closes that connection in order.

--- a/modules/peer_rpc.c
+++ b/modules/peer_rpc.c
@@ -188,6 +188,19 @@
   return status == RPC_SUCCESS ? PL_OK : PL_ERR_UNAVAILABLE;
 }
 
+/* Closes the connection so that messages that were given up do not arrive when a partition ends. */
+static void
+reset_client (CLIENT **client)
+{
+  const struct linger reset = {.l_onoff = 1};
+  int fd = -1;
+
+  if (!clnt_control (*client, CLGET_FD, (char *) &fd)
+      || setsockopt (fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset) < 0)
+    pl_log (PL_LOG_WARNING, "socket-option-refused", json_pack ("{s:i}", "errno", errno));
+  close_client (client);
+}
+
 static void *
 peer_thread (void *data)
 {
@@ -207,7 +220,7 @@
       if (client == NULL)
         g_usleep (RETRY_DELAY_US);
       else if (send_batch (peer, client, batch, count) < 0)
-        close_client (&client);
+        reset_client (&client);
       for (int i = 0; i < count; i++)
         pl_message_clear (&batch[i]);
     }
