--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -23,8 +23,8 @@
 /* One in so many requests has a lookup sent behind it before its answer is read. */
 #define AHEAD_PERIOD 2
 #define AHEAD_DELAY_MAX_US (400 * SOAK_MS)
-/* A withdrawn key must stop working within this time while hosts and the store are undisturbed. */
-#define WITHDRAWAL_LIMIT_US (3 * SOAK_SECOND)
+/* One in so many requests is for a route with home regions. */
+#define HOME_PERIOD 4
 
 struct caller
 {
@@ -50,18 +50,6 @@
 static int staying;
 static pthread_t threads[2 * SOAK_CALLERS_MAX];
 static int thread_count;
-static GMutex lock;
-static char withdrawn_key[32];
-static int64_t withdrawn_us;
-
-void
-soak_callers_withdraw_key (const char *key)
-{
-  g_mutex_lock (&lock);
-  g_strlcpy (withdrawn_key, key, sizeof withdrawn_key);
-  withdrawn_us = soak_now_us ();
-  g_mutex_unlock (&lock);
-}
 
 void
 soak_callers_stay (bool stay)
@@ -148,10 +136,9 @@
 static void
 choose_host (struct caller *caller)
 {
-  static const char *const domains[] = {"a-1", "a-2", "b-1"};
+  const char *domain = soak_domain_of (caller->number);
   g_autofree char *path
-      = g_strdup_printf ("/pomelolatch/resolve?Name=h&Region=%c&Zone=%s",
-                         domains[caller->number % 3][0], domains[caller->number % 3]);
+      = g_strdup_printf ("/pomelolatch/resolve?Name=h&Region=%c&Zone=%s", domain[0], domain);
   g_autofree char *text = NULL;
   json_t *answer = NULL;
   const json_t *list;
@@ -175,21 +162,6 @@
   json_decref (answer);
 }
 
-static void
-check_withdrawn_key (const struct caller *caller, const char *key, int status, int64_t begun_us)
-{
-  bool is_overdue;
-
-  g_mutex_lock (&lock);
-  is_overdue = withdrawn_us != 0 && strcmp (key, withdrawn_key) == 0
-               && begun_us - withdrawn_us > WITHDRAWAL_LIMIT_US;
-  g_mutex_unlock (&lock);
-  if (is_overdue && status == 200 && soak_ledger_is_stable (DISRUPTION_STORE, withdrawn_us)
-      && soak_ledger_is_stable (DISRUPTION_HOSTS, withdrawn_us))
-    soak_ledger_report_violation ("%s ran with a key withdrawn %.1f s before", caller->id,
-                                  (double) (begun_us - withdrawn_us) / 1e6);
-}
-
 /* Compares the body of a success with that of the server whose stamp it bears. */
 static void
 check_body (const struct caller *caller, const char *stamp, const GByteArray *body)
@@ -203,8 +175,8 @@
 }
 
 static void
-check_answer (const struct caller *caller, const char *key, const char *head,
-              const GByteArray *body, int64_t begun_us)
+check_answer (const struct caller *caller, const char *head, const GByteArray *body,
+              int64_t begun_us)
 {
   int status = (int) g_ascii_strtoll (head + strlen ("HTTP/1.1 "), NULL, 10);
   char echoed_id[40];
@@ -220,7 +192,6 @@
                                   echoed_id);
   if (status == 200 && stamp[0] != '\0')
     check_body (caller, stamp, body);
-  check_withdrawn_key (caller, key, status, begun_us);
   soak_ledger_record_answer (caller->id, status, stamp);
 }
 
@@ -249,16 +220,17 @@
 }
 
 static GByteArray *
-encode_request (struct caller *caller, const char *key, const char *path, guint body_bytes)
+encode_request (struct caller *caller, const char *id, const char *key, const char *path,
+                guint body_bytes)
 {
   GByteArray *message = g_byte_array_new ();
-  g_autoptr (GByteArray) body = soak_wire_make_body (caller->id, body_bytes);
+  g_autoptr (GByteArray) body = soak_wire_make_body (id, body_bytes);
   bool is_chunked = body_bytes > 0 && random_below (caller, 2) == 0;
   g_autoptr (GString) head = g_string_new (NULL);
 
   g_string_append_printf (head, "%s %s%u HTTP/1.1\r\nHost: h\r\n", body_bytes > 0 ? "POST" : "GET",
                           path, random_below (caller, 50));
-  g_string_append_printf (head, "X-Request-Id: %s\r\nAuthorization: Token %s\r\n", caller->id, key);
+  g_string_append_printf (head, "X-Request-Id: %s\r\nAuthorization: Token %s\r\n", id, key);
   g_string_append_printf (head, "X-Deadline-Ms: %d\r\nCookie: X-Affinity-Key=%u\r\n",
                           CALLER_TIMEOUT_MS, random_below (caller, 50));
   if (is_chunked)
@@ -276,7 +248,7 @@
 
 /* Reads the answer to the caller's request, which was sent at BEGUN_US. */
 static void
-receive_answer (struct caller *caller, const char *key, bool is_new, bool is_sent, int64_t begun_us)
+receive_answer (struct caller *caller, bool is_new, bool is_sent, int64_t begun_us)
 {
   /* The answer to a lookup sent ahead can be read when the one before it has been. */
   int64_t until_us
@@ -292,11 +264,11 @@
     {
       soak_wire_close (&caller->wire);
       soak_ledger_record_try (soak_host_is_cut (caller->host), false, begun_us);
-      soak_ledger_record_no_answer (caller->id, caller->host, is_new && is_sent, begun_us, reason);
+      soak_ledger_record_no_answer (caller->id, is_new && is_sent, reason);
       choose_host (caller);
       return;
     }
-  check_answer (caller, key, head, body, begun_us);
+  check_answer (caller, head, body, begun_us);
   /* A request that was not read to its end, and an answer that ends with its connection. */
   soak_wire_get (head, "Connection", value, sizeof value);
   if (!is_sent || g_ascii_strcasecmp (value, "close") == 0
@@ -310,15 +282,11 @@
 send_ahead (struct caller *caller, const char *account, const char *key, struct ahead *ahead)
 {
   g_autoptr (GByteArray) message = NULL;
-  char first_id[sizeof caller->id];
 
-  memcpy (first_id, caller->id, sizeof first_id);
   g_usleep (random_below (caller, AHEAD_DELAY_MAX_US));
-  g_snprintf (caller->id, sizeof caller->id, "%.30s-ahead", first_id);
-  memcpy (ahead->id, caller->id, sizeof ahead->id);
-  message = encode_request (caller, key, "/read/", 0);
-  memcpy (caller->id, first_id, sizeof first_id);
-  soak_ledger_record_sent (ahead->id, account, false);
+  g_snprintf (ahead->id, sizeof ahead->id, "%.30s-ahead", caller->id);
+  message = encode_request (caller, ahead->id, key, "/read/", 0);
+  soak_ledger_record_sent (ahead->id, account, key, "/read/", caller->host);
   ahead->begun_us = soak_now_us ();
   soak_wire_send (&caller->wire, message->data, message->len);
   g_usleep (random_below (caller, AHEAD_DELAY_MAX_US) / 2);
@@ -332,7 +300,6 @@
   bool sends_ahead = random_below (caller, AHEAD_PERIOD) == 0;
   struct ahead ahead = {0};
   int64_t begun_us = soak_now_us ();
-  int host = caller->host;
   bool is_new = false;
   bool is_sent = false;
 
@@ -344,15 +311,14 @@
       if (is_sent && sends_ahead)
         send_ahead (caller, account, key, &ahead);
     }
-  receive_answer (caller, key, is_new, is_sent, begun_us);
+  receive_answer (caller, is_new, is_sent, begun_us);
   if (ahead.begun_us == 0)
     return;
   memcpy (caller->id, ahead.id, sizeof caller->id);
   if (caller->wire.fd >= 0)
-    receive_answer (caller, key, false, true, ahead.begun_us);
+    receive_answer (caller, false, true, ahead.begun_us);
   else
-    soak_ledger_record_no_answer (ahead.id, host, false, ahead.begun_us,
-                                  "the connection ended before");
+    soak_ledger_record_no_answer (ahead.id, false, "the connection ended before");
 }
 
 static void
@@ -380,8 +346,10 @@
       path = SOAK_UPLOAD_PREFIX;
       body_bytes = soak_upload_bytes (caller->id);
     }
-  message = encode_request (caller, key, path, body_bytes);
-  soak_ledger_record_sent (caller->id, account, at_most_once);
+  else if (soak_wire_hash (caller->id) % HOME_PERIOD == 0)
+    path = at_most_once ? "/write" SOAK_HOME_PATH : "/read" SOAK_HOME_PATH;
+  message = encode_request (caller, caller->id, key, path, body_bytes);
+  soak_ledger_record_sent (caller->id, account, key, path, caller->host);
   exchange (caller, account, key, message);
 }
 
--- a/tests/soak/hosts.c
+++ b/tests/soak/hosts.c
@@ -44,13 +44,6 @@
 static char *folder;
 static GMutex lock;
 static int stopping;
-static int unexpected_exits;
-
-const char *
-soak_host_log (int host)
-{
-  return hosts[host].log;
-}
 
 static void
 write_settings (int host)
@@ -61,13 +54,12 @@
     int port;
   } ports[] = {{"caller", 8206}, {"ready", 8201},    {"directory", 8209},
                {"peer", 7600},   {"handover", 7615}, {"metrics", 9464}};
-  static const char *const domains[] = {"a-1", "a-2", "b-1"};
   FILE *file = fopen (hosts[host].settings, "w");
 
   if (file == NULL)
     exit (2);
   fprintf (file, "name: host-%d\ndomain: %s\ngrace: \"6s\"\nretry_ratio: \"0.2\"\n", host,
-           domains[host % 3]);
+           soak_domain_of (host));
   fprintf (file, "retry_slack: \"58\"\ncpu_share: \"0.5\"\nlink_mbps: \"1000\"\n");
   fprintf (file, "switches: %d\n", switches);
   fprintf (file, "domains: [\"a-1=a\",\"a-2=a\",\"b-1=b\"]\nstore: %s\n",
@@ -129,11 +121,8 @@
 on_process_exit (int host, int status)
 {
   if (!hosts[host].exit_expected)
-    {
-      unexpected_exits++;
-      soak_ledger_report_violation ("host %d exited unexpectedly, wait status %d; see %s", host,
-                                    status, hosts[host].log);
-    }
+    soak_ledger_report_violation ("host %d exited unexpectedly, wait status %d; see %s", host,
+                                  status, hosts[host].log);
   hosts[host].pid = 0;
 }
 
@@ -225,24 +214,18 @@
 bool
 soak_host_is_steady (int host, int64_t since_us)
 {
-  bool steady;
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&lock);
 
-  g_mutex_lock (&lock);
-  steady = hosts[host].pid > 0 && !hosts[host].exit_expected && !hosts[host].paused
-           && hosts[host].disturbed_us + SETTLE_US < since_us;
-  g_mutex_unlock (&lock);
-  return steady;
+  return hosts[host].pid > 0 && !hosts[host].exit_expected && !hosts[host].paused
+         && hosts[host].disturbed_us + SETTLE_US < since_us;
 }
 
 bool
 soak_host_is_undisrupted (int host, int64_t since_us)
 {
-  bool undisrupted;
+  g_autoptr (GMutexLocker) locker = g_mutex_locker_new (&lock);
 
-  g_mutex_lock (&lock);
-  undisrupted = !hosts[host].paused && hosts[host].abrupt_us + SETTLE_US < since_us;
-  g_mutex_unlock (&lock);
-  return undisrupted;
+  return !hosts[host].paused && hosts[host].abrupt_us + SETTLE_US < since_us;
 }
 
 static bool
@@ -279,7 +262,7 @@
   return true;
 }
 
-int
+void
 soak_hosts_stop (void)
 {
   int64_t until_us = soak_now_us () + STOP_TIMEOUT_US;
@@ -300,5 +283,27 @@
           kill (hosts[i].pid, SIGKILL);
       }
   g_mutex_unlock (&lock);
-  return unexpected_exits;
+}
+
+void
+soak_hosts_check_handovers (void)
+{
+  for (int i = 0; i < host_count; i++)
+    {
+      FILE *file = fopen (hosts[i].log, "r");
+      char line[2048];
+      char id[40];
+
+      while (file != NULL && fgets (line, sizeof line, file) != NULL)
+        {
+          const char *event = strstr (line, "\"handed-over\"");
+          const char *peer = strstr (line, "\"peer\":\"host-");
+
+          if (event != NULL && peer != NULL
+              && sscanf (event, "\"handed-over\",\"request\":\"%39[^\"]", id) == 1)
+            soak_ledger_check_handover (id, atoi (peer + strlen ("\"peer\":\"host-")));
+        }
+      if (file != NULL)
+        fclose (file);
+    }
 }
--- a/tests/soak/ledger.c
+++ b/tests/soak/ledger.c
@@ -7,11 +7,15 @@
  *  - LOST: a request that a steady host has read is answered; one that a server got from it also
  *    while the host stops;
  *  - a server runs only requests that a caller sent, for the account of their key;
+ *  - a withdrawn key works no more after the time in which a configuration is in force;
  *  - a leaving server gets no request after the drain time;
  *  - the runs of an account in any five seconds stay within its rate, its burst and the
  *    slack that the users allow;
  *  - a server that names a rate limit gets in any four seconds at most one and a half times what
  *    that allows, and five requests;
+ *  - HOME: a request reaches only servers in the home regions of its route and account, as a
+ *    configuration that may be in force names them, and its body only hosts there or in its
+ * caller's region;
  *  - callers of hosts that are cut off from all servers are served at least two thirds as often as
  *    the others.
  *
@@ -22,11 +26,14 @@
 
 #include <stdarg.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define DRAIN_US (2 * SOAK_SECOND)
 /* Time limits are checked again this long after a disruption; the users count the same way. */
 #define STABLE_US (3 * SOAK_SECOND)
+/* The same time, without that after which soak_host_is_steady() counts a host as steady. */
+#define HOST_SETTLE_US SOAK_SECOND
 #define QUOTA_WINDOW_US (5 * SOAK_SECOND)
 #define LIMIT_WINDOW_US (4 * SOAK_SECOND)
 #define LIMIT_FACTOR 1.5
@@ -36,6 +43,7 @@
 #define CUT_FAILURES 10
 #define CUT_FAILURE_RATIO 0.02
 #define STATUS_MAX 599
+#define ALL_REGIONS 3u /* a and b, a bit for each */
 
 /* What a server answered to a request. */
 struct reply
@@ -47,17 +55,32 @@
 struct record
 {
   char account[32];
+  char key[32];
   bool at_most_once;
+  bool has_homes;  /* by its route */
+  int host;        /* that it was sent to */
+  int64_t sent_us; /* to that host */
+  guint regions;   /* in which it might run until its caller had the answer */
   int run_count;
   int status;      /* 0: no answer yet */
   GArray *replies; /* of struct reply; NULL: none */
   GString *events; /* its runs and replies, for reports */
 };
 
+/* A version of the configuration, in the store from FROM_US until the next one. */
+struct version
+{
+  int64_t from_us;
+  int number;
+};
+
 static GMutex lock;
+static GArray *versions;     /* of struct version */
 static GHashTable *records;  /* id -> struct record */
 static GArray *run_times[2]; /* by account */
 static const char *const accounts[2] = {"shop", "desk"};
+static char withdrawn_key[32];
+static int64_t withdrawn_us;
 static int64_t disrupted_until_us[DISRUPTION_COUNT]; /* INT64_MAX: disrupted now; 0: never */
 static int active_disruptions[DISRUPTION_COUNT];
 static int64_t leaving_since_us[SOAK_SERVERS_MAX]; /* 0: it is not leaving */
@@ -72,7 +95,9 @@
 static struct tries tries[2]; /* at hosts that reach servers, and at hosts that do not */
 static int64_t tries_from_us; /* when counting began */
 static int violations;
-static int replies[2]; /* rejections, and all others */
+static int replies[2];     /* rejections, and all others */
+static int bound_arrivals; /* at servers, which are not so in all regions */
+static int bound_handovers;
 static int no_answers;
 static int unexcused_no_answers;
 static int sent;
@@ -94,6 +119,7 @@
 soak_ledger_start (void)
 {
   records = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_record);
+  versions = g_array_new (FALSE, FALSE, sizeof (struct version));
   limited_times = g_array_new (FALSE, FALSE, sizeof (int64_t));
   for (int i = 0; i < 2; i++)
     run_times[i] = g_array_new (FALSE, FALSE, sizeof (int64_t));
@@ -130,24 +156,93 @@
              && disrupted_until_us[disruption] + STABLE_US < since_us);
 }
 
-bool
-soak_ledger_is_stable (enum soak_disruption disruption, int64_t since_us)
+void
+soak_ledger_withdraw_key (const char *key)
 {
-  bool stable;
+  g_mutex_lock (&lock);
+  g_strlcpy (withdrawn_key, key, sizeof withdrawn_key);
+  withdrawn_us = soak_now_us ();
+  g_mutex_unlock (&lock);
+}
+
+void
+soak_ledger_record_version (int version)
+{
+  struct version next = {soak_now_us (), version};
 
   g_mutex_lock (&lock);
-  stable = is_stable (disruption, since_us);
+  g_array_append_val (versions, next);
   g_mutex_unlock (&lock);
-  return stable;
+}
+
+/* Returns the regions in which RECORD may run, by any version that has been in force since its
+ * caller sent it.  When the store was disrupted, or its host, before that or since, these are all.
+ */
+static guint
+regions_of (const struct record *record)
+{
+  bool is_desk = strcmp (record->account, "desk") == 0;
+  guint regions = 0;
+
+  if (!is_stable (DISRUPTION_STORE, record->sent_us)
+      || !soak_host_is_steady (record->host, record->sent_us - HOST_SETTLE_US))
+    return ALL_REGIONS;
+  for (guint i = versions->len; i-- > 0;)
+    {
+      const struct version *version = &g_array_index (versions, struct version, i);
+
+      regions |= (record->has_homes ? 1u << version->number % 2 : ALL_REGIONS)
+                 & (is_desk ? 1u << version->number / 2 % 2 : ALL_REGIONS);
+      if (version->from_us + SOAK_CONFIG_US < record->sent_us)
+        break;
+    }
+  return regions;
+}
+
+static guint
+region_bit (int member)
+{
+  return 1u << (soak_domain_of (member)[0] - 'a');
+}
+
+static void
+check_homes (const char *id, const struct record *record, int server)
+{
+  guint regions = regions_of (record);
+
+  bound_arrivals += regions != ALL_REGIONS;
+  if ((regions & region_bit (server)) == 0)
+    soak_ledger_report_violation ("HOME: %s of %s at host %d, sent at %.3f, reached server %d%s",
+                                  id, record->account, record->host, (double) record->sent_us / 1e6,
+                                  server, record->events->str);
+}
+
+void
+soak_ledger_check_handover (const char *id, int peer)
+{
+  const struct record *record = g_hash_table_lookup (records, id);
+
+  if (record == NULL)
+    return;
+  bound_handovers += record->regions != ALL_REGIONS;
+  if (((record->regions | region_bit (atoi (id + 1))) & region_bit (peer)) == 0)
+    soak_ledger_report_violation ("HOME: the body of %s of %s, sent at %.3f, went to host %d", id,
+                                  record->account, (double) record->sent_us / 1e6, peer);
 }
 
 void
-soak_ledger_record_sent (const char *id, const char *account, bool at_most_once)
+soak_ledger_record_sent (const char *id, const char *account, const char *key, const char *path,
+                         int host)
 {
   struct record *record = g_new0 (struct record, 1);
 
   g_strlcpy (record->account, account, sizeof record->account);
-  record->at_most_once = at_most_once;
+  record->at_most_once = !g_str_has_prefix (path, "/read");
+  record->has_homes = g_str_has_suffix (path, SOAK_HOME_PATH);
+  record->host = host;
+  g_strlcpy (record->key, key, sizeof record->key);
+  record->sent_us = soak_now_us ();
+  record->regions = ALL_REGIONS;
   record->events = g_string_new (NULL);
   g_mutex_lock (&lock);
   g_hash_table_insert (records, g_strdup (id), record);
@@ -204,6 +299,7 @@
         if (strcmp (accounts[i], account) == 0)
           g_array_append_val (run_times[i], now_us);
       check_leaving_server (id, server, now_us);
+      check_homes (id, record, server);
     }
   g_mutex_unlock (&lock);
 }
@@ -256,6 +352,8 @@
       g_string_append_printf (record->events, "; %d at %.3f with %s", status,
                               (double) soak_now_us () / 1e6, stamp);
       replies[!means_not_run (status)]++;
+      if (record->run_count == 0)
+        check_homes (id, record, atoi (stamp));
     }
   g_mutex_unlock (&lock);
 }
@@ -296,36 +394,41 @@
   g_mutex_lock (&lock);
   record = g_hash_table_lookup (records, id);
   record->status = status;
+  record->regions = regions_of (record);
   served += status == 200;
   statuses[CLAMP (status, 0, STATUS_MAX)]++;
   if (means_not_run (status) && record->run_count > 0)
     soak_ledger_report_violation ("REFUSED: %s%s was answered %d but has run%s", id,
                                   kind_of (record), status, record->events->str);
   check_stamp (id, record, status, stamp);
+  if (status == 200 && strcmp (record->key, withdrawn_key) == 0
+      && record->sent_us - withdrawn_us > SOAK_CONFIG_US
+      && is_stable (DISRUPTION_STORE, withdrawn_us) && is_stable (DISRUPTION_HOSTS, withdrawn_us))
+    soak_ledger_report_violation ("%s ran with a key withdrawn %.1f s before", id,
+                                  (double) (record->sent_us - withdrawn_us) / 1e6);
   g_mutex_unlock (&lock);
 }
 
 void
-soak_ledger_record_no_answer (const char *id, int host, bool is_new, int64_t begun_us,
-                              const char *reason)
+soak_ledger_record_no_answer (const char *id, bool is_new, const char *reason)
 {
-  bool is_steady = soak_host_is_steady (host, begun_us);
-  bool is_undisrupted = soak_host_is_undisrupted (host, begun_us);
-  const struct record *record;
+  struct record *record;
   bool has_arrived;
 
   g_mutex_lock (&lock);
   record = g_hash_table_lookup (records, id);
   no_answers++;
+  record->regions = regions_of (record);
   has_arrived = record->run_count > 0 || record->replies != NULL;
   /* What a server got must be answered during a stop, too.  Else the request may not have reached
    * the host: on a kept connection it may have crossed the host's close. */
-  if ((has_arrived ? is_undisrupted : is_new && is_steady)
-      && is_stable (DISRUPTION_CALLERS, begun_us))
+  if ((has_arrived ? soak_host_is_undisrupted (record->host, record->sent_us)
+                   : is_new && soak_host_is_steady (record->host, record->sent_us))
+      && is_stable (DISRUPTION_CALLERS, record->sent_us))
     {
       unexcused_no_answers++;
-      soak_ledger_report_violation ("LOST: %s at host %d%s: %s%s", id, host, kind_of (record),
-                                    reason, record->events->str);
+      soak_ledger_report_violation ("LOST: %s at host %d%s: %s%s", id, record->host,
+                                    kind_of (record), reason, record->events->str);
     }
   g_mutex_unlock (&lock);
 }
@@ -334,10 +437,8 @@
 soak_ledger_set_leaving (int server, bool leaving)
 {
   g_mutex_lock (&lock);
-  if (!leaving)
-    leaving_since_us[server] = 0;
-  else if (leaving_since_us[server] == 0)
-    leaving_since_us[server] = soak_now_us ();
+  if (!leaving || leaving_since_us[server] == 0)
+    leaving_since_us[server] = leaving ? soak_now_us () : 0;
   g_mutex_unlock (&lock);
 }
 
@@ -422,6 +523,8 @@
 {
   printf ("server with a limit of %d a second: at most %u requests in four seconds\n",
           SOAK_SERVER_LIMIT, max_limited);
+  printf ("bound to home regions: %d arrivals at servers, %d hand-overs\n", bound_arrivals,
+          bound_handovers);
   printf ("servers rejected %d and answered %d; %d requests without an answer, %d not excused\n",
           replies[0], replies[1], no_answers, unexcused_no_answers);
   for (int status = 0; status <= STATUS_MAX; status++)
--- a/tests/soak/servers.c
+++ b/tests/soak/servers.c
@@ -70,35 +70,18 @@
 };
 
 static struct server servers[SOAK_SERVERS_MAX];
-static int server_count;
 static uint32_t seed;
 static int flaws;
 static int run_count; /* of all servers */
 /* What the servers did by their troubles. */
-static int copy_count;
-static int broken_count;
-static int early_count;
-static int garbage_count;
+static int trouble_counts[TROUBLE_COUNT];
 
 void
 soak_servers_print_summary (void)
 {
-  printf ("second copies %d, broken off %d, early rejections %d, garbage %d\n", copy_count,
-          broken_count, early_count, garbage_count);
-}
-
-int
-soak_server_count (void)
-{
-  return server_count;
-}
-
-static const char *
-domain_of (int server)
-{
-  static const char *const domains[] = {"a-1", "a-2", "b-1"};
-
-  return domains[server % 3];
+  printf ("second copies %d, broken off %d, early rejections %d, garbage %d\n",
+          trouble_counts[TROUBLE_STUTTERS], trouble_counts[TROUBLE_BREAKS_OFF],
+          trouble_counts[TROUBLE_EARLY], trouble_counts[TROUBLE_GARBAGE]);
 }
 
 static char *
@@ -117,7 +100,7 @@
   g_autofree char *text = g_strdup_printf (
       "{\"Address\":\"%s\",\"born\":1,\"Info\":{\"Service\":\"stock\",\"Zone\":\"%s\","
       "\"Slots\":%d},\"Status\":{\"State\":\"%s\",\"Sequence\":%d,\"ColdRemaining\":\"0ms\"}}",
-      soak_address (NET_SERVER_PROXIES, server, 8080), domain_of (server), SLOTS,
+      soak_address (NET_SERVER_PROXIES, server, 8080), soak_domain_of (server), SLOTS,
       draining ? "draining" : "ready", ++servers[server].sequence);
 
   soak_store_put ("servers", id, text);
@@ -288,7 +271,7 @@
       && (answer->is_not_run || draw (server, 3) == 0))
     {
       kind = draw (server, 3);
-      g_atomic_int_inc (&copy_count);
+      g_atomic_int_inc (&trouble_counts[TROUBLE_STUTTERS]);
     }
   if (kind == 0)
     {
@@ -324,7 +307,7 @@
   g_strlcpy (session->last_stamp, answer.stamp, sizeof session->last_stamp);
   if (has_trouble (server, TROUBLE_BREAKS_OFF) && draw (server, 2) == 0)
     {
-      g_atomic_int_inc (&broken_count);
+      g_atomic_int_inc (&trouble_counts[TROUBLE_BREAKS_OFF]);
       break_off (session, &answer, message);
       return false;
     }
@@ -332,7 +315,7 @@
     {
       g_autoptr (GByteArray) garbage = soak_wire_make_body (answer.stamp, 1 + draw (server, 5000));
 
-      g_atomic_int_inc (&garbage_count);
+      g_atomic_int_inc (&trouble_counts[TROUBLE_GARBAGE]);
       return soak_wire_send (&session->wire, garbage->data, garbage->len) && draw (server, 2) == 0;
     }
   return send_copies (session, &answer, message);
@@ -418,7 +401,7 @@
 
   if (request->is_upload && has_trouble (server, TROUBLE_EARLY) && draw (server, 2) == 0)
     {
-      g_atomic_int_inc (&early_count);
+      g_atomic_int_inc (&trouble_counts[TROUBLE_EARLY]);
       return send_answer (session, request, 503, true) && read_request_body (session, request);
     }
   if (!read_request_body (session, request))
@@ -506,7 +489,6 @@
 void
 soak_servers_start (const struct soak_options *options, int count)
 {
-  server_count = count;
   seed = options->seed;
   flaws = options->flaws;
   for (int i = 0; i < count; i++)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -43,6 +43,10 @@
 #define RESTORES 2
 /* Servers and operators write again within this time. */
 #define REWRITE_MS 2000
+/* Home regions of the routes and the account that have some, as versions' numbers tell them.  Hosts
+ * that are cut off reach peers in region a if there are only four hosts. */
+#define HOMES_A 0
+#define HOMES_B_AND_A 1
 /* Seconds of writes that a restore loses, at most. */
 #define RESTORE_LOST_S 9
 
@@ -70,10 +74,32 @@
   FAULT_KINDS,
 };
 
-static const char *const fault_names[FAULT_KINDS] = {
-    "leg",     "pause",         "kill",    "term",   "reload",        "store-down", "drop-history",
-    "hang",    "loses-answers", "drain",   "remove", "configuration", "garbage",    "evacuate",
-    "restore", "cut",           "trouble", "crowd",  "rename"};
+static const struct
+{
+  const char *name;
+  enum soak_disruption disruption; /* DISRUPTION_COUNT: none, or that of its leg */
+} fault_kinds[FAULT_KINDS] = {[FAULT_LEG] = {"leg", DISRUPTION_COUNT},
+                              [FAULT_PAUSE] = {"pause", DISRUPTION_HOSTS},
+                              [FAULT_KILL] = {"kill", DISRUPTION_HOSTS},
+                              [FAULT_TERM] = {"term", DISRUPTION_HOSTS},
+                              [FAULT_RELOAD] = {"reload", DISRUPTION_COUNT},
+                              [FAULT_STORE] = {"store-down", DISRUPTION_STORE},
+                              [FAULT_DROP_HISTORY] = {"drop-history", DISRUPTION_STORE},
+                              [FAULT_HANG] = {"hang", DISRUPTION_SERVERS},
+                              [FAULT_LOSE_ANSWERS] = {"loses-answers", DISRUPTION_SERVERS},
+                              [FAULT_DRAIN] = {"drain", DISRUPTION_COUNT},
+                              [FAULT_REMOVE] = {"remove", DISRUPTION_COUNT},
+                              [FAULT_CONFIG] = {"configuration", DISRUPTION_COUNT},
+                              [FAULT_GARBAGE] = {"garbage", DISRUPTION_COUNT},
+                              [FAULT_EVACUATE] = {"evacuate", DISRUPTION_COUNT},
+                              [FAULT_RESTORE] = {"restore", DISRUPTION_STORE},
+                              [FAULT_CUT] = {"cut", DISRUPTION_SERVERS},
+                              [FAULT_TROUBLE] = {"trouble", DISRUPTION_COUNT},
+                              [FAULT_CROWD] = {"crowd", DISRUPTION_COUNT},
+                              [FAULT_RENAME] = {"rename", DISRUPTION_COUNT}};
+
+static const enum soak_disruption leg_disruptions[LEG_COUNT]
+    = {DISRUPTION_CALLERS, DISRUPTION_SERVERS, DISRUPTION_STORE};
 
 static const char *const trouble_names[TROUBLE_COUNT]
     = {"stutters", "breaks-off", "early", "garbage-bytes", "crowded"};
@@ -96,6 +122,8 @@
 static uint32_t random_state;
 static int64_t start_us;
 static int config_version = 3;
+static bool key_is_withdrawn;
+static int flaws; /* of enum soak_flaw */
 static int address_block;
 static int host_count;
 
@@ -105,6 +133,14 @@
   return g_get_monotonic_time () - start_us;
 }
 
+const char *
+soak_domain_of (int number)
+{
+  static const char *const domains[] = {"a-1", "a-2", "b-1"};
+
+  return domains[number % 3];
+}
+
 const char *
 soak_address (enum soak_net net, int number, int port)
 {
@@ -133,59 +169,64 @@
   return (random_state >> 8) % bound;
 }
 
+/* Appends the route for paths that begin with NAME. */
 static void
-put_config (bool with_second_key)
+append_route (GString *text, const char *name, const char *kind, int timeout_ms, const char *more)
 {
-  g_autofree char *text = g_strdup_printf (
-      "{\"Version\":\"r%d\",\"Resources\":["
-      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"read\"},\"Spec\":{\"Host\":\"h\","
-      "\"Prefix\":\"/read/\",\"Kind\":\"idempotent\",\"Timeout\":\"900ms\",\"TargetLatency\":"
-      "\"200ms\",\"Priority\":2,\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
-      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"write\"},\"Spec\":{\"Host\":\"h\","
-      "\"Prefix\":\"/write/\",\"Kind\":\"non_idempotent\",\"Timeout\":\"1000ms\","
-      "\"TargetLatency\":\"200ms\",\"Service\":\"stock\",\"Attempts\":2,\"Sticky\":true}},"
-      "{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"upload\"},\"Spec\":{\"Host\":\"h\","
-      "\"Prefix\":\"/upload/\",\"Kind\":\"upload\",\"Timeout\":\"1000ms\","
-      "\"TargetLatency\":\"400ms\",\"Service\":\"stock\",\"Attempts\":2}},"
-      "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"stock\"},\"Spec\":{"
-      "\"HealthPath\":\"/health\",\"ColdStart\":\"0s\",\"ColdPerS\":100}},"
-      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"shop\"},\"Spec\":{\"ApiKeys\":"
-      "[\"key-shop-1\"%s],\"RatePerS\":%d,\"Burst\":%d}},"
-      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"desk\"},\"Spec\":{\"ApiKeys\":"
-      "[\"key-desk-1\"],\"RatePerS\":%d,\"Burst\":%d}},"
-      "{\"ResourceKind\":\"Tenants\",\"Metadata\":{\"Name\":\"bulk\"},\"Spec\":{\"ApiKeys\":"
-      "[\"key-bulk-1\"],\"RatePerS\":0,\"Burst\":0}}]}",
-      config_version++, with_second_key ? ",\"key-shop-2\"" : "", SOAK_ACCOUNT_RATE,
-      SOAK_ACCOUNT_RATE, SOAK_ACCOUNT_RATE, SOAK_ACCOUNT_RATE);
-
-  soak_store_put ("op", "config", text);
+  g_string_append_printf (text,
+                          "{'ResourceKind':'Routes','Metadata':{'Name':'%s'},'Spec':{'Host':'h',"
+                          "'Prefix':'/%s/','Kind':'%s','Timeout':'%dms','TargetLatency':'%dms',"
+                          "'Service':'stock','Attempts':2%s}},",
+                          name, name, kind, timeout_ms, strcmp (kind, "upload") == 0 ? 400 : 200,
+                          more);
 }
 
-static enum soak_disruption
-disruption_of (const struct fault *fault)
+static void
+append_account (GString *text, const char *name, const char *second_key, int rate, const char *more)
 {
-  static const enum soak_disruption of_leg[LEG_COUNT]
-      = {DISRUPTION_CALLERS, DISRUPTION_SERVERS, DISRUPTION_STORE};
+  g_string_append_printf (text,
+                          "{'ResourceKind':'Tenants','Metadata':{'Name':'%s'},'Spec':{'ApiKeys':["
+                          "'key-%s-1'%s],'RatePerS':%d,'Burst':%d%s}},",
+                          name, name, second_key, rate, rate, more);
+}
 
-  switch (fault->kind)
+/* Writes the next version whose number tells HOMES. */
+static void
+put_config (int homes)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  char of_routes[32] = "";
+  char of_desk[32] = "";
+
+  while (config_version % SOAK_HOME_VERSIONS != homes)
+    config_version++;
+  if ((flaws & FLAW_FIRST_HOMES) != 0)
+    homes = HOMES_A;
+  if ((flaws & FLAW_NO_HOMES) == 0)
     {
-    case FAULT_LEG:
-      return of_leg[fault->leg];
-    case FAULT_PAUSE:
-    case FAULT_KILL:
-    case FAULT_TERM:
-      return DISRUPTION_HOSTS;
-    case FAULT_STORE:
-    case FAULT_DROP_HISTORY:
-    case FAULT_RESTORE:
-      return DISRUPTION_STORE;
-    case FAULT_HANG:
-    case FAULT_LOSE_ANSWERS:
-    case FAULT_CUT:
-      return DISRUPTION_SERVERS;
-    default:
-      return DISRUPTION_COUNT;
+      g_snprintf (of_routes, sizeof of_routes, ",'HomeRegions':['%c']", "ab"[homes % 2]);
+      g_snprintf (of_desk, sizeof of_desk, ",'HomeRegions':['%c']", "ab"[homes / 2]);
     }
+  g_string_append_printf (text, "{'Version':'r%d','Resources':[", config_version++);
+  append_route (text, "read", "idempotent", 900, ",'Priority':2,'Sticky':true");
+  append_route (text, "write", "non_idempotent", 1000, ",'Sticky':true");
+  append_route (text, "upload", "upload", 1000, "");
+  append_route (text, "read-home", "idempotent", 900, of_routes);
+  append_route (text, "write-home", "non_idempotent", 1000, of_routes);
+  append_account (text, "shop", key_is_withdrawn ? "" : ",'key-shop-2'", SOAK_ACCOUNT_RATE, "");
+  append_account (text, "desk", "", SOAK_ACCOUNT_RATE, of_desk);
+  append_account (text, "bulk", "", 0, "");
+  g_string_append (text, "{'ResourceKind':'Services','Metadata':{'Name':'stock'},'Spec':{"
+                         "'HealthPath':'/health','ColdStart':'0s','ColdPerS':100}}]}");
+  soak_store_put ("op", "config", g_strdelimit (text->str, "'", '"'));
+}
+
+static void
+withdraw_key (void)
+{
+  key_is_withdrawn = true;
+  put_config (config_version % SOAK_HOME_VERSIONS);
+  soak_ledger_withdraw_key ("key-shop-2");
 }
 
 /* Changes the links to the servers of one host in STRIDE. */
@@ -196,179 +237,135 @@
     soak_host_set_cut (i, cut);
 }
 
+/* Begins (ON) or ends FAULT. */
 static void
-set_crowded (bool on)
+set_fault (struct fault *fault, bool on)
 {
-  for (int i = 0; i < SERVERS; i++)
-    soak_server_set_trouble (i, TROUBLE_CROWDED, on);
-}
+  static const int signals[FAULT_KINDS]
+      = {[FAULT_KILL] = SIGKILL, [FAULT_TERM] = SIGTERM, [FAULT_RELOAD] = SIGHUP};
 
-static void
-begin_fault (struct fault *fault)
-{
   switch (fault->kind)
     {
     case FAULT_LEG:
-      soak_proxy_set (fault->leg, fault->behaviour);
+      soak_proxy_set (fault->leg, on ? fault->behaviour : BEHAVE_PASS);
       break;
     case FAULT_PAUSE:
-      soak_host_signal (fault->target, SIGSTOP);
+      soak_host_signal (fault->target, on ? SIGSTOP : SIGCONT);
       break;
     case FAULT_KILL:
-      soak_host_signal (fault->target, SIGKILL);
-      break;
     case FAULT_TERM:
-      soak_host_signal (fault->target, SIGTERM);
-      break;
     case FAULT_RELOAD:
-      soak_host_signal (fault->target, SIGHUP);
+      if (on)
+        soak_host_signal (fault->target, signals[fault->kind]);
       break;
     case FAULT_STORE:
-      soak_store_set_failing (true);
+      soak_store_set_failing (on);
       break;
     case FAULT_DROP_HISTORY:
-      soak_store_drop_history ();
+      if (on)
+        soak_store_drop_history ();
       break;
     case FAULT_HANG:
-      soak_server_set_mode (fault->target, SERVER_HANGS);
-      break;
     case FAULT_LOSE_ANSWERS:
-      soak_server_set_mode (fault->target, SERVER_LOSES_ANSWERS);
+      soak_server_set_mode (fault->target, !on                         ? SERVER_HEALTHY
+                                           : fault->kind == FAULT_HANG ? SERVER_HANGS
+                                                                       : SERVER_LOSES_ANSWERS);
       break;
     case FAULT_DRAIN:
-      soak_server_register (fault->target, true);
+      soak_server_register (fault->target, on);
       break;
     case FAULT_REMOVE:
-      soak_server_remove (fault->target);
+      if (on)
+        soak_server_remove (fault->target);
+      else
+        soak_server_register (fault->target, false);
       break;
     case FAULT_CONFIG:
-      put_config (false);
-      soak_callers_withdraw_key ("key-shop-2");
-      break;
-    case FAULT_GARBAGE:
-      soak_store_put ("op", "config", "{\"Version\":\"r99999\",\"Resources\":[{");
-      soak_store_put ("servers", "odd", "\"no object\"");
-      break;
-    case FAULT_EVACUATE:
-      soak_store_put ("op", "evacuate/a-2", "{}");
-      break;
-    case FAULT_RESTORE:
-      soak_store_restore (fault->target * SOAK_SECOND);
-      break;
-    case FAULT_CUT:
-      set_cut (fault->target, fault->cut);
-      break;
-    case FAULT_TROUBLE:
-      soak_server_set_trouble (fault->target, fault->trouble, true);
-      break;
-    case FAULT_CROWD:
-      set_crowded (true);
-      break;
-    case FAULT_RENAME:
-      fault->old_id = soak_server_rename (fault->target);
-      break;
-    case FAULT_KINDS:
-      break;
-    }
-}
-
-static void
-end_fault (const struct fault *fault)
-{
-  switch (fault->kind)
-    {
-    case FAULT_LEG:
-      soak_proxy_set (fault->leg, BEHAVE_PASS);
-      break;
-    case FAULT_PAUSE:
-      soak_host_signal (fault->target, SIGCONT);
-      break;
-    case FAULT_STORE:
-      soak_store_set_failing (false);
-      break;
-    case FAULT_HANG:
-    case FAULT_LOSE_ANSWERS:
-      soak_server_set_mode (fault->target, SERVER_HEALTHY);
-      break;
-    case FAULT_DRAIN:
-    case FAULT_REMOVE:
-      soak_server_register (fault->target, false);
-      break;
     case FAULT_GARBAGE:
-      put_config (false);
-      soak_callers_withdraw_key ("key-shop-2");
+      if (on == (fault->kind == FAULT_CONFIG))
+        withdraw_key ();
+      else if (on)
+        {
+          soak_store_put ("op", "config", "{\"Version\":\"odd\",\"Resources\":[{");
+          soak_store_put ("servers", "odd", "\"no object\"");
+        }
       break;
     case FAULT_EVACUATE:
-      soak_store_put ("op", "evacuate/a-2", NULL);
+      soak_store_put ("op", "evacuate/a-2", on ? "{}" : NULL);
       break;
     case FAULT_RESTORE:
-      soak_store_rewrite ();
+      if (on)
+        soak_store_restore (fault->target * SOAK_SECOND);
+      else
+        soak_store_rewrite ();
       break;
     case FAULT_CUT:
-      set_cut (fault->target, CUT_NONE);
+      set_cut (fault->target, on ? fault->cut : CUT_NONE);
       break;
     case FAULT_TROUBLE:
-      soak_server_set_trouble (fault->target, fault->trouble, false);
+      soak_server_set_trouble (fault->target, fault->trouble, on);
       break;
     case FAULT_CROWD:
-      set_crowded (false);
+      for (int i = 0; i < SERVERS; i++)
+        soak_server_set_trouble (i, TROUBLE_CROWDED, on);
       break;
     case FAULT_RENAME:
+      if (on)
+        {
+          fault->old_id = soak_server_rename (fault->target);
+          break;
+        }
       soak_store_put ("servers", fault->old_id, NULL);
       soak_server_register (fault->target, false);
       break;
-    default:
+    case FAULT_KINDS:
       break;
     }
 }
 
+/* Appends COUNT faults of KIND to PLAN; FAULT_KINDS: each of a kind before FAULT_RESTORE. */
 static void
-generate_fault (struct fault *fault, const struct soak_options *options)
-{
-  fault->kind = (enum fault_kind) soak_random_below (FAULT_RESTORE);
-  fault->start_ms = (int) soak_random_below ((uint32_t) options->seconds * 1000);
-  fault->duration_ms = FAULT_MIN_MS + (int) soak_random_below (FAULT_RANGE_MS);
-  fault->leg = (enum soak_leg) soak_random_below (LEG_COUNT);
-  fault->behaviour = (enum soak_behaviour) (1 + soak_random_below (BEHAVE_COUNT - 1));
-  fault->target
-      = (int) soak_random_below (fault->kind >= FAULT_HANG ? SERVERS : (uint32_t) options->hosts);
-}
-
-/* Restores are drawn after all other faults, so that these are the same as before for each seed. */
-static void
-generate_restore (struct fault *fault, const struct soak_options *options)
+add_faults (GArray *plan, int count, enum fault_kind kind, const struct soak_options *options)
 {
-  fault->kind = FAULT_RESTORE;
-  fault->start_ms = (int) soak_random_below ((uint32_t) options->seconds * 1000);
-  fault->duration_ms = (int) soak_random_below (REWRITE_MS);
-  fault->target = 1 + (int) soak_random_below (RESTORE_LOST_S);
-}
+  static const uint32_t ranges_ms[FAULT_KINDS + 1] = {
+      [FAULT_RESTORE] = REWRITE_MS,       [FAULT_CUT] = CUT_RANGE_MS,
+      [FAULT_TROUBLE] = TROUBLE_RANGE_MS, [FAULT_CROWD] = TROUBLE_RANGE_MS,
+      [FAULT_RENAME] = RENAME_RANGE_MS,   [FAULT_KINDS] = FAULT_RANGE_MS,
+  };
 
-/* Cuts are drawn after all that, for the same reason. */
-static void
-generate_cut (struct fault *fault, const struct soak_options *options)
-{
-  fault->kind = FAULT_CUT;
-  fault->start_ms = (int) soak_random_below ((uint32_t) options->seconds * 1000);
-  fault->duration_ms = FAULT_MIN_MS + (int) soak_random_below (CUT_RANGE_MS);
-  fault->cut = (enum soak_cut) (1 + soak_random_below (CUT_COUNT - 1));
-  fault->target = 1 + (int) soak_random_below (CUT_STRIDE_MAX);
-}
-
-/* Troubles are drawn after all that, too; then one crowd and one rename. */
-static void
-generate_trouble (struct fault *fault, enum fault_kind kind, const struct soak_options *options)
-{
-  fault->kind = kind;
-  fault->start_ms = (int) soak_random_below ((uint32_t) options->seconds * 1000);
-  fault->duration_ms
-      = FAULT_MIN_MS
-        + (int) soak_random_below (kind == FAULT_RENAME ? RENAME_RANGE_MS : TROUBLE_RANGE_MS);
-  fault->target = (int) soak_random_below (SERVERS);
-  fault->trouble = (enum soak_trouble) soak_random_below (TROUBLE_CROWDED);
-  /* Second copies are what most depends on the moment. */
-  if (kind == FAULT_TROUBLE && soak_random_below (2) == 0)
-    fault->trouble = TROUBLE_STUTTERS;
+  for (int i = 0; i < count; i++)
+    {
+      struct fault fault = {.kind = kind};
+
+      if (kind == FAULT_KINDS)
+        fault.kind = (enum fault_kind) soak_random_below (FAULT_RESTORE);
+      fault.start_ms = (int) soak_random_below ((uint32_t) options->seconds * 1000);
+      fault.duration_ms
+          = (kind == FAULT_RESTORE ? 0 : FAULT_MIN_MS) + (int) soak_random_below (ranges_ms[kind]);
+      if (kind == FAULT_KINDS)
+        {
+          fault.leg = (enum soak_leg) soak_random_below (LEG_COUNT);
+          fault.behaviour = (enum soak_behaviour) (1 + soak_random_below (BEHAVE_COUNT - 1));
+          fault.target = (int) soak_random_below (
+              fault.kind >= FAULT_HANG ? SERVERS : (uint32_t) options->hosts);
+        }
+      else if (kind == FAULT_RESTORE)
+        fault.target = 1 + (int) soak_random_below (RESTORE_LOST_S);
+      else if (kind == FAULT_CUT)
+        {
+          fault.cut = (enum soak_cut) (1 + soak_random_below (CUT_COUNT - 1));
+          fault.target = 1 + (int) soak_random_below (CUT_STRIDE_MAX);
+        }
+      else
+        {
+          fault.target = (int) soak_random_below (SERVERS);
+          fault.trouble = (enum soak_trouble) soak_random_below (TROUBLE_CROWDED);
+          /* Second copies are what most depends on the moment. */
+          if (kind == FAULT_TROUBLE && soak_random_below (2) == 0)
+            fault.trouble = TROUBLE_STUTTERS;
+        }
+      g_array_append_val (plan, fault);
+    }
 }
 
 static gint
@@ -381,47 +378,22 @@
 generate_plan (const struct soak_options *options)
 {
   GArray *plan = g_array_new (FALSE, TRUE, sizeof (struct fault));
-  int count = MIN (options->seconds * 3 / 2, FAULTS_MAX);
-
-  for (int i = 0; i < count; i++)
-    {
-      struct fault fault = {0};
 
-      generate_fault (&fault, options);
-      g_array_append_val (plan, fault);
-    }
-  for (int i = 0; i < RESTORES; i++)
-    {
-      struct fault fault = {0};
-
-      generate_restore (&fault, options);
-      g_array_append_val (plan, fault);
-    }
-  for (int i = 0; i < CUTS; i++)
-    {
-      struct fault fault = {0};
-
-      generate_cut (&fault, options);
-      g_array_append_val (plan, fault);
-    }
-  for (int i = 0; i < options->seconds * 1000 / TROUBLE_PERIOD_MS + 2; i++)
-    {
-      struct fault fault = {0};
-
-      generate_trouble (&fault,
-                        i == 0   ? FAULT_CROWD
-                        : i == 1 ? FAULT_RENAME
-                                 : FAULT_TROUBLE,
-                        options);
-      g_array_append_val (plan, fault);
-    }
+  /* The faults that were added later are drawn last, so that the others stay the same for each
+   * seed. */
+  add_faults (plan, MIN (options->seconds * 3 / 2, FAULTS_MAX), FAULT_KINDS, options);
+  add_faults (plan, RESTORES, FAULT_RESTORE, options);
+  add_faults (plan, CUTS, FAULT_CUT, options);
+  add_faults (plan, 1, FAULT_CROWD, options);
+  add_faults (plan, 1, FAULT_RENAME, options);
+  add_faults (plan, options->seconds * 1000 / TROUBLE_PERIOD_MS, FAULT_TROUBLE, options);
   g_array_sort (plan, compare_start_times);
   for (guint i = 0; i < plan->len; i++)
     {
       const struct fault *fault = &g_array_index (plan, struct fault, i);
 
       printf ("plan: %6d ms %-13s for %4d ms, target %d%s%s\n", fault->start_ms,
-              fault_names[fault->kind], fault->duration_ms, fault->target,
+              fault_kinds[fault->kind].name, fault->duration_ms, fault->target,
               fault->kind == FAULT_LEG || fault->kind == FAULT_TROUBLE ? ", " : "",
               fault->kind == FAULT_LEG       ? soak_behaviour_names[fault->behaviour]
               : fault->kind == FAULT_TROUBLE ? trouble_names[fault->trouble]
@@ -440,19 +412,21 @@
   for (guint i = 0; i < plan->len; i++)
     {
       struct fault *fault = &g_array_index (plan, struct fault, i);
-      enum soak_disruption disruption = disruption_of (fault);
+      enum soak_disruption disruption = fault->kind == FAULT_LEG
+                                            ? leg_disruptions[fault->leg]
+                                            : fault_kinds[fault->kind].disruption;
 
       if (!fault->begun && now_ms >= fault->start_ms)
         {
           fault->begun = true;
           if (disruption != DISRUPTION_COUNT)
             soak_ledger_set_disrupted (disruption, true);
-          begin_fault (fault);
+          set_fault (fault, true);
         }
       if (fault->begun && !fault->ended && now_ms >= fault->start_ms + fault->duration_ms)
         {
           fault->ended = true;
-          end_fault (fault);
+          set_fault (fault, false);
           if (disruption != DISRUPTION_COUNT)
             soak_ledger_set_disrupted (disruption, false);
         }
@@ -467,6 +441,7 @@
 static void
 run_leaving_phase (void)
 {
+  put_config (HOMES_B_AND_A);
   g_usleep (RECOVERY_US);
   soak_server_register (0, true);
   soak_server_remove (1);
@@ -478,6 +453,7 @@
 static void
 run_cut_phase (const struct soak_options *options)
 {
+  put_config (HOMES_A);
   g_usleep (RECOVERY_US);
   soak_callers_stay (true);
   set_cut (CUT_PHASE_STRIDE, (enum soak_cut) (1 + options->seed % (CUT_COUNT - 1)));
@@ -499,11 +475,12 @@
   random_state = options->seed;
   address_block = options->block;
   host_count = options->hosts;
+  flaws = options->flaws;
   start_us = g_get_monotonic_time ();
   plan = generate_plan (options);
   soak_ledger_start ();
   soak_store_start ();
-  put_config (true);
+  put_config (HOMES_A);
   soak_blackhole_open (soak_address (NET_BLACKHOLE, 0, 8080));
   soak_servers_start (options, SERVERS);
   soak_proxy_set_flaws (options->flaws);
@@ -517,10 +494,11 @@
   if (options->flaws == 0
       && (options->switches == 0 || options->switches == PL_ROUTER_NO_HANDOVERS))
     run_cut_phase (options);
-  if (options->flaws == 0)
+  if (options->flaws == 0 || options->flaws >= FLAW_NO_HOMES)
     run_leaving_phase ();
   soak_callers_stop ();
   soak_hosts_stop ();
+  soak_hosts_check_handovers ();
   violations = soak_ledger_finish ();
   soak_servers_print_summary ();
   soak_ledger_print_summary ();
@@ -532,33 +510,34 @@
 int
 main (int argc, char **argv)
 {
-  gint seed = 1;
-  gint seconds = 20;
-  gint hosts = 6;
-  gint block = 0;
-  gint switches = 0;
-  gint flaws = 0;
-  gint callers = 20;
-  g_autofree char *program = NULL;
   g_autofree char *folder = g_path_get_dirname (argv[0]);
-  GOptionEntry entries[] = {
-      {"seed", 0, 0, G_OPTION_ARG_INT, &seed, "Random seed of the fault plan", "N"},
-      {"seconds", 0, 0, G_OPTION_ARG_INT, &seconds, "Duration of the fault phase", "S"},
-      {"processes", 0, 0, G_OPTION_ARG_INT, &hosts, "Entry hosts, 2 to 200", "P"},
-      {"block", 0, 0, G_OPTION_ARG_INT, &block, "Block of loopback addresses, 0 to 20", "B"},
-      {"switches", 0, 0, G_OPTION_ARG_INT, &switches, "Mechanisms to disable, as in the settings",
-       "MASK"},
-      {"flaws", 0, 0, G_OPTION_ARG_INT, &flaws, "What servers and callers' connections do wrong",
-       "MASK"},
-      {"callers", 0, 0, G_OPTION_ARG_INT, &callers, "Callers without a limit, 0 to 200", "C"},
-      {"program", 0, 0, G_OPTION_ARG_FILENAME, &program, "Path of the entry host program", "FILE"},
-      {NULL}};
+  struct soak_options options = {.seed = 1,
+                                 .seconds = 20,
+                                 .hosts = 6,
+                                 .program = "build/pomelolatch-entry",
+                                 .folder = folder,
+                                 .callers = 20};
+  GOptionEntry entries[]
+      = {{"seed", 0, 0, G_OPTION_ARG_INT, &options.seed, "Random seed of the fault plan", "N"},
+         {"seconds", 0, 0, G_OPTION_ARG_INT, &options.seconds, "Duration of the fault phase", "S"},
+         {"processes", 0, 0, G_OPTION_ARG_INT, &options.hosts, "Entry hosts, 2 to 200", "P"},
+         {"block", 0, 0, G_OPTION_ARG_INT, &options.block, "Block of loopback addresses, 0 to 20",
+          "B"},
+         {"switches", 0, 0, G_OPTION_ARG_INT, &options.switches,
+          "Mechanisms to disable, as in the settings", "MASK"},
+         {"flaws", 0, 0, G_OPTION_ARG_INT, &options.flaws,
+          "What servers and callers' connections do wrong", "MASK"},
+         {"callers", 0, 0, G_OPTION_ARG_INT, &options.callers, "Callers without a limit, 0 to 200",
+          "C"},
+         {"program", 0, 0, G_OPTION_ARG_FILENAME, &options.program,
+          "Path of the entry host program", "FILE"},
+         {NULL}};
   g_autoptr (GOptionContext) context = g_option_context_new ("- entry hosts under faults");
-  struct soak_options options;
 
   g_option_context_add_main_entries (context, entries, NULL);
-  if (!g_option_context_parse (context, &argc, &argv, NULL) || hosts < 2 || hosts > SOAK_HOSTS_MAX
-      || seconds < 1 || block < 0 || block > BLOCK_MAX || callers < 0 || callers > SOAK_CALLERS_MAX)
+  if (!g_option_context_parse (context, &argc, &argv, NULL) || options.hosts < 2
+      || options.hosts > SOAK_HOSTS_MAX || options.seconds < 1 || options.block < 0
+      || options.block > BLOCK_MAX || options.callers < 0 || options.callers > SOAK_CALLERS_MAX)
     {
       fprintf (stderr, "soak: see --help\n");
       return 2;
@@ -567,14 +546,5 @@
     return 2;
   signal (SIGPIPE, SIG_IGN);
   setvbuf (stdout, NULL, _IOLBF, 0);
-  options = (struct soak_options){.seed = (uint32_t) seed,
-                                  .seconds = seconds,
-                                  .hosts = hosts,
-                                  .block = block,
-                                  .program = program != NULL ? program : "build/pomelolatch-entry",
-                                  .folder = folder,
-                                  .switches = switches,
-                                  .flaws = flaws,
-                                  .callers = callers};
   return run (&options);
 }
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,14 +23,16 @@
 #define SOAK_ACCOUNT_RATE 40
 /* Requests per second over all hosts that one of the servers names as its limit. */
 #define SOAK_SERVER_LIMIT 3
+/* A configuration must be in force within this time while hosts and the store are undisturbed. */
+#define SOAK_CONFIG_US (3 * SOAK_SECOND)
 
 struct soak_options
 {
-  uint32_t seed;
+  int seed;
   int seconds;
   int hosts;
   int block; /* block of loopback addresses, 0 to 20 */
-  const char *program;
+  char *program;
   const char *folder; /* folder of the soak program */
   int switches;       /* mechanisms that the hosts disable, to prove that the soak detects it */
   int flaws;          /* of enum soak_flaw */
@@ -44,6 +46,8 @@
   FLAW_FORGED_COPIES = 2,    /* second answers bear the id of the next request */
   FLAW_CUT_ANSWERS = 4,      /* callers' connections end inside of answers */
   FLAW_SECOND_ANSWERS = 8,   /* callers get answers twice */
+  FLAW_NO_HOMES = 16,        /* hosts get configurations without home regions */
+  FLAW_FIRST_HOMES = 32,     /* hosts get configurations with the home regions of the first one */
 };
 
 /* Loopback networks.  Concurrent runs each use their own block of networks. */
@@ -60,6 +64,9 @@
 /* Returns "IP:PORT" of member NUMBER, from 0, of NET.  The string is never freed. */
 const char *soak_address (enum soak_net net, int number, int port);
 
+/* Returns the failure domain of a host, a server or a caller; its region is the first letter. */
+const char *soak_domain_of (int number);
+
 /* Returns the number of the member that has ADDRESS, or -1. */
 int soak_member_number (enum soak_net net, const char *address);
 
@@ -181,7 +188,6 @@
 void soak_server_register (int server, bool draining);
 void soak_server_remove (int server);
 void soak_server_set_mode (int server, enum soak_server_mode mode);
-int soak_server_count (void);
 
 /* hosts.c */
 void soak_hosts_start (const struct soak_options *options);
@@ -204,15 +210,14 @@
 /* The same, but for stops (SIGTERM) and starts. */
 bool soak_host_is_undisrupted (int host, int64_t since_us);
 bool soak_hosts_wait_ready (int64_t limit_us);
-/* Stops all hosts.  Returns the number of unexpected exits during the run. */
-int soak_hosts_stop (void);
-const char *soak_host_log (int host); /* path of its log */
+void soak_hosts_stop (void);
+/* Checks the hand-overs that the hosts have logged. */
+void soak_hosts_check_handovers (void);
 
 /* callers.c */
 /* Starts COUNT callers that have limits, and UNLIMITED that have none. */
 void soak_callers_start (int count, int unlimited, int hosts);
 void soak_callers_stop (void);
-void soak_callers_withdraw_key (const char *key);
 /* Callers keep to their hosts, whatever the directory says. */
 void soak_callers_stay (bool stay);
 
@@ -229,18 +234,25 @@
 void soak_ledger_start (void);
 /* Marks the beginning (ON) or the end of a disruption.  Disruptions of one kind may overlap. */
 void soak_ledger_set_disrupted (enum soak_disruption disruption, bool on);
-/* Returns whether no disruption of this kind is active, and the last one, if any, ended more than
- * STABLE_US of ledger.c before SINCE_US. */
-bool soak_ledger_is_stable (enum soak_disruption disruption, int64_t since_us);
-void soak_ledger_record_sent (const char *id, const char *account, bool at_most_once);
+/* Requests with KEY may not run any more once SOAK_CONFIG_US has passed. */
+void soak_ledger_withdraw_key (const char *key);
+void soak_ledger_record_sent (const char *id, const char *account, const char *key,
+                              const char *path, int host);
+/* Records VERSION of the configuration when the store acknowledges it.  Its number tells the home
+ * regions: region b of the routes with SOAK_HOME_PATH if it is odd, region b of the account desk if
+ * its half is, region a else. */
+#define SOAK_HOME_VERSIONS 4
+#define SOAK_HOME_PATH "-home/"
+void soak_ledger_record_version (int version);
+/* Checks that a host in the region of PEER may get the body of ID. */
+void soak_ledger_check_handover (const char *id, int peer);
 void soak_ledger_record_run (const char *id, const char *account, int server);
 /* Records what a server answers, before it is sent. */
 void soak_ledger_record_reply (const char *id, const char *stamp, int status);
 /* Records an answer at its caller.  STAMP is that of the server, if any. */
 void soak_ledger_record_answer (const char *id, int status, const char *stamp);
-/* Records that ID, sent to HOST, has no answer.  IS_NEW: on a new connection. */
-void soak_ledger_record_no_answer (const char *id, int host, bool is_new, int64_t begun_us,
-                                   const char *reason);
+/* Records that ID has no answer.  IS_NEW: on a new connection. */
+void soak_ledger_record_no_answer (const char *id, bool is_new, const char *reason);
 /* Records a request at a server that names SOAK_SERVER_LIMIT. */
 void soak_ledger_record_limited (void);
 /* Counts the tries of callers from now on, by whether their host was cut off from the servers. */
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -5,24 +5,23 @@
 
 #include <jansson.h>
 #include <microhttpd.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-struct row
-{
-  char *table;
-  char *key;
-  char *value; /* NULL: the row is deleted */
-  int64_t version;
-};
-
 /* A write to the store: the operator's or a server's. */
 struct write
 {
   int64_t at_us;
   char *table; /* never freed, as KEY and VALUE */
   char *key;
-  char *value;
+  char *value; /* NULL: deletes the row */
+};
+
+struct row
+{
+  struct write write;
+  int64_t version;
 };
 
 static GMutex lock;
@@ -40,13 +39,14 @@
 put_row (const struct write *write)
 {
   struct row *row = g_new0 (struct row, 1);
+  int config_version;
 
-  row->table = write->table;
-  row->key = write->key;
-  row->value = write->value;
+  row->write = *write;
   row->version = ++version;
-  g_hash_table_insert (rows, g_strdup_printf ("%s/%s", row->table, row->key), row);
+  g_hash_table_insert (rows, g_strdup_printf ("%s/%s", write->table, write->key), row);
   g_array_append_val (writes, *write);
+  if (write->value != NULL && sscanf (write->value, "{\"Version\":\"r%d\"", &config_version) == 1)
+    soak_ledger_record_version (config_version);
 }
 
 void
@@ -128,12 +128,13 @@
 static json_t *
 encode_row (const struct row *row)
 {
-  json_t *object = json_pack ("{s:s,s:s,s:s,s:I}", "Table", row->table, "part", "", "Key", row->key,
-                              "Ver", (json_int_t) row->version);
+  json_t *object = json_pack ("{s:s,s:s,s:s,s:I}", "Table", row->write.table, "part", "", "Key",
+                              row->write.key, "Ver", (json_int_t) row->version);
 
-  if (row->value != NULL)
+  if (row->write.value != NULL)
     {
-      g_autofree char *text = g_base64_encode ((guchar *) row->value, strlen (row->value));
+      g_autofree char *text
+          = g_base64_encode ((guchar *) row->write.value, strlen (row->write.value));
 
       json_object_set_new (object, "Value", json_string (text));
     }
@@ -155,8 +156,8 @@
     {
       const struct row *row = value;
 
-      if (strcmp (row->table, table) == 0 && row->version > after
-          && (!is_snapshot || row->value != NULL))
+      if (strcmp (row->write.table, table) == 0 && row->version > after
+          && (!is_snapshot || row->write.value != NULL))
         json_array_append_new (list, encode_row (row));
     }
   return list;
--- a/tests/system/test_soak.sh
+++ b/tests/system/test_soak.sh
@@ -71,11 +71,14 @@
 expect hosts-without-servers 'BROKEN.* cut off from the servers served'
 
 # Faults that no host can mend: servers run what they reject, or send second answers under the next
-# request's id; answers to callers are cut, or arrive twice.
+# request's id; answers to callers are cut, or arrive twice.  Hosts get configurations without home
+# regions, or with those of the first version.
 start false-rejections --seconds 3 --flaws 1
 start forged-copies --seconds 3 --flaws 2
 start cut-answers --seconds 3 --flaws 4
 start second-answers --seconds 3 --flaws 8
+start missing-homes --seconds 2 --flaws 16
+start first-homes --seconds 2 --flaws 32
 wait_for_failures
 expect false-rejections 'BROKEN.* REFUSED: .* has run'
 expect false-rejections 'BROKEN.* TWICE: .* ran 2 times'
@@ -83,3 +86,5 @@
 expect cut-answers 'BROKEN.* LOST: .* the connection was closed'
 expect second-answers 'BROKEN.* MIXED: .* another body'
 expect second-answers 'BROKEN.* MIXED: bytes follow the answer'
+expect missing-homes 'BROKEN.* HOME: .* reached server'
+expect first-homes 'BROKEN.* HOME: .* reached server'
