Tests: random changes of the configuration among requests, 40 seeds

Guards against a sending that follows rules which were replaced, on any path: changes of homes, services, keys, accounts, kinds, attempts and of the regions of servers, at random moments among requests that wait, are tried again, copied and handed over. The oracle knows what was fed last and checks the region, service, account, number and kind of each sending, the region of each peer, that "not run" is true as far as the host can see, and that each request is answered exactly once. Ruled out while it was written: seeds that send too little to tell anything. With one path for all requests most were quarantined, and with 20 ms between steps a cut outlasted the run.

--- a/tests/test_decisions_in_force.c
+++ b/tests/test_decisions_in_force.c
@@ -5,6 +5,7 @@
 #include "router_world.h"
 #include "suite.h"
 
+#include <assert.h>
 #include <string.h>
 
 #define SERVERS 3 /* in each region */
@@ -345,10 +346,424 @@
 }
 END_TEST
 
+/* Random changes of routes, account, key and servers among requests with random ends of attempts.
+ * The oracle knows what was fed last, and checks that each sending follows it. */
+
+#define RANDOM_SEEDS 40
+#define RANDOM_STEPS 3000
+#define PENDING_MAX 80
+#define POOL_SERVERS 6 /* of each service */
+#define POOLS 2        /* services */
+#define PEERS 4
+#define BEACON_PERIOD_US (300 * WORLD_MS)
+#define IN_A 1U
+#define IN_B 2U
+#define STOCK 1U
+#define OTHER 2U
+
+/* The fields of routes, and the regions and services that they allow. */
+static const struct
+{
+  const char *fields;
+  unsigned regions;
+  unsigned services;
+} random_routes[] = {
+    {"\"Service\":\"stock\"", IN_A | IN_B, STOCK},
+    {"\"Service\":\"other\"", IN_A | IN_B, OTHER},
+    {"\"HomeRegions\":[\"a\"],\"Service\":\"stock\"", IN_A, STOCK},
+    {"\"HomeRegions\":[\"b\"],\"Service\":\"stock\"", IN_B, STOCK},
+    {"\"HomeRegions\":[\"a\"],\"Service\":\"other\"", IN_A, OTHER},
+    {"\"HomeRegions\":[\"b\"],\"Service\":\"other\"", IN_B, OTHER},
+    {"\"HomeRegions\":[\"b\"],\"TrafficSplit\":[{\"Service\":\"other\",\"Weight\":1},"
+     "{\"Service\":\"stock\",\"Weight\":1}]",
+     IN_B, STOCK | OTHER},
+    {"\"HomeRegions\":[\"a\",\"b\"],\"TrafficSplit\":[{\"Service\":\"other\",\"Weight\":1},"
+     "{\"Service\":\"stock\",\"Weight\":9}]",
+     IN_A | IN_B, STOCK | OTHER},
+};
+
+static const struct
+{
+  const char *fields;
+  unsigned regions;
+} random_accounts[]
+    = {{"", IN_A | IN_B}, {"\"HomeRegions\":[\"a\"],", IN_A}, {"\"HomeRegions\":[\"b\"],", IN_B}};
+
+static const char *const pool_names[POOLS] = {"stock", "other"};
+
+struct random_run
+{
+  uint32_t random;
+  int version;
+  struct rules rules;
+  int route;       /* of random_routes */
+  int account;     /* of random_accounts */
+  bool has_routes; /* otherwise the routes of all configurations match */
+  bool is_empty;   /* the configuration has no routes at all */
+  unsigned server_regions[POOLS][POOL_SERVERS];
+  bool is_cut; /* new connections to servers fail */
+  struct pl_beacon peers[PEERS];
+  int64_t beacons_due_us;
+  GPtrArray *pending; /* of struct world_call */
+  GArray *versions;   /* that were in force at the arrivals; index: id of the request */
+  int sends;
+  int later_sends; /* of requests that had arrived before the last change */
+};
+
+/* What the configuration that was fed last allows for one request. */
+struct allowed
+{
+  const char *account; /* NULL: it must not be sent */
+  unsigned regions;
+  unsigned services;
+  int attempts;
+  bool runs_once;
+};
+
+static uint32_t
+random_below (struct random_run *run, uint32_t bound)
+{
+  run->random = run->random * 1664525 + 1013904223;
+  return (run->random >> 8) % bound;
+}
+
+/* Requests of the account "shop", which no change concerns. */
+static bool
+is_of_shop (uint64_t id)
+{
+  return id % 4 == 0;
+}
+
+static struct allowed
+find_allowed (const struct random_run *run, const struct world_call *call)
+{
+  const struct rules *rules = &run->rules;
+  struct allowed allowed = {NULL, IN_A | IN_B, STOCK, 2, !call->repeatable};
+
+  if (run->is_empty)
+    return allowed;
+  if (is_of_shop (call->id))
+    allowed.account = "shop";
+  else if (strcmp (rules->name, "keyless") != 0)
+    {
+      allowed.account = rules->name;
+      allowed.regions = random_accounts[run->account].regions;
+    }
+  if (!run->has_routes)
+    return allowed;
+  allowed.regions &= random_routes[run->route].regions;
+  allowed.services = random_routes[run->route].services;
+  allowed.attempts = rules->attempts;
+  allowed.runs_once = !call->repeatable || strcmp (rules->read_kind, "idempotent") != 0;
+  return allowed;
+}
+
+static unsigned
+region_of_peer (const struct random_run *run, const struct world_call *call)
+{
+  for (int i = 0; i < PEERS; i++)
+    {
+      const char *address = run->peers[i].self.peer_address;
+
+      if (strncmp (call->address, address, strcspn (address, ":") + 1) == 0)
+        return run->peers[i].self.domain[0] == 'a' ? IN_A : IN_B;
+    }
+  return 0;
+}
+
+static void
+check_random_attempt (void *data, struct world_call *call)
+{
+  struct random_run *run = data;
+  struct allowed allowed = find_allowed (run, call);
+
+  assert (allowed.account != NULL);
+  assert (!allowed.runs_once || (call->at_most_once && !call->may_have_run));
+  assert (!allowed.runs_once || call->other.number == 0);
+  run->sends++;
+  run->later_sends += g_array_index (run->versions, int, call->id) < run->version;
+  if (call->at_peer)
+    {
+      assert ((allowed.regions & region_of_peer (run, call)) != 0);
+      return;
+    }
+  for (int pool = 0; pool < POOLS; pool++)
+    if (g_str_has_prefix (call->server, pool_names[pool]))
+      {
+        int server = atoi (call->server + strlen (pool_names[pool]) + 1);
+
+        assert ((allowed.services >> pool & 1) != 0);
+        assert ((allowed.regions & run->server_regions[pool][server]) != 0);
+      }
+  assert (call->sends <= allowed.attempts);
+  assert (strcmp (call->account, allowed.account) == 0);
+}
+
+static void
+check_random_answer (void *data, struct world_call *call)
+{
+  (void) data;
+  assert (call->answers == 1);
+  if (!call->delivered && call->status != 502 && call->status != 504)
+    assert (!call->may_have_run);
+}
+
+static void
+put_random_server (struct random_run *run, int pool, int server)
+{
+  bool is_in_a = random_below (run, 2) == 0;
+  g_autofree char *id = g_strdup_printf ("%s-%d", pool_names[pool], server);
+  g_autofree char *row = g_strdup_printf (
+      "{\"Address\":\"10.1.%d.%d:80\",\"born\":1,\"Info\":{\"Service\":\"%s\",\"Zone\":\"%s\","
+      "\"Slots\":%d},\"Status\":{\"State\":\"ready\",\"Sequence\":1,\"ColdRemaining\":\"0ms\"}}",
+      pool, server + 1, pool_names[pool], is_in_a ? "a-1" : "b-1", SLOTS);
+
+  run->server_regions[pool][server] = is_in_a ? IN_A : IN_B;
+  world_put_row (world, PL_TABLE_SERVERS, id, row);
+}
+
+static void
+put_random_rules (struct random_run *run)
+{
+  run->rules.route = random_routes[run->route].fields;
+  run->rules.account = random_accounts[run->account].fields;
+  run->version++;
+  if (run->is_empty)
+    {
+      g_autofree char *row
+          = g_strdup_printf ("{\"Version\":\"r%d\",\"Resources\":[]}", run->version);
+
+      world_put_row (world, PL_TABLE_CONTROL, "config", row);
+    }
+  else
+    put_rules (run->version, &run->rules, run->has_routes);
+}
+
+static void
+change_random_rule (struct random_run *run)
+{
+  static const char *const names[] = {"bound", "successor", "bound", "successor", "keyless"};
+  static const char *const kinds[] = {"idempotent", "non_idempotent"};
+
+  switch (random_below (run, 8))
+    {
+    case 0:
+    case 1:
+      run->route = (int) random_below (run, G_N_ELEMENTS (random_routes));
+      break;
+    case 2:
+    case 3:
+      run->account = (int) random_below (run, G_N_ELEMENTS (random_accounts));
+      break;
+    case 4:
+      run->rules.name = names[random_below (run, G_N_ELEMENTS (names))];
+      break;
+    case 5:
+      run->rules.read_kind = kinds[random_below (run, G_N_ELEMENTS (kinds))];
+      break;
+    case 6:
+      run->rules.attempts = 1 + (int) random_below (run, 3);
+      break;
+    default:
+      run->has_routes = !run->has_routes;
+      break;
+    }
+  run->is_empty = random_below (run, 30) == 0;
+  put_random_rules (run);
+}
+
+static void
+send_random_request (struct random_run *run)
+{
+  /* Requests that are alike are quarantined when several of them end the connections of servers. */
+  g_autofree char *path = g_strdup_printf (
+      random_below (run, 3) > 0 ? "/read/bound/%d" : "/write/bound/%d", (int) run->versions->len);
+  const char *key = is_of_shop (world->next_request + 1) ? "key-1" : "key";
+
+  if (run->pending->len == PENDING_MAX)
+    return;
+  g_array_append_val (run->versions, run->version);
+  g_ptr_array_add (run->pending, random_below (run, 12) > 0
+                                     ? world_send_request (world, path, key)
+                                     : world_send_handover (world, path, key));
+}
+
+static struct world_call *
+choose_random_call (struct random_run *run)
+{
+  return run->pending->len > 0
+             ? g_ptr_array_index (run->pending, random_below (run, run->pending->len))
+             : NULL;
+}
+
+static void
+end_at_random_peer (struct random_run *run, struct world_call *call)
+{
+  static const char *const reasons[]
+      = {"old-configuration", "servers-lost", "servers-full", "no-route", "stopping"};
+
+  switch (random_below (run, 6))
+    {
+    case 0:
+      world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+      break;
+    case 1:
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWER_LOST, 0);
+      break;
+    case 2:
+    case 3:
+      world_refuse_by_peer (world, call, 503, reasons[random_below (run, G_N_ELEMENTS (reasons))],
+                            0);
+      break;
+    default:
+      world_end_attempt (world, call, PL_ATTEMPT_ANSWERED, 200);
+      break;
+    }
+}
+
+static void
+end_random_attempt (struct random_run *run)
+{
+  static const int statuses[] = {200, 200, 200, 200, 500, 503};
+  static const enum pl_attempt_end failures[]
+      = {PL_ATTEMPT_NOT_RUN, PL_ATTEMPT_NOT_SENT, PL_ATTEMPT_OTHER_SERVER, PL_ATTEMPT_ANSWER_LOST};
+  struct world_call *call = choose_random_call (run);
+
+  if (call == NULL || !call->at_server || call->cancelled)
+    return;
+  if (call->other.number != 0 && random_below (run, 2) == 0)
+    world_select_other (call);
+  if (call->at_peer)
+    end_at_random_peer (run, call);
+  else if (run->is_cut && random_below (run, 4) > 0)
+    world_end_attempt (world, call, PL_ATTEMPT_NOT_SENT, 0);
+  else if (random_below (run, 3) == 0)
+    world_end_attempt (world, call, failures[random_below (run, G_N_ELEMENTS (failures))], 0);
+  else
+    world_end_attempt (world, call, PL_ATTEMPT_ANSWERED,
+                       statuses[random_below (run, G_N_ELEMENTS (statuses))]);
+}
+
+static void
+disconnect_random_caller (struct random_run *run)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_CALLER_GONE};
+  const struct world_call *call = choose_random_call (run);
+
+  if (call == NULL)
+    return;
+  event.u.request = call->id;
+  world_step (world, &event);
+}
+
+static void
+answer_probe (const struct random_run *run)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_PROBED};
+  g_autofree char *server = g_queue_pop_head (&world->probed);
+
+  if (server == NULL)
+    return;
+  event.u.probed.server = pl_server_hash (server);
+  event.u.probed.connected = event.u.probed.healthy = !run->is_cut;
+  world_step (world, &event);
+}
+
+static void
+send_beacons (struct random_run *run)
+{
+  if (world->now_us < run->beacons_due_us)
+    return;
+  run->beacons_due_us = world->now_us + BEACON_PERIOD_US;
+  for (int i = 0; i < PEERS; i++)
+    world_receive_beacon (world, &run->peers[i]);
+}
+
+static void
+take_answered (struct random_run *run)
+{
+  for (guint i = 0; i < run->pending->len; i++)
+    if (((const struct world_call *) g_ptr_array_index (run->pending, i))->answers > 0)
+      g_ptr_array_remove_index_fast (run->pending, i--);
+}
+
+static void
+run_random_step (struct random_run *run)
+{
+  uint32_t kind = random_below (run, 100);
+
+  if (kind < 40)
+    send_random_request (run);
+  else if (kind < 78)
+    end_random_attempt (run);
+  else if (kind < 83)
+    change_random_rule (run);
+  else if (kind < 86)
+    put_random_server (run, (int) random_below (run, POOLS),
+                       (int) random_below (run, POOL_SERVERS));
+  else if (kind < 87)
+    disconnect_random_caller (run);
+  else if (kind < 91)
+    answer_probe (run);
+  else if (kind < 92)
+    run->is_cut = random_below (run, 8) == 0;
+  else
+    world_advance (world, (int64_t) random_below (run, 40) * WORLD_MS);
+  take_answered (run);
+  send_beacons (run);
+}
+
+START_TEST (random_changes_bind_each_sending)
+{
+  struct world_options options = {
+      .load_management = _i % 2 == 0 ? PL_LOAD_MANAGEMENT_ON : PL_LOAD_MANAGEMENT_OFF,
+      .hedge_ratio = _i % 4 == 0 ? 0.2 : 0,
+  };
+  struct random_run run = {.random = (uint32_t) _i,
+                           .version = 2,
+                           .rules = {.read_kind = "idempotent", .attempts = 3, .name = "bound"},
+                           .has_routes = true};
+  static const int no_version = 0;
+
+  world = world_new_from (&options);
+  run.pending = g_ptr_array_new ();
+  run.versions = g_array_new (FALSE, FALSE, sizeof (int));
+  g_array_append_val (run.versions, no_version);
+  for (int i = 0; i < PEERS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("peer-%d", i);
+
+      run.peers[i] = world_peer_beacon (name, i % 2 == 0 ? "a-2" : "b-1");
+    }
+  put_random_rules (&run);
+  for (int i = 0; i < POOLS * POOL_SERVERS; i++)
+    put_random_server (&run, i % POOLS, i / POOLS);
+  world->on_attempt = check_random_attempt;
+  world->on_answer = check_random_answer;
+  world->data = &run;
+  world_advance (world, 4 * WORLD_SECOND);
+  for (int i = 0; i < RANDOM_STEPS; i++)
+    run_random_step (&run);
+  for (int i = 0; i < 40; i++)
+    world_advance (world, 50 * WORLD_MS);
+  take_answered (&run);
+  ck_assert_uint_eq (run.pending->len, 0);
+  /* Without enough of both, the checks above would be vacuous. */
+  ck_assert_int_gt (run.sends, RANDOM_STEPS / 20);
+  ck_assert_int_gt (run.later_sends, 5);
+  g_ptr_array_free (run.pending, TRUE);
+  g_array_free (run.versions, TRUE);
+  world_free (world);
+}
+END_TEST
+
+/* Usage: test_decisions_in_force [FIRST-SEED COUNT] */
 int
-main (void)
+main (int argc, char **argv)
 {
   const int ends = G_N_ELEMENTS (retried_ends);
+  int first = argc > 1 ? atoi (argv[1]) : 1;
+  int count = argc > 2 ? atoi (argv[2]) : RANDOM_SEEDS;
   Suite *suite;
   TCase *tcase = suite_new_case (&suite, "decisions in force");
 
@@ -369,5 +784,9 @@
   tcase_add_test (tcase, waits_for_a_retry_follow_the_homes);
   tcase_add_test (tcase, withdrawn_routes_end_waits);
   tcase_add_test (tcase, answers_are_delivered_after_a_change);
+  tcase = tcase_create ("random changes");
+  tcase_set_timeout (tcase, 0);
+  tcase_add_loop_test (tcase, random_changes_bind_each_sending, first, first + count);
+  suite_add_tcase (suite, tcase);
   return suite_run (suite);
 }
