--- a/tests/test_decisions_in_force.c
+++ b/tests/test_decisions_in_force.c
@@ -346,6 +346,40 @@
 }
 END_TEST
 
+/* Sends a read by homes in region a, moves them to b, and loses the servers while PEER, in DOMAIN,
+ * reaches them. */
+static struct world_call *
+lose_servers_across (struct pl_beacon *peer, const char *domain)
+{
+  struct world_call *call;
+
+  *peer = world_peer_beacon ("peer", domain);
+  put_rules (4, &in_region_a, true);
+  call = world_send_request (world, "/read/bound/1", "key");
+  put_rules (5, &in_region_b, true);
+  world_receive_beacon (world, peer);
+  world_lose_servers (world);
+  return call;
+}
+
+/* An attempt must not be given up for a peer that the homes in force rule out. */
+START_TEST (lost_servers_keep_requests_that_no_peer_may_take)
+{
+  struct pl_beacon peer;
+  const struct world_call *call = lose_servers_across (&peer, "a-2");
+
+  ck_assert_int_eq (call->answers, 0);
+}
+END_TEST
+
+START_TEST (lost_servers_give_requests_to_peers_in_the_new_homes)
+{
+  struct pl_beacon peer;
+
+  check_peer (lose_servers_across (&peer, "b-1"), &peer);
+}
+END_TEST
+
 /* Random changes of routes, account, key and servers among requests with random ends of attempts.
  * The oracle knows what was fed last, and checks that each sending follows it. */
 
@@ -782,6 +816,8 @@
   tcase_add_test (tcase, fewer_attempts_end_waits_for_a_retry);
   tcase_add_test (tcase, requests_that_must_run_once_now_wait_for_no_retry);
   tcase_add_test (tcase, waits_for_a_retry_follow_the_homes);
+  tcase_add_test (tcase, lost_servers_keep_requests_that_no_peer_may_take);
+  tcase_add_test (tcase, lost_servers_give_requests_to_peers_in_the_new_homes);
   tcase_add_test (tcase, withdrawn_routes_end_waits);
   tcase_add_test (tcase, answers_are_delivered_after_a_change);
   tcase = tcase_create ("random changes");
