Router: peers for lost servers are judged by the homes in force

What callers could see: after a change of homes, a host that loses its servers gave up attempts for peers that might not take them any more (502 at once), and left others at the lost server although a peer could. Cause: calls_on_servers_lost() looked for a peer by the homes of the last sending. Change: it looks by decision_preview(), which finds the regions, account and kind in force without charging an account or choosing a service: the attempt is still running, and its outcome belongs to the decision that sent it. A request that must run once now, or whose route or key was withdrawn, is left at its server. Ruled out: decision_renew() in that place, which would record the running attempt's outcome for another account and service, and charge the account of a request that is then not sent.

--- a/core/call_decision.c
+++ b/core/call_decision.c
@@ -180,6 +180,20 @@
   return call->refusal;
 }
 
+bool
+decision_preview (struct pl_router *router, const struct call *call, struct call *preview)
+{
+  struct call_rules rules;
+
+  *preview = *call;
+  if (call->adoption == router->adoptions)
+    return call->refusal < 0;
+  if (find_rules (router, preview, &rules) >= 0)
+    return false;
+  apply_rules (router, preview, &rules);
+  return true;
+}
+
 bool
 decision_is_in_force (const struct pl_router *router, const struct call *call)
 {
--- a/core/router_calls.c
+++ b/core/router_calls.c
@@ -866,6 +866,17 @@
     refuse_unsent (router, call, ROUTER_ANSWER_LOST, 0);
 }
 
+/* Returns whether there is a peer that may take CALL, which is repeatable and at a server, by the
+ * configuration in force. */
+static bool
+has_peer (struct pl_router *router, const struct call *call)
+{
+  struct call preview;
+
+  return decision_preview (router, call, &preview) && preview.repeatable
+         && reach_choose_peer (router, &preview) != NULL;
+}
+
 void
 calls_on_servers_lost (struct pl_router *router)
 {
@@ -879,7 +890,7 @@
       struct call *call = value;
 
       if (call->state == CALL_AT_SERVER && call->repeatable
-          && (call->is_handover || reach_choose_peer (router, call) != NULL))
+          && (call->is_handover || has_peer (router, call)))
         g_ptr_array_add (lost, call);
     }
   for (guint i = 0; i < lost->len; i++)
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -345,6 +345,11 @@
 /* Decides again on CALL, which was admitted, if a configuration has been adopted since.  Returns
  * the refusal, or -1 if it may be sent. */
 int decision_renew (struct pl_router *router, struct call *call);
+/* Sets PREVIEW to CALL with the regions, account and kind that decision_renew() would give it, but
+ * charges no account and chooses no service: CALL may have an attempt in progress, whose outcome is
+ * recorded by the decision that sent it.  PREVIEW has no correlation id and is valid while CALL is.
+ * Returns whether a route and key allow it. */
+bool decision_preview (struct pl_router *router, const struct call *call, struct call *preview);
 /* Returns whether CALL may be sent by the configuration in force, and its fields are as that says.
  */
 bool decision_is_in_force (const struct pl_router *router, const struct call *call);
