Test: a large configuration is in force in time over links of 10 Mbit/s

The simulated fleet gets links with a bandwidth, which answers with rows share at both ends, and the relay's budget of bytes. Until now a row took 4 ms whatever its size, so no test could show a cost that grows with the size of the configuration.

Callers saw requests decided by configurations that had been replaced for up to 24 s (2 s promised) with 2,800 to 4,200 routes, and for up to 2.2 s with 1,400.

--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -18,6 +18,10 @@
 #define CAPACITY 100
 /* As in modules/relay.c. */
 #define FETCH_TIMEOUT_US (3 * WORLD_SECOND)
+/* As in programs/pomelolatch-entry.c. */
+#define RELAY_LINK_RATIO 0.5
+/* An answer without rows. */
+#define EMPTY_ANSWER_BYTES 200
 
 static const char *const seeds[SEEDS + 1] = {"10.0.0.0:7600", "10.0.0.1:7600", NULL};
 
@@ -42,9 +46,23 @@
   int to;
   int version;    /* of the configuration; 0: none */
   uint64_t fetch; /* number of the fetch that it answers */
+  bool is_refused;
+  bool has_failed;
   struct pl_beacon *beacon;
 };
 
+#define FROM_STORE (-1)
+
+/* An answer with rows on its way over links that have a bandwidth. */
+struct transfer
+{
+  struct message message; /* posted when the last byte has arrived */
+  int from;               /* host, or FROM_STORE, whose link has no bound */
+  double bytes_left;
+  int64_t delay_us; /* of each byte */
+  int64_t fails_us; /* INT64_MAX: never */
+};
+
 static int
 find_region (void *data, const char *region)
 {
@@ -69,6 +87,59 @@
   g_array_append_val (fleet->messages, message);
 }
 
+static char *
+make_configuration (const struct router_fleet *fleet, int version)
+{
+  return g_strdup_printf ("{\"Version\":\"r%d\",\"Resources\":[%s]}", version,
+                          fleet->resources != NULL ? fleet->resources : "");
+}
+
+/* Returns the bytes of an answer of a peer with the configuration VERSION. */
+static size_t
+relay_answer_bytes (const struct router_fleet *fleet, int version)
+{
+  g_autofree char *config = make_configuration (fleet, version);
+  json_t *value = json_string (config);
+  char *text = json_dumps (value, JSON_ENCODE_ANY);
+  size_t length = strlen (text);
+
+  free (text);
+  json_decref (value);
+  return length;
+}
+
+/* Posts MESSAGE, an answer of BYTES bytes, which arrives DELAY_US after its last byte was sent. */
+static void
+post_transfer (struct router_fleet *fleet, int from, const struct message *message, size_t bytes,
+               int64_t delay_us, int64_t timeout_us)
+{
+  struct transfer transfer = {
+      .message = *message,
+      .from = from,
+      .bytes_left = (double) bytes,
+      .delay_us = delay_us,
+      .fails_us = timeout_us == INT64_MAX ? INT64_MAX : fleet->now_us + timeout_us,
+  };
+
+  transfer.message.due_us = fleet->now_us + delay_us;
+  if (fleet->link_bytes_per_second > 0)
+    g_array_append_val (fleet->transfers, transfer);
+  else
+    g_array_append_val (fleet->messages, transfer.message);
+}
+
+/* Has the store answer host TO with the rows that it lacks. */
+static void
+post_store_answer (struct router_fleet *fleet, enum message_type type, int to, int64_t timeout_us)
+{
+  struct message message = {.type = type, .to = to, .version = fleet->version};
+  bool has_news = router_fleet_held_version (&fleet->hosts[to]) < fleet->version;
+  g_autofree char *config = make_configuration (fleet, fleet->version);
+
+  post_transfer (fleet, FROM_STORE, &message, has_news ? strlen (config) : EMPTY_ANSWER_BYTES,
+                 ROUTER_FLEET_STORE_ANSWER_US, timeout_us);
+}
+
 int
 router_fleet_held_version (const struct router_fleet_host *host)
 {
@@ -118,6 +189,23 @@
   return !host->is_partitioned && !host->is_cut_from_store;
 }
 
+/* Returns whether PEER refuses to send rows, as pl_relay_answer() does, and else books BYTES. */
+static bool
+is_over_link_budget (const struct router_fleet *fleet, struct router_fleet_host *peer, size_t bytes)
+{
+  double rate = fleet->link_bytes_per_second * RELAY_LINK_RATIO;
+  double refill = rate * (double) (fleet->now_us - peer->relay_refilled_us) / WORLD_SECOND;
+
+  if (fleet->link_bytes_per_second <= 0)
+    return false;
+  peer->relay_bytes_available = MIN (peer->relay_bytes_available + refill, rate);
+  peer->relay_refilled_us = fleet->now_us;
+  if (peer->relay_bytes_available < 0)
+    return true;
+  peer->relay_bytes_available -= (double) bytes;
+  return false;
+}
+
 static void
 fetch_rows (struct router_fleet *fleet, int index, const struct pl_router_effect *effect)
 {
@@ -128,11 +216,18 @@
                  || peer->relay == ROUTER_FLEET_RELAY_REFUSES;
   bool is_late = is_silent || peer->relay == ROUTER_FLEET_RELAY_IS_SLOW;
 
+  int version = is_lost ? 0 : router_fleet_held_version (peer);
+  struct message message
+      = {.type = MESSAGE_RELAY, .to = index, .version = version, .fetch = effect->u.fetch.number};
+  size_t bytes = EMPTY_ANSWER_BYTES;
+
   peer->relayed++;
-  post_message (fleet, MESSAGE_RELAY, index, is_lost ? 0 : router_fleet_held_version (peer),
-                is_late ? FETCH_TIMEOUT_US : 2 * DATAGRAM_DELAY_US);
-  g_array_index (fleet->messages, struct message, fleet->messages->len - 1).fetch
-      = effect->u.fetch.number;
+  if (fleet->link_bytes_per_second > 0 && version > effect->u.fetch.held[PL_TABLE_CONTROL])
+    bytes = relay_answer_bytes (fleet, version);
+  message.is_refused = !is_lost && is_over_link_budget (fleet, peer, bytes);
+  post_transfer (fleet, find_host (fleet, effect->u.fetch.address), &message,
+                 message.is_refused ? EMPTY_ANSWER_BYTES : bytes,
+                 is_late ? FETCH_TIMEOUT_US : 2 * DATAGRAM_DELAY_US, FETCH_TIMEOUT_US);
 }
 
 static void
@@ -153,16 +248,18 @@
       host->poll_started_us = fleet->now_us;
       host->is_poll_overdue = false;
       if (host->watching)
-        post_message (fleet, MESSAGE_STORE, index, fleet->version, ROUTER_FLEET_STORE_ANSWER_US);
+        post_store_answer (fleet, MESSAGE_STORE, index, INT64_MAX);
       break;
     case PL_ROUTER_FETCH_ROWS:
       fetch_rows (fleet, index, effect);
       break;
     case PL_ROUTER_READ_STORE:
       fleet->store_reads++;
-      post_message (fleet, MESSAGE_STORE_READ, index, fleet->version,
-                    reaches_store (host) ? ROUTER_FLEET_STORE_ANSWER_US
-                                         : ROUTER_FLEET_POLL_TIMEOUT_US);
+      if (reaches_store (host))
+        post_store_answer (fleet, MESSAGE_STORE_READ, index, ROUTER_FLEET_POLL_TIMEOUT_US);
+      else
+        post_message (fleet, MESSAGE_STORE_READ, index, fleet->version,
+                      ROUTER_FLEET_POLL_TIMEOUT_US);
       break;
     case PL_ROUTER_STOPPED:
       host->has_stopped = true;
@@ -192,8 +289,7 @@
 static void
 deliver_configuration (struct router_fleet *fleet, int index, int version, bool from_peer)
 {
-  g_autofree char *config = g_strdup_printf ("{\"Version\":\"r%d\",\"Resources\":[%s]}", version,
-                                             fleet->resources != NULL ? fleet->resources : "");
+  g_autofree char *config = make_configuration (fleet, version);
   struct pl_row row = {"config", config, strlen (config), version};
   struct pl_router_event event = {
       .type = PL_ROUTER_ROWS,
@@ -223,6 +319,20 @@
   router_fleet_step_host (fleet, index, &event);
 }
 
+/* Returns whether an answer of the store to the poll of host INDEX is on its way. */
+static bool
+is_poll_answered (const struct router_fleet *fleet, int index)
+{
+  for (guint i = 0; i < fleet->transfers->len; i++)
+    {
+      const struct message *message = &g_array_index (fleet->transfers, struct transfer, i).message;
+
+      if (message->type == MESSAGE_STORE && message->to == index)
+        return true;
+    }
+  return false;
+}
+
 /* Ends the poll of host INDEX, or tells the host that it is overdue. */
 static void
 run_poll (struct router_fleet *fleet, int index)
@@ -235,7 +345,7 @@
 
   if (!host->watching || waited_us < ROUTER_FLEET_POLL_US + ROUTER_FLEET_STORE_ANSWER_US)
     return;
-  if (reaches_store (host) && !host->is_poll_overdue)
+  if (reaches_store (host) && !host->is_poll_overdue && !is_poll_answered (fleet, index))
     confirm_rows (fleet, index);
   else if (waited_us >= ROUTER_FLEET_POLL_US + ROUTER_FLEET_POLL_TIMEOUT_US)
     {
@@ -263,6 +373,7 @@
 deliver (struct router_fleet *fleet, const struct message *message)
 {
   struct pl_router_event event = {.type = PL_ROUTER_BEACON, .u.beacon = message->beacon};
+  bool has_rows;
 
   if (!router_fleet_is_up (fleet, message->to))
     return;
@@ -282,17 +393,21 @@
       break;
     case MESSAGE_STORE_READ:
       event.type = PL_ROUTER_STORE_READ;
-      event.u.store_read_succeeded = reaches_store (&fleet->hosts[message->to]);
+      event.u.store_read_succeeded
+          = reaches_store (&fleet->hosts[message->to]) && !message->has_failed;
       if (event.u.store_read_succeeded)
         deliver_configuration (fleet, message->to, message->version, false);
       router_fleet_step_host (fleet, message->to, &event);
       break;
     case MESSAGE_RELAY:
-      if (message->version > 0)
+      has_rows = message->version > 0 && !message->is_refused && !message->has_failed;
+      if (has_rows)
         deliver_configuration (fleet, message->to, message->version, true);
       event.type = PL_ROUTER_FETCH_DONE;
       event.u.fetch_done.number = message->fetch;
-      event.u.fetch_done.end = message->version > 0 ? PL_FETCH_ANSWERED : PL_FETCH_FAILED;
+      event.u.fetch_done.end = has_rows              ? PL_FETCH_ANSWERED
+                               : message->is_refused ? PL_FETCH_REFUSED
+                                                     : PL_FETCH_FAILED;
       router_fleet_step_host (fleet, message->to, &event);
       break;
     }
@@ -320,6 +435,62 @@
   g_array_free (pending, TRUE);
 }
 
+/* Returns how many bytes of TRANSFER arrive in a step, in which hosts send OUT and receive IN
+ * transfers. */
+static double
+bytes_in_step (const struct router_fleet *fleet, const struct transfer *transfer, const int *out,
+               const int *in)
+{
+  const struct message *message = &transfer->message;
+  int sharing = in[message->to];
+
+  if (transfer->from != FROM_STORE)
+    sharing = MAX (sharing, out[transfer->from]);
+  return fleet->link_bytes_per_second * (double) fleet->step_us / WORLD_SECOND / sharing;
+}
+
+/* Returns whether host FROM sends nothing, now or ever. */
+static bool
+is_sender_silent (const struct router_fleet *fleet, int from)
+{
+  return from != FROM_STORE && !router_fleet_is_up (fleet, from);
+}
+
+/* Passes the bytes on that links carry in a step. */
+static void
+run_transfers (struct router_fleet *fleet)
+{
+  int out[ROUTER_FLEET_HOSTS_MAX] = {0};
+  int in[ROUTER_FLEET_HOSTS_MAX] = {0};
+
+  for (guint i = 0; i < fleet->transfers->len; i++)
+    {
+      const struct transfer *transfer = &g_array_index (fleet->transfers, struct transfer, i);
+
+      if (is_sender_silent (fleet, transfer->from))
+        continue;
+      in[transfer->message.to]++;
+      if (transfer->from != FROM_STORE)
+        out[transfer->from]++;
+    }
+  for (guint i = 0; i < fleet->transfers->len;)
+    {
+      struct transfer *transfer = &g_array_index (fleet->transfers, struct transfer, i);
+
+      if (!is_sender_silent (fleet, transfer->from))
+        transfer->bytes_left -= bytes_in_step (fleet, transfer, out, in);
+      transfer->message.has_failed = fleet->now_us >= transfer->fails_us;
+      if (transfer->bytes_left > 0 && !transfer->message.has_failed)
+        {
+          i++;
+          continue;
+        }
+      transfer->message.due_us = fleet->now_us + transfer->delay_us;
+      g_array_append_val (fleet->messages, transfer->message);
+      g_array_remove_index (fleet->transfers, i);
+    }
+}
+
 static void
 start_host (struct router_fleet *fleet, int index)
 {
@@ -364,6 +535,7 @@
 
   for (; fleet->now_us < until_us; fleet->now_us += fleet->step_us)
     {
+      run_transfers (fleet);
       deliver_due (fleet);
       for (int i = 0; i < fleet->count; i++)
         {
@@ -413,7 +585,7 @@
   fleet->version = version;
   for (int i = 0; i < fleet->count; i++)
     if (fleet->hosts[i].watching)
-      post_message (fleet, MESSAGE_STORE, i, version, ROUTER_FLEET_STORE_ANSWER_US);
+      post_store_answer (fleet, MESSAGE_STORE, i, INT64_MAX);
 }
 
 bool
@@ -450,6 +622,29 @@
   return g_string_free (text, FALSE);
 }
 
+char *
+router_fleet_make_routes (int routes)
+{
+  GString *text = g_string_new (
+      "{\"ResourceKind\":\"Services\",\"Metadata\":{\"Name\":\"stock\"},\"Spec\":{}}");
+  uint32_t random = 1;
+
+  for (int i = 0; i < routes; i++)
+    {
+      uint32_t name = router_fleet_next_random (&random);
+      uint32_t path = router_fleet_next_random (&random);
+
+      g_string_append_printf (
+          text,
+          ",{\"ResourceKind\":\"Routes\",\"Metadata\":{\"Name\":\"route-%06x-%d\","
+          "\"Labels\":{\"team\":\"team-%u\",\"change\":\"%06x%06x\"}},"
+          "\"Spec\":{\"Host\":\"host-%u.example\",\"Prefix\":\"/%06x/read/\","
+          "\"Kind\":\"idempotent\",\"Service\":\"stock\"}}",
+          name, i, name % 40, router_fleet_next_random (&random), path, path % 200, path);
+    }
+  return g_string_free (text, FALSE);
+}
+
 uint32_t
 router_fleet_next_random (uint32_t *state)
 {
@@ -468,6 +663,7 @@
   while (domains[fleet->domain_count] != NULL)
     fleet->domain_count++;
   fleet->messages = g_array_new (FALSE, FALSE, sizeof (struct message));
+  fleet->transfers = g_array_new (FALSE, FALSE, sizeof (struct transfer));
   fleet->addresses = g_hash_table_new (g_str_hash, g_str_equal);
   fleet->now_us = WORLD_SECOND;
   fleet->step_us = WORLD_MS;
@@ -499,6 +695,7 @@
   for (guint i = 0; i < fleet->messages->len; i++)
     g_free (g_array_index (fleet->messages, struct message, i).beacon);
   g_array_free (fleet->messages, TRUE);
+  g_array_free (fleet->transfers, TRUE);
   g_hash_table_destroy (fleet->addresses);
   g_free (fleet);
 }
--- a/tests/router_fleet.h
+++ b/tests/router_fleet.h
@@ -52,7 +52,9 @@
   int64_t poll_started_us; /* its poll of the store, while it watches */
   bool is_poll_overdue;    /* it has been told so */
   enum router_fleet_relay relay;
-  bool has_no_power;               /* nothing answers at its address; calls to it hang */
+  bool has_no_power;            /* nothing answers at its address; calls to it hang */
+  double relay_bytes_available; /* as in struct pl_relay, if links have a bandwidth */
+  int64_t relay_refilled_us;
   int relayed;                     /* number of fetches sent to it */
   uint64_t bytes_sent;             /* in beacons, with their headers */
   uint64_t bytes_to_other_domains; /* of these, to other domains */
@@ -77,8 +79,12 @@
   GHashTable *addresses; /* address -> index + 1 */
   int64_t now_us;
   int64_t step_us;
-  int version;                             /* of the configuration in the store */
-  const char *resources;                   /* of the configuration, as JSON; NULL: none */
+  int version;           /* of the configuration in the store */
+  const char *resources; /* of the configuration, as JSON; NULL: none */
+  /* Bandwidth of each host's link, in each direction, which answers with rows share; 0: no bound.
+   * Beacons and requests take none of it. */
+  double link_bytes_per_second;
+  GArray *transfers;                       /* of struct transfer */
   enum pl_load_management load_management; /* of hosts that start, as max_shift */
   double max_shift;
   int watches_started;
@@ -115,6 +121,10 @@
  * accounts with the keys "key-0", "key-1" and so on. */
 char *router_fleet_make_resources (double rate, double burst);
 
+/* Returns the resources of a configuration as JSON: a service and ROUTES routes to it, which differ
+ * in random names. */
+char *router_fleet_make_routes (int routes);
+
 /* Returns the next pseudo-random number and advances STATE. */
 uint32_t router_fleet_next_random (uint32_t *state);
 
--- a/tests/test_configuration_in_force.c
+++ b/tests/test_configuration_in_force.c
@@ -215,6 +215,31 @@
 }
 END_TEST
 
+/* The links of most entry hosts of the users' sites: 10 Mbit/s. */
+#define LINK_BYTES_PER_SECOND 1.25e6
+#define CHANGE_INTERVAL_US (400 * WORLD_MS)
+
+/* Guards against CONFIG: hosts had a large configuration up to 24 s late, as its transfers were
+ * doubled while they ran, until most of them timed out. */
+START_TEST (a_large_configuration_is_in_force_in_time)
+{
+  static const int routes[] = {1400, 4200};
+  g_autofree char *resources = router_fleet_make_routes (routes[_i / 2]);
+  int changes = _i % 2 == 0 ? 1 : 3;
+  struct router_fleet *fleet = new_fleet (84);
+
+  fleet->link_bytes_per_second = LINK_BYTES_PER_SECOND;
+  fleet->resources = resources;
+  for (int i = 0; i < changes; i++)
+    {
+      if (i > 0)
+        router_fleet_run (fleet, CHANGE_INTERVAL_US);
+      router_fleet_change_configuration (fleet, fleet->version + 1);
+    }
+  check_change_is_in_force (fleet, fleet->now_us);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -231,5 +256,6 @@
   tcase_add_loop_test (tcase, lost_beacons_do_not_hold_up_a_configuration, 0, 3);
   tcase_add_loop_test (
       tcase, hosts_that_start_in_a_domain_without_delegates_get_a_configuration_in_time, 0, 3);
+  tcase_add_loop_test (tcase, a_large_configuration_is_in_force_in_time, 0, 4);
   return suite_run (suite);
 }
