Simulated fleet: a watcher polls the store once at a time

Versions that are written while the store's answer to a watcher is on its way came beside it, in transfers of their own, which shared the watcher's link. A watcher reads one answer and then polls again, and then gets only the newest version.

--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -390,6 +390,9 @@
         break;
       deliver_configuration (fleet, message->to, message->version, false);
       confirm_rows (fleet, message->to);
+      /* The next poll is answered at once. */
+      if (message->version < fleet->version)
+        post_store_answer (fleet, MESSAGE_STORE, message->to, INT64_MAX);
       break;
     case MESSAGE_STORE_READ:
       event.type = PL_ROUTER_STORE_READ;
@@ -584,7 +587,7 @@
 {
   fleet->version = version;
   for (int i = 0; i < fleet->count; i++)
-    if (fleet->hosts[i].watching)
+    if (fleet->hosts[i].watching && !is_poll_answered (fleet, i))
       post_store_answer (fleet, MESSAGE_STORE, i, INT64_MAX);
 }
 
