Relay: rows in gzip between hosts

With configurations of 1,400 routes (350 KB) and more, hosts that nothing disturbed used a new version late: callers saw decisions by a version that had been replaced for up to 24 s, 2 s promised.

Cause: each change sends the whole configuration to each host, over several levels of hosts with links of 10 Mbit/s. A level takes the time of four to six transfers. The time of one was assumed (0.28 s) and bounded nowhere, so the links were saturated.

A host asks its peers for gzip (Accept-Encoding), and they send it with Content-Encoding. Hosts of earlier versions do not ask and get plain rows; their plain answers are read as before. Calls to the store and callers' requests do not ask. The limit of 16 MB on an answer is on the decoded bytes. An answer that is damaged or too long is a failed fetch, with the log line relay-failed.

The tables of an answer are compressed apart and put together, so that a change of servers does not compress the configuration again: the part of a table is kept until its rows change or a peer lacks others. It is not kept while it tells how long servers are still used, since that time runs.

--- a/core/router.c
+++ b/core/router.c
@@ -500,7 +500,7 @@
       freshness_on_store_read (router, event->u.store_read_succeeded);
       break;
     case PL_ROUTER_FETCH_DONE:
-      rows_on_fetch_done (router, event->u.fetch_done.number, event->u.fetch_done.end);
+      rows_on_fetch_done (router, &event->u.fetch_done);
       break;
     case PL_ROUTER_BUSY_PERCENT:
       router->busy_percent = event->u.busy_percent;
--- a/core/router_metrics.c
+++ b/core/router_metrics.c
@@ -226,6 +226,11 @@
     g_string_append_printf (text,
                             "pomelolatch_row_fetches_total{end=\"%s\"} %" G_GUINT64_FORMAT "\n",
                             router_fetch_end_names[end], router->counts_fetches[end]);
+  g_string_append_printf (text,
+                          "pomelolatch_row_fetch_bytes_total{as=\"sent\"} %" G_GUINT64_FORMAT "\n"
+                          "pomelolatch_row_fetch_bytes_total{as=\"decoded\"} %" G_GUINT64_FORMAT
+                          "\n",
+                          router->fetched_wire_bytes, router->fetched_bytes);
 }
 
 void
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -67,6 +67,12 @@
   return member != NULL ? member->contact.name : "";
 }
 
+uint64_t
+pl_router_rows_revision (const struct pl_router *router, enum pl_table table)
+{
+  return router->held[table].revision;
+}
+
 int64_t
 pl_router_held_version (const struct pl_router *router, enum pl_table table)
 {
@@ -509,6 +515,7 @@
   struct pl_row store_row = {row->key, restored.bytes, restored.length, restored.position};
   struct decoded_row decoded;
 
+  held->revision++;
   row->restored = (struct row_value){0};
   decode_row (router, table, &store_row, &decoded);
   put_row (held, &decoded);
@@ -612,6 +619,8 @@
   bool is_new_era = pl_position_era (event->version) > pl_position_era (held->version);
   int64_t until_us = server_grace_until (router, event, count_deleted (event));
 
+  if (event->count > 0 || event->is_snapshot || event->version > held->version)
+    held->revision++;
   router->rows_source = source_name (router, event);
   for (int i = 0; i < event->count; i++)
     receive_row (router, event, &event->rows[i], at_start, until_us);
@@ -843,12 +852,14 @@
 };
 
 static void
-log_fetch (struct pl_router *router, const struct router_fetch *fetch, enum pl_fetch_end end)
+log_fetch (struct pl_router *router, const struct router_fetch *fetch,
+           const struct pl_fetch_done_event *done)
 {
   router_log (router, PL_ROUTER_LOG_STATE, "rows-fetched",
-              json_pack ("{s:s,s:s,s:I,s:o}", "host", member_name (router, fetch->peer), "end",
-                         router_fetch_end_names[end], "after_us",
-                         (json_int_t) (router->now_us - fetch->started_us), "held",
+              json_pack ("{s:s,s:s,s:I,s:I,s:I,s:o}", "host", member_name (router, fetch->peer),
+                         "end", router_fetch_end_names[done->end], "after_us",
+                         (json_int_t) (router->now_us - fetch->started_us), "wire_bytes",
+                         (json_int_t) done->wire_bytes, "bytes", (json_int_t) done->bytes, "held",
                          held_positions (router)));
 }
 
@@ -873,17 +884,21 @@
 }
 
 void
-rows_on_fetch_done (struct pl_router *router, uint64_t number, enum pl_fetch_end end)
+rows_on_fetch_done (struct pl_router *router, const struct pl_fetch_done_event *done)
 {
+  enum pl_fetch_end end = done->end;
+
   router->counts_fetches[end]++;
+  router->fetched_wire_bytes += (uint64_t) done->wire_bytes;
+  router->fetched_bytes += (uint64_t) done->bytes;
   for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
     {
       struct router_fetch *fetch = &router->fetching[i];
 
-      if (fetch->number != number)
+      if (fetch->number != done->number)
         continue;
       if (end != PL_FETCH_ANSWERED || router->now_us - fetch->started_us >= LOGGED_FETCH_US)
-        log_fetch (router, fetch, end);
+        log_fetch (router, fetch, done);
       if (end != PL_FETCH_ANSWERED || !has_got_rows (router, fetch))
         avoid_source (router, fetch->peer);
       fetch->number = 0;
--- a/include/internal/http_client.h
+++ b/include/internal/http_client.h
@@ -56,6 +56,7 @@
   int64_t body_length;        /* -1: chunked; 0: no body */
   int64_t timeout_us;
   bool fresh_connection;      /* open a new connection and close it afterwards */
+  bool accept_gzip;           /* ask for an answer in gzip, too; handlers get it decoded */
   bool only_kept_connection;  /* the call ends as not sent if it requires a new one */
   bool send_at_most_once;     /* never resend, not even when a kept-alive connection was closed */
   int64_t connect_timeout_us; /* 0: the default */
@@ -102,9 +103,13 @@
   const char *body;   /* or NULL */
   int64_t timeout_us;
   bool fresh_connection;
+  bool accept_gzip;          /* of the answer; the limit on its bytes is on those decoded */
   const char *answer_header; /* name of a header of the answer, or NULL; static */
   /* Gets the value of that header, if the answer has it, before DONE is called. */
   void (*on_answer_header) (void *data, const char *value);
+  /* Called when bytes of the answer's body have arrived.  BYTES: those so far, decoded;
+   * WIRE_BYTES: of the whole body as sent, 0 if the head does not tell it.  NULL: not called. */
+  void (*on_bytes) (void *data, int64_t wire_bytes, int64_t bytes);
   pl_http_fetch_function done;
   void *data;
 };
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -234,6 +234,14 @@
 };
 #define PL_FETCH_END_COUNT (PL_FETCH_FAILED + 1)
 
+struct pl_fetch_done_event
+{
+  uint64_t number;
+  enum pl_fetch_end end;
+  int64_t wire_bytes; /* of the answer's body as its head tells them; 0: it does not */
+  int64_t bytes;      /* the same as far as they were read, decoded */
+};
+
 enum pl_router_event_type
 {
   PL_ROUTER_TICK,
@@ -260,11 +268,7 @@
   {
     struct pl_call_event call;
     uint64_t request; /* of PL_ROUTER_CALLER_GONE */
-    struct
-    {
-      uint64_t number;
-      enum pl_fetch_end end;
-    } fetch_done;
+    struct pl_fetch_done_event fetch_done;
     int busy_percent;
     struct pl_attempt_event attempt;
     struct
@@ -419,6 +423,10 @@
 int64_t pl_router_rows_after (const struct pl_router *router, enum pl_table table, int64_t after,
                               bool *is_snapshot, pl_row_visitor visit, void *data);
 
+/* Returns a number that changes with the rows of TABLE: while it is the same, so is what
+ * pl_router_rows_after() tells, but for how long servers of deleted rows are still used. */
+uint64_t pl_router_rows_revision (const struct pl_router *router, enum pl_table table);
+
 /* Returns the version of TABLE that this host holds, 0 for none. */
 int64_t pl_router_held_version (const struct pl_router *router, enum pl_table table);
 
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -167,6 +167,7 @@
   int64_t oldest_delta_version; /* tombstones before this position are no longer held */
   GHashTable *rows;             /* key -> struct held_row */
   int tombstones;               /* in rows */
+  uint64_t revision;            /* grows with each change */
   int64_t contest_until_us;     /* when contested rows are replaced by restored ones; 0: none is */
   int64_t settled_era;          /* the last era in which that was done; PL_NONE: none */
   int64_t behind_since_us;      /* since when a peer is known to hold newer rows; 0: none is */
@@ -252,8 +253,10 @@
   struct router_fetch fetching[ROUTER_FETCHES_MAX];
   uint64_t fetches; /* started so far; the number of the last one */
   uint64_t counts_fetches[PL_FETCH_END_COUNT];
-  int64_t next_fetch_us; /* no rows are fetched from a peer before */
-  int64_t confirmed_us;  /* when the store confirmed the control rows held; 0: never */
+  uint64_t fetched_wire_bytes; /* of the answers */
+  uint64_t fetched_bytes;      /* the same, decoded */
+  int64_t next_fetch_us;       /* no rows are fetched from a peer before */
+  int64_t confirmed_us;        /* when the store confirmed the control rows held; 0: never */
   struct router_store_read store_read;
   uint64_t counts_store_reads[2]; /* that failed, that succeeded */
   const char *rows_source;        /* where the rows of this step come from */
@@ -428,7 +431,7 @@
 void rows_on_store_quiet (struct pl_router *router);
 extern const char *const router_fetch_end_names[PL_FETCH_END_COUNT];
 void rows_run_timers (struct pl_router *router);
-void rows_on_fetch_done (struct pl_router *router, uint64_t number, enum pl_fetch_end end);
+void rows_on_fetch_done (struct pl_router *router, const struct pl_fetch_done_event *done);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
 void rows_settle (struct pl_router *router, enum pl_table table, const char *key);
--- a/include/internal/small_port.h
+++ b/include/internal/small_port.h
@@ -11,9 +11,16 @@
 #include <glib.h>
 #include <microhttpd.h>
 
-/* Answers a GET of PATH: fills BODY and TYPE (static) and returns the status. */
+struct pl_small_port_answer
+{
+  GString *body;
+  const char *type;     /* static; JSON unless the handler sets another one */
+  const char *encoding; /* of the body (Content-Encoding), static; NULL: none */
+};
+
+/* Answers a GET of PATH: fills ANSWER and returns the status. */
 typedef int (*pl_small_port_handler) (void *data, struct MHD_Connection *connection,
-                                      const char *path, GString *body, const char **type);
+                                      const char *path, struct pl_small_port_answer *answer);
 
 struct pl_small_port_options
 {
--- a/modules/http_client.c
+++ b/modules/http_client.c
@@ -686,6 +686,8 @@
       curl_easy_setopt (call->easy, CURLOPT_FRESH_CONNECT, 1L);
       curl_easy_setopt (call->easy, CURLOPT_FORBID_REUSE, 1L);
     }
+  if (options->accept_gzip)
+    curl_easy_setopt (call->easy, CURLOPT_ACCEPT_ENCODING, "gzip");
   send_command (call, COMMAND_START);
   return call;
 }
@@ -698,12 +700,14 @@
   size_t body_read;
   const char *answer_header;
   void (*on_answer_header) (void *data, const char *value);
+  void (*on_bytes) (void *data, int64_t wire_bytes, int64_t bytes);
+  int64_t wire_bytes;
   pl_http_fetch_function done;
   void *data;
 };
 
-/* Bytes of an answer of the store or a peer: many times the rows of a large fleet, and little
- * memory on a small host. */
+/* Bytes of an answer of the store or a peer, decoded: many times the rows of a large fleet, and
+ * little memory on a small host. */
 #define FETCH_ANSWER_BYTES_MAX ((size_t) 16 << 20)
 
 static bool
@@ -716,6 +720,15 @@
   return true;
 }
 
+static bool
+fetch_head_ended (void *data, const struct pl_answer_head *head)
+{
+  struct fetch *fetch = data;
+
+  fetch->wire_bytes = head->has_length ? (int64_t) head->length : 0;
+  return true;
+}
+
 static size_t
 fetch_write (void *data, const char *bytes, size_t length)
 {
@@ -724,6 +737,8 @@
   if (fetch->answer->len + length > FETCH_ANSWER_BYTES_MAX)
     return 0;
   g_string_append_len (fetch->answer, bytes, (gssize) length);
+  if (fetch->on_bytes != NULL)
+    fetch->on_bytes (fetch->data, fetch->wire_bytes, (int64_t) fetch->answer->len);
   return length;
 }
 
@@ -749,8 +764,11 @@
   g_free (fetch);
 }
 
-static const struct pl_http_handler fetch_handler
-    = {.field = fetch_field, .write = fetch_write, .read = fetch_read, .done = fetch_done};
+static const struct pl_http_handler fetch_handler = {.field = fetch_field,
+                                                     .head_ended = fetch_head_ended,
+                                                     .write = fetch_write,
+                                                     .read = fetch_read,
+                                                     .done = fetch_done};
 
 void
 pl_http_client_fetch (struct pl_http_client *client, const struct pl_http_fetch *request)
@@ -763,6 +781,7 @@
       .headers = headers,
       .timeout_us = request->timeout_us,
       .fresh_connection = request->fresh_connection,
+      .accept_gzip = request->accept_gzip,
       .handler = &fetch_handler,
       .data = fetch,
   };
@@ -772,6 +791,7 @@
   fetch->body_length = strlen (fetch->body);
   fetch->answer_header = request->answer_header;
   fetch->on_answer_header = request->on_answer_header;
+  fetch->on_bytes = request->on_bytes;
   fetch->done = request->done;
   fetch->data = request->data;
   options.body_length = (int64_t) fetch->body_length;
--- a/modules/small_port.c
+++ b/modules/small_port.c
@@ -25,8 +25,8 @@
             const char *version, const char *upload, size_t *upload_size, void **context)
 {
   struct small_port *port = data;
-  g_autoptr (GString) body = NULL;
-  const char *type = "application/json";
+  g_autoptr (GString) body = g_string_new (NULL);
+  struct pl_small_port_answer answer = {.body = body, .type = "application/json"};
   struct MHD_Response *response;
   enum MHD_Result result;
   int status = 405;
@@ -35,11 +35,12 @@
   (void) upload;
   (void) context;
   *upload_size = 0;
-  body = g_string_new (NULL);
   if (strcmp (method, "GET") == 0)
-    status = port->options.answer (port->options.data, connection, url, body, &type);
+    status = port->options.answer (port->options.data, connection, url, &answer);
   response = MHD_create_response_from_buffer (body->len, body->str, MHD_RESPMEM_MUST_COPY);
-  MHD_add_response_header (response, "Content-Type", type);
+  MHD_add_response_header (response, "Content-Type", answer.type);
+  if (answer.encoding != NULL)
+    MHD_add_response_header (response, "Content-Encoding", answer.encoding);
   result = MHD_queue_response (connection, (unsigned) status, response);
   MHD_destroy_response (response);
   return result;
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -117,7 +117,7 @@
 }
 
 static void handle_rows (void *data, const struct pl_rows_event *rows);
-static void handle_relay_done (void *data, uint64_t number, enum pl_fetch_end end);
+static void handle_relay_done (void *data, const struct pl_fetch_done_event *done);
 
 static void
 fetch_rows (struct entry *entry, const struct pl_router_effect *effect)
@@ -270,10 +270,9 @@
 }
 
 static void
-handle_relay_done (void *data, uint64_t number, enum pl_fetch_end end)
+handle_relay_done (void *data, const struct pl_fetch_done_event *done)
 {
-  struct pl_router_event event
-      = {.type = PL_ROUTER_FETCH_DONE, .u.fetch_done = {.number = number, .end = end}};
+  struct pl_router_event event = {.type = PL_ROUTER_FETCH_DONE, .u.fetch_done = *done};
 
   step_router (data, &event);
 }
@@ -324,22 +323,21 @@
 }
 
 static int
-answer_ready (void *data, struct MHD_Connection *connection, const char *path, GString *body,
-              const char **type)
+answer_ready (void *data, struct MHD_Connection *connection, const char *path,
+              struct pl_small_port_answer *answer)
 {
   const struct entry *entry = data;
 
   (void) connection;
-  (void) type;
   if (strcmp (path, pl_platform_dialect.ready_path) != 0)
     return 404;
-  g_string_append (body, "{}");
+  g_string_append (answer->body, "{}");
   return pl_router_is_ready (entry->router) ? 200 : 503;
 }
 
 static int
-answer_directory (void *data, struct MHD_Connection *connection, const char *path, GString *body,
-                  const char **type)
+answer_directory (void *data, struct MHD_Connection *connection, const char *path,
+                  struct pl_small_port_answer *answer)
 {
   const struct entry *entry = data;
   const struct pl_dialect *dialect = &pl_platform_dialect;
@@ -351,7 +349,6 @@
   g_autofree char *text = NULL;
   int count;
 
-  (void) type;
   if (strcmp (path, dialect->directory_path) != 0)
     return 404;
   count = pl_router_select_hosts (entry->router, domain != NULL ? domain : "", region, addresses,
@@ -361,13 +358,13 @@
   text = dialect->write_directory (
       addresses, count,
       pl_settings_number (entry->settings, "directory_ttl_ms", DIRECTORY_TTL_DEFAULT_MS) * 1000);
-  g_string_append (body, text);
+  g_string_append (answer->body, text);
   return 200;
 }
 
 static int
-answer_metrics (void *data, struct MHD_Connection *connection, const char *path, GString *body,
-                const char **type)
+answer_metrics (void *data, struct MHD_Connection *connection, const char *path,
+                struct pl_small_port_answer *answer)
 {
   const struct entry *entry = data;
   size_t buffered_peak;
@@ -375,13 +372,15 @@
 
   (void) connection;
   (void) path;
-  *type = "text/plain";
-  pl_router_metrics (entry->router, body);
-  pl_beacon_socket_metrics (entry->beacons, body);
-  pl_front_metrics (entry->front, body);
-  g_string_append_printf (body, "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n",
-                          buffered, buffered_peak);
-  g_string_append_printf (body, "pomelolatch_load_reports_malformed_total %" G_GUINT64_FORMAT "\n",
+  answer->type = "text/plain";
+  pl_router_metrics (entry->router, answer->body);
+  pl_beacon_socket_metrics (entry->beacons, answer->body);
+  pl_front_metrics (entry->front, answer->body);
+  g_string_append_printf (answer->body,
+                          "pomelolatch_held_bytes %zu\npomelolatch_held_bytes_most %zu\n", buffered,
+                          buffered_peak);
+  g_string_append_printf (answer->body,
+                          "pomelolatch_load_reports_malformed_total %" G_GUINT64_FORMAT "\n",
                           pl_front_malformed_loads (entry->front));
   return 200;
 }
