Rows: a fetch on which bytes arrive is not doubled

A source of rows counted as silent when a fetch from it took 0.4 s, although bytes arrived, and another one was asked for the same rows, up to four at a time. The transfers shared the host's link, all of them took longer, and where links were saturated they timed out after 3 s.

The module tells the router that bytes of an answer have arrived, every 50 ms at most (PL_ROUTER_FETCH_PROGRESS); 0.4 s count from the last ones. A source without power, or frozen, sends none and is passed over as before, and a host that is not confirmed in time still reads the store itself.

--- a/core/router.c
+++ b/core/router.c
@@ -499,6 +499,9 @@
     case PL_ROUTER_STORE_READ:
       freshness_on_store_read (router, event->u.store_read_succeeded);
       break;
+    case PL_ROUTER_FETCH_PROGRESS:
+      rows_on_fetch_progress (router, event->u.fetch);
+      break;
     case PL_ROUTER_FETCH_DONE:
       rows_on_fetch_done (router, &event->u.fetch_done);
       break;
--- a/core/router_rows.c
+++ b/core/router_rows.c
@@ -34,10 +34,12 @@
  * them from another peer; shorter while it has no configuration and serves no requests. */
 #define FETCH_DELAY_US (300 * US_PER_MS)
 #define FIRST_FETCH_DELAY_US (60 * US_PER_MS)
-/* A source is silent when a fetch from it takes this long; another one is asked then as well.  That
- * only makes updates fast: router_freshness.c bounds the time until rows are in force. */
+/* A source is silent when nothing has come from it for this long; another one is asked then as
+ * well.  One from which bytes arrive is not: a second transfer of the same rows would share this
+ * host's link with the first, and both would end later.  That only makes updates fast:
+ * router_freshness.c bounds the time until rows are in force. */
 #define FETCH_SILENT_US (400 * US_PER_MS)
-/* The same while this host has no configuration: all rows of a fleet that starts take longer. */
+/* The same while this host has no configuration: in a fleet that starts, sources are busy. */
 #define FIRST_FETCH_SILENT_US US_PER_S
 /* For this long a source from which a fetch has failed is asked only if there is no other.  About
  * the time for which a host whose process has ended still counts as live. */
@@ -786,7 +788,7 @@
     if (router->fetching[i].number == 0)
       free = &router->fetching[i];
     else
-      *due_us = MAX (*due_us, router->fetching[i].started_us + silent_us);
+      *due_us = MAX (*due_us, router->fetching[i].heard_us + silent_us);
   return free;
 }
 
@@ -795,8 +797,10 @@
 {
   struct pl_router_effect *effect = router_add_effect (router, PL_ROUTER_FETCH_ROWS);
 
-  *fetch = (struct router_fetch){
-      .number = ++router->fetches, .peer = member->id, .started_us = router->now_us};
+  *fetch = (struct router_fetch){.number = ++router->fetches,
+                                 .peer = member->id,
+                                 .started_us = router->now_us,
+                                 .heard_us = router->now_us};
   router->next_fetch_us = router->now_us + FETCH_INTERVAL_US;
   effect->u.fetch.number = fetch->number;
   g_strlcpy (effect->u.fetch.address, member->contact.relay_address,
@@ -856,9 +860,10 @@
            const struct pl_fetch_done_event *done)
 {
   router_log (router, PL_ROUTER_LOG_STATE, "rows-fetched",
-              json_pack ("{s:s,s:s,s:I,s:I,s:I,s:o}", "host", member_name (router, fetch->peer),
+              json_pack ("{s:s,s:s,s:I,s:I,s:I,s:I,s:o}", "host", member_name (router, fetch->peer),
                          "end", router_fetch_end_names[done->end], "after_us",
-                         (json_int_t) (router->now_us - fetch->started_us), "wire_bytes",
+                         (json_int_t) (router->now_us - fetch->started_us), "silent_us",
+                         (json_int_t) (router->now_us - fetch->heard_us), "wire_bytes",
                          (json_int_t) done->wire_bytes, "bytes", (json_int_t) done->bytes, "held",
                          held_positions (router)));
 }
@@ -883,6 +888,14 @@
   return false;
 }
 
+void
+rows_on_fetch_progress (struct pl_router *router, uint64_t number)
+{
+  for (int i = 0; i < ROUTER_FETCHES_MAX; i++)
+    if (router->fetching[i].number == number && number != 0)
+      router->fetching[i].heard_us = router->now_us;
+}
+
 void
 rows_on_fetch_done (struct pl_router *router, const struct pl_fetch_done_event *done)
 {
--- a/include/internal/relay.h
+++ b/include/internal/relay.h
@@ -50,6 +50,8 @@
    * a failure. */
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
   void (*done) (void *data, const struct pl_fetch_done_event *done);
+  /* Bytes of the answer have arrived; called at most once in a while.  May be NULL. */
+  void (*on_progress) (void *data, uint64_t number);
   uint64_t number; /* of the fetch */
   void *data;
 };
--- a/include/internal/router.h
+++ b/include/internal/router.h
@@ -253,10 +253,11 @@
   PL_ROUTER_ROWS,
   PL_ROUTER_STORE_FAILED,
   PL_ROUTER_STORE_OK,
-  PL_ROUTER_STORE_QUIET,  /* an answer of the store is overdue */
-  PL_ROUTER_STORE_READ,   /* PL_ROUTER_READ_STORE has ended; rows were posted before */
-  PL_ROUTER_FETCH_DONE,   /* a fetch of rows from a peer has ended, with or without rows */
-  PL_ROUTER_BUSY_PERCENT, /* percentage of time that the process was not waiting for events */
+  PL_ROUTER_STORE_QUIET,    /* an answer of the store is overdue */
+  PL_ROUTER_STORE_READ,     /* PL_ROUTER_READ_STORE has ended; rows were posted before */
+  PL_ROUTER_FETCH_PROGRESS, /* bytes of a fetch of rows from a peer have arrived */
+  PL_ROUTER_FETCH_DONE,     /* a fetch of rows from a peer has ended, with or without rows */
+  PL_ROUTER_BUSY_PERCENT,   /* percentage of time that the process was not waiting for events */
   PL_ROUTER_STOP,
 };
 
@@ -268,6 +269,7 @@
   {
     struct pl_call_event call;
     uint64_t request; /* of PL_ROUTER_CALLER_GONE */
+    uint64_t fetch;   /* number of a fetch; of PL_ROUTER_FETCH_PROGRESS */
     struct pl_fetch_done_event fetch_done;
     int busy_percent;
     struct pl_attempt_event attempt;
--- a/include/internal/router_state.h
+++ b/include/internal/router_state.h
@@ -210,6 +210,7 @@
   uint64_t number; /* 0: none */
   uint64_t peer;
   int64_t started_us;
+  int64_t heard_us;            /* when bytes of its answer last arrived, or it was started */
   int64_t held[PL_TABLES_MAX]; /* by this host when it was started */
 };
 
@@ -431,6 +432,7 @@
 void rows_on_store_quiet (struct pl_router *router);
 extern const char *const router_fetch_end_names[PL_FETCH_END_COUNT];
 void rows_run_timers (struct pl_router *router);
+void rows_on_fetch_progress (struct pl_router *router, uint64_t number);
 void rows_on_fetch_done (struct pl_router *router, const struct pl_fetch_done_event *done);
 bool rows_are_stale (const struct pl_router *router);
 /* Replaces the contested row KEY by its restored value. */
--- a/modules/relay.c
+++ b/modules/relay.c
@@ -17,6 +17,9 @@
 #define FETCH_TIMEOUT_US INT64_C (3000000)
 #define BUSY_STATUS 503
 #define GZIP "gzip"
+/* How often the arrival of bytes is told: a small part of the time after which a source counts as
+ * silent. */
+#define PROGRESS_INTERVAL_US INT64_C (50000)
 /* Above what any host uses a server whose row is gone. */
 #define USED_FOR_MAX_US INT64_C (5000000)
 
@@ -187,7 +190,9 @@
 struct fetch
 {
   void (*on_rows) (void *data, const struct pl_rows_event *rows);
+  void (*on_progress) (void *data, uint64_t number);
   void (*done) (void *data, const struct pl_fetch_done_event *done);
+  int64_t progress_us;              /* when progress was last told */
   struct pl_fetch_done_event event; /* of its end */
   void *data;
 };
@@ -229,9 +234,14 @@
 on_bytes (void *data, int64_t wire_bytes, int64_t bytes)
 {
   struct fetch *fetch = data;
+  int64_t now_us = pl_clock_now_us ();
 
   fetch->event.wire_bytes = wire_bytes;
   fetch->event.bytes = bytes;
+  if (fetch->on_progress == NULL || now_us - fetch->progress_us < PROGRESS_INTERVAL_US)
+    return;
+  fetch->progress_us = now_us;
+  fetch->on_progress (fetch->data, fetch->event.number);
 }
 
 static void
@@ -278,6 +288,7 @@
 
   fetch->on_rows = request->on_rows;
   fetch->done = request->done;
+  fetch->on_progress = request->on_progress;
   fetch->event.number = request->number;
   fetch->data = request->data;
   pl_http_client_fetch (request->client, &call);
--- a/programs/pomelolatch-entry.c
+++ b/programs/pomelolatch-entry.c
@@ -117,6 +117,7 @@
 }
 
 static void handle_rows (void *data, const struct pl_rows_event *rows);
+static void handle_relay_progress (void *data, uint64_t number);
 static void handle_relay_done (void *data, const struct pl_fetch_done_event *done);
 
 static void
@@ -127,6 +128,7 @@
       .address = effect->u.fetch.address,
       .held = effect->u.fetch.held,
       .on_rows = handle_rows,
+      .on_progress = handle_relay_progress,
       .done = handle_relay_done,
       .number = effect->u.fetch.number,
       .data = entry,
@@ -269,6 +271,15 @@
   step_router (entry, &event);
 }
 
+static void
+handle_relay_progress (void *data, uint64_t number)
+{
+  struct pl_router_event event = {.type = PL_ROUTER_FETCH_PROGRESS, .u.fetch = number};
+
+  /* Called by libcurl, which effects of a step may call. */
+  post_event (data, &event);
+}
+
 static void
 handle_relay_done (void *data, const struct pl_fetch_done_event *done)
 {
--- a/tests/router_fleet.c
+++ b/tests/router_fleet.c
@@ -19,6 +19,7 @@
 #define CAPACITY 100
 /* As in modules/relay.c. */
 #define FETCH_TIMEOUT_US (3 * WORLD_SECOND)
+#define PROGRESS_INTERVAL_US (50 * WORLD_MS)
 /* As in programs/pomelolatch-entry.c. */
 #define RELAY_LINK_RATIO 0.5
 /* An answer without rows. */
@@ -37,6 +38,7 @@
   MESSAGE_BEACON,
   MESSAGE_STORE,
   MESSAGE_RELAY,
+  MESSAGE_RELAY_PROGRESS,
   MESSAGE_STORE_READ,
 };
 
@@ -62,6 +64,7 @@
   double bytes_left;
   int64_t delay_us; /* of each byte */
   int64_t fails_us; /* INT64_MAX: never */
+  int64_t told_us;  /* when the router was last told that bytes arrive */
 };
 
 static int
@@ -406,6 +409,11 @@
         deliver_configuration (fleet, message->to, message->version, false);
       router_fleet_step_host (fleet, message->to, &event);
       break;
+    case MESSAGE_RELAY_PROGRESS:
+      event.type = PL_ROUTER_FETCH_PROGRESS;
+      event.u.fetch = message->fetch;
+      router_fleet_step_host (fleet, message->to, &event);
+      break;
     case MESSAGE_RELAY:
       has_rows = message->version > 0 && !message->is_refused && !message->has_failed;
       if (has_rows)
@@ -463,6 +471,21 @@
   return from != FROM_STORE && !router_fleet_is_up (fleet, from);
 }
 
+/* Has bytes of TRANSFER arrive.  Its host is told now and then. */
+static void
+receive_bytes (struct router_fleet *fleet, struct transfer *transfer, double bytes)
+{
+  struct message message = transfer->message;
+
+  transfer->bytes_left -= bytes;
+  if (message.type != MESSAGE_RELAY || fleet->now_us - transfer->told_us < PROGRESS_INTERVAL_US)
+    return;
+  transfer->told_us = fleet->now_us;
+  message.type = MESSAGE_RELAY_PROGRESS;
+  message.due_us = fleet->now_us + transfer->delay_us;
+  g_array_append_val (fleet->messages, message);
+}
+
 /* Passes the bytes on that links carry in a step. */
 static void
 run_transfers (struct router_fleet *fleet)
@@ -485,7 +508,7 @@
       struct transfer *transfer = &g_array_index (fleet->transfers, struct transfer, i);
 
       if (!is_sender_silent (fleet, transfer->from))
-        transfer->bytes_left -= bytes_in_step (fleet, transfer, out, in);
+        receive_bytes (fleet, transfer, bytes_in_step (fleet, transfer, out, in));
       transfer->message.has_failed = fleet->now_us >= transfer->fails_us;
       if (transfer->bytes_left > 0 && !transfer->message.has_failed)
         {
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -18,6 +18,7 @@
 #define TOO_LONG_BYTES ((size_t) 20 << 20)
 #define ROUTES 400
 #define PLAIN_BYTES_MIN 40000
+#define PART_DELAY_US 100000
 /* A configuration as it is sent to a peer takes at most this part of its size. */
 #define WIRE_RATIO_MAX 0.25
 
@@ -28,6 +29,7 @@
   const char *body;
   size_t body_length;
   const char *encoding; /* of the body; NULL: none */
+  size_t sent_first;    /* bytes of the body that are sent some time before the others */
   char request[4096];
   GThread *thread;
   struct pl_reactor *reactor;
@@ -35,6 +37,7 @@
   int empty_values;
   GHashTable *values; /* key -> GBytes that it should have; NULL: not compared */
   bool done;
+  int progress;
   int64_t used_for_us; /* the longest time for which a server is still used */
   struct pl_fetch_done_event end;
 };
@@ -51,8 +54,13 @@
 
   ck_assert_int_gt (read (fd, peer->request, sizeof peer->request - 1), 0);
   ck_assert_int_gt (write (fd, head, strlen (head)), 0);
+  if (peer->sent_first > 0)
+    {
+      ck_assert_int_gt (write (fd, peer->body, peer->sent_first), 0);
+      g_usleep (PART_DELAY_US);
+    }
   /* The host may have closed its end. */
-  send (fd, peer->body, peer->body_length, MSG_NOSIGNAL);
+  send (fd, peer->body + peer->sent_first, peer->body_length - peer->sent_first, MSG_NOSIGNAL);
   close (fd);
   return NULL;
 }
@@ -124,6 +132,15 @@
   pl_reactor_quit (peer->reactor);
 }
 
+static void
+on_progress (void *data, uint64_t number)
+{
+  struct peer *peer = data;
+
+  ck_assert_uint_eq (number, FETCH_NUMBER);
+  peer->progress++;
+}
+
 static void
 fetch_to_any_end (struct peer *peer)
 {
@@ -134,6 +151,7 @@
       .address = peer->address,
       .held = held,
       .on_rows = on_rows,
+      .on_progress = on_progress,
       .done = on_done,
       .number = FETCH_NUMBER,
       .data = peer,
@@ -430,6 +448,21 @@
 }
 END_TEST
 
+/* Guards against a host that takes a peer for silent while bytes arrive from it. */
+START_TEST (the_arrival_of_bytes_is_told)
+{
+  struct peer peer;
+
+  set_up (&peer, rows_text);
+  peer.sent_first = 10;
+  fetch (&peer);
+  ck_assert_int_ge (peer.progress, 2);
+  ck_assert_int_eq (peer.end.bytes, (int64_t) strlen (rows_text));
+  ck_assert_int_eq (peer.end.wire_bytes, (int64_t) strlen (rows_text));
+  tear_down (&peer);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -444,5 +477,6 @@
   tcase_add_test (tcase, a_peer_that_does_not_ask_for_gzip_gets_plain_rows);
   tcase_add_test (tcase, rows_in_damaged_gzip_are_not_taken);
   tcase_add_test (tcase, an_answer_that_is_too_long_when_decoded_is_not_read);
+  tcase_add_test (tcase, the_arrival_of_bytes_is_told);
   return suite_run (suite);
 }
--- a/tests/test_router.c
+++ b/tests/test_router.c
@@ -628,6 +628,34 @@
 }
 END_TEST
 
+/* Guards against CONFIG: a transfer of a large configuration counted as silent while it ran, and
+ * shared the link with up to three more of the same rows. */
+START_TEST (rows_that_are_arriving_are_not_fetched_from_another_peer)
+{
+  static const char *const names[] = {"host-b", "host-c"};
+  struct pl_router_event progress = {.type = PL_ROUTER_FETCH_PROGRESS, .u.fetch = 1};
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      struct pl_beacon beacon = world_peer_beacon (names[i], "a-2");
+
+      beacon.held[PL_TABLE_CONTROL] = world->version + 1;
+      world_receive_beacon (world, &beacon);
+    }
+  world_advance (world, 350 * WORLD_MS);
+  ck_assert_int_eq (world->fetches, 1);
+  for (int i = 0; i < 4; i++)
+    {
+      world_step (world, &progress);
+      world_advance (world, 200 * WORLD_MS);
+    }
+  ck_assert_int_eq (world->fetches, 1);
+  /* Nothing arrives any more. */
+  world_advance (world, 250 * WORLD_MS);
+  ck_assert_int_eq (world->fetches, 2);
+}
+END_TEST
+
 /* Guards against CONFIG: a watcher whose poll of the configuration hung put off fetching a newer
  * one with each change of a server. */
 START_TEST (changes_of_servers_do_not_put_off_a_newer_configuration)
@@ -953,6 +981,7 @@
   tcase_add_test (tcase, a_stopping_host_takes_no_request_that_may_outlast_it);
   tcase_add_test (tcase, a_late_answer_of_a_peer_brings_nothing_back);
   tcase_add_test (tcase, a_host_fetches_newer_rows_from_a_peer);
+  tcase_add_test (tcase, rows_that_are_arriving_are_not_fetched_from_another_peer);
   tcase_add_test (tcase, changes_of_servers_do_not_put_off_a_newer_configuration);
   tcase_add_test (tcase, a_change_among_many_servers_is_sent_as_one_row);
   tcase_add_test (tcase, old_tombstones_are_removed);
