--- a/core/router.c
+++ b/core/router.c
@@ -499,8 +499,11 @@
     case PL_ROUTER_STORE_READ:
       freshness_on_store_read (router, event->u.store_read_succeeded);
       break;
+    case PL_ROUTER_FETCH_PROGRESS:
+      rows_on_fetch_progress (router, event->u.fetch);
+      break;
     case PL_ROUTER_FETCH_DONE:
-      rows_on_fetch_done (router, event->u.fetch_done.number, event->u.fetch_done.end);
+      rows_on_fetch_done (router, &event->u.fetch_done);
       break;
     case PL_ROUTER_BUSY_PERCENT:
       router->busy_percent = event->u.busy_percent;
